feat: core types, interfaces, error kinds and the stand-ins of the platform

Cause: the project starts from nothing; the shape comes first. Ruled out: code under internal/, exported data fields, one large server package. Change: root package with the request, the filters, the platform interfaces and the closed list of kinds; generated messages; stand-ins in memory and over HTTP.

--- /dev/null
+++ b/codec/call.go
@@ -0,0 +1,92 @@
+package codec
+
+import (
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// EncodeCall returns r as a message, with the time left until its deadline.
+func EncodeCall(r *bulrushlug.Request) *wire.Call {
+	w := &wire.Call{
+		Id:           r.ID(),
+		Attempt:      r.Attempt(),
+		Organisation: r.Organisation(),
+		Model:        r.Model(),
+		Route:        r.Route(),
+		Method:       r.Method(),
+		Path:         r.Path(),
+		ContentType:  r.ContentType(),
+		Body:         r.Body(),
+		Stream:       r.Stream(),
+		Batch:        r.Batch(),
+		Job:          r.Job(),
+		Idempotent:   r.Idempotent(),
+		ResumeFrom:   r.Resume(),
+	}
+	if !r.Deadline().IsZero() {
+		w.DeadlineMs = uint64(max(1, time.Until(r.Deadline()).Milliseconds()))
+	}
+	return w
+}
+
+// DecodeCall returns the request in w.
+func DecodeCall(w *wire.Call) *bulrushlug.Request {
+	o := []bulrushlug.RequestOption{
+		bulrushlug.WithAttempt(w.Attempt),
+		bulrushlug.WithOrganisation(w.Organisation),
+		bulrushlug.WithModel(w.Model),
+		bulrushlug.WithRoute(w.Route),
+		bulrushlug.WithCall(w.Method, w.Path, w.ContentType, w.Body),
+		bulrushlug.WithStream(w.Stream),
+		bulrushlug.WithIdempotent(w.Idempotent),
+		bulrushlug.WithResume(w.ResumeFrom),
+	}
+	if w.Batch {
+		o = append(o, bulrushlug.WithBatch(w.Job))
+	}
+	if w.DeadlineMs > 0 {
+		o = append(o, bulrushlug.WithDeadline(time.Now().Add(time.Duration(w.DeadlineMs)*time.Millisecond)))
+	}
+	return bulrushlug.NewRequest(w.Id, o...)
+}
+
+// EncodeProblem returns err as a message.
+func EncodeProblem(err error) *wire.Problem {
+	k := bulrushlug.KindOf(err)
+	return &wire.Problem{
+		Kind:         k.String(),
+		Message:      err.Error(),
+		Ran:          k.Answer().Ran(),
+		RetryAfterMs: uint64(bulrushlug.WaitOf(err).Milliseconds()),
+	}
+}
+
+// DecodeProblem returns the fault in w.
+func DecodeProblem(w *wire.Problem) *bulrushlug.Fault {
+	f := bulrushlug.NewFault(bulrushlug.ParseKind(w.GetKind()), "%s", w.GetMessage())
+	return f.WithWait(time.Duration(w.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// EncodeEvent returns e as a message.
+func EncodeEvent(e bulrushlug.Event) *wire.Event {
+	return &wire.Event{
+		Stamp:        e.Stamp(),
+		Vm:           e.VM(),
+		What:         e.What(),
+		Request:      e.Request(),
+		Job:          e.Job(),
+		Organisation: e.Organisation(),
+		Detail:       e.Detail(),
+	}
+}
+
+// DecodeEvent returns the event in w.
+func DecodeEvent(w *wire.Event) bulrushlug.Event {
+	o := []bulrushlug.EventOption{
+		bulrushlug.ForIDs(w.Request, w.Job, w.Organisation),
+		bulrushlug.WithDetail(w.Detail),
+	}
+	return bulrushlug.NewEvent(w.What, o...).At(w.Vm, w.Stamp)
+}
--- /dev/null
+++ b/codec/packet.go
@@ -0,0 +1,154 @@
+package codec
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// EncodePacket returns m as the bytes of one datagram.
+func EncodePacket(m bulrushlug.Message) ([]byte, error) {
+	w := &wire.Packet{From: m.From(), Address: m.Address(), Changes: EncodeChanges(m.Changes())}
+	for _, l := range m.Loads() {
+		w.Beats = append(w.Beats, encodeLoad(l))
+	}
+	if d := m.Digest(); d != nil {
+		w.Digest = encodeDigest(*d)
+	}
+	if a := m.Ask(); a != nil {
+		w.Ask = &wire.Ask{Organisation: a.Organisation(), Count: a.Count(), Sequence: a.Sequence()}
+	}
+	if g := m.Grant(); g != nil {
+		w.Grant = encodeGrant(*g)
+	}
+	if r := m.Release(); r != nil {
+		w.Release = &wire.Release{Organisation: r.Organisation(), Epoch: r.Epoch()}
+	}
+	if r := m.Released(); r != nil {
+		w.Released = &wire.Released{Organisation: r.Organisation(), Epoch: r.Epoch(), Balance: r.Balance()}
+	}
+	return proto.Marshal(w)
+}
+
+// DecodePacket returns the message in the datagram p.
+func DecodePacket(p []byte) (bulrushlug.Message, error) {
+	var w wire.Packet
+	if err := proto.Unmarshal(p, &w); err != nil {
+		return bulrushlug.Message{}, bulrushlug.WrapFault(bulrushlug.KindBadRequest, "packet", err)
+	}
+	l, err := DecodeChanges(w.Changes)
+	if err != nil {
+		return bulrushlug.Message{}, err
+	}
+	o := []bulrushlug.MessageOption{bulrushlug.MessageFrom(w.From, w.Address), bulrushlug.MessageChanges(l)}
+	if len(w.Beats) > 0 {
+		o = append(o, bulrushlug.MessageLoads(decodeLoads(w.Beats)...))
+	}
+	if w.Digest != nil {
+		o = append(o, bulrushlug.MessageDigest(decodeDigest(w.Digest)))
+	}
+	return bulrushlug.NewMessage(append(o, decodeLimits(&w)...)...), nil
+}
+
+// decodeLimits returns the parts of w that concern rates.
+func decodeLimits(w *wire.Packet) []bulrushlug.MessageOption {
+	var o []bulrushlug.MessageOption
+	if a := w.Ask; a != nil {
+		o = append(o, bulrushlug.MessageAsk(bulrushlug.NewAsk(a.Organisation, a.Count, a.Sequence)))
+	}
+	if g := w.Grant; g != nil {
+		o = append(o, bulrushlug.MessageGrant(decodeGrant(g)))
+	}
+	if r := w.Release; r != nil {
+		o = append(o, bulrushlug.MessageRelease(bulrushlug.NewRelease(r.Organisation, r.Epoch)))
+	}
+	if r := w.Released; r != nil {
+		q := bulrushlug.NewRelease(r.Organisation, r.Epoch)
+		o = append(o, bulrushlug.MessageReleased(bulrushlug.NewReleased(q, r.Balance)))
+	}
+	return o
+}
+
+func encodeGrant(g bulrushlug.Grant) *wire.Grant {
+	return &wire.Grant{
+		Organisation: g.Organisation(),
+		Count:        g.Count(),
+		Sequence:     g.Sequence(),
+		WaitMs:       uint64(g.Wait().Milliseconds()),
+		Home:         g.Home(),
+	}
+}
+
+func decodeGrant(w *wire.Grant) bulrushlug.Grant {
+	a := bulrushlug.NewAsk(w.Organisation, 0, w.Sequence)
+	if !w.Home {
+		return bulrushlug.RefuseGrant(a)
+	}
+	return bulrushlug.NewGrant(a, w.Count, time.Duration(w.WaitMs)*time.Millisecond)
+}
+
+func encodeLoad(l bulrushlug.Load) *wire.Heartbeat {
+	return &wire.Heartbeat{
+		Vm:       l.VM(),
+		Address:  l.Address(),
+		Region:   l.Region(),
+		Zone:     l.Zone(),
+		Boot:     l.Boot(),
+		Sequence: l.Sequence(),
+		Leaving:  l.Leaving(),
+		Slots:    l.Slots(),
+		Online:   l.Online(),
+		Batch:    l.Batch(),
+		Queued:   l.Queued(),
+		Models:   l.Models(),
+		Services: l.Services(),
+	}
+}
+
+func decodeLoads(l []*wire.Heartbeat) []bulrushlug.Load {
+	var m []bulrushlug.Load
+	for _, w := range l {
+		m = append(m, bulrushlug.NewLoad(w.Vm, w.Sequence,
+			bulrushlug.LoadAt(w.Address, w.Region, w.Zone, w.Boot),
+			bulrushlug.LoadCounts(w.Slots, w.Online, w.Batch, w.Queued),
+			bulrushlug.LoadServes(w.Models, w.Services),
+			bulrushlug.LoadLeaving(w.Leaving)))
+	}
+	return m
+}
+
+// encodeDigest rounds ages up, so that nothing looks newer than it is.
+func encodeDigest(d bulrushlug.Digest) *wire.Digest {
+	w := &wire.Digest{Revision: d.Revision(), Sequence: d.Sequence(), Reply: d.Reply(), Zone: d.Zone(), AgeMs: -1}
+	if d.Age() >= 0 {
+		w.AgeMs = ceilMilliseconds(d.Age())
+	}
+	for _, h := range d.Heard() {
+		w.Heard = append(w.Heard, &wire.Heard{
+			Zone:     h.Zone(),
+			AgeMs:    uint64(ceilMilliseconds(h.Age())),
+			Revision: h.Revision(),
+		})
+	}
+	return w
+}
+
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func decodeDigest(w *wire.Digest) bulrushlug.Digest {
+	a := time.Duration(w.AgeMs) * time.Millisecond
+	var h []bulrushlug.Heard
+	for _, x := range w.Heard {
+		h = append(h, bulrushlug.NewHeard(x.Zone, time.Duration(x.AgeMs)*time.Millisecond, x.Revision))
+	}
+	d := bulrushlug.NewDigest(w.Sequence, w.Zone, w.Revision, a, h)
+	if w.Reply {
+		d = d.WithReply(w.Sequence)
+	}
+	return d
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,191 @@
+// Package engine is the client of a model engine beside an agent.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+const (
+	controlTimeout = 2 * time.Second  // Bounds load reports and orders.
+	idleConns      = 256              // Idle connections kept to the engine.
+	readBytes      = 64 * 1024        // Buffer for one answer.
+)
+
+var done = []byte("data: [DONE]")
+
+// Client calls one engine over HTTP.
+type Client struct {
+	base    string // URL without a trailing slash.
+	client  *http.Client
+	control *http.Client
+}
+
+// New returns the client of the engine at URL u.
+func New(u string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	return &Client{
+		base:    u,
+		client:  &http.Client{Transport: t},
+		control: &http.Client{Timeout: controlTimeout},
+	}
+}
+
+// Run sends r to the engine and relays the answer.
+func (e *Client) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
+	var sent bool
+	c = httptrace.WithClientTrace(c, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent = true },
+	})
+	q, err := http.NewRequestWithContext(c, r.Method(), e.base+r.Path(), bytes.NewReader(r.Body()))
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindBadRequest, r.Path(), err)
+	}
+	q.Header.Set("Content-Type", r.ContentType())
+	q.Header.Set("X-Request-Id", r.ID())
+	if r.Resume() > 0 {
+		q.Header.Set("X-Resume-From", strconv.FormatUint(r.Resume(), 10))
+	}
+	a, err := e.client.Do(q)
+	if err != nil {
+		return failure(c, sent, err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	return relay(c, a, s)
+}
+
+// failure classifies a call that gave no response; without a connection nothing can have run.
+func failure(c context.Context, sent bool, err error) error {
+	switch {
+	case !sent:
+		return bulrushlug.WrapFault(bulrushlug.KindUnplaceable, "engine", err)
+	case c.Err() != nil:
+		return c.Err()
+	}
+	return bulrushlug.WrapFault(bulrushlug.KindUncertain, "engine", err)
+}
+
+func relay(c context.Context, a *http.Response, s bulrushlug.Sink) error {
+	if a.StatusCode >= http.StatusInternalServerError {
+		b, _ := io.ReadAll(io.LimitReader(a.Body, readBytes))
+		return bulrushlug.NewFault(bulrushlug.KindBroken, "engine: status %d: %s", a.StatusCode, bytes.TrimSpace(b))
+	}
+	t := a.Header.Get("Content-Type")
+	if err := s.Head(a.StatusCode, t); err != nil {
+		return err
+	}
+	if strings.HasPrefix(t, "text/event-stream") {
+		return events(c, a.Body, s)
+	}
+	return whole(c, a.Body, s)
+}
+
+// whole relays an answer that ends with the body.
+func whole(c context.Context, b io.Reader, s bulrushlug.Sink) error {
+	p := make([]byte, readBytes)
+	for {
+		n, err := b.Read(p)
+		if n > 0 {
+			if err := s.Write(p[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return broken(c, err)
+		}
+	}
+}
+
+// events relays server-sent events one by one; the last one must say so.
+func events(c context.Context, b io.Reader, s bulrushlug.Sink) error {
+	r := bufio.NewReaderSize(b, readBytes)
+	var e []byte
+	for {
+		l, err := r.ReadBytes('\n')
+		if err != nil {
+			return broken(c, err)
+		}
+		e = append(e, l...)
+		if len(bytes.TrimSpace(l)) > 0 {
+			continue
+		}
+		if err := s.Write(e); err != nil {
+			return err
+		}
+		if bytes.HasPrefix(e, done) {
+			return nil
+		}
+		e = e[:0]
+	}
+}
+
+func broken(c context.Context, err error) error {
+	if c.Err() != nil {
+		return c.Err()
+	}
+	return bulrushlug.WrapFault(bulrushlug.KindBroken, "engine", err)
+}
+
+// Load makes the engine serve version v of model m; fence orders commands of several senders.
+func (e *Client) Load(c context.Context, m, v string, fence uint64) error {
+	b, err := codec.JSON(&wire.Order{Model: m, Version: v, Fence: fence})
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, m, err)
+	}
+	q, err := http.NewRequestWithContext(c, http.MethodPost, e.base+"/v1/orders", bytes.NewReader(b))
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, m, err)
+	}
+	a, err := e.control.Do(q)
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindUnplaceable, "engine", err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	switch a.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return bulrushlug.NewFault(bulrushlug.KindConflict, "engine refuses order %d for %s", fence, m)
+	}
+	return bulrushlug.NewFault(bulrushlug.KindRejected, "engine: order: status %d", a.StatusCode)
+}
+
+// Slots returns how many requests the engine runs at once.
+func (e *Client) Slots(c context.Context) (uint32, error) {
+	l, err := e.report(c)
+	if err != nil {
+		return 0, bulrushlug.WrapFault(bulrushlug.KindUnplaceable, "engine", err)
+	}
+	return l.Slots, nil
+}
+
+func (e *Client) report(c context.Context) (*wire.EngineLoad, error) {
+	q, err := http.NewRequestWithContext(c, http.MethodGet, e.base+"/v1/load", nil)
+	if err != nil {
+		return nil, err
+	}
+	a, err := e.control.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(a.Body, readBytes))
+	if err != nil {
+		return nil, err
+	}
+	return codec.ParseJSON[wire.EngineLoad](b)
+}
--- /dev/null
+++ b/event.go
@@ -0,0 +1,73 @@
+package bulrushlug
+
+// Event is one entry of the time line.
+type Event struct {
+	stamp        uint64 // Hybrid logical clock; orders events over all processes.
+	vm           string // VM of the process that recorded it.
+	what         string // Name of the event in camel case.
+	request      string
+	job          string
+	organisation string
+	detail       string // Never holds a key or a body.
+}
+
+// EventOption sets one field of an event.
+type EventOption func(e *Event)
+
+// NewEvent returns the event w.
+func NewEvent(w string, o ...EventOption) Event {
+	e := Event{what: w}
+	for _, f := range o {
+		f(&e)
+	}
+	return e
+}
+
+// ForRequest sets request and organisation from r.
+func ForRequest(r *Request) EventOption {
+	return func(e *Event) { e.request, e.organisation, e.job = r.id, r.organisation, r.job }
+}
+
+// ForJob sets job and organisation.
+func ForJob(j, o string) EventOption { return func(e *Event) { e.job, e.organisation = j, o } }
+
+// ForIDs sets request, job and organisation.
+func ForIDs(r, j, o string) EventOption {
+	return func(e *Event) { e.request, e.job, e.organisation = r, j, o }
+}
+
+// WithDetail sets the detail.
+func WithDetail(d string) EventOption { return func(e *Event) { e.detail = d } }
+
+// At returns a copy recorded on VM v at stamp s.
+func (e Event) At(v string, s uint64) Event {
+	e.vm, e.stamp = v, s
+	return e
+}
+
+// Stamp returns the time by the hybrid logical clock.
+func (e Event) Stamp() uint64 { return e.stamp }
+
+// VM returns the VM.
+func (e Event) VM() string { return e.vm }
+
+// What returns the name.
+func (e Event) What() string { return e.what }
+
+// Request returns the request.
+func (e Event) Request() string { return e.request }
+
+// Job returns the batch job.
+func (e Event) Job() string { return e.job }
+
+// Organisation returns the organisation.
+func (e Event) Organisation() string { return e.organisation }
+
+// Detail returns the detail.
+func (e Event) Detail() string { return e.detail }
+
+// Recorder keeps events for the time line.
+type Recorder interface {
+	// Record keeps e and never blocks.
+	Record(e Event)
+}
--- /dev/null
+++ b/event/log.go
@@ -0,0 +1,71 @@
+// Package event keeps the newest events of one process for the time line.
+package event
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/clock"
+)
+
+const (
+	shardCount = 8    // Shards of one log.
+	shardSize  = 1024 // Events that one shard keeps.
+)
+
+// Log keeps events in rings; the oldest are overwritten.
+type Log struct {
+	vm     string
+	clock  *clock.Clock
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu   sync.Mutex
+	ring []bulrushlug.Event // At most shardSize events.
+	next int                // Index of the oldest event once the ring is full.
+}
+
+// New returns the log of the process on VM v.
+func New(v string, k *clock.Clock) *Log { return &Log{vm: v, clock: k} }
+
+// Record keeps e under the next stamp.
+func (l *Log) Record(e bulrushlug.Event) {
+	e = e.At(l.vm, l.clock.Now())
+	l.shards[xxhash.Sum64String(e.Request()+e.Job())%shardCount].add(e)
+}
+
+func (s *shard) add(e bulrushlug.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ring) < shardSize {
+		s.ring = append(s.ring, e)
+		return
+	}
+	s.ring[s.next] = e
+	s.next = (s.next + 1) % shardSize
+}
+
+func (s *shard) all() []bulrushlug.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ring)
+}
+
+// Select returns the events that f accepts, oldest first, and at most the newest n.
+func (l *Log) Select(n int, f func(e bulrushlug.Event) bool) []bulrushlug.Event {
+	var m []bulrushlug.Event
+	for i := range l.shards {
+		for _, e := range l.shards[i].all() {
+			if f(e) {
+				m = append(m, e)
+			}
+		}
+	}
+	slices.SortFunc(m, func(a, b bulrushlug.Event) int { return cmp.Compare(a.Stamp(), b.Stamp()) })
+	return m[max(0, len(m)-n):]
+}
--- /dev/null
+++ b/local/stage.go
@@ -0,0 +1,45 @@
+// Package local is the last stage of an agent's pipe: it runs requests at the backend server beside the agent.
+package local
+
+import (
+	"context"
+	"sort"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// Stage runs model requests at the engine and others at the plain service of their route.
+type Stage struct {
+	engine   bulrushlug.Engine           // Nil if there is none.
+	services map[string]bulrushlug.Stage // By name of the route; not changed after construction.
+}
+
+// New returns the stage over an engine, which may be nil, and plain services by name.
+func New(e bulrushlug.Engine, m map[string]bulrushlug.Stage) *Stage {
+	return &Stage{engine: e, services: m}
+}
+
+// Run runs r.
+func (l *Stage) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
+	if r.Route() == "" {
+		if l.engine == nil {
+			return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "no engine beside this agent")
+		}
+		return l.engine.Run(c, r, s)
+	}
+	p, ok := l.services[r.Route()]
+	if !ok {
+		return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "no service %s beside this agent", r.Route())
+	}
+	return p.Run(c, r, s)
+}
+
+// Services returns the names of the plain services, sorted.
+func (l *Stage) Services() []string {
+	var n []string
+	for k := range l.services {
+		n = append(n, k)
+	}
+	sort.Strings(n)
+	return n
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,238 @@
+package bulrushlug
+
+import "time"
+
+// Message is one datagram between two processes; it holds any of its parts.
+type Message struct {
+	from     string // VM of the sender.
+	address  string // host:port of the sender.
+	loads    []Load
+	digest   *Digest
+	changes  []Change // In the order of revisions.
+	ask      *Ask
+	grant    *Grant
+	release  *Release
+	released *Released
+}
+
+// MessageOption adds one part to a message.
+type MessageOption func(m *Message)
+
+// NewMessage returns a message with the given parts.
+func NewMessage(o ...MessageOption) Message {
+	var m Message
+	for _, f := range o {
+		f(&m)
+	}
+	return m
+}
+
+// MessageFrom sets VM and address of the sender.
+func MessageFrom(v, a string) MessageOption { return func(m *Message) { m.from, m.address = v, a } }
+
+// MessageLoads adds load reports.
+func MessageLoads(l ...Load) MessageOption { return func(m *Message) { m.loads = l } }
+
+// MessageDigest adds a digest.
+func MessageDigest(d Digest) MessageOption { return func(m *Message) { m.digest = &d } }
+
+// MessageChanges adds changes of the configuration.
+func MessageChanges(l []Change) MessageOption { return func(m *Message) { m.changes = l } }
+
+// MessageAsk adds a question for admissions.
+func MessageAsk(a Ask) MessageOption { return func(m *Message) { m.ask = &a } }
+
+// MessageGrant adds the answer to a question for admissions.
+func MessageGrant(g Grant) MessageOption { return func(m *Message) { m.grant = &g } }
+
+// MessageRelease adds a request to release an organisation.
+func MessageRelease(r Release) MessageOption { return func(m *Message) { m.release = &r } }
+
+// MessageReleased adds the answer to a request to release.
+func MessageReleased(r Released) MessageOption { return func(m *Message) { m.released = &r } }
+
+// Stamped returns a copy from VM v at address a.
+func (m Message) Stamped(v, a string) Message {
+	m.from, m.address = v, a
+	return m
+}
+
+// From returns the VM of the sender.
+func (m Message) From() string { return m.from }
+
+// Address returns the address of the sender.
+func (m Message) Address() string { return m.address }
+
+// Loads returns the load reports.
+func (m Message) Loads() []Load { return m.loads }
+
+// Digest returns the digest, or nil.
+func (m Message) Digest() *Digest { return m.digest }
+
+// Changes returns the changes of the configuration.
+func (m Message) Changes() []Change { return m.changes }
+
+// Ask returns the question for admissions, or nil.
+func (m Message) Ask() *Ask { return m.ask }
+
+// Grant returns the answer to a question for admissions, or nil.
+func (m Message) Grant() *Grant { return m.grant }
+
+// Release returns the request to release an organisation, or nil.
+func (m Message) Release() *Release { return m.release }
+
+// Released returns the answer to a request to release, or nil.
+func (m Message) Released() *Released { return m.released }
+
+// Mesh sends messages; they may be lost, late, doubled or out of order.
+type Mesh interface {
+	// Send sends m to the process at a and never blocks on the network.
+	Send(a string, m Message)
+}
+
+// Digest says how new a process's configuration is.
+type Digest struct {
+	revision uint64        // Revision that the sender has.
+	sequence uint64        // Set by the asker and echoed in the reply.
+	reply    bool          // The digest answers another one.
+	zone     string        // Availability zone of the sender.
+	age      time.Duration // Age of the newest confirmation by the key-value service; negative if there is none.
+	heard    []Heard       // One for each zone that the sender knows of.
+}
+
+// Heard says how long ago a zone was heard and what it had.
+type Heard struct {
+	zone     string
+	age      time.Duration // Never negative.
+	revision uint64        // Newest revision known to be held in the zone.
+}
+
+// NewDigest returns digest n of a process in zone z that has revision r.
+func NewDigest(n uint64, z string, r uint64, age time.Duration, h []Heard) Digest {
+	return Digest{sequence: n, zone: z, revision: r, age: age, heard: h}
+}
+
+// WithReply returns a copy that answers digest n.
+func (d Digest) WithReply(n uint64) Digest {
+	d.reply, d.sequence = true, n
+	return d
+}
+
+// Revision returns the revision that the sender has.
+func (d Digest) Revision() uint64 { return d.revision }
+
+// Sequence returns the number that the asker set.
+func (d Digest) Sequence() uint64 { return d.sequence }
+
+// Reply reports whether the digest answers another one.
+func (d Digest) Reply() bool { return d.reply }
+
+// Zone returns the availability zone of the sender.
+func (d Digest) Zone() string { return d.zone }
+
+// Age returns the age of the newest confirmation, negative if there is none.
+func (d Digest) Age() time.Duration { return d.age }
+
+// Heard returns what the sender knows of the zones.
+func (d Digest) Heard() []Heard { return d.heard }
+
+// NewHeard returns that zone z was heard a ago with revision r.
+func NewHeard(z string, a time.Duration, r uint64) Heard { return Heard{zone: z, age: a, revision: r} }
+
+// Zone returns the zone.
+func (h Heard) Zone() string { return h.zone }
+
+// Age returns how long ago the zone was heard.
+func (h Heard) Age() time.Duration { return h.age }
+
+// Revision returns the newest revision known to be held in the zone.
+func (h Heard) Revision() uint64 { return h.revision }
+
+// Ask asks the home of an organisation for admissions.
+type Ask struct {
+	organisation string
+	count        uint32 // At least one.
+	sequence     uint64 // Unique for the sender; echoed in the grant.
+}
+
+// NewAsk returns question n for c admissions of o.
+func NewAsk(o string, c uint32, n uint64) Ask {
+	return Ask{organisation: o, count: c, sequence: n}
+}
+
+// Organisation returns the organisation.
+func (a Ask) Organisation() string { return a.organisation }
+
+// Count returns how many admissions are asked for.
+func (a Ask) Count() uint32 { return a.count }
+
+// Sequence returns the number of the question.
+func (a Ask) Sequence() uint64 { return a.sequence }
+
+// Grant answers a question for admissions.
+type Grant struct {
+	organisation string
+	count        uint32        // Admissions given; at most those asked for.
+	sequence     uint64        // Number of the question.
+	wait         time.Duration // Time until one more admission, where fewer are given than asked for.
+	home         bool          // False if the sender is not the home; then count is zero.
+}
+
+// NewGrant returns the answer of the home to a.
+func NewGrant(a Ask, c uint32, w time.Duration) Grant {
+	return Grant{organisation: a.organisation, count: c, sequence: a.sequence, wait: w, home: true}
+}
+
+// RefuseGrant returns the answer of a process that is not the home.
+func RefuseGrant(a Ask) Grant { return Grant{organisation: a.organisation, sequence: a.sequence} }
+
+// Organisation returns the organisation.
+func (g Grant) Organisation() string { return g.organisation }
+
+// Count returns how many admissions are given.
+func (g Grant) Count() uint32 { return g.count }
+
+// Sequence returns the number of the question.
+func (g Grant) Sequence() uint64 { return g.sequence }
+
+// Wait returns the time until one more admission.
+func (g Grant) Wait() time.Duration { return g.wait }
+
+// Home reports whether the sender is the home.
+func (g Grant) Home() bool { return g.home }
+
+// Release asks the previous home of an organisation to stop granting.
+type Release struct {
+	organisation string
+	epoch        uint64 // Ring by which the sender is the home.
+}
+
+// NewRelease returns the request to release o to the home of ring e.
+func NewRelease(o string, e uint64) Release { return Release{organisation: o, epoch: e} }
+
+// Organisation returns the organisation.
+func (r Release) Organisation() string { return r.organisation }
+
+// Epoch returns the ring.
+func (r Release) Epoch() uint64 { return r.epoch }
+
+// Released says that the sender grants nothing for an organisation any more.
+type Released struct {
+	organisation string
+	epoch        uint64  // Ring of the request.
+	balance      float64 // Admissions left in the bucket, at least zero.
+}
+
+// NewReleased returns the answer to r with what is left in the bucket.
+func NewReleased(r Release, b float64) Released {
+	return Released{organisation: r.organisation, epoch: r.epoch, balance: b}
+}
+
+// Organisation returns the organisation.
+func (r Released) Organisation() string { return r.organisation }
+
+// Epoch returns the ring of the request.
+func (r Released) Epoch() uint64 { return r.epoch }
+
+// Balance returns the admissions left in the bucket.
+func (r Released) Balance() float64 { return r.balance }
--- /dev/null
+++ b/plain/client.go
@@ -0,0 +1,88 @@
+// Package plain is the client of a plain service beside an agent.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// readBytes is the size of the buffer for one answer.
+const readBytes = 32 * 1024
+
+// Client calls one plain service over HTTP.
+type Client struct {
+	base   string       // URL without a trailing slash.
+	repeat *http.Client // For calls that may run twice.
+	once   *http.Client // Opens a connection for each call, as net/http repeats some calls on reused ones.
+}
+
+// New returns the client of the service at URL u.
+func New(u string) *Client {
+	return &Client{
+		base:   u,
+		repeat: client(&http.Transport{}),
+		once:   client(&http.Transport{DisableKeepAlives: true}),
+	}
+}
+
+// client returns an HTTP client that hands redirects to the caller.
+func client(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Run sends r to the service and relays the answer.
+func (p *Client) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
+	var sent bool
+	t := httptrace.WithClientTrace(c, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent = true },
+	})
+	q, err := http.NewRequestWithContext(t, r.Method(), p.base+r.Path(), bytes.NewReader(r.Body()))
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindBadRequest, r.Path(), err)
+	}
+	q.Header.Set("Content-Type", r.ContentType())
+	q.Header.Set("X-Request-Id", r.ID())
+	q.Header.Set("X-Organisation", r.Organisation())
+	h := p.once
+	if r.Idempotent() {
+		h = p.repeat
+	}
+	a, err := h.Do(q)
+	switch {
+	case err != nil && !sent:
+		return bulrushlug.WrapFault(bulrushlug.KindUnplaceable, r.Route(), err)
+	case err != nil:
+		return bulrushlug.WrapFault(bulrushlug.KindUncertain, r.Route(), err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	return relay(a, s)
+}
+
+func relay(a *http.Response, s bulrushlug.Sink) error {
+	if err := s.Head(a.StatusCode, a.Header.Get("Content-Type")); err != nil {
+		return err
+	}
+	b := make([]byte, readBytes)
+	for {
+		n, err := a.Body.Read(b)
+		if n > 0 {
+			if err := s.Write(b[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return bulrushlug.WrapFault(bulrushlug.KindBroken, "service", err)
+		}
+	}
+}
--- /dev/null
+++ b/simvm/server.go
@@ -0,0 +1,78 @@
+// Package simvm stands in for the platform's VM list over HTTP.
+package simvm
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/memvm"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// Server serves a list over HTTP.
+type Server struct {
+	list *memvm.List
+	mux  *http.ServeMux
+}
+
+// New returns a server over l.
+func New(l *memvm.List) *Server {
+	s := &Server{list: l, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /v1/vms", s.get)
+	s.mux.HandleFunc("PUT /v1/vms", s.put)
+	s.mux.HandleFunc("DELETE /v1/vms/{name}", s.remove)
+	s.mux.HandleFunc("POST /v1/vms/{name}/leave", s.leave)
+	s.mux.HandleFunc("POST /v1/lag", s.lag)
+	return s
+}
+
+// ServeHTTP serves one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	l, err := s.list.Members(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	m := &wire.Members{}
+	for _, x := range l {
+		m.Members = append(m.Members, codec.EncodeMember(x))
+	}
+	b, err := codec.JSON(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	m, err := codec.ParseJSON[wire.Member](b)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.list.Put(codec.DecodeMember(m))
+}
+
+func (s *Server) remove(_ http.ResponseWriter, r *http.Request) { s.list.Remove(r.PathValue("name")) }
+
+func (s *Server) leave(_ http.ResponseWriter, r *http.Request) { s.list.Leave(r.PathValue("name")) }
+
+func (s *Server) lag(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.URL.Query().Get("ms"))
+	if err != nil || n < 0 {
+		http.Error(w, "ms must be a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	s.list.SetLag(time.Duration(n) * time.Millisecond)
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,115 @@
+// Package store is the client of the platform's key-value service.
+package store
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// callTimeout bounds one call.
+const callTimeout = 2 * time.Second
+
+// Store calls the service over HTTP.
+type Store struct {
+	base   string // URL without a trailing slash.
+	client *http.Client
+}
+
+// New returns the client of the service at URL u.
+func New(u string) *Store { return &Store{base: u, client: &http.Client{Timeout: callTimeout}} }
+
+// Get returns the entry under k; its revision is zero if there is none.
+func (s *Store) Get(c context.Context, k string) (bulrushlug.Item, error) {
+	r, b, err := s.call(c, http.MethodGet, "/v1/kv/"+k, nil)
+	if err != nil {
+		return bulrushlug.Item{}, err
+	}
+	if r.StatusCode == http.StatusNotFound {
+		return bulrushlug.Item{}, nil
+	}
+	if err := check(k, r, b); err != nil {
+		return bulrushlug.Item{}, err
+	}
+	return bulrushlug.NewItem(k, b, revision(r)), nil
+}
+
+// Swap writes v under k if the entry's revision is prev.
+func (s *Store) Swap(c context.Context, k string, v []byte, prev uint64) (uint64, error) {
+	r, b, err := s.call(c, http.MethodPut, "/v1/kv/"+k+"?prev="+strconv.FormatUint(prev, 10), v)
+	if err != nil {
+		return 0, err
+	}
+	return revision(r), check(k, r, b)
+}
+
+// Delete removes the entry under k if its revision is prev.
+func (s *Store) Delete(c context.Context, k string, prev uint64) error {
+	r, b, err := s.call(c, http.MethodDelete, "/v1/kv/"+k+"?prev="+strconv.FormatUint(prev, 10), nil)
+	if err != nil {
+		return err
+	}
+	return check(k, r, b)
+}
+
+// List returns the entries whose keys start with p, in the order of keys, and the revision.
+func (s *Store) List(c context.Context, p string) ([]bulrushlug.Item, uint64, error) {
+	r, b, err := s.call(c, http.MethodGet, "/v1/list?prefix="+url.QueryEscape(p), nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := check(p, r, b); err != nil {
+		return nil, 0, err
+	}
+	e, err := codec.ParseJSON[wire.Entries](b)
+	if err != nil {
+		return nil, 0, bulrushlug.WrapFault(bulrushlug.KindStoreDown, p, err)
+	}
+	var l []bulrushlug.Item
+	for _, x := range e.Entries {
+		l = append(l, bulrushlug.NewItem(x.Key, x.Value, x.Revision))
+	}
+	return l, e.Revision, nil
+}
+
+func (s *Store) call(c context.Context, m, p string, v []byte) (*http.Response, []byte, error) {
+	q, err := http.NewRequestWithContext(c, m, s.base+p, bytes.NewReader(v))
+	if err != nil {
+		return nil, nil, bulrushlug.WrapFault(bulrushlug.KindInternal, p, err)
+	}
+	r, err := s.client.Do(q)
+	if err != nil {
+		return nil, nil, bulrushlug.WrapFault(bulrushlug.KindStoreDown, p, err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, nil, bulrushlug.WrapFault(bulrushlug.KindStoreDown, p, err)
+	}
+	return r, b, nil
+}
+
+func revision(r *http.Response) uint64 {
+	n, _ := strconv.ParseUint(r.Header.Get("Revision"), 10, 64)
+	return n
+}
+
+func check(k string, r *http.Response, b []byte) error {
+	switch r.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return bulrushlug.NewFault(bulrushlug.KindConflict, "%s", bytes.TrimSpace(b))
+	case http.StatusRequestEntityTooLarge:
+		return bulrushlug.NewFault(bulrushlug.KindTooLarge, "%s", bytes.TrimSpace(b))
+	}
+	return bulrushlug.NewFault(bulrushlug.KindStoreDown, "%s: status %d", k, r.StatusCode)
+}
--- /dev/null
+++ b/vmlist/list.go
@@ -0,0 +1,55 @@
+// Package vmlist is the client of the platform's VM list.
+package vmlist
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// callTimeout bounds one call.
+const callTimeout = 2 * time.Second
+
+// List calls the platform over HTTP.
+type List struct {
+	base   string // URL without a trailing slash.
+	client *http.Client
+}
+
+// New returns the client of the list at URL u.
+func New(u string) *List { return &List{base: u, client: &http.Client{Timeout: callTimeout}} }
+
+// Members returns the live and leaving VMs.
+func (l *List) Members(c context.Context) ([]bulrushlug.Member, error) {
+	u := l.base + "/v1/vms"
+	q, err := http.NewRequestWithContext(c, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindInternal, u, err)
+	}
+	r, err := l.client.Do(q)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindStoreDown, u, err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindStoreDown, u, err)
+	}
+	if r.StatusCode != http.StatusOK {
+		return nil, bulrushlug.NewFault(bulrushlug.KindStoreDown, "%s: status %d", u, r.StatusCode)
+	}
+	m, err := codec.ParseJSON[wire.Members](b)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindStoreDown, u, err)
+	}
+	var a []bulrushlug.Member
+	for _, x := range m.Members {
+		a = append(a, codec.DecodeMember(x))
+	}
+	return a, nil
+}
