--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,217 @@
+// Package admin is the HTTP front end for operators.
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/fleet"
+	"bulrushlug.dev/bulrushlug/jobs"
+	"bulrushlug.dev/bulrushlug/ledger"
+	"bulrushlug.dev/bulrushlug/link"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// maxCommand is the largest command in bytes.
+const maxCommand = 1 << 20
+
+// Server answers operators who show their credential.
+type Server struct {
+	hash   string // Hash of the operators' credential.
+	source bulrushlug.Source
+	ledger *ledger.Ledger
+	roster bulrushlug.Roster
+	link   *link.Link
+	jobs   *jobs.Jobs
+	fleet  *fleet.Fleet
+	mux    *http.ServeMux
+}
+
+// New returns a server for operators whose credential has hash h.
+func New(h string, f bulrushlug.Source, l *ledger.Ledger, r bulrushlug.Roster, k *link.Link, j *jobs.Jobs, t *fleet.Fleet) *Server {
+	s := &Server{hash: h, source: f, ledger: l, roster: r, link: k, jobs: j, fleet: t, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /admin/v1/organisation", handle(s, s.organisation))
+	s.mux.HandleFunc("POST /admin/v1/key", handle(s, s.key))
+	s.mux.HandleFunc("POST /admin/v1/entity", handle(s, s.entity))
+	s.mux.HandleFunc("POST /admin/v1/config", handle(s, s.config))
+	s.mux.HandleFunc("POST /admin/v1/positions", handle(s, s.positions))
+	s.mux.HandleFunc("POST /admin/v1/events", handle(s, s.events))
+	s.mux.HandleFunc("POST /admin/v1/servers", handle(s, s.servers))
+	s.mux.HandleFunc("POST /admin/v1/jobs", handle(s, s.listJobs))
+	return s
+}
+
+// ServeHTTP answers one command.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// handle decodes a command for f and encodes its answer.
+func handle[Q any, P codec.Message[Q], A proto.Message](s *Server, f func(c context.Context, q P) (A, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.authorised(r) {
+			fail(w, bulrushlug.NewFault(bulrushlug.KindUnauthenticated, "the operators' credential is missing or wrong"))
+			return
+		}
+		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCommand))
+		if err != nil {
+			fail(w, bulrushlug.WrapFault(bulrushlug.KindTooLarge, "command", err))
+			return
+		}
+		q, err := codec.ParseJSON[Q, P](b)
+		if err != nil {
+			fail(w, bulrushlug.WrapFault(bulrushlug.KindBadRequest, "command", err))
+			return
+		}
+		a, err := f(r.Context(), q)
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		b, err = codec.JSON(a)
+		if err != nil {
+			fail(w, bulrushlug.WrapFault(bulrushlug.KindInternal, "answer", err))
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(b)
+	}
+}
+
+func (s *Server) authorised(r *http.Request) bool {
+	k, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	h := bulrushlug.HashKey(k)
+	return k != "" && subtle.ConstantTimeCompare([]byte(h), []byte(s.hash)) == 1
+}
+
+func fail(w http.ResponseWriter, err error) {
+	p := codec.EncodeProblem(err)
+	b, e := codec.JSON(p)
+	if e != nil {
+		http.Error(w, e.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(bulrushlug.KindOf(err).Answer().Status())
+	_, _ = w.Write(b)
+}
+
+// config returns all entities but the ring, without the hashes of keys.
+func (s *Server) config(context.Context, *wire.Empty) (*wire.ConfigView, error) {
+	f := s.source.Config()
+	v := &wire.ConfigView{Revision: f.Revision()}
+	for _, x := range f.Entities() {
+		w := codec.EncodeChange(x)
+		for _, k := range w.GetOrganisation().GetKeys() {
+			k.Hash = ""
+		}
+		v.Entities = append(v.Entities, w)
+	}
+	return v, nil
+}
+
+// positions asks every process of the VM list for its revision.
+func (s *Server) positions(c context.Context, _ *wire.Empty) (*wire.Positions, error) {
+	l := each(s, func(m bulrushlug.Member) *wire.Position {
+		p, err := s.link.Where(c, m.Address())
+		if err != nil {
+			return &wire.Position{Vm: m.Name(), Role: m.Role(), Leaving: m.Leaving()}
+		}
+		return p
+	})
+	return &wire.Positions{Positions: l}, nil
+}
+
+// events merges the events of all processes in the order of their stamps.
+func (s *Server) events(c context.Context, q *wire.EventsRequest) (*wire.Events, error) {
+	l := each(s, func(m bulrushlug.Member) []bulrushlug.Event {
+		e, err := s.link.History(c, m.Address(), q)
+		if err != nil {
+			return []bulrushlug.Event{bulrushlug.NewEvent("noEvents", bulrushlug.WithDetail(err.Error())).At(m.Name(), 0)}
+		}
+		return e
+	})
+	a := &wire.Events{}
+	for _, e := range slices.Concat(l...) {
+		a.Events = append(a.Events, codec.EncodeEvent(e))
+	}
+	slices.SortStableFunc(a.Events, func(x, y *wire.Event) int {
+		switch {
+		case x.Stamp < y.Stamp:
+			return -1
+		case x.Stamp > y.Stamp:
+			return 1
+		}
+		return 0
+	})
+	if n := int(q.Limit); n > 0 && len(a.Events) > n {
+		a.Events = a.Events[len(a.Events)-n:]
+	}
+	return a, nil
+}
+
+// parallel is the number of processes asked at once.
+const parallel = 32
+
+// each calls f for every process of the VM list, and returns the results in the order of the list.
+func each[T any](s *Server, f func(m bulrushlug.Member) T) []T {
+	l := s.roster.Members()
+	o := make([]T, len(l))
+	slots := make(chan struct{}, parallel)
+	var g sync.WaitGroup
+	for i, m := range l {
+		slots <- struct{}{}
+		g.Go(func() {
+			defer func() { <-slots }()
+			o[i] = f(m)
+		})
+	}
+	g.Wait()
+	return o
+}
+
+// servers returns what this entry knows of the backend servers.
+func (s *Server) servers(context.Context, *wire.Empty) (*wire.ServerViews, error) {
+	a := &wire.ServerViews{}
+	for _, v := range s.fleet.All() {
+		a.Servers = append(a.Servers, &wire.ServerView{
+			Report:  codec.EncodeLoad(v.Load()),
+			Live:    v.Live(),
+			Avoided: v.Avoid(),
+			Busy:    v.Busy(),
+		})
+	}
+	slices.SortFunc(a.Servers, func(x, y *wire.ServerView) int { return strings.Compare(x.Report.Vm, y.Report.Vm) })
+	return a, nil
+}
+
+// listJobs returns the jobs of one organisation, or of all.
+func (s *Server) listJobs(c context.Context, q *wire.KeyCommand) (*wire.JobViews, error) {
+	l, err := s.jobs.Jobs(c, q.Organisation)
+	if err != nil {
+		return nil, err
+	}
+	a := &wire.JobViews{}
+	for _, j := range l {
+		d, f := j.Counts()
+		a.Jobs = append(a.Jobs, &wire.JobView{
+			Id:           j.ID(),
+			Organisation: j.Organisation(),
+			Status:       string(j.Status()),
+			Owner:        j.Owner(),
+			Items:        j.Items(),
+			Done:         d,
+			Failed:       f,
+			Due:          j.Due().UTC().Format("2006-01-02T15:04:05Z"),
+			Problem:      j.Problem(),
+		})
+	}
+	return a, nil
+}
--- /dev/null
+++ b/authn/filter.go
@@ -0,0 +1,74 @@
+// Package authn binds requests to the organisation whose key came with them.
+package authn
+
+import (
+	"context"
+	"maps"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/match"
+)
+
+// Filter looks up keys in the configuration.
+type Filter struct{ source bulrushlug.Source }
+
+// New returns a filter over the configuration in f.
+func New(f bulrushlug.Source) *Filter { return &Filter{source: f} }
+
+// Pass refuses requests without a valid key, but for those on open routes.
+func (a *Filter) Pass(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink, n bulrushlug.Stage) error {
+	f := a.source.Config()
+	if r.Route() != "" {
+		if t, ok := f.RouteNamed(r.Route()); ok && t.Open() {
+			r.Authenticate("", "")
+			return n.Run(c, r, s)
+		}
+	}
+	if !a.source.Fresh() {
+		return bulrushlug.NewFault(bulrushlug.KindStale, "this process can't confirm that its keys are current")
+	}
+	o, i, err := Check(f, r.Key())
+	if err != nil {
+		return err
+	}
+	r.Authenticate(o, i)
+	if r.Model() != "" {
+		if err := MayUse(f, o, r.Model()); err != nil {
+			return err
+		}
+	}
+	return n.Run(c, r, s)
+}
+
+// Check returns the organisation and the identifier of key k.
+func Check(f *bulrushlug.Config, k string) (organisation, id string, err error) {
+	if k == "" {
+		return "", "", bulrushlug.NewFault(bulrushlug.KindUnauthenticated, "no key came with the request")
+	}
+	organisation, id, ok := f.Owner(bulrushlug.HashKey(k))
+	if !ok {
+		return "", "", bulrushlug.NewFault(bulrushlug.KindUnauthenticated, "the key is unknown or withdrawn")
+	}
+	return organisation, id, nil
+}
+
+// MayUse returns an error if model m does not exist or is not open to organisation o.
+func MayUse(f *bulrushlug.Config, o, m string) error {
+	x, ok := f.Model(m)
+	if !ok {
+		return bulrushlug.NewFault(bulrushlug.KindUnknownModel, "the model %q does not exist", m)
+	}
+	g, ok := f.Organisation(o)
+	if !ok || !match.Labels(x.Organisations(), withName(g)) {
+		return bulrushlug.NewFault(bulrushlug.KindForbidden, "the model %q is not open to %s", m, o)
+	}
+	return nil
+}
+
+// withName returns the labels of o and its name under the label organisation.
+func withName(o bulrushlug.Organisation) map[string]string {
+	m := map[string]string{}
+	maps.Copy(m, o.Labels())
+	m["organisation"] = o.Name()
+	return m
+}
--- /dev/null
+++ b/batch/runner.go
@@ -0,0 +1,283 @@
+// Package batch runs the jobs that a process owns.
+//
+// The owner of a job is the first data VM by rank that answers. Ownership only saves work: what counts is
+// the compare-and-swap of the job's record, which refuses the results of all but the newest owner.
+package batch
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/copies"
+	"bulrushlug.dev/bulrushlug/jobs"
+	"bulrushlug.dev/bulrushlug/lane"
+	"bulrushlug.dev/bulrushlug/rank"
+)
+
+const (
+	scanPause = 1500 * time.Millisecond // Time between two reads of the open jobs.
+	scanTime  = 10 * time.Second        // Bounds one read.
+	deadAfter = 6 * time.Second         // Time without an answer after which an owner is replaced.
+	stopTime  = 5 * time.Second         // Bounds the release of the jobs at a planned stop.
+)
+
+// Prober finds out whether processes answer.
+type Prober interface {
+	// Probe returns an error if the process at address a does not answer.
+	Probe(c context.Context, a string) error
+}
+
+// Runner owns and runs jobs.
+type Runner struct {
+	self     string
+	jobs     *jobs.Jobs
+	copies   *copies.Copies
+	lanes    *lane.Lanes
+	stage    bulrushlug.Stage
+	source   bulrushlug.Source
+	roster   bulrushlug.Roster
+	prober   Prober
+	recorder bulrushlug.Recorder
+	counts   *expvar.Map
+
+	mu     sync.Mutex           // Guards the fields below.
+	runs   map[string]*run      // By job.
+	owners map[string]string    // Last known owner by job.
+	heard  map[string]time.Time // When a VM last answered, or was first probed.
+	closed bool                 // No more jobs are claimed.
+}
+
+// Option sets one part of a runner.
+type Option func(r *Runner)
+
+// WithPipe runs items by the pipe g, admitted by l.
+func WithPipe(g bulrushlug.Stage, l *lane.Lanes) Option {
+	return func(r *Runner) { r.stage, r.lanes = g, l }
+}
+
+// WithRecords keeps jobs in j and chunks in x.
+func WithRecords(j *jobs.Jobs, x *copies.Copies) Option {
+	return func(r *Runner) { r.jobs, r.copies = j, x }
+}
+
+// WithFleet takes configuration, members and their health from f, o and p.
+func WithFleet(f bulrushlug.Source, o bulrushlug.Roster, p Prober) Option {
+	return func(r *Runner) { r.source, r.roster, r.prober = f, o, p }
+}
+
+// WithReports records events and counts.
+func WithReports(e bulrushlug.Recorder, m *expvar.Map) Option {
+	return func(r *Runner) { r.recorder, r.counts = e, m }
+}
+
+// New returns the runner on VM v.
+func New(v string, o ...Option) *Runner {
+	r := &Runner{self: v, runs: map[string]*run{}, owners: map[string]string{}, heard: map[string]time.Time{}}
+	for _, f := range o {
+		f(r)
+	}
+	return r
+}
+
+// Run claims and runs jobs until c ends; then it releases them.
+func (r *Runner) Run(c context.Context) error {
+	w, stop := context.WithCancel(context.WithoutCancel(c))
+	defer stop()
+	for bulrushlug.Wait(c, scanPause) == nil {
+		r.scan(c, w)
+	}
+	r.release(w)
+	return nil
+}
+
+// scan reads the open jobs, claims those that this process should own, and passes on cancellations.
+func (r *Runner) scan(c, w context.Context) {
+	c, stop := context.WithTimeout(c, scanTime)
+	defer stop()
+	l, err := r.jobs.Open(c)
+	if err != nil {
+		r.counts.Add("scanFailed", 1)
+		return
+	}
+	for _, o := range l {
+		if x := r.running(o.ID()); x != nil {
+			if o.Cancel() {
+				x.Cancel()
+			}
+			continue
+		}
+		if r.shouldOwn(c, o) {
+			r.claim(c, w, o)
+		}
+	}
+	r.forget(l)
+}
+
+func (r *Runner) running(id string) *run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// forget drops what is known of jobs that are no longer open.
+func (r *Runner) forget(l []jobs.Open) {
+	open := map[string]bool{}
+	for _, o := range l {
+		open[o.ID()] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.owners {
+		if !open[id] {
+			delete(r.owners, id)
+		}
+	}
+}
+
+// shouldOwn reports whether this process is the first that answers in the order of the job.
+func (r *Runner) shouldOwn(c context.Context, o jobs.Open) bool {
+	r.mu.Lock()
+	n, ok := r.owners[o.ID()]
+	r.mu.Unlock()
+	if !ok {
+		x, err := r.jobs.Job(c, o.Organisation(), o.ID())
+		if err != nil {
+			return false
+		}
+		n = x.Owner()
+		r.setOwner(o.ID(), n)
+	}
+	if n != "" && n != r.self && r.answers(c, n) {
+		return false
+	}
+	f := rank.First(o.ID(), r.candidates(), func(v string) bool { return v == r.self || r.answers(c, v) })
+	return f == r.self
+}
+
+func (r *Runner) setOwner(id, n string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.owners[id] = n
+}
+
+// candidates returns the data VMs that stay.
+func (r *Runner) candidates() []string {
+	var l []string
+	for _, m := range r.roster.Members() {
+		if m.Data() && !m.Leaving() {
+			l = append(l, m.Name())
+		}
+	}
+	return l
+}
+
+// answers reports whether the process on VM v answered within deadAfter.
+func (r *Runner) answers(c context.Context, v string) bool {
+	var a string
+	for _, m := range r.roster.Members() {
+		if m.Name() == v && !m.Leaving() {
+			a = m.Address()
+		}
+	}
+	if a == "" {
+		return false
+	}
+	r.mu.Lock()
+	t, ok := r.heard[v]
+	if !ok {
+		t = time.Now()
+		r.heard[v] = t
+	}
+	r.mu.Unlock()
+	if time.Since(t) < scanPause && ok {
+		return true
+	}
+	if r.prober.Probe(c, a) == nil {
+		r.mu.Lock()
+		r.heard[v] = time.Now()
+		r.mu.Unlock()
+		return true
+	}
+	return time.Since(t) < deadAfter
+}
+
+// claim makes this process the owner of job o under a new fence, and starts it.
+func (r *Runner) claim(c, w context.Context, o jobs.Open) {
+	r.mu.Lock()
+	seen, closed := r.owners[o.ID()], r.closed
+	r.mu.Unlock()
+	if closed {
+		return
+	}
+	x, err := r.jobs.Update(c, o.Organisation(), o.ID(), func(x bulrushlug.Job) (bulrushlug.Job, error) {
+		if x.Owner() != seen && x.Owner() != r.self {
+			r.setOwner(o.ID(), x.Owner())
+			return x, errNotOwner
+		}
+		if x.Status().Final() {
+			return x, bulrushlug.NewFault(bulrushlug.KindConflict, "batch %s is %s", x.ID(), x.Status())
+		}
+		return x.With(bulrushlug.JobOwner(r.self, x.Fence()+1)), nil
+	})
+	switch {
+	case err == nil:
+		r.start(w, x, o.Cancel())
+	case x.Status().Final():
+		_ = r.jobs.Close(c, o.ID())
+	}
+}
+
+func (r *Runner) start(w context.Context, x bulrushlug.Job, cancel bool) {
+	r.recorder.Record(bulrushlug.NewEvent("jobClaimed", bulrushlug.ForJob(x.ID(), x.Organisation())))
+	c, stop := context.WithCancel(w)
+	n := &run{Runner: r, job: x, stop: stop, done: make(chan struct{}), cancel: cancel}
+	n.cancel = cancel || x.Status() == bulrushlug.StatusCancelling
+	r.mu.Lock()
+	r.runs[x.ID()] = n
+	r.owners[x.ID()] = r.self
+	r.mu.Unlock()
+	go func() {
+		defer close(n.done)
+		defer stop()
+		r.ended(x, n.execute(c))
+	}()
+}
+
+func (r *Runner) ended(x bulrushlug.Job, err error) {
+	r.mu.Lock()
+	delete(r.runs, x.ID())
+	delete(r.owners, x.ID())
+	r.mu.Unlock()
+	if err == nil {
+		r.counts.Add("jobsEnded", 1)
+		return
+	}
+	r.counts.Add("jobsLeft", 1)
+	r.recorder.Record(bulrushlug.NewEvent("jobLeft", bulrushlug.ForJob(x.ID(), x.Organisation()), bulrushlug.WithDetail(err.Error())))
+}
+
+// release stops all runs and gives their jobs up, so that other processes take them at once.
+func (r *Runner) release(w context.Context) {
+	w, stop := context.WithTimeout(w, stopTime)
+	defer stop()
+	r.mu.Lock()
+	r.closed = true
+	var l []*run
+	for _, x := range r.runs {
+		l = append(l, x)
+	}
+	r.mu.Unlock()
+	for _, x := range l {
+		x.stop()
+		<-x.done
+		_, _ = r.jobs.Update(w, x.job.Organisation(), x.job.ID(), func(y bulrushlug.Job) (bulrushlug.Job, error) {
+			if err := x.owns(y); err != nil {
+				return y, err
+			}
+			return y.With(bulrushlug.JobOwner("", y.Fence())), nil
+		})
+	}
+}
--- /dev/null
+++ b/beat/beat.go
@@ -0,0 +1,111 @@
+// Package beat sends the load reports of an agent.
+package beat
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/rank"
+)
+
+const (
+	interval = time.Second // Time between two reports to the same process.
+	jitter   = 100 * time.Millisecond
+	fixed    = 6 // Processes that get every report.
+	turning  = 2 // Further processes that get one report each, by turns.
+)
+
+// Reporter gives the state of an agent.
+type Reporter interface {
+	// Counts returns the slots, the online requests and batch items that run, and the online requests that wait.
+	Counts() (slots, online, batch, queued int)
+	// Models returns the models that are loaded.
+	Models() []string
+	// Services returns the plain services beside the agent.
+	Services() []string
+}
+
+// Beat sends reports to a bounded number of the processes that place work.
+type Beat struct {
+	self     bulrushlug.Member
+	boot     string // Changes with each start of the process.
+	reporter Reporter
+	roster   bulrushlug.Roster
+	mesh     bulrushlug.Mesh
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	turn     atomic.Uint64
+}
+
+// New returns the beat of the agent m.
+func New(m bulrushlug.Member, p Reporter, r bulrushlug.Roster, x bulrushlug.Mesh) *Beat {
+	return &Beat{self: m, boot: uuid.NewString(), reporter: p, roster: r, mesh: x}
+}
+
+// Run sends reports until c ends.
+func (b *Beat) Run(c context.Context) error {
+	for {
+		b.send(b.some())
+		if err := bulrushlug.Wait(c, interval+rand.N(jitter)); err != nil {
+			return nil
+		}
+	}
+}
+
+// Leave tells all processes at once that the agent takes no new work.
+func (b *Beat) Leave() {
+	b.leaving.Store(true)
+	b.send(b.placers())
+}
+
+// placers returns the processes that place work.
+func (b *Beat) placers() []bulrushlug.Member {
+	var l []bulrushlug.Member
+	for _, m := range b.roster.Members() {
+		if m.Role() == bulrushlug.RoleEntry || m.Data() {
+			l = append(l, m)
+		}
+	}
+	return l
+}
+
+// some returns the processes for the next report: the first by rank, and a few others by turns.
+func (b *Beat) some() []bulrushlug.Member {
+	l := b.placers()
+	if len(l) <= fixed+turning {
+		return l
+	}
+	m := map[string]bulrushlug.Member{}
+	var n []string
+	for _, x := range l {
+		m[x.Name()] = x
+		n = append(n, x.Name())
+	}
+	n = rank.Order(b.self.Name(), n)
+	var o []bulrushlug.Member
+	for _, x := range n[:fixed] {
+		o = append(o, m[x])
+	}
+	for range turning {
+		i := int(b.turn.Add(1)) % (len(n) - fixed)
+		o = append(o, m[n[fixed+i]])
+	}
+	return o
+}
+
+func (b *Beat) send(l []bulrushlug.Member) {
+	s, o, t, q := b.reporter.Counts()
+	r := bulrushlug.NewLoad(b.self.Name(), b.sequence.Add(1),
+		bulrushlug.LoadAt(b.self.Address(), b.self.Region(), b.self.Zone(), b.boot),
+		bulrushlug.LoadCounts(uint32(s), uint32(o), uint32(t), uint32(q)),
+		bulrushlug.LoadServes(b.reporter.Models(), b.reporter.Services()),
+		bulrushlug.LoadLeaving(b.leaving.Load()))
+	for _, m := range l {
+		b.mesh.Send(m.Address(), bulrushlug.NewMessage(bulrushlug.MessageLoads(r)))
+	}
+}
--- a/change.go
+++ b/change.go
@@ -45,6 +45,12 @@
 	return c
 }
 
+// WithID returns a copy with identifier i.
+func (c Change) WithID(i string) Change {
+	c.id = i
+	return c
+}
+
 // WithTime returns a copy made at t.
 func (c Change) WithTime(t time.Time) Change {
 	c.at = t
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,17 @@
+// Command standin runs stand-ins of the platform and of backend servers, and a demonstration.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"bulrushlug.dev/bulrushlug/sims"
+)
+
+func main() {
+	if err := sims.New().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmds/org.go
@@ -0,0 +1,153 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+func orgCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "org",
+		Usage: "create, change and show organisations",
+		Commands: []*cli.Command{
+			{Name: "create", Usage: "create an organisation", ArgsUsage: "name", Flags: orgFlags(), Action: orgChange(true)},
+			{Name: "set", Usage: "change an organisation", ArgsUsage: "name", Flags: orgFlags(), Action: orgChange(false)},
+			{Name: "remove", Usage: "remove an organisation with all its keys", ArgsUsage: "name", Flags: seenFlags(), Action: orgRemove},
+			{Name: "list", Usage: "list organisations", Action: orgList},
+			{Name: "show", Usage: "show the keys of an organisation", ArgsUsage: "name", Action: orgShow},
+		},
+	}
+}
+
+// seenFlags are the flags of all commands that change something.
+func seenFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Uint64Flag{Name: "seen", Usage: "refuse the change if the entity has changed since this `revision`"},
+		&cli.StringFlag{Name: "change-id", Usage: "`identifier` of a change that is sent again"},
+	}
+}
+
+func orgFlags() []cli.Flag {
+	return append(seenFlags(),
+		&cli.Float64Flag{Name: "rate", Usage: "requests per `second`"},
+		&cli.Uint32Flag{Name: "burst", Usage: "`requests` that may come at once"},
+		&cli.StringSliceFlag{Name: "label", Usage: "`name=value`; replaces all labels"},
+		&cli.StringFlag{Name: "selector", Usage: "VMs that may run the organisation's work"},
+	)
+}
+
+func orgChange(create bool) cli.ActionFunc {
+	return func(c context.Context, m *cli.Command) error {
+		n, err := one(m, "name")
+		if err != nil {
+			return err
+		}
+		l, err := pairs(m.StringSlice("label"))
+		if err != nil {
+			return err
+		}
+		q := &wire.OrganisationCommand{Name: n, Create: create, Labels: l, SetLabels: m.IsSet("label"), Seen: m.Uint64("seen"), ChangeId: m.String("change-id")}
+		if m.IsSet("rate") {
+			v := m.Float64("rate")
+			q.Rate = &v
+		}
+		if m.IsSet("burst") {
+			v := m.Uint32("burst")
+			q.Burst = &v
+		}
+		if m.IsSet("selector") {
+			v := m.String("selector")
+			q.Selector = &v
+		}
+		a, err := call[wire.Accepted](c, m, "organisation", q)
+		return accepted(m, a, err)
+	}
+}
+
+// accepted reports the revision of a change.
+func accepted(m *cli.Command, a *wire.Accepted, err error) error {
+	if err != nil {
+		return err
+	}
+	return write(m, a, func(w io.Writer) { _, _ = fmt.Fprintf(w, "accepted as revision %d\n", a.Revision) })
+}
+
+func orgRemove(c context.Context, m *cli.Command) error {
+	n, err := one(m, "name")
+	if err != nil {
+		return err
+	}
+	return change(c, m, &wire.Change{Removed: true, Entity: &wire.Change_Organisation{Organisation: &wire.Organisation{Name: n}}})
+}
+
+// change sends a change of any entity but an organisation's fields.
+func change(c context.Context, m *cli.Command, x *wire.Change) error {
+	x.Id = m.String("change-id")
+	a, err := call[wire.Accepted](c, m, "entity", &wire.EntityCommand{Seen: m.Uint64("seen"), Change: x})
+	return accepted(m, a, err)
+}
+
+// entities returns those entities for which f returns something.
+func entities[T any](c context.Context, m *cli.Command, f func(x *wire.Change) *T) (*wire.ConfigView, []*T, error) {
+	v, err := call[wire.ConfigView](c, m, "config", &wire.Empty{})
+	if err != nil {
+		return nil, nil, err
+	}
+	var l []*T
+	var kept []*wire.Change
+	for _, x := range v.Entities {
+		if e := f(x); e != nil {
+			l = append(l, e)
+			kept = append(kept, x)
+		}
+	}
+	v.Entities = kept
+	return v, l, nil
+}
+
+func orgList(c context.Context, m *cli.Command) error {
+	v, l, err := entities(c, m, (*wire.Change).GetOrganisation)
+	if err != nil {
+		return err
+	}
+	return write(m, v, func(w io.Writer) {
+		row(w, "NAME", "RATE/S", "BURST", "KEYS", "SELECTOR", "LABELS")
+		for _, o := range l {
+			row(w, o.Name, o.Rate, o.Burst, len(o.Keys), o.Selector, labels(o.Labels))
+		}
+	})
+}
+
+func orgShow(c context.Context, m *cli.Command) error {
+	n, err := one(m, "name")
+	if err != nil {
+		return err
+	}
+	v, l, err := entities(c, m, func(x *wire.Change) *wire.Organisation {
+		if o := x.GetOrganisation(); o.GetName() == n {
+			return o
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if len(l) == 0 {
+		return fmt.Errorf("there is no organisation %s", n)
+	}
+	return write(m, v, func(w io.Writer) {
+		row(w, "KEY", "STATE")
+		for _, k := range l[0].Keys {
+			s := "valid"
+			if k.Withdrawn {
+				s = "withdrawn"
+			}
+			row(w, k.Id, s)
+		}
+	})
+}
--- /dev/null
+++ b/cmds/route.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+func routeCommand() *cli.Command {
+	f := append(seenFlags(),
+		&cli.StringFlag{Name: "prefix", Usage: "`path` prefix", Required: true},
+		&cli.BoolFlag{Name: "open", Usage: "needs no key"},
+		&cli.StringSliceFlag{Name: "repeatable", Usage: "HTTP `method` whose calls may run twice"},
+	)
+	return &cli.Command{
+		Name:  "route",
+		Usage: "lead paths to plain services",
+		Commands: []*cli.Command{
+			{Name: "put", Usage: "add or change a route", ArgsUsage: "service", Flags: f, Action: routePut},
+			{Name: "remove", Usage: "remove a route", ArgsUsage: "service", Flags: seenFlags(), Action: routeRemove},
+			{Name: "list", Usage: "list routes", Action: routeList},
+		},
+	}
+}
+
+func routePut(c context.Context, m *cli.Command) error {
+	n, err := one(m, "service")
+	if err != nil {
+		return err
+	}
+	return change(c, m, &wire.Change{Entity: &wire.Change_Route{Route: &wire.Route{
+		Name:       n,
+		Prefix:     m.String("prefix"),
+		Open:       m.Bool("open"),
+		Repeatable: m.StringSlice("repeatable"),
+	}}})
+}
+
+func routeRemove(c context.Context, m *cli.Command) error {
+	n, err := one(m, "service")
+	if err != nil {
+		return err
+	}
+	return change(c, m, &wire.Change{Removed: true, Entity: &wire.Change_Route{Route: &wire.Route{Name: n, Prefix: "/" + n}}})
+}
+
+func routeList(c context.Context, m *cli.Command) error {
+	v, l, err := entities(c, m, (*wire.Change).GetRoute)
+	if err != nil {
+		return err
+	}
+	return write(m, v, func(w io.Writer) {
+		row(w, "SERVICE", "PREFIX", "OPEN", "REPEATABLE")
+		for _, x := range l {
+			row(w, x.Name, x.Prefix, x.Open, strings.Join(x.Repeatable, ","))
+		}
+	})
+}
--- /dev/null
+++ b/cmds/secret.go
@@ -0,0 +1,33 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// secretBytes is the length of secrets, credentials and keys.
+const secretBytes = 32
+
+func secretCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "secret",
+		Usage: "make a peer secret, and an operators' credential with its hash",
+		Action: func(_ context.Context, m *cli.Command) error {
+			c := random()
+			_, err := fmt.Fprintf(m.Root().Writer, "peerSecrets   %s\ncredential    %s\noperatorHash  %s\n", random(), c, bulrushlug.HashKey(c))
+			return err
+		},
+	}
+}
+
+func random() string {
+	b := make([]byte, secretBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
--- a/codec/packet.go
+++ b/codec/packet.go
@@ -13,7 +13,7 @@
 func EncodePacket(m bulrushlug.Message) ([]byte, error) {
 	w := &wire.Packet{From: m.From(), Address: m.Address(), Changes: EncodeChanges(m.Changes())}
 	for _, l := range m.Loads() {
-		w.Beats = append(w.Beats, encodeLoad(l))
+		w.Beats = append(w.Beats, EncodeLoad(l))
 	}
 	if d := m.Digest(); d != nil {
 		w.Digest = encodeDigest(*d)
@@ -90,7 +90,8 @@
 	return bulrushlug.NewGrant(a, w.Count, time.Duration(w.WaitMs)*time.Millisecond)
 }
 
-func encodeLoad(l bulrushlug.Load) *wire.Heartbeat {
+// EncodeLoad returns l as a message.
+func EncodeLoad(l bulrushlug.Load) *wire.Heartbeat {
 	return &wire.Heartbeat{
 		Vm:       l.VM(),
 		Address:  l.Address(),
@@ -122,15 +123,14 @@
 
 // encodeDigest rounds ages up, so that nothing looks newer than it is.
 func encodeDigest(d bulrushlug.Digest) *wire.Digest {
-	w := &wire.Digest{Revision: d.Revision(), Sequence: d.Sequence(), Reply: d.Reply(), Zone: d.Zone(), AgeMs: -1}
+	w := &wire.Digest{Revision: d.Revision(), Sequence: d.Sequence(), Reply: d.Reply(), Accepted: d.Accepted(), Zone: d.Zone(), AgeMs: -1}
 	if d.Age() >= 0 {
 		w.AgeMs = ceilMilliseconds(d.Age())
 	}
 	for _, h := range d.Heard() {
 		w.Heard = append(w.Heard, &wire.Heard{
-			Zone:     h.Zone(),
-			AgeMs:    uint64(ceilMilliseconds(h.Age())),
-			Revision: h.Revision(),
+			Zone:  h.Zone(),
+			AgeMs: uint64(ceilMilliseconds(h.Age())),
 		})
 	}
 	return w
@@ -144,9 +144,9 @@
 	a := time.Duration(w.AgeMs) * time.Millisecond
 	var h []bulrushlug.Heard
 	for _, x := range w.Heard {
-		h = append(h, bulrushlug.NewHeard(x.Zone, time.Duration(x.AgeMs)*time.Millisecond, x.Revision))
+		h = append(h, bulrushlug.NewHeard(x.Zone, time.Duration(x.AgeMs)*time.Millisecond))
 	}
-	d := bulrushlug.NewDigest(w.Sequence, w.Zone, w.Revision, a, h)
+	d := bulrushlug.NewDigest(w.Sequence, w.Zone, w.Revision, a, h).WithAccepted(w.Accepted)
 	if w.Reply {
 		d = d.WithReply(w.Sequence)
 	}
--- /dev/null
+++ b/conf/load.go
@@ -0,0 +1,190 @@
+package conf
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+var (
+	linePattern  = regexp.MustCompile(`\(line (\d+):\d+\)`)
+	fieldPattern = regexp.MustCompile(`"([^"]+)"`)
+)
+
+// Load reads and checks the file at path p; the error names file, line and field of each fault.
+func Load(p string) (*Settings, error) {
+	b, err := os.ReadFile(p)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, p, err)
+	}
+	return Parse(p, b)
+}
+
+// Parse checks the settings in b; p names them in errors.
+func Parse(p string, b []byte) (*Settings, error) {
+	j, err := hujson.Standardize(bytes.Clone(b))
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, p, err)
+	}
+	w, err := codec.ParseJSON[wire.Settings](j)
+	if err != nil {
+		return nil, bulrushlug.NewFault(bulrushlug.KindBadRequest, "%s", syntax(p, err))
+	}
+	s := &Settings{w: w}
+	s.fill()
+	f := &faults{path: p, text: j}
+	f.check(w)
+	if len(f.list) > 0 {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, "settings", errors.Join(f.list...))
+	}
+	return s, nil
+}
+
+// syntax puts the place of err first.
+func syntax(p string, err error) string {
+	m := strings.ReplaceAll(err.Error(), "\u00a0", " ")
+	m = strings.TrimPrefix(m, "proto: ")
+	if x := linePattern.FindStringSubmatch(m); x != nil {
+		field := ""
+		if y := fieldPattern.FindStringSubmatch(m); y != nil {
+			field = y[1]
+		}
+		return fmt.Sprintf("%s:%s: %s: %s", p, x[1], field, m)
+	}
+	return p + ": " + m
+}
+
+// faults gathers everything that is wrong with one file.
+type faults struct {
+	path string
+	text []byte // Standard JSON on the lines of the file.
+	list []error
+}
+
+// add notes that field n is wrong.
+func (f *faults) add(n, format string, a ...any) {
+	line := 1
+	if i := bytes.Index(f.text, []byte(strconv.Quote(n))); i >= 0 {
+		line += bytes.Count(f.text[:i], []byte("\n"))
+	}
+	f.list = append(f.list, fmt.Errorf("%s:%d: %s: %s", f.path, line, n, fmt.Sprintf(format, a...)))
+}
+
+func (f *faults) check(w *wire.Settings) {
+	f.required(w)
+	f.addresses(w)
+	f.secrets(w)
+	f.ranges(w)
+}
+
+func (f *faults) required(w *wire.Settings) {
+	for _, x := range []struct{ name, value string }{
+		{"vm", w.Vm},
+		{"region", w.Region},
+		{"zone", w.Zone},
+		{"listen", w.Listen},
+		{"store", w.Store},
+		{"vmList", w.VmList},
+	} {
+		if x.value == "" {
+			f.add(x.name, "is missing")
+		}
+	}
+	switch w.Role {
+	case bulrushlug.RoleEntry:
+		f.entry(w)
+	case bulrushlug.RoleAgent:
+		if w.Engine == "" && len(w.Services) == 0 {
+			f.add("engine", "an agent needs an engine or services")
+		}
+	default:
+		f.add("role", "is %q, not %q or %q", w.Role, bulrushlug.RoleEntry, bulrushlug.RoleAgent)
+	}
+}
+
+func (f *faults) entry(w *wire.Settings) {
+	if w.Http == "" {
+		f.add("http", "is missing")
+	}
+	if w.OperatorHash == "" {
+		f.add("operatorHash", "is missing")
+	}
+	if w.Engine != "" || len(w.Services) > 0 {
+		f.add("engine", "an entry has neither engine nor services")
+	}
+}
+
+func (f *faults) addresses(w *wire.Settings) {
+	for _, x := range []struct{ name, value string }{{"listen", w.Listen}, {"http", w.Http}, {"debug", w.Debug}} {
+		if x.value == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(x.value); err != nil {
+			f.add(x.name, "is no host:port: %v", err)
+		}
+	}
+	urls := []struct{ name, value string }{{"store", w.Store}, {"vmList", w.VmList}, {"engine", w.Engine}}
+	for _, x := range w.Services {
+		if x.Name == "" {
+			f.add("services", "a service has no name")
+		}
+		urls = append(urls, struct{ name, value string }{"services", x.Url})
+	}
+	for _, x := range urls {
+		if u, err := url.Parse(x.value); x.value != "" && (err != nil || u.Host == "") {
+			f.add(x.name, "is no URL: %q", x.value)
+		}
+	}
+}
+
+func (f *faults) secrets(w *wire.Settings) {
+	if len(w.PeerSecrets) == 0 {
+		f.add("peerSecrets", "at least one secret is needed")
+	}
+	for _, s := range w.PeerSecrets {
+		f.digits("peerSecrets", s)
+	}
+	if w.OperatorHash != "" {
+		f.digits("operatorHash", w.OperatorHash)
+	}
+	if t := w.Tls; t != nil && (t.Certificate == "" || t.Key == "" || t.Authority == "") {
+		f.add("tls", "certificate, key and authority are needed")
+	}
+}
+
+func (f *faults) digits(n, s string) {
+	if _, err := hex.DecodeString(s); err != nil || len(s) != secretDigits {
+		f.add(n, "needs %d hex digits", secretDigits)
+	}
+}
+
+func (f *faults) ranges(w *wire.Settings) {
+	for _, x := range []struct {
+		name   string
+		value  uint32
+		lo, hi uint32
+	}{
+		{"slots", w.Slots, 0, maxSlots},
+		{"drainSeconds", w.GetDrainSeconds(), 0, maxDrain},
+		{"maxBodyBytes", w.GetMaxBodyBytes(), 1024, maxBody},
+		{"replicas", w.GetReplicas(), 1, maxReplicas},
+		{"retentionHours", w.GetRetentionHours(), 1, maxRetention},
+	} {
+		if x.value < x.lo || x.value > x.hi {
+			f.add(x.name, "is %d, not from %d to %d", x.value, x.lo, x.hi)
+		}
+	}
+}
--- /dev/null
+++ b/copies/copies.go
@@ -0,0 +1,166 @@
+// Package copies keeps each chunk on several data VMs in different availability zones.
+package copies
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/rank"
+	"bulrushlug.dev/bulrushlug/vault"
+)
+
+// readTimeout bounds the read of one chunk from one VM.
+const readTimeout = 5 * time.Second
+
+// Copies writes and reads chunks by the VMs of a roster.
+type Copies struct {
+	vault  bulrushlug.Vault
+	roster bulrushlug.Roster
+	count  int // Copies of each chunk, at least one.
+}
+
+// New returns a store with n copies of each chunk.
+func New(v bulrushlug.Vault, r bulrushlug.Roster, n int) *Copies {
+	return &Copies{vault: v, roster: r, count: max(1, n)}
+}
+
+// data returns the data VMs that take new chunks.
+func (x *Copies) data() []bulrushlug.Member {
+	return slices.DeleteFunc(slices.Clone(x.roster.Members()), func(m bulrushlug.Member) bool {
+		return !m.Data() || m.Leaving()
+	})
+}
+
+// Promised returns how many copies new chunks get now: fewer than asked for where there are fewer data VMs.
+func (x *Copies) Promised() int { return min(x.count, len(x.data())) }
+
+// order returns the data VMs for key k, those of zones not used before first.
+func (x *Copies) order(k string) []bulrushlug.Member {
+	m := map[string]bulrushlug.Member{}
+	var n []string
+	for _, d := range x.data() {
+		m[d.Name()] = d
+		n = append(n, d.Name())
+	}
+	used := map[string]bool{}
+	var first, rest []bulrushlug.Member
+	for _, v := range rank.Order(k, n) {
+		if used[m[v].Zone()] {
+			rest = append(rest, m[v])
+			continue
+		}
+		used[m[v].Zone()] = true
+		first = append(first, m[v])
+	}
+	return append(first, rest...)
+}
+
+// Put keeps p as chunk n of file f, and returns once all its copies are synced.
+func (x *Copies) Put(c context.Context, f string, n uint32, items uint32, p []byte) (bulrushlug.Part, error) {
+	want := x.Promised()
+	if want == 0 {
+		return bulrushlug.Part{}, bulrushlug.NewFault(bulrushlug.KindStorage, "no VM with a data folder takes chunks")
+	}
+	l := x.order(f + "/" + strconv.Itoa(int(n)))
+	v, err := x.spread(c, l, want, f, n, p)
+	if len(v) < want {
+		return bulrushlug.Part{}, bulrushlug.WrapFault(bulrushlug.KindStorage, f, err)
+	}
+	return bulrushlug.NewPart(f, n, v, items, uint32(len(p)), vault.Sum(p)), nil
+}
+
+// spread puts p on want of the VMs in l; the later ones stand in for those that fail.
+func (x *Copies) spread(c context.Context, l []bulrushlug.Member, want int, f string, n uint32, p []byte) ([]string, error) {
+	type answer struct {
+		vm  string
+		err error
+	}
+	out := make(chan answer, len(l))
+	put := func(m bulrushlug.Member) {
+		out <- answer{vm: m.Name(), err: x.vault.Put(c, m.Address(), f, n, p)}
+	}
+	for _, m := range l[:want] {
+		go put(m)
+	}
+	next, open := want, want
+	var v []string
+	var err error
+	for open > 0 {
+		a := <-out
+		open--
+		if a.err == nil {
+			v = append(v, a.vm)
+			continue
+		}
+		err = a.err
+		if next < len(l) {
+			go put(l[next])
+			next++
+			open++
+		}
+	}
+	return v, err
+}
+
+// Get returns the chunk of p from the first VM that has it undamaged.
+func (x *Copies) Get(c context.Context, p bulrushlug.Part) ([]byte, error) {
+	err := error(bulrushlug.NewFault(bulrushlug.KindStorage, "%s: no VM that holds it is listed", p.File()))
+	for _, m := range x.roster.Members() {
+		if !slices.Contains(p.VMs(), m.Name()) {
+			continue
+		}
+		b, e := x.read(c, m, p)
+		if e == nil {
+			return b, nil
+		}
+		err = e
+	}
+	return nil, err
+}
+
+func (x *Copies) read(c context.Context, m bulrushlug.Member, p bulrushlug.Part) ([]byte, error) {
+	c, stop := context.WithTimeout(c, readTimeout)
+	defer stop()
+	b, err := x.vault.Get(c, m.Address(), p.File(), p.Index())
+	if err != nil {
+		return nil, err
+	}
+	if vault.Sum(b) != p.Sum() {
+		return nil, bulrushlug.NewFault(bulrushlug.KindStorage, "%s: the copy on %s is damaged", p.File(), m.Name())
+	}
+	return b, nil
+}
+
+// Drop removes all copies of p.
+func (x *Copies) Drop(c context.Context, p bulrushlug.Part) {
+	for _, m := range x.roster.Members() {
+		if slices.Contains(p.VMs(), m.Name()) {
+			_ = x.vault.Drop(c, m.Address(), p.File(), p.Index())
+		}
+	}
+}
+
+// Repair copies the chunk of p to new VMs in place of those that are gone, and reports whether p changed.
+func (x *Copies) Repair(c context.Context, p bulrushlug.Part, gone func(v string) bool) (bulrushlug.Part, bool, error) {
+	left := slices.DeleteFunc(slices.Clone(p.VMs()), gone)
+	if len(left) == len(p.VMs()) || len(left) == 0 {
+		return p, false, nil
+	}
+	b, err := x.Get(c, p)
+	if err != nil {
+		return p, false, err
+	}
+	for _, m := range x.order(p.File() + "/" + strconv.Itoa(int(p.Index()))) {
+		if len(left) >= x.count {
+			break
+		}
+		if slices.Contains(left, m.Name()) || x.vault.Put(c, m.Address(), p.File(), p.Index(), b) != nil {
+			continue
+		}
+		left = append(left, m.Name())
+	}
+	return p.WithVMs(left), true, nil
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	controlTimeout = 2 * time.Second  // Bounds load reports and orders.
-	idleConns      = 256              // Idle connections kept to the engine.
-	readBytes      = 64 * 1024        // Buffer for one answer.
+	controlTimeout = 2 * time.Second // Bounds load reports and orders.
+	idleConns      = 256             // Idle connections kept to the engine.
+	readBytes      = 64 * 1024       // Buffer for one answer.
 )
 
 var done = []byte("data: [DONE]")
--- a/filter.go
+++ b/filter.go
@@ -8,6 +8,12 @@
 	Run(c context.Context, r *Request, s Sink) error
 }
 
+// StageFunc is a function that serves as a stage.
+type StageFunc func(c context.Context, r *Request, s Sink) error
+
+// Run calls f.
+func (f StageFunc) Run(c context.Context, r *Request, s Sink) error { return f(c, r, s) }
+
 // Filter is one step of a pipe; it hands the request on to the next stage or refuses it.
 type Filter interface {
 	// Pass handles r and hands it to n at most once, unless it is a retrying filter.
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,80 @@
+// Package follow keeps a process's configuration up to date with the key-value service.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/ledger"
+)
+
+const (
+	pollInterval = 500 * time.Millisecond // Time between two reads of the history.
+	pollJitter   = 50 * time.Millisecond
+	callTimeout  = time.Second
+	loadTimeout  = 10 * time.Second
+	reloadAfter  = 30 * time.Minute // Age of the last read after which the history may have been trimmed.
+)
+
+// Watcher says whether the process should read from the key-value service itself.
+type Watcher interface {
+	// AsksStore reports whether the process should ask the service now.
+	AsksStore() bool
+}
+
+// Follow reads the history of the configuration.
+type Follow struct {
+	ledger  *ledger.Ledger
+	watcher Watcher
+	read    time.Time   // When the last read succeeded; only Run uses it.
+	failing atomic.Bool // The last read failed.
+}
+
+// New returns a follower of l.
+func New(l *ledger.Ledger, w Watcher) *Follow {
+	return &Follow{ledger: l, watcher: w}
+}
+
+// Failing reports whether the last read failed.
+func (f *Follow) Failing() bool { return f.failing.Load() }
+
+// Run reads until c ends.
+func (f *Follow) Run(c context.Context) error {
+	for {
+		if f.read.IsZero() || f.watcher.AsksStore() {
+			f.failing.Store(f.once(c) != nil)
+		}
+		if err := bulrushlug.Wait(c, pollInterval+rand.N(pollJitter)); err != nil {
+			return nil
+		}
+	}
+}
+
+// once reads all changes that are new; after a long time without reading it starts from the snapshot.
+func (f *Follow) once(c context.Context) error {
+	t := time.Now()
+	if f.read.IsZero() || time.Since(f.read) > reloadAfter {
+		c, stop := context.WithTimeout(c, loadTimeout)
+		defer stop()
+		if err := f.ledger.Load(c); err != nil {
+			return err
+		}
+		f.read = t
+		return nil
+	}
+	c, stop := context.WithTimeout(c, callTimeout)
+	defer stop()
+	for {
+		more, err := f.ledger.Next(c)
+		if err != nil {
+			return err
+		}
+		f.read = t
+		if !more {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/front/files.go
@@ -0,0 +1,171 @@
+package front
+
+import (
+	"io"
+	"mime"
+	"net/http"
+	"strings"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/upload"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+const (
+	outputPrefix = "file-out-" // Files with the answers of a job.
+	errorsPrefix = "file-err-" // Files with the errors of a job.
+	maxFileBytes = 8 << 30     // Bytes of one upload.
+	purposeBytes = 64          // Bytes of the purpose.
+)
+
+// addFile reads the upload as it comes; it is answered once all of it is synced and recorded.
+func (s *Server) addFile(w http.ResponseWriter, r *http.Request, o string) error {
+	if t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || t != "multipart/form-data" {
+		return bulrushlug.NewFault(bulrushlug.KindBadRequest, "the body is no multipart/form-data")
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, maxFileBytes)
+	m, err := r.MultipartReader()
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindBadRequest, "body", err)
+	}
+	purpose := upload.PurposeBatch
+	for {
+		p, err := m.NextPart()
+		if err == io.EOF {
+			return bulrushlug.NewFault(bulrushlug.KindBadRequest, "the form has no file")
+		}
+		if err != nil {
+			return bulrushlug.WrapFault(bulrushlug.KindBadRequest, "body", err)
+		}
+		switch p.FormName() {
+		case "purpose":
+			b, err := io.ReadAll(io.LimitReader(p, purposeBytes))
+			if err != nil {
+				return bulrushlug.WrapFault(bulrushlug.KindBadRequest, "purpose", err)
+			}
+			purpose = string(b)
+		case "file":
+			f, err := s.upload.Read(r.Context(), o, p.FileName(), purpose, p)
+			if err != nil {
+				return err
+			}
+			if err := s.jobs.AddFile(r.Context(), f); err != nil {
+				return err
+			}
+			return reply(w, apiFile(f))
+		}
+	}
+}
+
+func apiFile(f bulrushlug.File) *wire.ApiFile {
+	return &wire.ApiFile{
+		Id:        f.ID(),
+		Object:    "file",
+		Bytes:     float64(f.Bytes()),
+		CreatedAt: seconds(f.Created()),
+		Filename:  f.Name(),
+		Purpose:   f.Purpose(),
+		Status:    "processed",
+	}
+}
+
+func seconds(t time.Time) uint32 { return uint32(t.Unix()) }
+
+func (s *Server) listFiles(w http.ResponseWriter, r *http.Request, o string) error {
+	l, err := s.jobs.Files(r.Context(), o)
+	if err != nil {
+		return err
+	}
+	a := &wire.ApiFiles{Object: "list"}
+	for _, f := range l {
+		a.Data = append(a.Data, apiFile(f))
+	}
+	return reply(w, a)
+}
+
+// file returns the record of file i; those of a job's results follow from the job.
+func (s *Server) file(r *http.Request, o, i string) (bulrushlug.File, error) {
+	out, isOut := strings.CutPrefix(i, outputPrefix)
+	bad, isErr := strings.CutPrefix(i, errorsPrefix)
+	if !isOut && !isErr {
+		return s.jobs.File(r.Context(), o, i)
+	}
+	id := out
+	if isErr {
+		id = bad
+	}
+	j, err := s.jobs.Job(r.Context(), o, id)
+	if err != nil {
+		return bulrushlug.File{}, err
+	}
+	var l []bulrushlug.Part
+	for _, x := range j.Results() {
+		p := x.Output()
+		if isErr {
+			p = x.Errors()
+		}
+		if len(p.VMs()) > 0 {
+			l = append(l, p)
+		}
+	}
+	return bulrushlug.NewFile(i, o, i+".jsonl", "batch_output", j.Created(), l), nil
+}
+
+func (s *Server) getFile(w http.ResponseWriter, r *http.Request, o string) error {
+	f, err := s.file(r, o, r.PathValue("id"))
+	if err != nil {
+		return err
+	}
+	return reply(w, apiFile(f))
+}
+
+func (s *Server) deleteFile(w http.ResponseWriter, r *http.Request, o string) error {
+	i := r.PathValue("id")
+	f, err := s.jobs.File(r.Context(), o, i)
+	if err != nil {
+		return err
+	}
+	l, err := s.jobs.Jobs(r.Context(), o)
+	if err != nil {
+		return err
+	}
+	for _, j := range l {
+		if j.Input() == i && !j.Status().Final() {
+			return bulrushlug.NewFault(bulrushlug.KindConflict, "batch %s still reads file %s", j.ID(), i)
+		}
+	}
+	if err := s.jobs.DeleteFile(r.Context(), o, i); err != nil {
+		return err
+	}
+	for _, p := range f.Parts() {
+		s.copies.Drop(r.Context(), p)
+	}
+	return reply(w, &wire.ApiDeleted{Id: i, Object: "file", Deleted: true})
+}
+
+// content writes the chunks of a file one after the other.
+func (s *Server) content(w http.ResponseWriter, r *http.Request, o string) error {
+	f, err := s.file(r, o, r.PathValue("id"))
+	if err != nil {
+		return err
+	}
+	started := false
+	for _, p := range f.Parts() {
+		b, err := s.copies.Get(r.Context(), p)
+		if err != nil && started {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			return err
+		}
+		if !started {
+			w.Header().Set("Content-Type", "application/octet-stream")
+			started = true
+		}
+		if _, err := w.Write(b); err != nil {
+			return bulrushlug.WrapFault(bulrushlug.KindCancelled, "caller", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/home/home.go
@@ -0,0 +1,280 @@
+// Package home keeps the token buckets of the organisations whose home a process is.
+//
+// The home of an organisation follows from the newest ring: it is the first member by rank that the VM
+// list still shows. A process grants only while its configuration is confirmed, so a process that missed
+// a ring stops before a new home starts.
+package home
+
+import (
+	"expvar"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/fresh"
+	"bulrushlug.dev/bulrushlug/rank"
+)
+
+const (
+	shardCount   = 64
+	releaseRetry = 200 * time.Millisecond                         // Time between two requests to release an organisation.
+	extension    = 3 * time.Second                                // Time for which a home goes on under its ring after it saw the next one.
+	startAfter   = fresh.Limit + extension + 500*time.Millisecond // Time after which no earlier home can grant.
+)
+
+// Gone tells which VMs no longer exist.
+type Gone interface {
+	// Gone reports whether the VM n no longer exists.
+	Gone(n string) bool
+	// Member returns the VM called n.
+	Member(n string) (bulrushlug.Member, bool)
+}
+
+// Source gives the configuration and how far it is accepted.
+type Source interface {
+	bulrushlug.Source
+	// Accepted returns the newest revision known to be held by a majority of the zones.
+	Accepted() uint64
+}
+
+// Home answers questions for admissions.
+type Home struct {
+	self   string
+	source Source
+	roster Gone
+	mesh   bulrushlug.Mesh
+	counts *expvar.Map
+	shards [shardCount]shard
+	mu     sync.RWMutex // Guards the fields below.
+	now    term         // Newest ring that a majority of the zones holds.
+	prev   term         // Ring just before it; its epoch is zero if the process does not know it.
+	seen   uint64       // Epoch of the newest ring read, accepted or not.
+	seenAt time.Time    // When it was read.
+}
+
+// term is the time in which one ring is in force.
+type term struct {
+	ring  bulrushlug.Ring
+	known time.Time // When the process learned that the ring is accepted.
+}
+
+type shard struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+// bucket counts the admissions of one organisation.
+type bucket struct {
+	epoch  uint64    // Ring under which the process grants; zero before it does.
+	tokens float64   // At least zero and at most the burst.
+	at     time.Time // When tokens was worked out.
+	asked  time.Time // When the previous home was last asked to release.
+}
+
+// New returns the home part of the process n.
+func New(n string, f Source, g Gone, m bulrushlug.Mesh, counts *expvar.Map) *Home {
+	h := &Home{self: n, source: f, roster: g, mesh: m, counts: counts}
+	for i := range h.shards {
+		h.shards[i].buckets = map[string]*bucket{}
+	}
+	return h
+}
+
+// term returns the ring in force, after adopting the newest one if that is accepted.
+func (h *Home) term() (now, prev term) {
+	f := h.source.Config()
+	h.mu.RLock()
+	now, prev = h.now, h.prev
+	h.mu.RUnlock()
+	x, ok := f.Last("ring")
+	if !ok || f.Ring().Epoch() <= now.ring.Epoch() || h.source.Accepted() < x.Revision() {
+		return now, prev
+	}
+	return h.adopt(f.Ring())
+}
+
+// adopt puts ring r in force.
+func (h *Home) adopt(r bulrushlug.Ring) (now, prev term) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r.Epoch() > h.now.ring.Epoch() {
+		h.prev = term{}
+		if r.Epoch() == h.now.ring.Epoch()+1 {
+			h.prev = h.now
+		}
+		h.now = term{ring: r, known: time.Now()}
+	}
+	return h.now, h.prev
+}
+
+// Owner returns the home of organisation o under the newest ring.
+func (h *Home) Owner(o string) string {
+	now, _ := h.term()
+	return h.owner(now.ring, o)
+}
+
+// Member returns the VM called n.
+func (h *Home) Member(n string) (bulrushlug.Member, bool) { return h.roster.Member(n) }
+
+func (h *Home) owner(r bulrushlug.Ring, o string) string {
+	return rank.First(o, r.Members(), func(n string) bool { return n == h.self || !h.roster.Gone(n) })
+}
+
+// Receive handles the parts of m that concern homes.
+func (h *Home) Receive(m bulrushlug.Message) {
+	if a := m.Ask(); a != nil {
+		h.mesh.Send(m.Address(), bulrushlug.NewMessage(bulrushlug.MessageGrant(h.Grant(*a))))
+	}
+	if r := m.Release(); r != nil {
+		if b, ok := h.release(*r); ok {
+			h.mesh.Send(m.Address(), bulrushlug.NewMessage(bulrushlug.MessageReleased(bulrushlug.NewReleased(*r, b))))
+		}
+	}
+	if r := m.Released(); r != nil {
+		h.released(*r)
+	}
+}
+
+func (h *Home) shard(o string) *shard { return &h.shards[xxhash.Sum64String(o)%shardCount] }
+
+// Grant answers a; it grants nothing where the process is not, or not yet, the home.
+func (h *Home) Grant(a bulrushlug.Ask) bulrushlug.Grant {
+	o, ok := h.source.Config().Organisation(a.Organisation())
+	now, prev := h.term()
+	if !ok || !h.source.Fresh() || h.owner(now.ring, o.Name()) != h.self || h.overdue(now) {
+		h.counts.Add("refused", 1)
+		return bulrushlug.RefuseGrant(a)
+	}
+	s := h.shard(o.Name())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.buckets[o.Name()]
+	if !ok {
+		b = &bucket{}
+		s.buckets[o.Name()] = b
+	}
+	if !h.acquire(b, o.Name(), now, prev) {
+		h.counts.Add("notYetHome", 1)
+		return bulrushlug.RefuseGrant(a)
+	}
+	n, w := b.take(o, a.Count())
+	h.counts.Add("granted", int64(n))
+	return bulrushlug.NewGrant(a, n, w)
+}
+
+// Notice tells the home that f is the configuration now.
+func (h *Home) Notice(f *bulrushlug.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e := f.Ring().Epoch(); e > h.seen {
+		h.seen, h.seenAt = e, time.Now()
+	}
+}
+
+// overdue reports whether the process read the ring after t so long ago that its home may grant already.
+func (h *Home) overdue(t term) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.seen > t.ring.Epoch() && time.Since(h.seenAt) > extension
+}
+
+// acquire reports whether the process may grant from b; the caller holds the shard's lock.
+func (h *Home) acquire(b *bucket, o string, now, prev term) bool {
+	e := now.ring.Epoch()
+	switch {
+	case b.epoch == e:
+		return true
+	case b.epoch != 0 && b.epoch == prev.ring.Epoch() && h.owner(prev.ring, o) == h.self:
+		b.epoch = e
+		return true
+	case e == 1 || time.Since(now.known) > startAfter:
+		b.start(e, 0)
+		return true
+	}
+	h.askRelease(b, prev.ring, e, o)
+	return false
+}
+
+// askRelease asks the home under the previous ring p to stop, now and then.
+func (h *Home) askRelease(b *bucket, p bulrushlug.Ring, e uint64, o string) {
+	if time.Since(b.asked) < releaseRetry {
+		return
+	}
+	n := h.owner(p, o)
+	m, ok := h.roster.Member(n)
+	if !ok || n == h.self {
+		return
+	}
+	b.asked = time.Now()
+	h.mesh.Send(m.Address(), bulrushlug.NewMessage(bulrushlug.MessageRelease(bulrushlug.NewRelease(o, e))))
+}
+
+// release stops granting for the organisation of r, and returns what is left in its bucket.
+//
+// The request shows that its ring is accepted. It reports false where the process has not read that ring
+// yet, or was not granting under the one before.
+func (h *Home) release(r bulrushlug.Release) (float64, bool) {
+	f := h.source.Config()
+	if f.Ring().Epoch() != r.Epoch() {
+		return 0, false
+	}
+	now, prev := h.adopt(f.Ring())
+	s := h.shard(r.Organisation())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.buckets[r.Organisation()]
+	if !ok || now.ring.Epoch() != r.Epoch() || b.epoch == 0 || b.epoch != prev.ring.Epoch() {
+		return 0, false
+	}
+	o, ok := f.Organisation(r.Organisation())
+	if !ok {
+		return 0, false
+	}
+	b.refill(o)
+	b.epoch = 0
+	return b.tokens, true
+}
+
+// released starts the bucket of r with what the previous home left.
+func (h *Home) released(r bulrushlug.Released) {
+	now, _ := h.term()
+	s := h.shard(r.Organisation())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.buckets[r.Organisation()]
+	if ok && now.ring.Epoch() == r.Epoch() && b.epoch != r.Epoch() {
+		b.start(r.Epoch(), r.Balance())
+	}
+}
+
+func (b *bucket) start(e uint64, n float64) { b.epoch, b.tokens, b.at = e, n, time.Now() }
+
+func (b *bucket) refill(o bulrushlug.Organisation) {
+	t := time.Now()
+	b.tokens = math.Min(float64(o.Burst()), b.tokens+o.Rate()*t.Sub(b.at).Seconds())
+	b.at = t
+}
+
+// take takes up to n tokens; the wait is the time until the next one where fewer are left.
+func (b *bucket) take(o bulrushlug.Organisation, n uint32) (uint32, time.Duration) {
+	b.refill(o)
+	k := min(n, uint32(b.tokens))
+	b.tokens -= float64(k)
+	if k == n {
+		return k, 0
+	}
+	return k, waitFor(o.Rate(), 1-b.tokens)
+}
+
+// maxWait is the wait given to organisations whose rate is zero.
+const maxWait = time.Hour
+
+func waitFor(rate, n float64) time.Duration {
+	if rate <= 0 {
+		return maxWait
+	}
+	return min(maxWait, time.Duration(n/rate*float64(time.Second)))
+}
--- /dev/null
+++ b/jobs/jobs.go
@@ -0,0 +1,305 @@
+// Package jobs keeps the records of files and batch jobs in the key-value service.
+package jobs
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+const (
+	filePrefix = "batch/file/"
+	jobPrefix  = "batch/job/"
+	openPrefix = "batch/open/"
+	retryPause = 100 * time.Millisecond // Pause before a write is tried again.
+	writeTime  = 5 * time.Second        // Bounds one change of a record.
+	idBytes    = 16                     // Bytes of the hash in an identifier.
+)
+
+// Jobs reads and writes records.
+type Jobs struct{ store bulrushlug.Store }
+
+// New returns the records in k.
+func New(k bulrushlug.Store) *Jobs { return &Jobs{store: k} }
+
+// ID returns the identifier of the job that organisation o creates with idempotency key k; an empty key gives a new one.
+func ID(o, k string) string {
+	if k == "" {
+		k = uuid.NewString()
+	}
+	h := sha256.Sum256([]byte(o + "\x00" + k))
+	return "batch_" + hex.EncodeToString(h[:idBytes])
+}
+
+// create writes v under k unless there is a record already; it returns the record that stands there in the end.
+func (j *Jobs) create(c context.Context, k string, v []byte) ([]byte, error) {
+	for {
+		_, err := j.store.Swap(c, k, v, 0)
+		if err == nil {
+			return v, nil
+		}
+		if bulrushlug.KindOf(err) == bulrushlug.KindTooLarge {
+			return nil, err
+		}
+		i, e := j.store.Get(c, k)
+		if e == nil && i.Revision() > 0 {
+			return i.Value(), nil
+		}
+		if bulrushlug.Wait(c, retryPause) != nil {
+			return nil, err
+		}
+	}
+}
+
+// AddFile keeps the record of f.
+func (j *Jobs) AddFile(c context.Context, f bulrushlug.File) error {
+	c, stop := context.WithTimeout(c, writeTime)
+	defer stop()
+	b, err := codec.EncodeFile(f)
+	if err != nil {
+		return err
+	}
+	_, err = j.create(c, filePrefix+f.Organisation()+"/"+f.ID(), b)
+	return err
+}
+
+// File returns the record of file i of organisation o.
+func (j *Jobs) File(c context.Context, o, i string) (bulrushlug.File, error) {
+	x, err := j.get(c, filePrefix+o+"/"+i, "file "+i)
+	if err != nil {
+		return bulrushlug.File{}, err
+	}
+	return codec.DecodeFile(x.Value())
+}
+
+// Files returns the records of all files of organisation o; an empty one selects all.
+func (j *Jobs) Files(c context.Context, o string) ([]bulrushlug.File, error) {
+	return list(c, j.store, scope(filePrefix, o), codec.DecodeFile)
+}
+
+// Jobs returns the records of all jobs of organisation o; an empty one selects all.
+func (j *Jobs) Jobs(c context.Context, o string) ([]bulrushlug.Job, error) {
+	return list(c, j.store, scope(jobPrefix, o), codec.DecodeJob)
+}
+
+func scope(p, o string) string {
+	if o == "" {
+		return p
+	}
+	return p + o + "/"
+}
+
+func list[T any](c context.Context, k bulrushlug.Store, p string, f func([]byte) (T, error)) ([]T, error) {
+	l, _, err := k.List(c, p)
+	if err != nil {
+		return nil, err
+	}
+	var o []T
+	for _, i := range l {
+		x, err := f(i.Value())
+		if err != nil {
+			return nil, err
+		}
+		o = append(o, x)
+	}
+	return o, nil
+}
+
+func (j *Jobs) get(c context.Context, k, name string) (bulrushlug.Item, error) {
+	i, err := j.store.Get(c, k)
+	if err != nil {
+		return i, err
+	}
+	if i.Revision() == 0 {
+		return i, bulrushlug.NewFault(bulrushlug.KindNotFound, "there is no %s", name)
+	}
+	return i, nil
+}
+
+// DeleteFile removes the record of file i of organisation o.
+func (j *Jobs) DeleteFile(c context.Context, o, i string) error {
+	k := filePrefix + o + "/" + i
+	x, err := j.get(c, k, "file "+i)
+	if err != nil {
+		return err
+	}
+	return j.store.Delete(c, k, x.Revision())
+}
+
+// UpdateFile writes what f makes of the record of file i of organisation o.
+func (j *Jobs) UpdateFile(c context.Context, o, i string, f func(bulrushlug.File) bulrushlug.File) error {
+	k := filePrefix + o + "/" + i
+	for {
+		x, err := j.get(c, k, "file "+i)
+		if err != nil {
+			return err
+		}
+		r, err := codec.DecodeFile(x.Value())
+		if err != nil {
+			return err
+		}
+		b, err := codec.EncodeFile(f(r))
+		if err != nil {
+			return err
+		}
+		_, err = j.store.Swap(c, k, b, x.Revision())
+		if bulrushlug.KindOf(err) != bulrushlug.KindConflict {
+			return err
+		}
+	}
+}
+
+// Create keeps the record of x and marks it as open; where a job with its identifier exists, that one is returned.
+func (j *Jobs) Create(c context.Context, x bulrushlug.Job) (bulrushlug.Job, error) {
+	c, stop := context.WithTimeout(c, writeTime)
+	defer stop()
+	b, err := codec.EncodeJob(x)
+	if err != nil {
+		return x, err
+	}
+	b, err = j.create(c, jobKey(x.Organisation(), x.ID()), b)
+	if err != nil {
+		return x, err
+	}
+	y, err := codec.DecodeJob(b)
+	if err != nil || y.Status().Final() {
+		return y, err
+	}
+	return y, j.mark(c, y)
+}
+
+func jobKey(o, i string) string { return jobPrefix + o + "/" + i }
+
+// mark makes the job visible to the processes that run jobs.
+func (j *Jobs) mark(c context.Context, x bulrushlug.Job) error {
+	b, err := codec.JSON(&wire.OpenJob{Id: x.ID(), Organisation: x.Organisation()})
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, x.ID(), err)
+	}
+	_, err = j.create(c, openPrefix+x.ID(), b)
+	return err
+}
+
+// Job returns the record of job i of organisation o.
+func (j *Jobs) Job(c context.Context, o, i string) (bulrushlug.Job, error) {
+	x, err := j.get(c, jobKey(o, i), "batch "+i)
+	if err != nil {
+		return bulrushlug.Job{}, err
+	}
+	return codec.DecodeJob(x.Value())
+}
+
+// Update writes what f makes of the record of job i of organisation o, and returns it.
+//
+// f may be called several times, since a write whose answer is lost is made again; it says no by an error.
+func (j *Jobs) Update(c context.Context, o, i string, f func(bulrushlug.Job) (bulrushlug.Job, error)) (bulrushlug.Job, error) {
+	for {
+		x, err := j.get(c, jobKey(o, i), "batch "+i)
+		if err != nil {
+			return bulrushlug.Job{}, err
+		}
+		r, err := codec.DecodeJob(x.Value())
+		if err != nil {
+			return r, err
+		}
+		y, err := f(r)
+		if err != nil {
+			return r, err
+		}
+		b, err := codec.EncodeJob(y)
+		if err != nil {
+			return r, err
+		}
+		_, err = j.store.Swap(c, jobKey(o, i), b, x.Revision())
+		if bulrushlug.KindOf(err) == bulrushlug.KindConflict {
+			continue
+		}
+		return y, err
+	}
+}
+
+// Cancel asks that job i of organisation o stops, and returns its record.
+func (j *Jobs) Cancel(c context.Context, o, i string) (bulrushlug.Job, error) {
+	c, stop := context.WithTimeout(c, writeTime)
+	defer stop()
+	x, err := j.Update(c, o, i, func(x bulrushlug.Job) (bulrushlug.Job, error) {
+		if x.Status().Final() {
+			return x, bulrushlug.NewFault(bulrushlug.KindConflict, "batch %s is %s", i, x.Status())
+		}
+		return x.With(bulrushlug.JobStatus(bulrushlug.StatusCancelling, x.Problem())), nil
+	})
+	if err != nil {
+		return x, err
+	}
+	return x, j.markCancelled(c, x)
+}
+
+func (j *Jobs) markCancelled(c context.Context, x bulrushlug.Job) error {
+	b, err := codec.JSON(&wire.OpenJob{Id: x.ID(), Organisation: x.Organisation(), Cancel: true})
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, x.ID(), err)
+	}
+	for {
+		i, err := j.store.Get(c, openPrefix+x.ID())
+		if err != nil {
+			return err
+		}
+		_, err = j.store.Swap(c, openPrefix+x.ID(), b, i.Revision())
+		if bulrushlug.KindOf(err) != bulrushlug.KindConflict {
+			return err
+		}
+	}
+}
+
+// Open is the mark of a job that is not final.
+type Open struct {
+	id           string
+	organisation string
+	cancel       bool // The job must stop.
+}
+
+// ID returns the identifier of the job.
+func (o Open) ID() string { return o.id }
+
+// Organisation returns the organisation that owns the job.
+func (o Open) Organisation() string { return o.organisation }
+
+// Cancel reports whether the job must stop.
+func (o Open) Cancel() bool { return o.cancel }
+
+// Open returns the marks of all jobs that are not final.
+func (j *Jobs) Open(c context.Context) ([]Open, error) {
+	return list(c, j.store, openPrefix, func(b []byte) (Open, error) {
+		w, err := codec.ParseJSON[wire.OpenJob](b)
+		if err != nil {
+			return Open{}, bulrushlug.WrapFault(bulrushlug.KindInternal, openPrefix, err)
+		}
+		return Open{id: w.Id, organisation: w.Organisation, cancel: w.Cancel}, nil
+	})
+}
+
+// Close removes the mark of job i, whose record is final.
+func (j *Jobs) Close(c context.Context, i string) error {
+	x, err := j.store.Get(c, openPrefix+i)
+	if err != nil || x.Revision() == 0 {
+		return err
+	}
+	return j.store.Delete(c, openPrefix+i, x.Revision())
+}
+
+// Remove removes the record of job x, which is final.
+func (j *Jobs) Remove(c context.Context, x bulrushlug.Job) error {
+	k := jobKey(x.Organisation(), x.ID())
+	i, err := j.store.Get(c, k)
+	if err != nil || i.Revision() == 0 {
+		return err
+	}
+	return j.store.Delete(c, k, i.Revision())
+}
--- a/kind.go
+++ b/kind.go
@@ -26,6 +26,7 @@
 	KindStorage
 	KindRejected
 	KindPreempted
+	KindRepeated
 	kindCount
 )
 
@@ -52,6 +53,7 @@
 	KindStorage:         {name: "storage", status: 507, retryable: true},
 	KindRejected:        {name: "rejected", status: 422, ran: true},
 	KindPreempted:       {name: "preempted", status: 503, ran: true},
+	KindRepeated:        {name: "repeated", status: 409, ran: true},
 }
 
 // Answer returns how k is reported to a caller.
--- /dev/null
+++ b/match/match.go
@@ -0,0 +1,53 @@
+// Package match evaluates selectors over labels, in the syntax of Kubernetes.
+package match
+
+import (
+	"maps"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// Valid returns an error if s is no selector.
+func Valid(s string) error {
+	if _, err := labels.Parse(s); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindBadRequest, "selector", err)
+	}
+	return nil
+}
+
+// Labels reports whether selector s accepts the labels l; an empty selector accepts all, an invalid one none.
+func Labels(s string, l map[string]string) bool {
+	if s == "" {
+		return true
+	}
+	p, err := labels.Parse(s)
+	return err == nil && p.Matches(labels.Set(l))
+}
+
+// VM returns the labels of VM v: those that operators set and the built-in vm, zone and region.
+func VM(v bulrushlug.VM, zone, region string) map[string]string {
+	m := map[string]string{}
+	maps.Copy(m, v.Labels())
+	m["vm"], m["zone"], m["region"] = v.Name(), zone, region
+	return m
+}
+
+// Allowed returns an error if the configuration f forbids that r runs on VM v.
+func Allowed(f *bulrushlug.Config, r *bulrushlug.Request, v bulrushlug.VM, zone, region string) error {
+	l := VM(v, zone, region)
+	if r.Organisation() != "" {
+		o, ok := f.Organisation(r.Organisation())
+		if !ok || !Labels(o.Selector(), l) {
+			return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "work of %s may not run on %s", r.Organisation(), v.Name())
+		}
+	}
+	if r.Model() != "" {
+		m, ok := f.Model(r.Model())
+		if !ok || !Labels(m.Selector(), l) {
+			return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "model %s may not run on %s", r.Model(), v.Name())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/seal.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/hex"
+
+	"golang.org/x/crypto/chacha20poly1305"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// seal encrypts and authenticates datagrams with secrets that all processes share.
+type seal struct {
+	keys []cipher.AEAD // The first one seals; all of them open. Never empty.
+}
+
+// newSeal returns the seal for secrets of 32 bytes in hex.
+func newSeal(l []string) (*seal, error) {
+	s := &seal{}
+	for _, h := range l {
+		b, err := hex.DecodeString(h)
+		if err != nil {
+			return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, "peerSecrets", err)
+		}
+		k, err := chacha20poly1305.NewX(b)
+		if err != nil {
+			return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, "peerSecrets", err)
+		}
+		s.keys = append(s.keys, k)
+	}
+	if len(s.keys) == 0 {
+		return nil, bulrushlug.NewFault(bulrushlug.KindBadRequest, "peerSecrets: at least one secret is needed")
+	}
+	return s, nil
+}
+
+func (s *seal) close(p []byte) []byte {
+	n := make([]byte, chacha20poly1305.NonceSizeX, chacha20poly1305.NonceSizeX+len(p)+chacha20poly1305.Overhead)
+	_, _ = rand.Read(n)
+	return s.keys[0].Seal(n, n, p, nil)
+}
+
+func (s *seal) open(p []byte) ([]byte, bool) {
+	if len(p) < chacha20poly1305.NonceSizeX {
+		return nil, false
+	}
+	n, x := p[:chacha20poly1305.NonceSizeX], p[chacha20poly1305.NonceSizeX:]
+	for _, k := range s.keys {
+		if b, err := k.Open(nil, n, x, nil); err == nil {
+			return b, true
+		}
+	}
+	return nil, false
+}
--- a/message.go
+++ b/message.go
@@ -93,6 +93,7 @@
 // Digest says how new a process's configuration is.
 type Digest struct {
 	revision uint64        // Revision that the sender has.
+	accepted uint64        // Newest revision known to be held by a majority of the zones.
 	sequence uint64        // Set by the asker and echoed in the reply.
 	reply    bool          // The digest answers another one.
 	zone     string        // Availability zone of the sender.
@@ -100,11 +101,10 @@
 	heard    []Heard       // One for each zone that the sender knows of.
 }
 
-// Heard says how long ago a zone was heard and what it had.
+// Heard says how long ago a zone was heard.
 type Heard struct {
-	zone     string
-	age      time.Duration // Never negative.
-	revision uint64        // Newest revision known to be held in the zone.
+	zone string
+	age  time.Duration // Never negative.
 }
 
 // NewDigest returns digest n of a process in zone z that has revision r.
@@ -112,6 +112,12 @@
 	return Digest{sequence: n, zone: z, revision: r, age: age, heard: h}
 }
 
+// WithAccepted returns a copy that says that a majority of the zones holds revision n.
+func (d Digest) WithAccepted(n uint64) Digest {
+	d.accepted = n
+	return d
+}
+
 // WithReply returns a copy that answers digest n.
 func (d Digest) WithReply(n uint64) Digest {
 	d.reply, d.sequence = true, n
@@ -121,6 +127,9 @@
 // Revision returns the revision that the sender has.
 func (d Digest) Revision() uint64 { return d.revision }
 
+// Accepted returns the newest revision known to be held by a majority of the zones.
+func (d Digest) Accepted() uint64 { return d.accepted }
+
 // Sequence returns the number that the asker set.
 func (d Digest) Sequence() uint64 { return d.sequence }
 
@@ -136,8 +145,8 @@
 // Heard returns what the sender knows of the zones.
 func (d Digest) Heard() []Heard { return d.heard }
 
-// NewHeard returns that zone z was heard a ago with revision r.
-func NewHeard(z string, a time.Duration, r uint64) Heard { return Heard{zone: z, age: a, revision: r} }
+// NewHeard returns that zone z was heard a ago.
+func NewHeard(z string, a time.Duration) Heard { return Heard{zone: z, age: a} }
 
 // Zone returns the zone.
 func (h Heard) Zone() string { return h.zone }
@@ -145,9 +154,6 @@
 // Age returns how long ago the zone was heard.
 func (h Heard) Age() time.Duration { return h.age }
 
-// Revision returns the newest revision known to be held in the zone.
-func (h Heard) Revision() uint64 { return h.revision }
-
 // Ask asks the home of an organisation for admissions.
 type Ask struct {
 	organisation string
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/admin"
+	"bulrushlug.dev/bulrushlug/authn"
+	"bulrushlug.dev/bulrushlug/front"
+	"bulrushlug.dev/bulrushlug/guard"
+	"bulrushlug.dev/bulrushlug/home"
+	"bulrushlug.dev/bulrushlug/limit"
+	"bulrushlug.dev/bulrushlug/once"
+	"bulrushlug.dev/bulrushlug/pipe"
+	"bulrushlug.dev/bulrushlug/place"
+	"bulrushlug.dev/bulrushlug/quota"
+	"bulrushlug.dev/bulrushlug/relay"
+	"bulrushlug.dev/bulrushlug/ringer"
+	"bulrushlug.dev/bulrushlug/serve"
+	"bulrushlug.dev/bulrushlug/tally"
+)
+
+// handOver is the time for other entries to take over the organisations of one that leaves.
+const handOver = 2 * time.Second
+
+// entry is the role of the thin VMs behind the balancer.
+type entry struct {
+	*Node
+	home   *home.Home
+	quota  *quota.Quota
+	guard  *guard.Filter
+	once   *once.Filter
+	ringer *ringer.Ringer
+	http   *http.Server
+}
+
+func newEntry(n *Node) *entry {
+	e := &entry{Node: n, guard: guard.New(n.state), once: once.New(n.store)}
+	e.home = home.New(n.self.Name(), n.state, n.roster, n.mesh, n.sub("home"))
+	e.quota = quota.New(e.home, n.mesh, n.sub("quota"))
+	e.ringer = ringer.New(n.self, n.state, n.roster, n.link, n.ledger, n.spread.AsksStore, n.rule.Ages)
+	n.state.OnChange(e.home.Notice)
+	n.state.OnChange(func(*bulrushlug.Config) { go e.guard.Check() })
+	e.http = &http.Server{Addr: n.settings.HTTP(), Handler: e.handler(), ReadHeaderTimeout: headerTime}
+	return e
+}
+
+// filters returns what stands before every stage: counting, keys, limits.
+func (e *entry) filters() []bulrushlug.Filter {
+	return []bulrushlug.Filter{
+		tally.New(e.sub("requests"), e.events),
+		authn.New(e.state),
+		e.guard,
+		limit.New(e.quota),
+	}
+}
+
+func (e *entry) handler() http.Handler {
+	f := e.filters()
+	serve := append(f[:len(f):len(f)], e.once, place.New(e.state, e.roster, e.fleet, place.NewBalanced(e.self.Zone())))
+	p := pipe.New(relay.New(e.link, e.fleet, e.events), serve...)
+	m := http.NewServeMux()
+	m.Handle("/", front.New(e.state,
+		front.WithPipes(p, func(s bulrushlug.Stage) bulrushlug.Stage { return pipe.New(s, f...) }),
+		front.WithBatch(e.jobs, e.copies),
+		front.WithMaxBody(e.settings.MaxBody())))
+	m.Handle("/admin/", admin.New(e.settings.OperatorHash(), e.state, e.ledger, e.roster, e.link, e.jobs, e.fleet))
+	m.HandleFunc("GET /healthz", e.health)
+	return m
+}
+
+// health tells the balancer whether to send callers here.
+func (e *entry) health(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() || !e.state.Fresh() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	}
+}
+
+func (e *entry) options() []serve.Option { return nil }
+
+func (e *entry) receive(m bulrushlug.Message) {
+	e.home.Receive(m)
+	e.quota.Receive(m)
+}
+
+func (e *entry) start(c context.Context, g *group) error {
+	g.run(c, e.guard.Run)
+	g.run(c, e.once.Run)
+	g.run(c, e.ringer.Run)
+	g.run(c, func(context.Context) error {
+		if err := e.http.ListenAndServe(); err != http.ErrServerClosed {
+			return bulrushlug.WrapFault(bulrushlug.KindInternal, e.settings.HTTP(), err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// drain hands the homes over, waits for the balancer to look elsewhere, and lets open requests end.
+func (e *entry) drain(c context.Context) {
+	t := time.Now()
+	if err := e.handHomesOver(c); err == nil {
+		_ = bulrushlug.Wait(c, handOver)
+	}
+	_ = bulrushlug.Wait(c, lameDuck-time.Since(t))
+	if e.http.Shutdown(c) != nil {
+		_ = e.http.Close()
+	}
+}
+
+// handHomesOver proposes a ring without this entry, unless it is the only member.
+func (e *entry) handHomesOver(c context.Context) error {
+	l := e.state.Config().Ring().Members()
+	if len(l) < 2 {
+		return bulrushlug.NewFault(bulrushlug.KindConflict, "no other entry is in the ring")
+	}
+	return e.ringer.Propose(c, func(n string) bool { return n == e.self.Name() }, l)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,336 @@
+// Package node puts the parts of one process together.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/batch"
+	"bulrushlug.dev/bulrushlug/cert"
+	"bulrushlug.dev/bulrushlug/clock"
+	"bulrushlug.dev/bulrushlug/conf"
+	"bulrushlug.dev/bulrushlug/copies"
+	"bulrushlug.dev/bulrushlug/event"
+	"bulrushlug.dev/bulrushlug/fleet"
+	"bulrushlug.dev/bulrushlug/follow"
+	"bulrushlug.dev/bulrushlug/fresh"
+	"bulrushlug.dev/bulrushlug/jobs"
+	"bulrushlug.dev/bulrushlug/lane"
+	"bulrushlug.dev/bulrushlug/ledger"
+	"bulrushlug.dev/bulrushlug/link"
+	"bulrushlug.dev/bulrushlug/mesh"
+	"bulrushlug.dev/bulrushlug/pipe"
+	"bulrushlug.dev/bulrushlug/place"
+	"bulrushlug.dev/bulrushlug/relay"
+	"bulrushlug.dev/bulrushlug/repair"
+	"bulrushlug.dev/bulrushlug/roster"
+	"bulrushlug.dev/bulrushlug/serve"
+	"bulrushlug.dev/bulrushlug/spread"
+	"bulrushlug.dev/bulrushlug/state"
+	"bulrushlug.dev/bulrushlug/store"
+	"bulrushlug.dev/bulrushlug/tally"
+	"bulrushlug.dev/bulrushlug/vault"
+	"bulrushlug.dev/bulrushlug/vmlist"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// lameDuck is the time between the first sign that a process leaves and the end of its listeners.
+const lameDuck = 2 * time.Second
+
+// Node is one process.
+type Node struct {
+	settings *conf.Settings
+	self     bulrushlug.Member
+	logger   log.Logger
+	counts   *expvar.Map
+	clock    *clock.Clock
+	events   *event.Log
+	rule     *fresh.Rule
+	state    *state.State
+	roster   *roster.Roster
+	mesh     *mesh.Mesh
+	link     *link.Link
+	spread   *spread.Spread
+	ledger   *ledger.Ledger
+	follow   *follow.Follow
+	fleet    *fleet.Fleet
+	jobs     *jobs.Jobs
+	copies   *copies.Copies
+	store    bulrushlug.Store
+	tls      func() *tls.Config
+	leaving  atomic.Bool
+	role     role
+	disk     *vault.Disk // Nil without a data folder.
+}
+
+// role is what only one role of a process does.
+type role interface {
+	// start starts the parts of the role.
+	start(c context.Context, g *group) error
+	// options returns what other processes may call.
+	options() []serve.Option
+	// receive handles a message.
+	receive(m bulrushlug.Message)
+	// drain finishes or hands over what the role has.
+	drain(c context.Context)
+}
+
+// group runs the parts of a process until its context ends.
+type group struct {
+	wait sync.WaitGroup
+	fail context.CancelCauseFunc
+}
+
+// run starts f, whose failure ends the process.
+func (g *group) run(c context.Context, f func(c context.Context) error) {
+	g.wait.Go(func() {
+		if err := f(c); err != nil && c.Err() == nil {
+			g.fail(err)
+		}
+	})
+}
+
+// New returns the process with the given settings; its log lines go to l.
+func New(s *conf.Settings, l log.Logger) (*Node, error) {
+	m := s.Member()
+	n := &Node{
+		settings: s,
+		self:     m,
+		logger:   log.With(l, "vm", m.Name()),
+		counts:   new(expvar.Map).Init(),
+		clock:    clock.New(),
+		rule:     fresh.New(m.Zone()),
+		roster:   roster.New(vmlist.New(s.VMList())),
+		fleet:    fleet.New(),
+		store:    store.New(s.Store()),
+	}
+	if err := n.secure(); err != nil {
+		return nil, err
+	}
+	n.events = event.New(m.Name(), n.clock)
+	n.state = state.New(n.rule)
+	x, err := mesh.New(m.Name(), m.Address(), s.PeerSecrets(), n.sub("mesh"))
+	if err != nil {
+		return nil, err
+	}
+	n.mesh = x
+	n.link = link.New(n.clock, n.tls)
+	n.spread = spread.New(m, n.mesh, n.state, n.rule, n.link)
+	n.ledger = ledger.New(n.store, n.state, n.rule, n.spread, n.events)
+	n.follow = follow.New(n.ledger, n.spread)
+	n.jobs = jobs.New(n.store)
+	n.copies = copies.New(n.link, n.roster, s.Replicas())
+	n.roster.OnList(n.spread.SetMembers)
+	n.roster.OnList(n.notice)
+	return n, n.setRole()
+}
+
+// secure loads the certificates, if there are any.
+func (n *Node) secure() error {
+	c, k, a, ok := n.settings.TLS()
+	if !ok {
+		return nil
+	}
+	x, err := cert.New(c, k, a)
+	if err != nil {
+		return err
+	}
+	n.tls = x.Config
+	return nil
+}
+
+func (n *Node) setRole() error {
+	if d := n.settings.DataFolder(); d != "" {
+		k, err := vault.New(d)
+		if err != nil {
+			return err
+		}
+		n.disk = k
+	}
+	if n.settings.Role() == bulrushlug.RoleEntry {
+		n.role = newEntry(n)
+		return nil
+	}
+	n.role = newAgent(n)
+	return nil
+}
+
+// sub returns the counters of one part.
+func (n *Node) sub(name string) *expvar.Map {
+	m := new(expvar.Map).Init()
+	n.counts.Set(name, m)
+	return m
+}
+
+// notice starts the end of the process once the platform takes its VM away.
+func (n *Node) notice(l []bulrushlug.Member) {
+	for _, m := range l {
+		if m.Name() == n.self.Name() && m.Leaving() && n.leaving.CompareAndSwap(false, true) {
+			_ = n.logger.Log("event", "leaving", "reason", "VM list")
+		}
+	}
+}
+
+// Run serves until c ends; then it finishes or hands over what it has.
+func (n *Node) Run(c context.Context) error {
+	work, stop := context.WithCancelCause(context.WithoutCancel(c))
+	defer stop(nil)
+	g := &group{fail: stop}
+	l, err := net.Listen("tcp", n.settings.Listen())
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, n.settings.Listen(), err)
+	}
+	n.mesh.OnMessage(n.receive)
+	g.run(work, n.mesh.Run)
+	g.run(work, func(c context.Context) error { return n.server().Run(c, l) })
+	_ = n.roster.Poll(work)
+	g.run(work, n.roster.Run)
+	g.run(work, n.follow.Run)
+	g.run(work, n.spread.Run)
+	g.run(work, n.debug)
+	if err := n.role.start(work, g); err != nil {
+		return err
+	}
+	data, stopData := context.WithCancel(work)
+	defer stopData()
+	var batches group
+	batches.fail = stop
+	n.startData(data, &batches)
+	_ = n.logger.Log("event", "started", "role", n.settings.Role(), "listen", n.settings.Listen())
+	n.await(c, work)
+	if err := context.Cause(work); err != nil {
+		_ = n.logger.Log("event", "failed", "err", err)
+		return err
+	}
+	n.drain(stopData, &batches)
+	stop(nil)
+	g.wait.Wait()
+	_ = n.link.Close()
+	_ = n.logger.Log("event", "stopped")
+	return nil
+}
+
+// leavePoll is the time between two looks whether the platform takes the VM away.
+const leavePoll = 500 * time.Millisecond
+
+// await waits until the process must stop.
+func (n *Node) await(c, work context.Context) {
+	t := time.NewTicker(leavePoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-work.Done():
+			return
+		case <-t.C:
+			if n.leaving.Load() {
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) drain(stopData func(), batches *group) {
+	n.leaving.Store(true)
+	_ = n.logger.Log("event", "draining")
+	n.events.Record(bulrushlug.NewEvent("draining"))
+	c, stop := context.WithTimeout(context.Background(), n.settings.Drain())
+	defer stop()
+	stopData()
+	batches.wait.Wait()
+	n.role.drain(c)
+}
+
+func (n *Node) server() *serve.Server {
+	o := n.role.options()
+	if n.disk != nil {
+		o = append(o, serve.WithVault(n.disk))
+	}
+	if n.tls != nil {
+		o = append(o, serve.WithTLS(n.tls))
+	}
+	return serve.New(n.state, n.events, n.clock, n.position, o...)
+}
+
+func (n *Node) position() *wire.Position {
+	return &wire.Position{
+		Vm:       n.self.Name(),
+		Revision: n.state.Config().Revision(),
+		Fresh:    n.state.Fresh(),
+		Role:     n.settings.Role(),
+		Leaving:  n.leaving.Load(),
+	}
+}
+
+func (n *Node) receive(m bulrushlug.Message) {
+	n.spread.Receive(m)
+	n.fleet.Receive(m)
+	n.role.receive(m)
+}
+
+// debug serves the counters, if the settings name an address for them.
+func (n *Node) debug(c context.Context) error {
+	if n.settings.Debug() == "" {
+		return nil
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(n.counts.String()))
+	})
+	return listen(c, n.settings.Debug(), m)
+}
+
+// listen serves h at a until c ends.
+func listen(c context.Context, a string, h http.Handler) error {
+	s := &http.Server{Addr: a, Handler: h, ReadHeaderTimeout: headerTime}
+	stop := context.AfterFunc(c, func() { _ = s.Close() })
+	defer stop()
+	if err := s.ListenAndServe(); err != http.ErrServerClosed {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, a, err)
+	}
+	return nil
+}
+
+// headerTime bounds the time in which a caller sends its headers.
+const headerTime = 10 * time.Second
+
+// startData runs jobs and repairs chunks where the process has a data folder.
+func (n *Node) startData(c context.Context, g *group) {
+	if n.disk == nil {
+		return
+	}
+	counts := n.sub("batch")
+	p := pipe.New(
+		relay.New(n.link, n.fleet, n.events),
+		tally.New(n.sub("items"), n.events),
+		place.New(n.state, n.roster, n.fleet, place.NewBalanced(n.self.Zone())))
+	r := batch.New(n.self.Name(),
+		batch.WithPipe(p, lane.New(n.capacity)),
+		batch.WithRecords(n.jobs, n.copies),
+		batch.WithFleet(n.state, n.roster, n.link),
+		batch.WithReports(n.events, counts))
+	g.run(c, r.Run)
+	g.run(c, repair.New(n.self.Name(), n.jobs, n.copies, n.roster, n.settings.Retention(), n.events, counts).Run)
+}
+
+// capacity returns the batch items that the known backend servers can take: those that run, and one that waits for each slot.
+func (n *Node) capacity() int {
+	c := 0
+	for _, v := range n.fleet.All() {
+		if v.Live() && !v.Load().Leaving() {
+			c += 2*int(v.Load().Slots()) - int(v.Load().Online())
+		}
+	}
+	return max(1, c)
+}
--- /dev/null
+++ b/relay/stage.go
@@ -0,0 +1,87 @@
+// Package relay is the last stage of an entry's pipe: it sends requests to agents and retries where that is safe.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/fleet"
+)
+
+// Stage dispatches a request to its candidates in order.
+type Stage struct {
+	dispatcher bulrushlug.Dispatcher
+	fleet      *fleet.Fleet
+	budget     *budget
+	recorder   bulrushlug.Recorder
+}
+
+// New returns a stage that sends by d.
+func New(d bulrushlug.Dispatcher, f *fleet.Fleet, e bulrushlug.Recorder) *Stage {
+	return &Stage{dispatcher: d, fleet: f, budget: newBudget(), recorder: e}
+}
+
+// Run tries the candidates of r until one answers; what may have run is repeated only if it is idempotent
+// and nothing of its answer was passed on.
+func (g *Stage) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
+	g.budget.earn()
+	h := newHold(s, !r.Stream())
+	var err error
+	for i, d := range r.Candidates() {
+		if i > 0 {
+			if !again(r, h, err) || c.Err() != nil || !g.budget.spend() {
+				return err
+			}
+			r.NextAttempt()
+			h.reset()
+		}
+		if err = g.try(c, d, r, h); err == nil {
+			return h.flush()
+		}
+	}
+	return err
+}
+
+// try sends r to d and notes how that went.
+func (g *Stage) try(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, h *hold) error {
+	g.recorder.Record(bulrushlug.NewEvent("dispatch", bulrushlug.ForRequest(r), bulrushlug.WithDetail(d.VM())))
+	t := time.Now()
+	g.fleet.Begin(d.VM())
+	defer g.fleet.End(d.VM())
+	h.onHead(func() { g.fleet.Answered(d.VM(), time.Since(t)) })
+	err := g.dispatcher.Dispatch(c, d, r, h)
+	if err == nil {
+		return nil
+	}
+	k := bulrushlug.KindOf(err)
+	if blames(k) {
+		g.fleet.Fail(d.VM())
+	}
+	g.recorder.Record(bulrushlug.NewEvent("dispatchFailed", bulrushlug.ForRequest(r),
+		bulrushlug.WithDetail(d.VM()+": "+k.String()+": "+err.Error())))
+	return err
+}
+
+// blames reports whether failures of kind k speak against the backend server.
+func blames(k bulrushlug.Kind) bool {
+	switch k {
+	case bulrushlug.KindUnplaceable, bulrushlug.KindUncertain, bulrushlug.KindBroken, bulrushlug.KindLeaving:
+		return true
+	}
+	return false
+}
+
+// again reports whether r may be sent to another candidate after err.
+func again(r *bulrushlug.Request, h *hold, err error) bool {
+	if h.passed {
+		return false
+	}
+	switch k := bulrushlug.KindOf(err); k {
+	case bulrushlug.KindUnplaceable, bulrushlug.KindOverloaded, bulrushlug.KindLeaving:
+		return true
+	case bulrushlug.KindUncertain, bulrushlug.KindBroken:
+		return r.Idempotent()
+	}
+	return false
+}
--- /dev/null
+++ b/remote/client.go
@@ -0,0 +1,56 @@
+// Package remote sends the commands of operators to an entry over HTTP.
+package remote
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// callTimeout bounds one command.
+const callTimeout = 15 * time.Second
+
+// Client sends commands with a credential.
+type Client struct {
+	base       string // URL of an entry without a trailing slash.
+	credential string
+	client     *http.Client
+}
+
+// New returns the client of the entry at URL u.
+func New(u, credential string) *Client {
+	return &Client{base: strings.TrimRight(u, "/"), credential: credential, client: &http.Client{Timeout: callTimeout}}
+}
+
+// Send sends the JSON command b to path p, and returns the JSON answer.
+func (x *Client) Send(c context.Context, p string, b []byte) ([]byte, error) {
+	q, err := http.NewRequestWithContext(c, http.MethodPost, x.base+"/admin/v1/"+p, bytes.NewReader(b))
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, x.base, err)
+	}
+	q.Header.Set("Authorization", "Bearer "+x.credential)
+	r, err := x.client.Do(q)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindUncertain, x.base, err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	a, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindUncertain, x.base, err)
+	}
+	if r.StatusCode == http.StatusOK {
+		return a, nil
+	}
+	w, err := codec.ParseJSON[wire.Problem](a)
+	if err != nil {
+		return nil, bulrushlug.NewFault(bulrushlug.KindInternal, "%s: status %d", x.base, r.StatusCode)
+	}
+	return nil, codec.DecodeProblem(w)
+}
--- a/request.go
+++ b/request.go
@@ -23,7 +23,7 @@
 	candidates   []Candidate // Backend servers in order of preference.
 	job          string      // Batch job, if any.
 	resume       uint64      // Number of events that were already relayed.
-	fromHome     bool        // The admission is already counted.
+	once         string      // Idempotency key that the caller gave, if any.
 }
 
 // RequestOption sets one field of a new request.
@@ -76,6 +76,9 @@
 // WithResume asks to leave out the first n events.
 func WithResume(n uint64) RequestOption { return func(r *Request) { r.resume = n } }
 
+// WithOnce sets the idempotency key that the caller gave.
+func WithOnce(k string) RequestOption { return func(r *Request) { r.once = k } }
+
 // ID returns the identifier.
 func (r *Request) ID() string { return r.id }
 
@@ -133,6 +136,9 @@
 // Resume returns the number of events that were already relayed.
 func (r *Request) Resume() uint64 { return r.resume }
 
+// Once returns the idempotency key that the caller gave.
+func (r *Request) Once() string { return r.once }
+
 // Authenticate binds the request to organisation o by the key i, and forgets the key.
 func (r *Request) Authenticate(o, i string) { r.organisation, r.keyID, r.key = o, i, "" }
 
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,104 @@
+// Package roster follows the platform's list of VMs.
+package roster
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	pollInterval = 4 * time.Second
+	pollJitter   = time.Second
+	// DropAfter is how long a VM must be off the list before it counts as gone.
+	DropAfter = 15 * time.Second
+)
+
+// Roster keeps the newest list of VMs; an empty or failed answer changes nothing.
+type Roster struct {
+	list    bulrushlug.VMList
+	mu      sync.RWMutex
+	members []bulrushlug.Member  // Sorted by name.
+	absent  map[string]time.Time // First time at which a VM was asked for and was not listed.
+	onList  []func([]bulrushlug.Member)
+}
+
+// New returns a roster of the VMs in l.
+func New(l bulrushlug.VMList) *Roster {
+	return &Roster{list: l, absent: map[string]time.Time{}}
+}
+
+// OnList calls f with each list that follows.
+func (r *Roster) OnList(f func([]bulrushlug.Member)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onList = append(r.onList, f)
+}
+
+// Run reads the list until c ends.
+func (r *Roster) Run(c context.Context) error {
+	for {
+		_ = r.Poll(c)
+		if err := bulrushlug.Wait(c, pollInterval+rand.N(pollJitter)); err != nil {
+			return nil
+		}
+	}
+}
+
+// Poll reads the list once.
+func (r *Roster) Poll(c context.Context) error {
+	l, err := r.list.Members(c)
+	if err != nil {
+		return err
+	}
+	if len(l) == 0 {
+		return bulrushlug.NewFault(bulrushlug.KindStoreDown, "the VM list is empty")
+	}
+	r.mu.Lock()
+	r.members = l
+	for _, m := range l {
+		delete(r.absent, m.Name())
+	}
+	fs := slices.Clone(r.onList)
+	r.mu.Unlock()
+	for _, f := range fs {
+		f(l)
+	}
+	return nil
+}
+
+// Members returns the newest list; it must not be changed.
+func (r *Roster) Members() []bulrushlug.Member {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.members
+}
+
+// Member returns the VM called n.
+func (r *Roster) Member(n string) (bulrushlug.Member, bool) {
+	for _, m := range r.Members() {
+		if m.Name() == n {
+			return m, true
+		}
+	}
+	return bulrushlug.Member{}, false
+}
+
+// Gone reports whether the VM n has been off the list for DropAfter.
+func (r *Roster) Gone(n string) bool {
+	if _, ok := r.Member(n); ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.absent[n]
+	if !ok {
+		r.absent[n] = time.Now()
+		return false
+	}
+	return time.Since(t) >= DropAfter
+}
--- /dev/null
+++ b/serve/serve.go
@@ -0,0 +1,168 @@
+// Package serve answers the calls of other processes over drpc.
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/clock"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/event"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// eventLimit is the number of events in one answer.
+const eventLimit = 2000
+
+// Server serves the pipe, the disk and the events of one process; parts that are nil are refused.
+type Server struct {
+	stage    bulrushlug.Stage // Pipe of the agent, or nil.
+	vault    Vault            // Chunks on disk, or nil.
+	source   bulrushlug.Source
+	events   *event.Log
+	clock    *clock.Clock
+	position func() *wire.Position
+	tls      func() *tls.Config
+}
+
+// Vault keeps chunks on the disk of this VM.
+type Vault interface {
+	// Put keeps chunk n of file f; it returns once the chunk is synced.
+	Put(f string, n uint32, p []byte) error
+	// Get returns chunk n of file f.
+	Get(f string, n uint32) ([]byte, error)
+	// Drop removes chunk n of file f.
+	Drop(f string, n uint32) error
+}
+
+// Option sets one part of a server.
+type Option func(s *Server)
+
+// WithStage serves calls by the pipe g.
+func WithStage(g bulrushlug.Stage) Option { return func(s *Server) { s.stage = g } }
+
+// WithVault serves chunks from v.
+func WithVault(v Vault) Option { return func(s *Server) { s.vault = v } }
+
+// WithTLS secures connections by the configuration of t.
+func WithTLS(t func() *tls.Config) Option { return func(s *Server) { s.tls = t } }
+
+// New returns a server of configuration, events and position.
+func New(f bulrushlug.Source, e *event.Log, k *clock.Clock, p func() *wire.Position, o ...Option) *Server {
+	s := &Server{source: f, events: e, clock: k, position: p}
+	for _, g := range o {
+		g(s)
+	}
+	return s
+}
+
+// Run serves connections from l until c ends.
+func (s *Server) Run(c context.Context, l net.Listener) error {
+	m := drpcmux.New()
+	if err := wire.DRPCRegisterAgent(m, &agent{s}); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, "drpc", err)
+	}
+	if err := wire.DRPCRegisterVault(m, &vault{s}); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, "drpc", err)
+	}
+	if err := wire.DRPCRegisterPeer(m, &peer{s}); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, "drpc", err)
+	}
+	if s.tls != nil {
+		l = tls.NewListener(l, &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.tls(), nil }})
+	}
+	return drpcserver.New(m).Serve(c, l)
+}
+
+type agent struct{ *Server }
+
+// Run runs one call through the pipe.
+func (a *agent) Run(w *wire.Call, p wire.DRPCAgent_RunStream) error {
+	a.clock.Observe(w.Stamp)
+	k := &sink{stream: p, attempt: w.Attempt, clock: a.clock}
+	if a.stage == nil {
+		return k.fail(bulrushlug.NewFault(bulrushlug.KindUnplaceable, "this process is no agent"))
+	}
+	c := p.Context()
+	if w.DeadlineMs > 0 {
+		var stop context.CancelFunc
+		c, stop = context.WithTimeout(c, time.Duration(w.DeadlineMs)*time.Millisecond)
+		defer stop()
+	}
+	if err := a.stage.Run(c, codec.DecodeCall(w), k); err != nil {
+		return k.fail(err)
+	}
+	return k.end()
+}
+
+type vault struct{ *Server }
+
+var errNoFolder = bulrushlug.NewFault(bulrushlug.KindStorage, "this process has no data folder")
+
+// Put keeps a chunk.
+func (v *vault) Put(_ context.Context, w *wire.Chunk) (*wire.Done, error) {
+	if v.vault == nil {
+		return nil, errNoFolder
+	}
+	return &wire.Done{}, v.vault.Put(w.File, w.Index, w.Data)
+}
+
+// Get returns a chunk.
+func (v *vault) Get(_ context.Context, w *wire.ChunkRef) (*wire.Chunk, error) {
+	if v.vault == nil {
+		return nil, errNoFolder
+	}
+	b, err := v.vault.Get(w.File, w.Index)
+	return &wire.Chunk{File: w.File, Index: w.Index, Data: b}, err
+}
+
+// Drop removes a chunk.
+func (v *vault) Drop(_ context.Context, w *wire.ChunkRef) (*wire.Done, error) {
+	if v.vault == nil {
+		return nil, errNoFolder
+	}
+	return &wire.Done{}, v.vault.Drop(w.File, w.Index)
+}
+
+type peer struct{ *Server }
+
+// Pull returns the configuration.
+func (p *peer) Pull(_ context.Context, w *wire.PullRequest) (*wire.PullReply, error) {
+	f := p.source.Config()
+	r := &wire.PullReply{Revision: f.Revision()}
+	if f.Revision() > w.After {
+		r.Changes = codec.EncodeChanges(f.Entities())
+	}
+	return r, nil
+}
+
+// History returns the events that match.
+func (p *peer) History(_ context.Context, w *wire.EventsRequest) (*wire.Events, error) {
+	n := int(w.Limit)
+	if n <= 0 || n > eventLimit {
+		n = eventLimit
+	}
+	r := &wire.Events{}
+	for _, e := range p.events.Select(n, func(e bulrushlug.Event) bool { return matches(w, e) }) {
+		r.Events = append(r.Events, codec.EncodeEvent(e))
+	}
+	return r, nil
+}
+
+func matches(w *wire.EventsRequest, e bulrushlug.Event) bool {
+	return (w.Request == "" || w.Request == e.Request()) &&
+		(w.Job == "" || w.Job == e.Job()) &&
+		(w.Organisation == "" || w.Organisation == e.Organisation()) &&
+		(w.Vm == "" || w.Vm == e.VM())
+}
+
+// Where returns the revision that the process has.
+func (p *peer) Where(context.Context, *wire.PositionRequest) (*wire.Position, error) {
+	return p.position(), nil
+}
--- /dev/null
+++ b/sims/app.go
@@ -0,0 +1,75 @@
+// Package sims holds the commands of the program with the stand-ins.
+package sims
+
+import (
+	"context"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"bulrushlug.dev/bulrushlug/demo"
+	"bulrushlug.dev/bulrushlug/memkv"
+	"bulrushlug.dev/bulrushlug/memlm"
+	"bulrushlug.dev/bulrushlug/memvm"
+	"bulrushlug.dev/bulrushlug/simkv"
+	"bulrushlug.dev/bulrushlug/simlm"
+	"bulrushlug.dev/bulrushlug/simsvc"
+	"bulrushlug.dev/bulrushlug/simvm"
+)
+
+// New returns the command line.
+func New() *cli.Command {
+	l := &cli.StringFlag{Name: "listen", Usage: "`host:port` of the stand-in", Required: true}
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run stand-ins of the platform and of backend servers",
+		Commands: []*cli.Command{
+			{Name: "kv", Usage: "key-value service", Flags: []cli.Flag{l}, Action: kv},
+			{Name: "vms", Usage: "VM list", Flags: []cli.Flag{l,
+				&cli.DurationFlag{Name: "lag", Usage: "`time` until a change shows"}}, Action: vms},
+			{Name: "engine", Usage: "model engine", Flags: []cli.Flag{l,
+				&cli.IntFlag{Name: "slots", Usage: "`requests` that run at once", Value: 16},
+				&cli.DurationFlag{Name: "token", Usage: "`time` from one token to the next", Value: 10 * time.Millisecond},
+				&cli.DurationFlag{Name: "prefill", Usage: "`time` before the first token", Value: 20 * time.Millisecond},
+			}, Action: engine},
+			{Name: "service", Usage: "plain service", Flags: []cli.Flag{l}, Action: service},
+			{Name: "demo", Usage: "run a small fleet with one question and one batch job", Action: runDemo},
+		},
+	}
+}
+
+func kv(c context.Context, m *cli.Command) error {
+	return listen(c, m, simkv.New(memkv.New()))
+}
+
+func vms(c context.Context, m *cli.Command) error {
+	return listen(c, m, simvm.New(memvm.New(m.Duration("lag"))))
+}
+
+func engine(c context.Context, m *cli.Command) error {
+	return listen(c, m, simlm.New(memlm.New(m.Int("slots"), m.Duration("token"), m.Duration("prefill"))))
+}
+
+func service(c context.Context, m *cli.Command) error {
+	return listen(c, m, simsvc.New())
+}
+
+func runDemo(c context.Context, m *cli.Command) error {
+	return demo.New(m.Root().Writer).Run(c)
+}
+
+// listen serves h until a signal comes.
+func listen(c context.Context, m *cli.Command, h http.Handler) error {
+	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s := &http.Server{Addr: m.String("listen"), Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	end := context.AfterFunc(c, func() { _ = s.Close() })
+	defer end()
+	if err := s.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/tally/filter.go
@@ -0,0 +1,35 @@
+// Package tally counts requests and records their ends on the time line.
+package tally
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// Filter counts requests by outcome.
+type Filter struct {
+	counts   *expvar.Map
+	recorder bulrushlug.Recorder
+}
+
+// New returns a filter that counts in m.
+func New(m *expvar.Map, e bulrushlug.Recorder) *Filter { return &Filter{counts: m, recorder: e} }
+
+// Pass counts r once it has ended.
+func (f *Filter) Pass(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink, n bulrushlug.Stage) error {
+	t := time.Now()
+	f.counts.Add("open", 1)
+	err := n.Run(c, r, s)
+	f.counts.Add("open", -1)
+	o := "ok"
+	if err != nil {
+		o = bulrushlug.KindOf(err).String()
+	}
+	f.counts.Add(o, 1)
+	f.recorder.Record(bulrushlug.NewEvent("requestEnd", bulrushlug.ForRequest(r),
+		bulrushlug.WithDetail(o+" after "+time.Since(t).Round(time.Millisecond).String())))
+	return err
+}
