refactor: interfaces and shared types in the root package, one exported type each below

Cause: the shape asks for interfaces in one root package; several stood beside their users. Ruled out: aliases in the old places, which would keep two names for one thing. Change: interfaces moved, option types unexported, the chooser a package of its own.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -24,12 +24,6 @@
 	stopTime  = 5 * time.Second         // Bounds the release of the jobs at a planned stop.
 )
 
-// Prober finds out whether processes answer.
-type Prober interface {
-	// Probe returns an error if the process at address a does not answer.
-	Probe(c context.Context, a string) error
-}
-
 // Runner owns and runs jobs.
 type Runner struct {
 	self     string
@@ -39,7 +33,7 @@
 	stage    bulrushlug.Stage
 	source   bulrushlug.Source
 	roster   bulrushlug.Roster
-	prober   Prober
+	prober   bulrushlug.Prober
 	recorder bulrushlug.Recorder
 	counts   *expvar.Map
 
@@ -50,31 +44,31 @@
 	closed bool                 // No more jobs are claimed.
 }
 
-// Option sets one part of a runner.
-type Option func(r *Runner)
+// option sets one part of a runner.
+type option func(r *Runner)
 
 // WithPipe runs items by the pipe g, admitted by l.
-func WithPipe(g bulrushlug.Stage, l *lane.Lanes) Option {
+func WithPipe(g bulrushlug.Stage, l *lane.Lanes) option {
 	return func(r *Runner) { r.stage, r.lanes = g, l }
 }
 
 // WithRecords keeps jobs in j and chunks in x.
-func WithRecords(j *jobs.Jobs, x *copies.Copies) Option {
+func WithRecords(j *jobs.Jobs, x *copies.Copies) option {
 	return func(r *Runner) { r.jobs, r.copies = j, x }
 }
 
 // WithFleet takes configuration, members and their health from f, o and p.
-func WithFleet(f bulrushlug.Source, o bulrushlug.Roster, p Prober) Option {
+func WithFleet(f bulrushlug.Source, o bulrushlug.Roster, p bulrushlug.Prober) option {
 	return func(r *Runner) { r.source, r.roster, r.prober = f, o, p }
 }
 
 // WithReports records events and counts.
-func WithReports(e bulrushlug.Recorder, m *expvar.Map) Option {
+func WithReports(e bulrushlug.Recorder, m *expvar.Map) option {
 	return func(r *Runner) { r.recorder, r.counts = e, m }
 }
 
 // New returns the runner on VM v.
-func New(v string, o ...Option) *Runner {
+func New(v string, o ...option) *Runner {
 	r := &Runner{self: v, runs: map[string]*run{}, owners: map[string]string{}, heard: map[string]time.Time{}}
 	for _, f := range o {
 		f(r)
@@ -123,7 +117,7 @@
 }
 
 // forget drops what is known of jobs that are no longer open.
-func (r *Runner) forget(l []jobs.Open) {
+func (r *Runner) forget(l []bulrushlug.OpenJob) {
 	open := map[string]bool{}
 	for _, o := range l {
 		open[o.ID()] = true
@@ -138,7 +132,7 @@
 }
 
 // shouldOwn reports whether this process is the first that answers in the order of the job.
-func (r *Runner) shouldOwn(c context.Context, o jobs.Open) bool {
+func (r *Runner) shouldOwn(c context.Context, o bulrushlug.OpenJob) bool {
 	r.mu.Lock()
 	n, ok := r.owners[o.ID()]
 	r.mu.Unlock()
@@ -205,7 +199,7 @@
 }
 
 // claim makes this process the owner of job o under a new fence, and starts it.
-func (r *Runner) claim(c, w context.Context, o jobs.Open) {
+func (r *Runner) claim(c, w context.Context, o bulrushlug.OpenJob) {
 	r.mu.Lock()
 	seen, closed := r.owners[o.ID()], r.closed
 	r.mu.Unlock()
--- a/beat/beat.go
+++ b/beat/beat.go
@@ -20,21 +20,11 @@
 	turning  = 2 // Further processes that get one report each, by turns.
 )
 
-// Reporter gives the state of an agent.
-type Reporter interface {
-	// Counts returns the slots, the online requests and batch items that run, and the online requests that wait.
-	Counts() (slots, online, batch, queued int)
-	// Models returns the models that are loaded.
-	Models() []string
-	// Services returns the plain services beside the agent.
-	Services() []string
-}
-
 // Beat sends reports to a bounded number of the processes that place work.
 type Beat struct {
 	self     bulrushlug.Member
 	boot     string // Changes with each start of the process.
-	reporter Reporter
+	reporter bulrushlug.Reporter
 	roster   bulrushlug.Roster
 	mesh     bulrushlug.Mesh
 	sequence atomic.Uint64
@@ -43,7 +33,7 @@
 }
 
 // New returns the beat of the agent m.
-func New(m bulrushlug.Member, p Reporter, r bulrushlug.Roster, x bulrushlug.Mesh) *Beat {
+func New(m bulrushlug.Member, p bulrushlug.Reporter, r bulrushlug.Roster, x bulrushlug.Mesh) *Beat {
 	return &Beat{self: m, boot: uuid.NewString(), reporter: p, roster: r, mesh: x}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,38 +95,14 @@
 	}
 }
 
-// View is the state of one backend server at one moment.
-type View struct {
-	load  bulrushlug.Load
-	live  bool          // The server reported lately.
-	avoid bool          // The server failed lately.
-	busy  float64       // Requests for each slot.
-	delay time.Duration // Smoothed time to the first piece of an answer.
-}
-
-// Load returns the last load report.
-func (v View) Load() bulrushlug.Load { return v.load }
-
-// Live reports whether the server reported lately.
-func (v View) Live() bool { return v.live }
-
-// Avoid reports whether the server failed lately.
-func (v View) Avoid() bool { return v.avoid }
-
-// Busy returns the estimated number of requests for each slot.
-func (v View) Busy() float64 { return v.busy }
-
-// Delay returns the smoothed time to the first piece of an answer.
-func (v View) Delay() time.Duration { return v.delay }
-
 // Offering returns the servers that offer what r needs.
-func (f *Fleet) Offering(r *bulrushlug.Request) []View {
+func (f *Fleet) Offering(r *bulrushlug.Request) []bulrushlug.View {
 	n := f.index.Load()
 	l := n.models[r.Model()]
 	if r.Route() != "" {
 		l = n.services[r.Route()]
 	}
-	var o []View
+	var o []bulrushlug.View
 	for _, v := range l {
 		if x, ok := f.view(v, r.Batch()); ok {
 			o = append(o, x)
@@ -136,8 +112,8 @@
 }
 
 // All returns every server.
-func (f *Fleet) All() []View {
-	var o []View
+func (f *Fleet) All() []bulrushlug.View {
+	var o []bulrushlug.View
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.Lock()
@@ -149,25 +125,21 @@
 	return o
 }
 
-func (f *Fleet) view(v string, batch bool) (View, bool) {
+func (f *Fleet) view(v string, batch bool) (bulrushlug.View, bool) {
 	s := f.shard(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.servers[v]
 	if !ok || x.load.Leaving() {
-		return View{}, false
+		return bulrushlug.View{}, false
 	}
 	return x.view(batch), true
 }
 
-func (s *server) view(batch bool) View {
-	return View{
-		load:  s.load,
-		live:  time.Since(s.seen) < liveTime,
-		avoid: time.Now().Before(s.avoid),
-		busy:  s.busy(batch),
-		delay: s.delay,
-	}
+func (s *server) view(batch bool) bulrushlug.View {
+	return bulrushlug.NewView(s.load,
+		bulrushlug.ViewHealth(time.Since(s.seen) < liveTime, time.Now().Before(s.avoid)),
+		bulrushlug.ViewCost(s.busy(batch), s.delay))
 }
 
 func (f *Fleet) with(v string, g func(s *server)) {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -19,22 +19,16 @@
 	reloadAfter  = 30 * time.Minute // Age of the last read after which the history may have been trimmed.
 )
 
-// Watcher says whether the process should read from the key-value service itself.
-type Watcher interface {
-	// AsksStore reports whether the process should ask the service now.
-	AsksStore() bool
-}
-
 // Follow reads the history of the configuration.
 type Follow struct {
 	ledger  *ledger.Ledger
-	watcher Watcher
+	watcher bulrushlug.Watcher
 	read    time.Time   // When the last read succeeded; only Run uses it.
 	failing atomic.Bool // The last read failed.
 }
 
 // New returns a follower of l.
-func New(l *ledger.Ledger, w Watcher) *Follow {
+func New(l *ledger.Ledger, w bulrushlug.Watcher) *Follow {
 	return &Follow{ledger: l, watcher: w}
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -38,24 +38,24 @@
 	mux     *http.ServeMux
 }
 
-// Option sets one part of a server.
-type Option func(s *Server)
+// option sets one part of a server.
+type option func(s *Server)
 
 // WithPipes sends requests to p, and puts g before the server's own stages.
-func WithPipes(p bulrushlug.Stage, g func(bulrushlug.Stage) bulrushlug.Stage) Option {
+func WithPipes(p bulrushlug.Stage, g func(bulrushlug.Stage) bulrushlug.Stage) option {
 	return func(s *Server) { s.serve, s.guarded = p, g }
 }
 
 // WithBatch keeps files and jobs in x and j.
-func WithBatch(j *jobs.Jobs, x *copies.Copies) Option {
+func WithBatch(j *jobs.Jobs, x *copies.Copies) option {
 	return func(s *Server) { s.jobs, s.copies, s.upload = j, x, upload.New(x) }
 }
 
 // WithMaxBody bounds the body of a request to n bytes.
-func WithMaxBody(n int64) Option { return func(s *Server) { s.maxBody = n } }
+func WithMaxBody(n int64) option { return func(s *Server) { s.maxBody = n } }
 
 // New returns a server by the configuration in f.
-func New(f bulrushlug.Source, o ...Option) *Server {
+func New(f bulrushlug.Source, o ...option) *Server {
 	s := &Server{source: f, mux: http.NewServeMux()}
 	for _, g := range o {
 		g(s)
--- a/home/home.go
+++ b/home/home.go
@@ -25,26 +25,11 @@
 	startAfter   = fresh.Limit + extension + 500*time.Millisecond // Time after which no earlier home can grant.
 )
 
-// Gone tells which VMs no longer exist.
-type Gone interface {
-	// Gone reports whether the VM n no longer exists.
-	Gone(n string) bool
-	// Member returns the VM called n.
-	Member(n string) (bulrushlug.Member, bool)
-}
-
-// Source gives the configuration and how far it is accepted.
-type Source interface {
-	bulrushlug.Source
-	// Accepted returns the newest revision known to be held by a majority of the zones.
-	Accepted() uint64
-}
-
 // Home answers questions for admissions.
 type Home struct {
 	self   string
-	source Source
-	roster Gone
+	source bulrushlug.Source
+	roster bulrushlug.Roster
 	mesh   bulrushlug.Mesh
 	counts *expvar.Map
 	shards [shardCount]shard
@@ -75,7 +60,7 @@
 }
 
 // New returns the home part of the process n.
-func New(n string, f Source, g Gone, m bulrushlug.Mesh, counts *expvar.Map) *Home {
+func New(n string, f bulrushlug.Source, g bulrushlug.Roster, m bulrushlug.Mesh, counts *expvar.Map) *Home {
 	h := &Home{self: n, source: f, roster: g, mesh: m, counts: counts}
 	for i := range h.shards {
 		h.shards[i].buckets = map[string]*bucket{}
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -258,30 +258,14 @@
 	}
 }
 
-// Open is the mark of a job that is not final.
-type Open struct {
-	id           string
-	organisation string
-	cancel       bool // The job must stop.
-}
-
-// ID returns the identifier of the job.
-func (o Open) ID() string { return o.id }
-
-// Organisation returns the organisation that owns the job.
-func (o Open) Organisation() string { return o.organisation }
-
-// Cancel reports whether the job must stop.
-func (o Open) Cancel() bool { return o.cancel }
-
 // Open returns the marks of all jobs that are not final.
-func (j *Jobs) Open(c context.Context) ([]Open, error) {
-	return list(c, j.store, openPrefix, func(b []byte) (Open, error) {
+func (j *Jobs) Open(c context.Context) ([]bulrushlug.OpenJob, error) {
+	return list(c, j.store, openPrefix, func(b []byte) (bulrushlug.OpenJob, error) {
 		w, err := codec.ParseJSON[wire.OpenJob](b)
 		if err != nil {
-			return Open{}, bulrushlug.WrapFault(bulrushlug.KindInternal, openPrefix, err)
+			return bulrushlug.OpenJob{}, bulrushlug.WrapFault(bulrushlug.KindInternal, openPrefix, err)
 		}
-		return Open{id: w.Id, organisation: w.Organisation, cancel: w.Cancel}, nil
+		return bulrushlug.NewOpenJob(w.Id, w.Organisation, w.Cancel), nil
 	})
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -26,29 +26,20 @@
 	retryPause    = 200 * time.Millisecond // Pause before a call is made again.
 )
 
-// Announcer tells the other availability zones of a new revision.
-type Announcer interface {
-	// Announce sends the newest configuration to every zone.
-	Announce()
-}
-
 // Ledger writes changes one after the other; each takes the next free number.
 type Ledger struct {
 	store    bulrushlug.Store
 	state    *state.State
 	rule     *fresh.Rule
-	announce Announcer
+	announce bulrushlug.Announcer
 	recorder bulrushlug.Recorder
 }
 
 // New returns the ledger in store k.
-func New(k bulrushlug.Store, s *state.State, r *fresh.Rule, a Announcer, e bulrushlug.Recorder) *Ledger {
+func New(k bulrushlug.Store, s *state.State, r *fresh.Rule, a bulrushlug.Announcer, e bulrushlug.Recorder) *Ledger {
 	return &Ledger{store: k, state: s, rule: r, announce: a, recorder: e}
 }
 
-// Proposal works out a change from the newest configuration, or says why there is none.
-type Proposal func(f *bulrushlug.Config) (bulrushlug.Change, error)
-
 func key(n uint64) string { return fmt.Sprintf("%s%012d", prefix, n) }
 
 // NewID returns an identifier for a change.
@@ -57,7 +48,7 @@
 // Propose writes the change that p works out, and returns its revision once it is accepted.
 //
 // KindConflict and KindStale mean that nothing was written; KindUncertain means that it may have been.
-func (l *Ledger) Propose(c context.Context, p Proposal) (uint64, error) {
+func (l *Ledger) Propose(c context.Context, p bulrushlug.Proposal) (uint64, error) {
 	c, stop := context.WithTimeout(c, settleTime)
 	defer stop()
 	if !l.rule.OK() {
@@ -75,7 +66,7 @@
 }
 
 // write finds the next free number for the change of p.
-func (l *Ledger) write(c context.Context, p Proposal) (uint64, error) {
+func (l *Ledger) write(c context.Context, p bulrushlug.Proposal) (uint64, error) {
 	var id string
 	for {
 		f := l.state.Config()
--- a/memlm/engine.go
+++ b/memlm/engine.go
@@ -34,32 +34,20 @@
 	fence    uint64       // Highest fencing number seen.
 	models   map[string]string
 	prefixes []uint64 // Newest last.
-	ran      map[string]Record
+	ran      map[string]record
 }
 
-// Record says what an engine did for one request identifier.
-type Record struct {
+// record says what was done for one request identifier.
+type record struct {
 	started   uint32
 	finished  uint32
-	cancelled uint32
-	resumed   uint32
+	cancelled uint32 // Cancelled or broken.
+	resumed   uint32 // Started from a later event.
 }
 
-// Started returns how often the request started.
-func (r Record) Started() uint32 { return r.started }
-
-// Finished returns how often the request finished.
-func (r Record) Finished() uint32 { return r.finished }
-
-// Cancelled returns how often the request was cancelled or broke.
-func (r Record) Cancelled() uint32 { return r.cancelled }
-
-// Resumed returns how often the request started from a later event.
-func (r Record) Resumed() uint32 { return r.resumed }
-
 // New returns an engine with n slots, d between tokens and p before the first token.
 func New(n int, d, p time.Duration) *Engine {
-	e := &Engine{slots: make(chan struct{}, n), models: map[string]string{}, ran: map[string]Record{}}
+	e := &Engine{slots: make(chan struct{}, n), models: map[string]string{}, ran: map[string]record{}}
 	e.token.Store(int64(d))
 	e.prefill.Store(int64(p))
 	return e
@@ -109,18 +97,16 @@
 	return m
 }
 
-// Ran returns what was done, by request identifier.
-func (e *Engine) Ran() map[string]Record {
+// Ran calls f with how often each request started, finished, was cancelled or broke, and was resumed.
+func (e *Engine) Ran(f func(id string, started, finished, cancelled, resumed uint32)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m := map[string]Record{}
-	for k, v := range e.ran {
-		m[k] = v
+	for k, r := range e.ran {
+		f(k, r.started, r.finished, r.cancelled, r.resumed)
 	}
-	return m
 }
 
-func (e *Engine) note(id string, f func(r *Record)) {
+func (e *Engine) note(id string, f func(r *record)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.ran[id]
@@ -137,14 +123,14 @@
 		return err
 	}
 	defer func() { <-e.slots }()
-	e.note(r.ID(), func(x *Record) {
+	e.note(r.ID(), func(x *record) {
 		x.started++
 		if r.Resume() > 0 {
 			x.resumed++
 		}
 	})
 	err := e.generate(c, r, s)
-	e.note(r.ID(), func(x *Record) {
+	e.note(r.ID(), func(x *record) {
 		if err != nil {
 			x.cancelled++
 			return
--- a/node/agent.go
+++ b/node/agent.go
@@ -14,7 +14,6 @@
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/plain"
 	"bulrushlug.dev/bulrushlug/resume"
-	"bulrushlug.dev/bulrushlug/serve"
 	"bulrushlug.dev/bulrushlug/tally"
 )
 
@@ -68,13 +67,12 @@
 // Services returns the plain services beside the agent.
 func (a *agent) Services() []string { return a.local.Services() }
 
-func (a *agent) options() []serve.Option {
-	p := pipe.New(a.local,
+func (a *agent) stage() bulrushlug.Stage {
+	return pipe.New(a.local,
 		tally.New(a.sub("requests"), a.events),
 		check.New(a.self, a.state),
 		a.admit,
 		resume.New(a.sub("resume")))
-	return []serve.Option{serve.WithStage(p)}
 }
 
 func (a *agent) receive(bulrushlug.Message) {}
--- a/node/entry.go
+++ b/node/entry.go
@@ -8,6 +8,7 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/admin"
 	"bulrushlug.dev/bulrushlug/authn"
+	"bulrushlug.dev/bulrushlug/choose"
 	"bulrushlug.dev/bulrushlug/front"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/home"
@@ -18,7 +19,6 @@
 	"bulrushlug.dev/bulrushlug/quota"
 	"bulrushlug.dev/bulrushlug/relay"
 	"bulrushlug.dev/bulrushlug/ringer"
-	"bulrushlug.dev/bulrushlug/serve"
 	"bulrushlug.dev/bulrushlug/tally"
 )
 
@@ -59,8 +59,8 @@
 
 func (e *entry) handler() http.Handler {
 	f := e.filters()
-	serve := append(f[:len(f):len(f)], e.once, place.New(e.state, e.roster, e.fleet, place.NewBalanced(e.self.Zone())))
-	p := pipe.New(relay.New(e.link, e.fleet, e.events), serve...)
+	l := append(f[:len(f):len(f)], e.once, place.New(e.state, e.roster, e.fleet, choose.New(e.self.Zone())))
+	p := pipe.New(relay.New(e.link, e.fleet, e.events), l...)
 	m := http.NewServeMux()
 	m.Handle("/", front.New(e.state,
 		front.WithPipes(p, func(s bulrushlug.Stage) bulrushlug.Stage { return pipe.New(s, f...) }),
@@ -78,7 +78,7 @@
 	}
 }
 
-func (e *entry) options() []serve.Option { return nil }
+func (e *entry) stage() bulrushlug.Stage { return nil }
 
 func (e *entry) receive(m bulrushlug.Message) {
 	e.home.Receive(m)
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/batch"
 	"bulrushlug.dev/bulrushlug/cert"
+	"bulrushlug.dev/bulrushlug/choose"
 	"bulrushlug.dev/bulrushlug/clock"
 	"bulrushlug.dev/bulrushlug/conf"
 	"bulrushlug.dev/bulrushlug/copies"
@@ -69,15 +70,15 @@
 	tls      func() *tls.Config
 	leaving  atomic.Bool
 	role     role
-	disk     *vault.Disk // Nil without a data folder.
+	disk     bulrushlug.Disk // Nil without a data folder.
 }
 
 // role is what only one role of a process does.
 type role interface {
 	// start starts the parts of the role.
 	start(c context.Context, g *group) error
-	// options returns what other processes may call.
-	options() []serve.Option
+	// stage returns the pipe for calls of other processes, or nil.
+	stage() bulrushlug.Stage
 	// receive handles a message.
 	receive(m bulrushlug.Message)
 	// drain finishes or hands over what the role has.
@@ -252,14 +253,10 @@
 }
 
 func (n *Node) server() *serve.Server {
-	o := n.role.options()
-	if n.disk != nil {
-		o = append(o, serve.WithVault(n.disk))
-	}
-	if n.tls != nil {
-		o = append(o, serve.WithTLS(n.tls))
-	}
-	return serve.New(n.state, n.events, n.clock, n.position, o...)
+	return serve.New(n.state, n.events, n.clock, n.position,
+		serve.WithStage(n.role.stage()),
+		serve.WithVault(n.disk),
+		serve.WithTLS(n.tls))
 }
 
 func (n *Node) position() *wire.Position {
@@ -314,7 +311,7 @@
 	p := pipe.New(
 		relay.New(n.link, n.fleet, n.events),
 		tally.New(n.sub("items"), n.events),
-		place.New(n.state, n.roster, n.fleet, place.NewBalanced(n.self.Zone())))
+		place.New(n.state, n.roster, n.fleet, choose.New(n.self.Zone())))
 	r := batch.New(n.self.Name(),
 		batch.WithPipe(p, lane.New(n.capacity)),
 		batch.WithRecords(n.jobs, n.copies),
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -21,17 +21,9 @@
 	retryPause  = 50 * time.Millisecond   // Pause after an answer of a process that is not the home.
 )
 
-// Owners tells the home of an organisation.
-type Owners interface {
-	// Owner returns the VM that is the home of organisation o.
-	Owner(o string) string
-	// Member returns the VM called n.
-	Member(n string) (bulrushlug.Member, bool)
-}
-
 // Quota gathers the requests that wait for admission, and asks for them together.
 type Quota struct {
-	owners Owners
+	owners bulrushlug.Owners
 	mesh   bulrushlug.Mesh
 	counts *expvar.Map
 	next   atomic.Uint64 // Number of the last question.
@@ -55,7 +47,7 @@
 type waiter struct{ done chan error }
 
 // New returns a quota that finds homes by o.
-func New(o Owners, m bulrushlug.Mesh, counts *expvar.Map) *Quota {
+func New(o bulrushlug.Owners, m bulrushlug.Mesh, counts *expvar.Map) *Quota {
 	q := &Quota{owners: o, mesh: m, counts: counts}
 	for i := range q.shards {
 		q.shards[i].orgs = map[string]*line{}
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -18,19 +18,12 @@
 	roundTime  = 5 * time.Minute  // Bounds one round.
 )
 
-// Gone tells which VMs no longer exist.
-type Gone interface {
-	bulrushlug.Roster
-	// Gone reports whether the VM n no longer exists.
-	Gone(n string) bool
-}
-
 // Repair works through the records of all organisations; each record is the duty of one data VM.
 type Repair struct {
 	self      string
 	jobs      *jobs.Jobs
 	copies    *copies.Copies
-	roster    Gone
+	roster    bulrushlug.Roster
 	retention time.Duration
 	recorder  bulrushlug.Recorder
 	counts    *expvar.Map
@@ -39,7 +32,7 @@
 }
 
 // New returns the repair on VM v; files and jobs are removed d after they are final.
-func New(v string, j *jobs.Jobs, x *copies.Copies, g Gone, d time.Duration, e bulrushlug.Recorder, m *expvar.Map) *Repair {
+func New(v string, j *jobs.Jobs, x *copies.Copies, g bulrushlug.Roster, d time.Duration, e bulrushlug.Recorder, m *expvar.Map) *Repair {
 	return &Repair{self: v, jobs: j, copies: x, roster: g, retention: d, recorder: e, counts: m, known: map[string]bool{}}
 }
 
--- a/ringer/ringer.go
+++ b/ringer/ringer.go
@@ -19,25 +19,13 @@
 	author     = "ringer"
 )
 
-// Prober finds out whether processes answer.
-type Prober interface {
-	// Probe returns an error if the process at address a does not answer.
-	Probe(c context.Context, a string) error
-}
-
-// Proposer writes changes of the configuration.
-type Proposer interface {
-	// Propose writes the change that p works out, and returns its revision once it is accepted.
-	Propose(c context.Context, p ledger.Proposal) (uint64, error)
-}
-
 // Ringer looks after the entries of its own availability zone, and after zones that are silent.
 type Ringer struct {
 	self   bulrushlug.Member
 	source bulrushlug.Source
 	roster bulrushlug.Roster
-	prober Prober
-	ledger Proposer
+	prober bulrushlug.Prober
+	ledger bulrushlug.Proposer
 	roots  func() bool                     // Reports whether the process has this duty.
 	zones  func() map[string]time.Duration // Ages of the zones heard.
 	heard  map[string]time.Time            // When each entry last answered or was first seen; only Run uses it.
@@ -47,7 +35,7 @@
 }
 
 // New returns the ringer of the entry m, which has the duty while f says so; z gives the ages of the zones heard.
-func New(m bulrushlug.Member, s bulrushlug.Source, r bulrushlug.Roster, p Prober, l Proposer, f func() bool, z func() map[string]time.Duration) *Ringer {
+func New(m bulrushlug.Member, s bulrushlug.Source, r bulrushlug.Roster, p bulrushlug.Prober, l bulrushlug.Proposer, f func() bool, z func() map[string]time.Duration) *Ringer {
 	return &Ringer{
 		self:   m,
 		source: s,
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -23,7 +23,7 @@
 // Server serves the pipe, the disk and the events of one process; parts that are nil are refused.
 type Server struct {
 	stage    bulrushlug.Stage // Pipe of the agent, or nil.
-	vault    Vault            // Chunks on disk, or nil.
+	vault    bulrushlug.Disk  // Chunks on disk, or nil.
 	source   bulrushlug.Source
 	events   *event.Log
 	clock    *clock.Clock
@@ -31,30 +31,20 @@
 	tls      func() *tls.Config
 }
 
-// Vault keeps chunks on the disk of this VM.
-type Vault interface {
-	// Put keeps chunk n of file f; it returns once the chunk is synced.
-	Put(f string, n uint32, p []byte) error
-	// Get returns chunk n of file f.
-	Get(f string, n uint32) ([]byte, error)
-	// Drop removes chunk n of file f.
-	Drop(f string, n uint32) error
-}
-
-// Option sets one part of a server.
-type Option func(s *Server)
+// option sets one part of a server.
+type option func(s *Server)
 
 // WithStage serves calls by the pipe g.
-func WithStage(g bulrushlug.Stage) Option { return func(s *Server) { s.stage = g } }
+func WithStage(g bulrushlug.Stage) option { return func(s *Server) { s.stage = g } }
 
 // WithVault serves chunks from v.
-func WithVault(v Vault) Option { return func(s *Server) { s.vault = v } }
+func WithVault(v bulrushlug.Disk) option { return func(s *Server) { s.vault = v } }
 
 // WithTLS secures connections by the configuration of t.
-func WithTLS(t func() *tls.Config) Option { return func(s *Server) { s.tls = t } }
+func WithTLS(t func() *tls.Config) option { return func(s *Server) { s.tls = t } }
 
 // New returns a server of configuration, events and position.
-func New(f bulrushlug.Source, e *event.Log, k *clock.Clock, p func() *wire.Position, o ...Option) *Server {
+func New(f bulrushlug.Source, e *event.Log, k *clock.Clock, p func() *wire.Position, o ...option) *Server {
 	s := &Server{source: f, events: e, clock: k, position: p}
 	for _, g := range o {
 		g(s)
--- a/simlm/server.go
+++ b/simlm/server.go
@@ -124,15 +124,9 @@
 
 func (s *Server) ran(w http.ResponseWriter, _ *http.Request) {
 	l := &wire.RanList{}
-	for k, x := range s.engine.Ran() {
-		l.Ran = append(l.Ran, &wire.Ran{
-			Id:        k,
-			Started:   x.Started(),
-			Finished:  x.Finished(),
-			Cancelled: x.Cancelled(),
-			Resumed:   x.Resumed(),
-		})
-	}
+	s.engine.Ran(func(id string, started, finished, cancelled, resumed uint32) {
+		l.Ran = append(l.Ran, &wire.Ran{Id: id, Started: started, Finished: finished, Cancelled: cancelled, Resumed: resumed})
+	})
 	reply(w, l)
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -24,19 +24,13 @@
 	fallbacks    = 8                       // Places in the order that may stand in for a root.
 )
 
-// Puller fetches configuration that is too old or too large for messages.
-type Puller interface {
-	// Pull returns the configuration that the process at address a has, if it is newer than revision n.
-	Pull(c context.Context, a string, n uint64) (*bulrushlug.Config, error)
-}
-
 // Spread asks one peer at a time how new its configuration is, and answers such questions.
 type Spread struct {
 	self   bulrushlug.Member
 	mesh   bulrushlug.Mesh
 	state  *state.State
 	rule   *fresh.Rule
-	puller Puller
+	puller bulrushlug.Puller
 	tree   atomic.Pointer[tree]
 	next   atomic.Uint64 // Number of the last question.
 	pull   atomic.Bool   // A pull is under way.
@@ -52,7 +46,7 @@
 }
 
 // New returns the spread of the process m.
-func New(m bulrushlug.Member, x bulrushlug.Mesh, s *state.State, r *fresh.Rule, p Puller) *Spread {
+func New(m bulrushlug.Member, x bulrushlug.Mesh, s *state.State, r *fresh.Rule, p bulrushlug.Puller) *Spread {
 	d := &Spread{
 		self:   m,
 		mesh:   x,
