test: rates under faults in virtual time, checked by an account of their own

Cause: 'no organisation gets more than its rate and burst' needs a proof that fails first. Ruled out: checking callers' answers only, which jitter of the network blurs; the checker replays the grants as the homes sent them.

--- a/home/home.go
+++ b/home/home.go
@@ -108,8 +108,9 @@
 	return rank.First(o, r.Members(), func(n string) bool { return n == h.self || !h.roster.Gone(n) })
 }
 
-// Receive handles the parts of m that concern homes.
+// Receive handles the parts of m that concern homes; each message is an occasion to adopt a new ring.
 func (h *Home) Receive(m bulrushlug.Message) {
+	h.term()
 	if a := m.Ask(); a != nil {
 		h.mesh.Send(m.Address(), bulrushlug.NewMessage(bulrushlug.MessageGrant(h.Grant(*a))))
 	}
@@ -141,7 +142,7 @@
 		b = &bucket{}
 		s.buckets[o.Name()] = b
 	}
-	if !h.acquire(b, o.Name(), now, prev) {
+	if !h.acquire(b, o, now, prev) {
 		h.counts.Add("notYetHome", 1)
 		return bulrushlug.RefuseGrant(a)
 	}
@@ -167,19 +168,25 @@
 }
 
 // acquire reports whether the process may grant from b; the caller holds the shard's lock.
-func (h *Home) acquire(b *bucket, o string, now, prev term) bool {
+//
+// A bucket that starts without the balance of the home before holds what has come in since no other home could grant.
+func (h *Home) acquire(b *bucket, o bulrushlug.Organisation, now, prev term) bool {
 	e := now.ring.Epoch()
+	alone := now.known
+	if e > 1 {
+		alone = alone.Add(startAfter)
+	}
 	switch {
 	case b.epoch == e:
 		return true
-	case b.epoch != 0 && b.epoch == prev.ring.Epoch() && h.owner(prev.ring, o) == h.self:
+	case b.epoch != 0 && b.epoch == prev.ring.Epoch() && h.owner(prev.ring, o.Name()) == h.self:
 		b.epoch = e
 		return true
-	case e == 1 || time.Since(now.known) > startAfter:
-		b.start(e, 0)
+	case !time.Now().Before(alone):
+		b.start(e, o.Rate()*time.Since(alone).Seconds())
 		return true
 	}
-	h.askRelease(b, prev.ring, e, o)
+	h.askRelease(b, prev.ring, e, o.Name())
 	return false
 }
 
--- a/node/agent.go
+++ b/node/agent.go
@@ -36,8 +36,8 @@
 	a := &agent{Node: n}
 	if u := n.settings.Engine(); u != "" {
 		a.engine = engine.New(u)
-		a.loader = loader.New(n.self, n.state, a.engine, n.events)
-		n.state.OnChange(a.loader.Notice)
+		a.loader = loader.New(n.self, n.control.State(), a.engine, n.events)
+		n.control.State().OnChange(a.loader.Notice)
 	}
 	m := map[string]bulrushlug.Stage{}
 	for k, u := range n.settings.Services() {
@@ -49,7 +49,7 @@
 		s = defaultSlots
 	}
 	a.admit = admit.New(s, n.sub("admit"))
-	a.beat = beat.New(n.self, a, n.roster, n.mesh)
+	a.beat = beat.New(n.self, a, n.control.Roster(), n.mesh)
 	return a
 }
 
@@ -70,13 +70,11 @@
 func (a *agent) stage() bulrushlug.Stage {
 	return pipe.New(a.local,
 		tally.New(a.sub("requests"), a.events),
-		check.New(a.self, a.state),
+		check.New(a.self, a.control.State()),
 		a.admit,
 		resume.New(a.sub("resume")))
 }
 
-func (a *agent) receive(bulrushlug.Message) {}
-
 func (a *agent) start(c context.Context, g *group) error {
 	if a.loader != nil {
 		g.run(c, a.loader.Run)
--- a/node/entry.go
+++ b/node/entry.go
@@ -11,14 +11,11 @@
 	"bulrushlug.dev/bulrushlug/choose"
 	"bulrushlug.dev/bulrushlug/front"
 	"bulrushlug.dev/bulrushlug/guard"
-	"bulrushlug.dev/bulrushlug/home"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/once"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/place"
-	"bulrushlug.dev/bulrushlug/quota"
 	"bulrushlug.dev/bulrushlug/relay"
-	"bulrushlug.dev/bulrushlug/ringer"
 	"bulrushlug.dev/bulrushlug/tally"
 )
 
@@ -28,21 +25,14 @@
 // entry is the role of the thin VMs behind the balancer.
 type entry struct {
 	*Node
-	home   *home.Home
-	quota  *quota.Quota
-	guard  *guard.Filter
-	once   *once.Filter
-	ringer *ringer.Ringer
-	http   *http.Server
+	guard *guard.Filter
+	once  *once.Filter
+	http  *http.Server
 }
 
 func newEntry(n *Node) *entry {
-	e := &entry{Node: n, guard: guard.New(n.state), once: once.New(n.store)}
-	e.home = home.New(n.self.Name(), n.state, n.roster, n.mesh, n.sub("home"))
-	e.quota = quota.New(e.home, n.mesh, n.sub("quota"))
-	e.ringer = ringer.New(n.self, n.state, n.roster, n.link, n.ledger, n.spread.AsksStore, n.rule.Ages)
-	n.state.OnChange(e.home.Notice)
-	n.state.OnChange(func(*bulrushlug.Config) { go e.guard.Check() })
+	e := &entry{Node: n, guard: guard.New(n.control.State()), once: once.New(n.store)}
+	n.control.State().OnChange(func(*bulrushlug.Config) { go e.guard.Check() })
 	e.http = &http.Server{Addr: n.settings.HTTP(), Handler: e.handler(), ReadHeaderTimeout: headerTime}
 	return e
 }
@@ -51,44 +41,38 @@
 func (e *entry) filters() []bulrushlug.Filter {
 	return []bulrushlug.Filter{
 		tally.New(e.sub("requests"), e.events),
-		authn.New(e.state),
+		authn.New(e.control.State()),
 		e.guard,
-		limit.New(e.quota),
+		limit.New(e.control.Limiter()),
 	}
 }
 
 func (e *entry) handler() http.Handler {
 	f := e.filters()
-	l := append(f[:len(f):len(f)], e.once, place.New(e.state, e.roster, e.fleet, choose.New(e.self.Zone())))
+	l := append(f[:len(f):len(f)], e.once, place.New(e.control.State(), e.control.Roster(), e.fleet, choose.New(e.self.Zone())))
 	p := pipe.New(relay.New(e.link, e.fleet, e.events), l...)
 	m := http.NewServeMux()
-	m.Handle("/", front.New(e.state,
+	m.Handle("/", front.New(e.control.State(),
 		front.WithPipes(p, func(s bulrushlug.Stage) bulrushlug.Stage { return pipe.New(s, f...) }),
 		front.WithBatch(e.jobs, e.copies),
 		front.WithMaxBody(e.settings.MaxBody())))
-	m.Handle("/admin/", admin.New(e.settings.OperatorHash(), e.state, e.ledger, e.roster, e.link, e.jobs, e.fleet))
+	m.Handle("/admin/", admin.New(e.settings.OperatorHash(), e.control.State(), e.control.Ledger(), e.control.Roster(), e.link, e.jobs, e.fleet))
 	m.HandleFunc("GET /healthz", e.health)
 	return m
 }
 
 // health tells the balancer whether to send callers here.
 func (e *entry) health(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || !e.state.Fresh() {
+	if e.leaving.Load() || !e.control.State().Fresh() {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
 	}
 }
 
 func (e *entry) stage() bulrushlug.Stage { return nil }
 
-func (e *entry) receive(m bulrushlug.Message) {
-	e.home.Receive(m)
-	e.quota.Receive(m)
-}
-
 func (e *entry) start(c context.Context, g *group) error {
 	g.run(c, e.guard.Run)
 	g.run(c, e.once.Run)
-	g.run(c, e.ringer.Run)
 	g.run(c, func(context.Context) error {
 		if err := e.http.ListenAndServe(); err != http.ErrServerClosed {
 			return bulrushlug.WrapFault(bulrushlug.KindInternal, e.settings.HTTP(), err)
@@ -101,7 +85,7 @@
 // drain hands the homes over, waits for the balancer to look elsewhere, and lets open requests end.
 func (e *entry) drain(c context.Context) {
 	t := time.Now()
-	if err := e.handHomesOver(c); err == nil {
+	if err := e.control.HandOver(c); err == nil {
 		_ = bulrushlug.Wait(c, handOver)
 	}
 	_ = bulrushlug.Wait(c, lameDuck-time.Since(t))
@@ -109,12 +93,3 @@
 		_ = e.http.Close()
 	}
 }
-
-// handHomesOver proposes a ring without this entry, unless it is the only member.
-func (e *entry) handHomesOver(c context.Context) error {
-	l := e.state.Config().Ring().Members()
-	if len(l) < 2 {
-		return bulrushlug.NewFault(bulrushlug.KindConflict, "no other entry is in the ring")
-	}
-	return e.ringer.Propose(c, func(n string) bool { return n == e.self.Name() }, l)
-}
--- a/node/node.go
+++ b/node/node.go
@@ -20,23 +20,18 @@
 	"bulrushlug.dev/bulrushlug/clock"
 	"bulrushlug.dev/bulrushlug/conf"
 	"bulrushlug.dev/bulrushlug/copies"
+	"bulrushlug.dev/bulrushlug/ctrl"
 	"bulrushlug.dev/bulrushlug/event"
 	"bulrushlug.dev/bulrushlug/fleet"
-	"bulrushlug.dev/bulrushlug/follow"
-	"bulrushlug.dev/bulrushlug/fresh"
 	"bulrushlug.dev/bulrushlug/jobs"
 	"bulrushlug.dev/bulrushlug/lane"
-	"bulrushlug.dev/bulrushlug/ledger"
 	"bulrushlug.dev/bulrushlug/link"
 	"bulrushlug.dev/bulrushlug/mesh"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/place"
 	"bulrushlug.dev/bulrushlug/relay"
 	"bulrushlug.dev/bulrushlug/repair"
-	"bulrushlug.dev/bulrushlug/roster"
 	"bulrushlug.dev/bulrushlug/serve"
-	"bulrushlug.dev/bulrushlug/spread"
-	"bulrushlug.dev/bulrushlug/state"
 	"bulrushlug.dev/bulrushlug/store"
 	"bulrushlug.dev/bulrushlug/tally"
 	"bulrushlug.dev/bulrushlug/vault"
@@ -55,14 +50,9 @@
 	counts   *expvar.Map
 	clock    *clock.Clock
 	events   *event.Log
-	rule     *fresh.Rule
-	state    *state.State
-	roster   *roster.Roster
+	control  *ctrl.Control
 	mesh     *mesh.Mesh
 	link     *link.Link
-	spread   *spread.Spread
-	ledger   *ledger.Ledger
-	follow   *follow.Follow
 	fleet    *fleet.Fleet
 	jobs     *jobs.Jobs
 	copies   *copies.Copies
@@ -79,8 +69,6 @@
 	start(c context.Context, g *group) error
 	// stage returns the pipe for calls of other processes, or nil.
 	stage() bulrushlug.Stage
-	// receive handles a message.
-	receive(m bulrushlug.Message)
 	// drain finishes or hands over what the role has.
 	drain(c context.Context)
 }
@@ -109,8 +97,6 @@
 		logger:   log.With(l, "vm", m.Name()),
 		counts:   new(expvar.Map).Init(),
 		clock:    clock.New(),
-		rule:     fresh.New(m.Zone()),
-		roster:   roster.New(vmlist.New(s.VMList())),
 		fleet:    fleet.New(),
 		store:    store.New(s.Store()),
 	}
@@ -118,20 +104,16 @@
 		return nil, err
 	}
 	n.events = event.New(m.Name(), n.clock)
-	n.state = state.New(n.rule)
 	x, err := mesh.New(m.Name(), m.Address(), s.PeerSecrets(), n.sub("mesh"))
 	if err != nil {
 		return nil, err
 	}
 	n.mesh = x
 	n.link = link.New(n.clock, n.tls)
-	n.spread = spread.New(m, n.mesh, n.state, n.rule, n.link)
-	n.ledger = ledger.New(n.store, n.state, n.rule, n.spread, n.events)
-	n.follow = follow.New(n.ledger, n.spread)
+	n.control = ctrl.New(m, n.store, vmlist.New(s.VMList()), n.mesh, n.link, n.events, n.sub)
 	n.jobs = jobs.New(n.store)
-	n.copies = copies.New(n.link, n.roster, s.Replicas())
-	n.roster.OnList(n.spread.SetMembers)
-	n.roster.OnList(n.notice)
+	n.copies = copies.New(n.link, n.control.Roster(), s.Replicas())
+	n.control.Roster().OnList(n.notice)
 	return n, n.setRole()
 }
 
@@ -193,10 +175,7 @@
 	n.mesh.OnMessage(n.receive)
 	g.run(work, n.mesh.Run)
 	g.run(work, func(c context.Context) error { return n.server().Run(c, l) })
-	_ = n.roster.Poll(work)
-	g.run(work, n.roster.Run)
-	g.run(work, n.follow.Run)
-	g.run(work, n.spread.Run)
+	g.run(work, n.control.Run)
 	g.run(work, n.debug)
 	if err := n.role.start(work, g); err != nil {
 		return err
@@ -253,7 +232,7 @@
 }
 
 func (n *Node) server() *serve.Server {
-	return serve.New(n.state, n.events, n.clock, n.position,
+	return serve.New(n.control.State(), n.events, n.clock, n.position,
 		serve.WithStage(n.role.stage()),
 		serve.WithVault(n.disk),
 		serve.WithTLS(n.tls))
@@ -262,17 +241,16 @@
 func (n *Node) position() *wire.Position {
 	return &wire.Position{
 		Vm:       n.self.Name(),
-		Revision: n.state.Config().Revision(),
-		Fresh:    n.state.Fresh(),
+		Revision: n.control.State().Config().Revision(),
+		Fresh:    n.control.State().Fresh(),
 		Role:     n.settings.Role(),
 		Leaving:  n.leaving.Load(),
 	}
 }
 
 func (n *Node) receive(m bulrushlug.Message) {
-	n.spread.Receive(m)
+	n.control.Receive(m)
 	n.fleet.Receive(m)
-	n.role.receive(m)
 }
 
 // debug serves the counters, if the settings name an address for them.
@@ -311,14 +289,14 @@
 	p := pipe.New(
 		relay.New(n.link, n.fleet, n.events),
 		tally.New(n.sub("items"), n.events),
-		place.New(n.state, n.roster, n.fleet, choose.New(n.self.Zone())))
+		place.New(n.control.State(), n.control.Roster(), n.fleet, choose.New(n.self.Zone())))
 	r := batch.New(n.self.Name(),
 		batch.WithPipe(p, lane.New(n.capacity)),
 		batch.WithRecords(n.jobs, n.copies),
-		batch.WithFleet(n.state, n.roster, n.link),
+		batch.WithFleet(n.control.State(), n.control.Roster(), n.link),
 		batch.WithReports(n.events, counts))
 	g.run(c, r.Run)
-	g.run(c, repair.New(n.self.Name(), n.jobs, n.copies, n.roster, n.settings.Retention(), n.events, counts).Run)
+	g.run(c, repair.New(n.self.Name(), n.jobs, n.copies, n.control.Roster(), n.settings.Retention(), n.events, counts).Run)
 }
 
 // capacity returns the batch items that the known backend servers can take: those that run, and one that waits for each slot.
--- /dev/null
+++ b/trial/fleet_test.go
@@ -0,0 +1,189 @@
+package trial
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/ctrl"
+	"bulrushlug.dev/bulrushlug/memkv"
+	"bulrushlug.dev/bulrushlug/memnet"
+	"bulrushlug.dev/bulrushlug/memvm"
+)
+
+// nobody records no events.
+type nobody struct{}
+
+func (nobody) Record(bulrushlug.Event) {}
+
+// gate is one process's way to the key-value service.
+type gate struct {
+	*memkv.Table
+	shut atomic.Bool
+}
+
+func (g *gate) err() error {
+	if g.shut.Load() {
+		return bulrushlug.NewFault(bulrushlug.KindStoreDown, "cut off")
+	}
+	return nil
+}
+
+func (g *gate) Get(c context.Context, k string) (bulrushlug.Item, error) {
+	if err := g.err(); err != nil {
+		return bulrushlug.Item{}, err
+	}
+	return g.Table.Get(c, k)
+}
+
+func (g *gate) Swap(c context.Context, k string, v []byte, prev uint64) (uint64, error) {
+	if err := g.err(); err != nil {
+		return 0, err
+	}
+	return g.Table.Swap(c, k, v, prev)
+}
+
+func (g *gate) List(c context.Context, p string) ([]bulrushlug.Item, uint64, error) {
+	if err := g.err(); err != nil {
+		return nil, 0, err
+	}
+	return g.Table.List(c, p)
+}
+
+// process is one node of the virtual fleet.
+type process struct {
+	member  bulrushlug.Member
+	control *ctrl.Control
+	gate    *gate
+	stop    context.CancelFunc
+}
+
+// fleet runs the control parts of many processes in virtual time.
+type fleet struct {
+	t     *testing.T
+	net   *memnet.Net
+	table *memkv.Table
+	list  *memvm.List
+	nodes map[string]*process
+	order []string
+	mu    sync.Mutex      // Guards down.
+	down  map[string]bool // Processes that callers do not reach.
+}
+
+const (
+	nearDelay = 500 * time.Microsecond
+	farDelay  = 1500 * time.Microsecond
+	listLag   = 5 * time.Second
+)
+
+func delay(a, b bulrushlug.Member) time.Duration {
+	switch {
+	case a.Name() == b.Name():
+		return 0
+	case a.Zone() == b.Zone():
+		return nearDelay
+	}
+	return farDelay
+}
+
+// newFleet starts entries in each of the zones.
+func newFleet(t *testing.T, seed uint64, loss float64, zones, each int) *fleet {
+	f := &fleet{
+		t:     t,
+		net:   memnet.New(seed, loss, delay),
+		table: memkv.New(),
+		list:  memvm.New(0),
+		nodes: map[string]*process{},
+		down:  map[string]bool{},
+	}
+	for i := range zones * each {
+		f.list.Put(member(i, zones))
+	}
+	for i := range zones * each {
+		f.start(member(i, zones))
+	}
+	f.list.SetLag(listLag)
+	return f
+}
+
+func member(i, zones int) bulrushlug.Member {
+	n := fmt.Sprintf("entry-%04d", i)
+	return bulrushlug.NewMember(n, n, "r", fmt.Sprintf("z%02d", i%zones), bulrushlug.RoleEntry)
+}
+
+// start runs the process m, in place of an earlier one of its name.
+func (f *fleet) start(m bulrushlug.Member) *process {
+	c, stop := context.WithCancel(context.Background())
+	p := &process{member: m, gate: &gate{Table: f.table}, stop: stop}
+	p.control = ctrl.New(m, p.gate, f.list, f.net.Mesh(m), f.net.Peers(m), nobody{},
+		func(string) *expvar.Map { return new(expvar.Map).Init() })
+	f.net.Join(m, p.control.Receive, p.control.State().Config)
+	if f.nodes[m.Name()] == nil {
+		f.order = append(f.order, m.Name())
+	}
+	f.nodes[m.Name()] = p
+	f.setDown(m.Name(), false)
+	go func() { _ = p.control.Run(c) }()
+	return p
+}
+
+func (f *fleet) node(i int) *process { return f.nodes[f.order[i]] }
+
+// kill ends a process without a farewell.
+func (f *fleet) kill(n string) {
+	f.setDown(n, true)
+	f.net.Kill(f.nodes[n].member.Address())
+	f.nodes[n].stop()
+}
+
+func (f *fleet) close() {
+	for _, p := range f.nodes {
+		p.stop()
+	}
+	time.Sleep(20 * time.Second)
+}
+
+func (f *fleet) setDown(n string, v bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[n] = v
+}
+
+func (f *fleet) isDown(n string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down[n]
+}
+
+// home returns the process that is the home of organisation o.
+func (f *fleet) home(o string) string { return f.node(1).control.Owners().Owner(o) }
+
+// reachable returns the processes that callers reach and that serve.
+func (f *fleet) reachable() (l []*process) {
+	for _, n := range f.order {
+		if p := f.nodes[n]; !f.isDown(n) && p.control.State().Fresh() {
+			l = append(l, p)
+		}
+	}
+	return l
+}
+
+// propose writes a change through node i.
+func (f *fleet) propose(i int, e bulrushlug.Organisation) (uint64, error) {
+	return f.node(i).control.Ledger().Propose(context.Background(), func(x *bulrushlug.Config) (bulrushlug.Change, error) {
+		return bulrushlug.NewChange(fmt.Sprint(e.Name(), x.Revision()), "test", e), nil
+	})
+}
+
+// org returns an organisation with one key.
+func org(n string, rate float64, burst uint32) bulrushlug.Organisation {
+	return bulrushlug.NewOrganisation(n, rate, burst).WithKey(bulrushlug.NewKey("k", bulrushlug.HashKey("key-"+n), false))
+}
+
+func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
