--- a/home/home.go
+++ b/home/home.go
@@ -21,7 +21,7 @@
 const (
 	shardCount   = 64
 	releaseRetry = 200 * time.Millisecond                         // Time between two requests to release an organisation.
-	extension    = 3 * time.Second                                // Time for which a home goes on under its ring after it saw the next one.
+	extension    = 1500 * time.Millisecond                        // Time for which a home goes on under its ring after it saw the next one.
 	startAfter   = fresh.Limit + extension + 500*time.Millisecond // Time after which no earlier home can grant.
 )
 
--- a/ringer/ringer.go
+++ b/ringer/ringer.go
@@ -13,7 +13,7 @@
 const (
 	lookPause  = 2 * time.Second  // Time between two looks at the entries.
 	probeTime  = time.Second      // Bounds one probe.
-	deadAfter  = 10 * time.Second // Time without an answer after which an entry is left out.
+	deadAfter  = 4 * time.Second // Time without an answer after which an entry is left out.
 	ringPause  = 30 * time.Second // Least time between two rings.
 	leavePause = 15 * time.Second // Least time between two rings where an entry leaves.
 	author     = "ringer"
