--- /dev/null
+++ b/trial/scale_test.go
@@ -0,0 +1,79 @@
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"bulrushlug.dev/bulrushlug/bounds"
+)
+
+// TestControlCost measures the control traffic of quiet fleets of different sizes, and how fast a change spreads.
+func TestControlCost(t *testing.T) {
+	const quiet = 20 * time.Second
+	sizes := map[string]struct {
+		zones, each int
+		outage      bool
+	}{
+		"10 nodes":              {zones: 2, each: 5},
+		"100 nodes":             {zones: 5, each: 20},
+		"600 nodes":             {zones: 23, each: 26},
+		"1495 nodes":            {zones: 23, each: 65},
+		"1495 nodes, store out": {zones: 23, each: 65, outage: true},
+		"1500 nodes, few zones": {zones: 4, each: 375},
+	}
+	for name, x := range sizes {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				f := newFleet(t, 19, 0, x.zones, x.each)
+				defer f.close()
+				time.Sleep(15 * time.Second)
+				f.table.SetOutage(x.outage)
+				time.Sleep(5 * time.Second)
+				before := f.bytes()
+				r0, w0 := f.table.Calls()
+				time.Sleep(quiet)
+				r1, w1 := f.table.Calls()
+				most, sum := uint64(0), uint64(0)
+				for n, b := range f.bytes() {
+					d := b - before[n]
+					most, sum = max(most, d), sum+d
+				}
+				s := uint64(quiet / time.Second)
+				mean := sum / s / uint64(len(f.order))
+				t.Logf("%d zones: sent per node: mean %d, most %d bytes/s; reads %.1f/s, writes %.1f/s",
+					x.zones, mean, most/s, float64(r1-r0)/quiet.Seconds(), float64(w1-w0)/quiet.Seconds())
+				if most/s > bounds.ControlBytes {
+					t.Errorf("a node sends %d bytes/s", most/s)
+				}
+				if (r1-r0)/s > bounds.StoreReadsPerSecond {
+					t.Errorf("%d reads/s on the key-value service", (r1-r0)/s)
+				}
+				for n, p := range f.nodes {
+					if !p.control.State().Fresh() {
+						t.Errorf("%s does not serve", n)
+					}
+				}
+				if x.outage {
+					return
+				}
+				at := time.Now()
+				n, err := f.propose(len(f.order)-1, org("zvonik", 10, 5))
+				if err != nil {
+					t.Fatal(err)
+				}
+				accepted := time.Since(at)
+				f.waitFor(n, bounds.ConfigEverywhere)
+				t.Logf("a change is accepted after %v and everywhere after %v", accepted, time.Since(at))
+			})
+		})
+	}
+}
+
+// bytes returns what each process has sent.
+func (f *fleet) bytes() map[string]uint64 {
+	m := map[string]uint64{}
+	for n, p := range f.nodes {
+		m[n], _ = f.net.Bytes(p.member.Address())
+	}
+	return m
+}
