--- a/codec/change.go
+++ b/codec/change.go
@@ -28,7 +28,7 @@
 		r := c.Route()
 		w.Entity = &wire.Change_Route{Route: &wire.Route{Name: r.Name(), Prefix: r.Prefix(), Open: r.Open(), Repeatable: r.Methods()}}
 	case c.Ring() != nil:
-		w.Entity = &wire.Change_Ring{Ring: &wire.Ring{Epoch: c.Ring().Epoch(), Members: c.Ring().Members()}}
+		w.Entity = &wire.Change_Ring{Ring: encodeRing(*c.Ring())}
 	}
 	return w
 }
@@ -47,7 +47,7 @@
 		r := e.Route
 		c = bulrushlug.NewChange(w.Id, w.Author, bulrushlug.NewRoute(r.GetName(), r.GetPrefix(), r.GetOpen(), r.GetRepeatable()))
 	case *wire.Change_Ring:
-		c = bulrushlug.NewChange(w.Id, w.Author, bulrushlug.NewRing(e.Ring.GetEpoch(), e.Ring.GetMembers()))
+		c = bulrushlug.NewChange(w.Id, w.Author, decodeRing(e.Ring))
 	default:
 		return c, bulrushlug.NewFault(bulrushlug.KindBadRequest, "change %d holds no entity", w.GetRevision())
 	}
@@ -114,3 +114,15 @@
 	m := bulrushlug.NewModel(w.GetName(), w.GetVersion(), w.GetSelector())
 	return m.WithLabels(w.GetLabels()).WithOrganisations(w.GetOrganisations())
 }
+
+func encodeRing(r bulrushlug.Ring) *wire.Ring {
+	added, removed, step := r.Step()
+	return &wire.Ring{Epoch: r.Epoch(), Members: r.Members(), Step: step, Added: added, Removed: removed}
+}
+
+func decodeRing(w *wire.Ring) bulrushlug.Ring {
+	if w.GetStep() {
+		return bulrushlug.NewRingStep(w.GetEpoch(), w.GetAdded(), w.GetRemoved())
+	}
+	return bulrushlug.NewRing(w.GetEpoch(), w.GetMembers())
+}
--- a/codec/packet.go
+++ b/codec/packet.go
@@ -120,35 +120,3 @@
 	}
 	return m
 }
-
-// encodeDigest rounds ages up, so that nothing looks newer than it is.
-func encodeDigest(d bulrushlug.Digest) *wire.Digest {
-	w := &wire.Digest{Revision: d.Revision(), Sequence: d.Sequence(), Reply: d.Reply(), Accepted: d.Accepted(), Zone: d.Zone(), AgeMs: -1}
-	if d.Age() >= 0 {
-		w.AgeMs = ceilMilliseconds(d.Age())
-	}
-	for _, h := range d.Heard() {
-		w.Heard = append(w.Heard, &wire.Heard{
-			Zone:  h.Zone(),
-			AgeMs: uint64(ceilMilliseconds(h.Age())),
-		})
-	}
-	return w
-}
-
-func ceilMilliseconds(d time.Duration) int64 {
-	return int64((d + time.Millisecond - 1) / time.Millisecond)
-}
-
-func decodeDigest(w *wire.Digest) bulrushlug.Digest {
-	a := time.Duration(w.AgeMs) * time.Millisecond
-	var h []bulrushlug.Heard
-	for _, x := range w.Heard {
-		h = append(h, bulrushlug.NewHeard(x.Zone, time.Duration(x.AgeMs)*time.Millisecond))
-	}
-	d := bulrushlug.NewDigest(w.Sequence, w.Zone, w.Revision, a, h).WithAccepted(w.Accepted)
-	if w.Reply {
-		d = d.WithReply(w.Sequence)
-	}
-	return d
-}
--- a/config.go
+++ b/config.go
@@ -42,6 +42,10 @@
 		return nil, NewFault(KindConflict, "change %d does not follow revision %d", c.revision, f.revision)
 	}
 	g := &Config{revision: c.revision, last: maps.Clone(f.last), keys: f.keys, routes: f.routes}
+	if c.ring != nil {
+		r := c.ring.after(f.Ring())
+		c.ring = &r
+	}
 	if c.removed {
 		delete(g.last, c.Entity())
 	} else {
--- a/ctrl/control.go
+++ b/ctrl/control.go
@@ -50,7 +50,7 @@
 	if m.Role() == bulrushlug.RoleEntry {
 		c.home = home.New(m.Name(), c.state, c.roster, x, sub("home"))
 		c.quota = quota.New(c.home, x, sub("quota"))
-		c.ringer = ringer.New(m, c.state, c.roster, p, c.ledger, c.spread.AsksStore, c.rule.Ages)
+		c.ringer = ringer.New(m, c.state, c.roster, p, c.ledger, func() bool { return c.spread.AsksStore() && !c.follow.Failing() }, c.rule.Ages)
 		c.state.OnChange(c.home.Notice)
 	}
 	return c
@@ -97,9 +97,9 @@
 
 // HandOver proposes a ring without this process, unless it is the only member.
 func (c *Control) HandOver(x context.Context) error {
-	l := c.state.Config().Ring().Members()
-	if len(l) < 2 {
+	r := c.state.Config().Ring()
+	if len(r.Members()) < 2 {
 		return bulrushlug.NewFault(bulrushlug.KindConflict, "no other entry is in the ring")
 	}
-	return c.ringer.Propose(x, func(n string) bool { return n == c.self.Name() }, l)
+	return c.ringer.Propose(x, r, r.Members(), func(n string) bool { return n == c.self.Name() })
 }
--- a/fresh/rule.go
+++ b/fresh/rule.go
@@ -2,8 +2,11 @@
 package fresh
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"bulrushlug.dev/bulrushlug"
 )
 
 // Limit is the age at which evidence no longer counts.
@@ -17,9 +20,11 @@
 	mu        sync.RWMutex
 	zone      string
 	zones     []string             // All zones of the VM list.
+	hashes    map[uint32]string    // Zones by the hashes of their names.
 	lonely    bool                 // No other VM is listed in the process's own zone.
 	confirmed time.Time            // Newest time at which the service confirmed the process's revision.
 	heard     map[string]time.Time // Newest time at which each zone was heard.
+	most      time.Time            // Newest time at which another process had heard a majority of the zones.
 	held      map[string]uint64    // Newest revision known to be held in each zone.
 	newest    uint64               // Newest revision heard of.
 	revision  uint64               // Revision that the process has.
@@ -36,6 +41,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.zones, r.lonely = l, lonely
+	r.hashes = map[uint32]string{}
+	for _, z := range l {
+		r.hashes[bulrushlug.ZoneHash(z)] = z
+	}
 }
 
 // Have tells the rule that the process has revision n.
@@ -73,6 +82,60 @@
 	r.newest = max(r.newest, n)
 }
 
+// HearZone tells the rule that the zone with hash h was heard at time t.
+func (r *Rule) HearZone(h uint32, t time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	z, ok := r.hashes[h]
+	if ok && t.After(r.heard[z]) {
+		r.heard[z] = t
+	}
+}
+
+// HearMajority tells the rule that another process, which has revision n, had heard a majority of the zones at time t.
+func (r *Rule) HearMajority(t time.Time, n uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.newest = max(r.newest, n)
+	if r.revision >= n && t.After(r.most) {
+		r.most = t
+	}
+}
+
+// Majority returns the age at which a majority of the zones was heard, negative if none was.
+func (r *Rule) Majority() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	t := r.majorityTime()
+	if t.IsZero() || r.revision < r.newest {
+		return -1
+	}
+	return time.Since(t)
+}
+
+// majorityTime returns the newest time at which a majority of the zones had been heard; the caller holds the lock.
+func (r *Rule) majorityTime() time.Time {
+	var l []time.Time
+	for _, z := range r.zones {
+		t := r.heard[z]
+		if z == r.zone && r.ownCounts() {
+			t = time.Now()
+		}
+		if !t.IsZero() {
+			l = append(l, t)
+		}
+	}
+	need := len(r.zones)/2 + 1
+	if len(l) < need {
+		return r.most
+	}
+	slices.SortFunc(l, func(a, b time.Time) int { return b.Compare(a) })
+	if t := l[need-1]; t.After(r.most) {
+		return t
+	}
+	return r.most
+}
+
 // Confirmed returns the age of the newest confirmation, negative if there is none.
 func (r *Rule) Confirmed() time.Duration {
 	r.mu.RLock()
@@ -106,7 +169,7 @@
 	if r.revision == 0 || r.revision < r.newest {
 		return false
 	}
-	return r.majority(func(z string) bool { return time.Since(r.heard[z]) < Limit })
+	return time.Since(r.majorityTime()) < Limit
 }
 
 // Accept tells the rule that a majority of the zones holds revision n.
@@ -137,11 +200,15 @@
 // The caller holds the lock.
 func (r *Rule) majority(f func(z string) bool) bool {
 	n := 0
-	own := len(r.zones) > 1 || r.lonely && !r.confirmed.IsZero()
 	for _, z := range r.zones {
-		if f(z) || z == r.zone && own {
+		if f(z) || z == r.zone && r.ownCounts() {
 			n++
 		}
 	}
 	return 2*n > len(r.zones)
 }
+
+// ownCounts reports whether the process speaks for its own zone; the caller holds the lock.
+func (r *Rule) ownCounts() bool {
+	return len(r.zones) > 1 || r.lonely && !r.confirmed.IsZero()
+}
--- a/ringer/ringer.go
+++ b/ringer/ringer.go
@@ -6,14 +6,15 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"bulrushlug.dev/bulrushlug"
-	"bulrushlug.dev/bulrushlug/ledger"
 )
 
 const (
 	lookPause  = 2 * time.Second  // Time between two looks at the entries.
 	probeTime  = time.Second      // Bounds one probe.
-	deadAfter  = 4 * time.Second // Time without an answer after which an entry is left out.
+	deadAfter  = 4 * time.Second  // Time without an answer after which an entry is left out.
 	ringPause  = 30 * time.Second // Least time between two rings.
 	leavePause = 15 * time.Second // Least time between two rings where an entry leaves.
 	author     = "ringer"
@@ -71,7 +72,7 @@
 	if now.Epoch() > 0 && time.Since(g.since) < g.pause(now, want) {
 		return
 	}
-	_ = g.Propose(c, func(string) bool { return false }, want)
+	_ = g.Propose(c, now, want, func(string) bool { return false })
 }
 
 // pause returns the least time since the last ring: a leaving entry is not kept waiting long.
@@ -84,15 +85,15 @@
 	return ringPause
 }
 
-// Propose writes a ring of the members l without those that f accepts.
-func (g *Ringer) Propose(c context.Context, f func(n string) bool, l []string) error {
+// Propose writes the ring after now, without those members of l that f accepts, unless another ring came first.
+func (g *Ringer) Propose(c context.Context, now bulrushlug.Ring, l []string, f func(n string) bool) error {
 	l = slices.DeleteFunc(slices.Clone(l), f)
-	id := ledger.NewID()
+	id := uuid.NewString()
 	_, err := g.ledger.Propose(c, func(x *bulrushlug.Config) (bulrushlug.Change, error) {
-		if slices.Equal(x.Ring().Members(), l) {
-			return bulrushlug.Change{}, bulrushlug.NewFault(bulrushlug.KindConflict, "the ring is in force already")
+		if x.Ring().Epoch() != now.Epoch() || slices.Equal(x.Ring().Members(), l) {
+			return bulrushlug.Change{}, bulrushlug.NewFault(bulrushlug.KindConflict, "ring %d came first", x.Ring().Epoch())
 		}
-		return bulrushlug.NewChange(id, author, bulrushlug.NewRing(x.Ring().Epoch()+1, l)), nil
+		return bulrushlug.NewChange(id, author, x.Ring().StepTo(l)), nil
 	})
 	return err
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -19,9 +19,9 @@
 	askKept      = 5 * time.Second         // Age at which an unanswered question is forgotten.
 	missedAsks   = 2                       // Unanswered questions after which a peer is passed over.
 	packetLimit  = 32                      // Changes in one message.
-	oldAge       = 1500 * time.Millisecond // Age of a confirmation from which the zones heard are passed on too.
+	oldAge       = 1500 * time.Millisecond // Age of a confirmation from which other processes stand in for a root.
 	rootFallback = 250 * time.Millisecond  // Added delay for each place in the order, before a process stands in for a root.
-	fallbacks    = 8                       // Places in the order that may stand in for a root.
+	fallbacks    = 2                       // Places in the order that may stand in for a root.
 )
 
 // Spread asks one peer at a time how new its configuration is, and answers such questions.
@@ -100,7 +100,7 @@
 	d.forget()
 	t := d.tree.Load()
 	if t.isRoot() || t.self < 0 {
-		d.roundOfRoot(t)
+		d.roundOfRoot(t, n)
 		return
 	}
 	m, ok := t.parent(n % min(rootsMax, len(t.members)))
@@ -110,12 +110,13 @@
 	d.ask(m)
 }
 
-func (d *Spread) roundOfRoot(t *tree) {
-	for i := range min(rootsMax, len(t.members)) {
-		d.ask(t.members[i])
+// roundOfRoot asks a root of another zone, and every other time a root of the own zone.
+func (d *Spread) roundOfRoot(t *tree, n int) {
+	if r := min(rootsMax, len(t.members)); n%2 == 0 && r > 0 {
+		d.ask(t.members[max(0, t.self+1)%r])
 	}
-	for _, i := range rand.Perm(len(t.others))[:min(fanOut, len(t.others))] {
-		d.ask(d.rootOf(t.others[i]))
+	if len(t.others) > 0 {
+		d.ask(d.rootOf(t.others[rand.N(len(t.others))]))
 	}
 }
 
@@ -165,16 +166,23 @@
 	}
 }
 
-// digest describes the process's configuration; the zones heard go along while the service is silent.
-func (d *Spread) digest(n uint64) bulrushlug.Digest {
-	a := d.rule.Confirmed()
-	var h []bulrushlug.Heard
-	if a < 0 || a > oldAge {
-		for z, x := range d.rule.Ages() {
-			h = append(h, bulrushlug.NewHeard(z, x))
+// digest describes the process's configuration.
+func (d *Spread) digest(n uint64, o ...bulrushlug.DigestOption) bulrushlug.Digest {
+	o = append(o,
+		bulrushlug.DigestAccepted(d.rule.Accepted()),
+		bulrushlug.DigestRoot(d.tree.Load().isRoot()))
+	return bulrushlug.NewDigest(n, d.self.Zone(), d.state.Config().Revision(), o...)
+}
+
+// heard returns the ages of the zones heard, the process's own included.
+func (d *Spread) heard() map[uint32]time.Duration {
+	m := map[uint32]time.Duration{bulrushlug.ZoneHash(d.self.Zone()): 0}
+	for z, a := range d.rule.Ages() {
+		if z != d.self.Zone() {
+			m[bulrushlug.ZoneHash(z)] = a
 		}
 	}
-	return bulrushlug.NewDigest(n, d.self.Zone(), d.state.Config().Revision(), a, h).WithAccepted(d.rule.Accepted())
+	return m
 }
 
 // Receive handles the parts of m that concern the configuration.
@@ -207,7 +215,14 @@
 
 // answer replies to the question g with the changes that the asker lacks.
 func (d *Spread) answer(a string, g bulrushlug.Digest) {
-	o := []bulrushlug.MessageOption{bulrushlug.MessageDigest(d.digest(0).WithReply(g.Sequence()))}
+	r := []bulrushlug.DigestOption{
+		bulrushlug.DigestReply(true),
+		bulrushlug.DigestAges(d.rule.Confirmed(), d.rule.Majority()),
+	}
+	if g.Root() {
+		r = append(r, bulrushlug.DigestHeard(d.heard()))
+	}
+	o := []bulrushlug.MessageOption{bulrushlug.MessageDigest(d.digest(g.Sequence(), r...))}
 	if l, ok := d.state.Since(g.Revision(), packetLimit); ok && len(l) > 0 {
 		o = append(o, bulrushlug.MessageChanges(l))
 	}
@@ -228,8 +243,11 @@
 	if g.Age() >= 0 {
 		d.rule.Confirm(q.at.Add(-g.Age()), g.Revision())
 	}
-	for _, h := range g.Heard() {
-		d.rule.Hear(h.Zone(), q.at.Add(-h.Age()), 0)
+	if g.Majority() >= 0 {
+		d.rule.HearMajority(q.at.Add(-g.Majority()), g.Revision())
+	}
+	for z, a := range g.Heard() {
+		d.rule.HearZone(z, q.at.Add(-a))
 	}
 }
 
