feat(agent): park preempted batch items beside their engine

Cause: an item that a burst ends went back to its owner and began again elsewhere, so bursts ate what idle capacity batch work had used. Ruled out: a reserve of idle slots, which costs the capacity that it saves.

--- a/node/agent.go
+++ b/node/agent.go
@@ -11,6 +11,7 @@
 	"bulrushlug.dev/bulrushlug/engine"
 	"bulrushlug.dev/bulrushlug/loader"
 	"bulrushlug.dev/bulrushlug/local"
+	"bulrushlug.dev/bulrushlug/park"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/plain"
 	"bulrushlug.dev/bulrushlug/resume"
@@ -71,6 +72,7 @@
 	return pipe.New(a.local,
 		tally.New(a.sub("requests"), a.events),
 		check.New(a.self, a.control.State()),
+		park.New(a.sub("park")),
 		a.admit,
 		resume.New(a.sub("resume")))
 }
--- a/trial/config_test.go
+++ b/trial/config_test.go
@@ -65,9 +65,9 @@
 		n := f.order[4]
 		f.kill(n)
 		time.Sleep(time.Second)
-		f.start(f.nodes[n].member)
+		f.start(f.get(n).member)
 		time.Sleep(10 * time.Second)
-		if s := f.nodes[n].control.State(); !s.Fresh() || s.Config().Revision() == 0 {
+		if s := f.get(n).control.State(); !s.Fresh() || s.Config().Revision() == 0 {
 			f.t.Errorf("%s did not get the configuration from its peers", n)
 		}
 		f.table.SetOutage(false)
@@ -80,10 +80,10 @@
 	"nodeAlone": {cut: true, before: func(f *fleet) {
 		n := f.order[5]
 		f.net.Cut(func(a, b bulrushlug.Member) bool { return a.Name() == n || b.Name() == n })
-		f.nodes[n].gate.shut.Store(true)
+		f.get(n).gate.shut.Store(true)
 	}, after: func(f *fleet) {
 		time.Sleep(10 * time.Second)
-		if f.nodes[f.order[5]].control.State().Fresh() {
+		if f.get(f.order[5]).control.State().Fresh() {
 			f.t.Error("a process that is cut off still serves")
 		}
 		f.net.Cut(nil)
@@ -156,7 +156,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ok := true
 		for _, x := range f.order {
-			ok = ok && (f.isDown(x) || f.nodes[x].control.State().Config().Revision() >= n)
+			ok = ok && (f.isDown(x) || f.get(x).control.State().Config().Revision() >= n)
 		}
 		if ok {
 			return
@@ -201,7 +201,7 @@
 				t.Errorf("two changes were accepted as revision %d", n)
 			}
 			seen[n] = true
-			for _, p := range f.nodes {
+			for _, p := range f.all() {
 				o, _ := p.control.State().Config().Organisation("zvonik")
 				if _, ok := o.Key(id); !ok {
 					t.Errorf("%s lacks the accepted key %s", p.member.Name(), id)
--- a/trial/fleet_test.go
+++ b/trial/fleet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"expvar"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -72,7 +74,7 @@
 	list  *memvm.List
 	nodes map[string]*process
 	order []string
-	mu    sync.Mutex      // Guards down.
+	mu    sync.Mutex      // Guards nodes, order and down.
 	down  map[string]bool // Processes that callers do not reach.
 }
 
@@ -124,26 +126,45 @@
 	p.control = ctrl.New(m, p.gate, f.list, f.net.Mesh(m), f.net.Peers(m), nobody{},
 		func(string) *expvar.Map { return new(expvar.Map).Init() })
 	f.net.Join(m, p.control.Receive, p.control.State().Config)
+	f.mu.Lock()
 	if f.nodes[m.Name()] == nil {
 		f.order = append(f.order, m.Name())
 	}
 	f.nodes[m.Name()] = p
-	f.setDown(m.Name(), false)
+	delete(f.down, m.Name())
+	f.mu.Unlock()
 	go func() { _ = p.control.Run(c) }()
 	return p
 }
 
-func (f *fleet) node(i int) *process { return f.nodes[f.order[i]] }
+func (f *fleet) node(i int) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[f.order[i]]
+}
+
+func (f *fleet) get(n string) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[n]
+}
+
+// all returns the processes by VM.
+func (f *fleet) all() map[string]*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.nodes)
+}
 
 // kill ends a process without a farewell.
 func (f *fleet) kill(n string) {
 	f.setDown(n, true)
-	f.net.Kill(f.nodes[n].member.Address())
-	f.nodes[n].stop()
+	f.net.Kill(f.get(n).member.Address())
+	f.get(n).stop()
 }
 
 func (f *fleet) close() {
-	for _, p := range f.nodes {
+	for _, p := range f.all() {
 		p.stop()
 	}
 	time.Sleep(20 * time.Second)
@@ -166,8 +187,11 @@
 
 // reachable returns the processes that callers reach and that serve.
 func (f *fleet) reachable() (l []*process) {
-	for _, n := range f.order {
-		if p := f.nodes[n]; !f.isDown(n) && p.control.State().Fresh() {
+	f.mu.Lock()
+	o := slices.Clone(f.order)
+	f.mu.Unlock()
+	for _, n := range o {
+		if p := f.get(n); !f.isDown(n) && p.control.State().Fresh() {
 			l = append(l, p)
 		}
 	}
--- a/trial/rates_test.go
+++ b/trial/rates_test.go
@@ -64,7 +64,9 @@
 
 // drive sends the requests of organisation o for d, evenly spread in time with jitter.
 func (r *rateRun) drive(o string, x traffic, d time.Duration) {
+	r.mu.Lock()
 	r.limits[o] = &bucket{rate: x.rate, burst: float64(x.burst), level: float64(x.burst), last: time.Now()}
+	r.mu.Unlock()
 	var g sync.WaitGroup
 	defer g.Wait()
 	gap := time.Duration(float64(time.Second) / (x.rate * x.load))
@@ -153,7 +155,7 @@
 	"homeRestarted": {bound: 1, long: 60 * time.Second, fault: func(f *fleet, home string) {
 		f.kill(home)
 		time.Sleep(time.Second)
-		f.start(f.nodes[home].member)
+		f.start(f.get(home).member)
 	}},
 	"joinsAndLeaves": {bound: 1, long: 120 * time.Second, fault: func(f *fleet, home string) {
 		f.list.SetLag(0)
@@ -164,15 +166,15 @@
 		f.list.Leave(home)
 	}},
 	"homesZoneCut": {bound: 1, long: 90 * time.Second, fault: func(f *fleet, home string) {
-		f.cutZone(f.nodes[home].member.Zone(), 40*time.Second, false)
+		f.cutZone(f.get(home).member.Zone(), 40*time.Second, false)
 	}},
 	"leavesWhileCut": {bound: 1, long: 60 * time.Second, fault: func(f *fleet, home string) {
 		f.list.SetLag(0)
 		f.list.Leave(home)
-		f.cutZone(f.nodes[home].member.Zone(), 20*time.Second, false)
+		f.cutZone(f.get(home).member.Zone(), 20*time.Second, false)
 	}},
 	"homesZoneCutWithStore": {bound: 1, long: 90 * time.Second, fault: func(f *fleet, home string) {
-		f.cutZone(f.nodes[home].member.Zone(), 40*time.Second, true)
+		f.cutZone(f.get(home).member.Zone(), 40*time.Second, true)
 	}},
 	"storeOut": {bound: bounds.InRateRefusals, long: 60 * time.Second, fault: func(f *fleet, home string) {
 		f.table.SetOutage(true)
@@ -190,7 +192,7 @@
 
 // pause stops a process for d: what it sends is lost, what it gets is held, and the store is out of its reach.
 func (f *fleet) pause(n string, d time.Duration) {
-	p := f.nodes[n]
+	p := f.get(n)
 	f.setDown(n, true)
 	defer f.setDown(n, false)
 	f.net.Pause(p.member.Address(), true)
@@ -203,12 +205,12 @@
 // cutZone cuts zone z off for d; the store is on its side if withStore is true.
 func (f *fleet) cutZone(z string, d time.Duration, withStore bool) {
 	f.net.Cut(func(a, b bulrushlug.Member) bool { return (a.Zone() == z) != (b.Zone() == z) })
-	for _, p := range f.nodes {
+	for _, p := range f.all() {
 		p.gate.shut.Store((p.member.Zone() == z) != withStore)
 	}
 	time.Sleep(d)
 	f.net.Cut(nil)
-	for _, p := range f.nodes {
+	for _, p := range f.all() {
 		p.gate.shut.Store(false)
 	}
 }
@@ -247,6 +249,8 @@
 	time.Sleep(10 * time.Second)
 	fault(f, f.home(victim))
 	g.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for n, x := range orgs {
 		share := float64(r.wrong[n]) / float64(max(1, r.inside[n]))
 		if over := r.check(n, x); over > 1e-6 {
--- a/trial/scale_test.go
+++ b/trial/scale_test.go
@@ -54,7 +54,7 @@
 				if (r1-r0)/s > bounds.StoreReadsPerSecond {
 					t.Errorf("%d reads/s on the key-value service", (r1-r0)/s)
 				}
-				for n, p := range f.nodes {
+				for n, p := range f.all() {
 					if !p.control.State().Fresh() {
 						t.Errorf("%s does not serve", n)
 					}
@@ -78,7 +78,7 @@
 // bytes returns what each process has sent.
 func (f *fleet) bytes() map[string]uint64 {
 	m := map[string]uint64{}
-	for n, p := range f.nodes {
+	for n, p := range f.all() {
 		m[n], _ = f.net.Bytes(p.member.Address())
 	}
 	return m
--- a/trial/smoke_test.go
+++ b/trial/smoke_test.go
@@ -17,7 +17,7 @@
 		}
 		t.Log("revision", n, time.Now())
 		time.Sleep(3 * time.Second)
-		for _, p := range f.nodes {
+		for _, p := range f.all() {
 			if r := p.control.State().Config().Revision(); r < n || !p.control.State().Fresh() {
 				t.Errorf("%s: revision %d, fresh %v", p.member.Name(), r, p.control.State().Fresh())
 			}
