fix: calls that hang after a connection was used again, and batch jobs with data VMs down

Cause: (1) 3 to 5 of 2,000 items waited for ever for an answer to a call that its agent never saw; the calls had come over connections that the drpc pool handed on after an earlier stream. (2) With 2 of 4 data VMs killed but still listed, results could not reach 3 copies, so the job stood still. Ruled out: an admission lost at the agent (its dump shows no call), reading each stream to its end before the connection goes back (3 items hung still). Change: a connection for each call, which also leaves no stale one to make an outcome uncertain; agents send a piece at least every second, and 4 s of silence count as a lost agent; chunks are kept with more than half of the copies promised, VMs that failed lately come last, and the repair adds what is missing.

--- a/batch/run.go
+++ b/batch/run.go
@@ -245,6 +245,8 @@
 	if err != nil {
 		return err
 	}
+	r.recorder.Record(bulrushlug.NewEvent("chunksCommitted", bulrushlug.ForJob(x.ID(), x.Organisation()),
+		bulrushlug.WithDetail(fmt.Sprintf("%d chunks, %d in all", len(l), len(x.Results())))))
 	if x.Status() == bulrushlug.StatusCancelling {
 		r.Cancel()
 	}
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -12,19 +13,23 @@
 	"bulrushlug.dev/bulrushlug/vault"
 )
 
-// readTimeout bounds the read of one chunk from one VM.
-const readTimeout = 5 * time.Second
+const (
+	readTimeout = 5 * time.Second  // Bounds the read of one chunk from one VM.
+	avoidTime   = 10 * time.Second // Time for which a VM that failed to keep a chunk comes last.
+)
 
 // Copies writes and reads chunks by the VMs of a roster.
 type Copies struct {
 	vault  bulrushlug.Vault
 	roster bulrushlug.Roster
-	count  int // Copies of each chunk, at least one.
+	count  int                  // Copies of each chunk, at least one.
+	mu     sync.Mutex           // Guards failed.
+	failed map[string]time.Time // When a VM last failed to keep a chunk.
 }
 
 // New returns a store with n copies of each chunk.
 func New(v bulrushlug.Vault, r bulrushlug.Roster, n int) *Copies {
-	return &Copies{vault: v, roster: r, count: max(1, n)}
+	return &Copies{vault: v, roster: r, count: max(1, n), failed: map[string]time.Time{}}
 }
 
 // data returns the data VMs that take new chunks.
@@ -37,8 +42,30 @@
 // Promised returns how many copies new chunks get now: fewer than asked for where there are fewer data VMs.
 func (x *Copies) Promised() int { return min(x.count, len(x.data())) }
 
-// order returns the data VMs for key k, those of zones not used before first.
+// order returns the data VMs for key k: those of zones not used before first, those that failed lately last.
 func (x *Copies) order(k string) []bulrushlug.Member {
+	l := x.byZone(k)
+	slices.SortStableFunc(l, func(a, b bulrushlug.Member) int { return x.avoided(a.Name()) - x.avoided(b.Name()) })
+	return l
+}
+
+// avoided returns 1 if the VM v failed lately, and 0 otherwise.
+func (x *Copies) avoided(v string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if t, ok := x.failed[v]; ok && time.Since(t) < avoidTime {
+		return 1
+	}
+	return 0
+}
+
+func (x *Copies) noteFailure(v string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.failed[v] = time.Now()
+}
+
+func (x *Copies) byZone(k string) []bulrushlug.Member {
 	m := map[string]bulrushlug.Member{}
 	var n []string
 	for _, d := range x.data() {
@@ -58,7 +85,8 @@
 	return append(first, rest...)
 }
 
-// Put keeps p as chunk n of file f, and returns once all its copies are synced.
+// Put keeps p as chunk n of file f, and returns once its copies are synced: all that were promised, or more
+// than half of them if the other VMs fail. A repair adds what is missing.
 func (x *Copies) Put(c context.Context, f string, n uint32, items uint32, p []byte) (bulrushlug.Part, error) {
 	want := x.Promised()
 	if want == 0 {
@@ -66,7 +94,7 @@
 	}
 	l := x.order(f + "/" + strconv.Itoa(int(n)))
 	v, err := x.spread(c, l, want, f, n, p)
-	if len(v) < want {
+	if len(v) < want/2+1 {
 		return bulrushlug.Part{}, bulrushlug.WrapFault(bulrushlug.KindStorage, f, err)
 	}
 	return bulrushlug.NewPart(f, n, v, items, uint32(len(p)), vault.Sum(p)), nil
@@ -96,6 +124,7 @@
 			continue
 		}
 		err = a.err
+		x.noteFailure(a.vm)
 		if next < len(l) {
 			go put(l[next])
 			next++
@@ -143,16 +172,17 @@
 	}
 }
 
-// Repair copies the chunk of p to new VMs in place of those that are gone, and reports whether p changed.
+// Repair copies the chunk of p to new VMs in place of those that are gone or were missing, and reports whether p changed.
 func (x *Copies) Repair(c context.Context, p bulrushlug.Part, gone func(v string) bool) (bulrushlug.Part, bool, error) {
 	left := slices.DeleteFunc(slices.Clone(p.VMs()), gone)
-	if len(left) == len(p.VMs()) || len(left) == 0 {
+	if len(left) == 0 || len(left) >= x.Promised() {
 		return p, false, nil
 	}
 	b, err := x.Get(c, p)
 	if err != nil {
 		return p, false, err
 	}
+	before := len(left)
 	for _, m := range x.order(p.File() + "/" + strconv.Itoa(int(p.Index()))) {
 		if len(left) >= x.count {
 			break
@@ -162,5 +192,5 @@
 		}
 		left = append(left, m.Name())
 	}
-	return p.WithVMs(left), true, nil
+	return p.WithVMs(left), len(left) > before || before < len(p.VMs()), nil
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -19,6 +19,7 @@
 
 const (
 	controlTimeout = 2 * time.Second // Bounds load reports and orders.
+	idleTime       = 5 * time.Second // Time after which an idle connection is closed.
 	idleConns      = 256             // Idle connections kept to the engine.
 	readBytes      = 64 * 1024       // Buffer for one answer.
 )
@@ -34,7 +35,7 @@
 
 // New returns the client of the engine at URL u.
 func New(u string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	t := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime}
 	return &Client{
 		base:    u,
 		client:  &http.Client{Transport: t},
--- a/link/link.go
+++ b/link/link.go
@@ -22,6 +22,7 @@
 const (
 	dialTimeout = time.Second
 	callTimeout = 5 * time.Second
+	silence     = 4 * time.Second // Time without a piece after which an agent counts as lost.
 	idleTime    = time.Minute
 	idleConns   = 4096 // Idle connections to all processes.
 	idlePerPeer = 64
@@ -72,37 +73,46 @@
 }
 
 // Dispatch runs r at the agent d and relays its answer.
+//
+// Each call has a connection of its own: none can have died unnoticed since an earlier call, and none carries
+// the rest of an earlier answer.
 func (l *Link) Dispatch(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, s bulrushlug.Sink) error {
-	c, stop := context.WithCancel(c)
-	defer stop()
+	c, stop := context.WithCancelCause(c)
+	defer stop(nil)
+	n, err := l.dial(c, d.Address())
+	if err != nil {
+		return notRun(c, d, err)
+	}
+	k := drpcconn.New(n)
+	defer func() { _ = k.Close() }()
 	w := codec.EncodeCall(r)
 	w.Stamp = l.clock.Now()
-	p, err := wire.NewDRPCAgentClient(l.conn(c, d.Address())).Run(c, w)
+	p, err := wire.NewDRPCAgentClient(k).Run(c, w)
 	if err != nil {
-		return notRun(c, d, err)
+		return cutOff(c, d, err)
 	}
-	defer func() { _ = p.Close() }()
-	return l.relay(c, d, r, p, s)
+	t := time.AfterFunc(silence, func() { stop(errSilent) })
+	defer t.Stop()
+	return l.relay(c, d, r, p, s, t)
 }
 
-// notRun classifies a call that was not sent whole: the agent can't have read it.
+var errSilent = bulrushlug.NewFault(bulrushlug.KindUncertain, "the agent is silent")
+
+// notRun classifies a call for which there was no connection.
 func notRun(c context.Context, d bulrushlug.Candidate, err error) error {
 	if c.Err() != nil {
 		return c.Err()
 	}
-	var f *bulrushlug.Fault
-	if errors.As(err, &f) {
-		return f
-	}
-	return bulrushlug.WrapFault(bulrushlug.KindUncertain, d.VM(), err)
+	return bulrushlug.WrapFault(bulrushlug.KindUnplaceable, d.VM(), err)
 }
 
-func (l *Link) relay(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, p wire.DRPCAgent_RunClient, s bulrushlug.Sink) error {
+func (l *Link) relay(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, p wire.DRPCAgent_RunClient, s bulrushlug.Sink, t *time.Timer) error {
 	for {
 		m, err := p.Recv()
 		if err != nil {
 			return cutOff(c, d, err)
 		}
+		t.Reset(silence)
 		l.clock.Observe(m.Stamp)
 		if m.Attempt != r.Attempt() {
 			continue
@@ -110,15 +120,8 @@
 		if m.Problem != nil {
 			return codec.DecodeProblem(m.Problem)
 		}
-		if m.Status != 0 {
-			if err := s.Head(int(m.Status), m.ContentType); err != nil {
-				return err
-			}
-		}
-		if len(m.Data) > 0 {
-			if err := s.Write(m.Data); err != nil {
-				return err
-			}
+		if err := pass(m, s); err != nil {
+			return err
 		}
 		if m.Last {
 			return nil
@@ -126,9 +129,24 @@
 	}
 }
 
+// pass hands the piece m to s; an empty piece only shows that the agent is there.
+func pass(m *wire.Piece, s bulrushlug.Sink) error {
+	if m.Status != 0 {
+		if err := s.Head(int(m.Status), m.ContentType); err != nil {
+			return err
+		}
+	}
+	if len(m.Data) == 0 {
+		return nil
+	}
+	return s.Write(m.Data)
+}
+
 // cutOff classifies an answer that ended early; the request may have run.
 func cutOff(c context.Context, d bulrushlug.Candidate, err error) error {
 	switch {
+	case context.Cause(c) == errSilent:
+		return errSilent
 	case c.Err() != nil:
 		return c.Err()
 	case errors.Is(err, io.EOF):
--- a/relay/stage.go
+++ b/relay/stage.go
@@ -45,7 +45,9 @@
 
 // try sends r to d and notes how that went.
 func (g *Stage) try(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, h *hold) error {
-	g.recorder.Record(bulrushlug.NewEvent("dispatch", bulrushlug.ForRequest(r), bulrushlug.WithDetail(d.VM())))
+	if !r.Batch() {
+		g.recorder.Record(bulrushlug.NewEvent("dispatch", bulrushlug.ForRequest(r), bulrushlug.WithDetail(d.VM())))
+	}
 	t := time.Now()
 	g.fleet.Begin(d.VM())
 	defer g.fleet.End(d.VM())
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"time"
 
@@ -43,6 +44,7 @@
 			r.round(c, r.mend)
 		}
 		if time.Since(r.swept) > sweepPause {
+			r.round(c, r.mend)
 			r.round(c, r.sweep)
 			r.swept = time.Now()
 		}
@@ -95,11 +97,10 @@
 	if err != nil {
 		return err
 	}
+	var failed error
 	for _, f := range l {
 		if r.mine(f.ID()) {
-			if err := r.mendFile(c, f); err != nil {
-				return err
-			}
+			failed = errors.Join(failed, r.mendFile(c, f))
 		}
 	}
 	x, err := r.jobs.Jobs(c, "")
@@ -108,12 +109,10 @@
 	}
 	for _, j := range x {
 		if r.mine(j.ID()) {
-			if err := r.mendJob(c, j); err != nil {
-				return err
-			}
+			failed = errors.Join(failed, r.mendJob(c, j))
 		}
 	}
-	return nil
+	return failed
 }
 
 func (r *Repair) mendFile(c context.Context, f bulrushlug.File) error {
--- /dev/null
+++ b/script_test.go
@@ -0,0 +1,257 @@
+package bulrushlug_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/tidwall/gjson"
+)
+
+// commandTime bounds the wait of one command of a script for its condition.
+const commandTime = 60 * time.Second
+
+// programs is the folder with the programs under test.
+var programs string
+
+func TestMain(m *testing.M) {
+	d, err := os.MkdirTemp("", "bulrushlug-bin")
+	if err != nil {
+		panic(err)
+	}
+	programs = d
+	if b, err := exec.Command("go", "build", "-o", d+"/", "./cmd/...").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, b))
+	}
+	c := m.Run()
+	_ = os.RemoveAll(d)
+	os.Exit(c)
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/scripts",
+		Setup: setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"settings": settings,
+			"until":    until,
+			"request":  request,
+			"items":    items,
+			"results":  results,
+			"signal":   signal,
+			"owner":    owner,
+		},
+	})
+}
+
+const (
+	credential = "script-operator"
+	// credentialHash is the SHA-256 of the credential.
+	credentialHash = "98202be2f6f570f3d0ecbadb5a8043bb4318978d6b547b06c67d69fff85a652d"
+)
+
+func setup(e *testscript.Env) error {
+	e.Setenv("PATH", programs+string(os.PathListSeparator)+e.Getenv("PATH"))
+	e.Setenv("BULRUSHLUG_CREDENTIAL", credential)
+	e.Setenv("HASH", credentialHash)
+	for i := range 24 {
+		a, err := free()
+		if err != nil {
+			return err
+		}
+		e.Setenv("A"+strconv.Itoa(i), a)
+	}
+	e.Setenv("BULRUSHLUG_ENTRY", "http://"+e.Getenv("A0"))
+	return nil
+}
+
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// settings writes a settings file and registers the VM: settings FILE VM ROLE ZONE LISTEN [FIELD=VALUE ...].
+func settings(ts *testscript.TestScript, _ bool, a []string) {
+	f, vm, role, zone, listen := a[0], a[1], a[2], a[3], a[4]
+	var b strings.Builder
+	fmt.Fprintf(&b, "// Settings of %s.\n{\n\t\"vm\": %q,\n\t\"role\": %q,\n\t\"region\": \"r\",\n\t\"zone\": %q,\n\t\"listen\": %q,\n", vm, vm, role, zone, listen)
+	fmt.Fprintf(&b, "\t\"store\": \"http://%s\",\n\t\"vmList\": \"http://%s\",\n\t\"drainSeconds\": 20,\n", ts.Getenv("A22"), ts.Getenv("A23"))
+	fmt.Fprintf(&b, "\t\"peerSecrets\": [%q],\n", strings.Repeat("ab", 32))
+	data := false
+	for _, x := range a[5:] {
+		k, v, _ := strings.Cut(x, "=")
+		data = data || k == "dataFolder"
+		fmt.Fprintf(&b, "\t%q: %s,\n", k, v)
+	}
+	b.WriteString("}\n")
+	ts.Check(os.WriteFile(ts.MkAbs(f), []byte(b.String()), 0o600))
+	m := fmt.Sprintf(`{"name":%q,"address":%q,"region":"r","zone":%q,"role":%q,"data":%v}`, vm, listen, zone, role, data)
+	code, out := send(ts, http.MethodPut, "http://"+ts.Getenv("A23")+"/v1/vms", "", []byte(m))
+	if code != http.StatusOK {
+		ts.Fatalf("registering %s: %d %s", vm, code, out)
+	}
+}
+
+// send sends one request; a connection that fails gives status 0.
+func send(ts *testscript.TestScript, method, u, key string, b []byte) (int, string) {
+	q, err := http.NewRequest(method, u, bytes.NewReader(b))
+	ts.Check(err)
+	q.Header.Set("Content-Type", "application/json")
+	if strings.HasPrefix(key, "Idempotency-Key:") {
+		q.Header.Set("Idempotency-Key", strings.TrimPrefix(key, "Idempotency-Key:"))
+		key = ts.Getenv("KEY")
+	}
+	if key != "" {
+		q.Header.Set("Authorization", "Bearer "+key)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	out, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return r.StatusCode, string(out)
+}
+
+// until runs a program until it succeeds and its output holds a text: until TEXT PROGRAM [ARG ...].
+func until(ts *testscript.TestScript, _ bool, a []string) {
+	var out []byte
+	for end := time.Now().Add(commandTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		c := exec.Command(filepath.Join(programs, a[1]), a[2:]...)
+		c.Dir = ts.Getenv("WORK")
+		c.Env = append(os.Environ(), "BULRUSHLUG_ENTRY="+ts.Getenv("BULRUSHLUG_ENTRY"), "BULRUSHLUG_CREDENTIAL="+credential)
+		var err error
+		if out, err = c.CombinedOutput(); err == nil && strings.Contains(string(out), a[0]) {
+			if k, ok := strings.CutPrefix(string(out), "key "); ok {
+				ts.Setenv("KEY", strings.Fields(k)[0])
+			}
+			ts.Logf("%s", out)
+			return
+		}
+	}
+	ts.Fatalf("%q did not come: %s", a[0], out)
+}
+
+// request sends a request until it is answered as wanted: request STATUS TEXT METHOD URL [BODY [KEY]].
+//
+// Text between backquotes names a JSON path whose value goes into the variable OUT.
+func request(ts *testscript.TestScript, neg bool, a []string) {
+	want, err := strconv.Atoi(a[0])
+	ts.Check(err)
+	key, body := ts.Getenv("KEY"), ""
+	if len(a) > 4 {
+		body = a[4]
+	}
+	if len(a) > 5 {
+		key = a[5]
+	}
+	var code int
+	var out string
+	for end := time.Now().Add(commandTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		code, out = send(ts, a[2], a[3], key, []byte(body))
+		if code == want && strings.Contains(out, a[1]) {
+			ts.Logf("%.300s", out)
+			ts.Setenv("OUT", gjson.Get(out, "id").String())
+			return
+		}
+		if neg {
+			break
+		}
+	}
+	ts.Fatalf("wanted %d with %q: got %d %.500s", want, a[1], code, out)
+}
+
+// items uploads a file of items: items COUNT URL.
+func items(ts *testscript.TestScript, _ bool, a []string) {
+	n, err := strconv.Atoi(a[0])
+	ts.Check(err)
+	var b bytes.Buffer
+	b.WriteString("--x\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n--x\r\nContent-Disposition: form-data; name=\"file\"; filename=\"f.jsonl\"\r\n\r\n")
+	for i := range n {
+		fmt.Fprintf(&b, `{"custom_id":"c%d","method":"POST","url":"/v1/chat/completions","body":{"model":"m","max_tokens":4,"messages":[{"role":"user","content":"%d"}]}}`+"\n", i, i)
+	}
+	b.WriteString("\r\n--x--\r\n")
+	q, err := http.NewRequest(http.MethodPost, a[1]+"/v1/files", &b)
+	ts.Check(err)
+	q.Header.Set("Content-Type", "multipart/form-data; boundary=x")
+	q.Header.Set("Authorization", "Bearer "+ts.Getenv("KEY"))
+	r, err := http.DefaultClient.Do(q)
+	ts.Check(err)
+	defer func() { _ = r.Body.Close() }()
+	out, err := io.ReadAll(r.Body)
+	ts.Check(err)
+	if r.StatusCode != http.StatusOK {
+		ts.Fatalf("upload: %d %s", r.StatusCode, out)
+	}
+	ts.Setenv("FILE", gjson.GetBytes(out, "id").String())
+}
+
+// results reads the output of a job and checks that each item stands in it once: results COUNT JOB URL.
+func results(ts *testscript.TestScript, _ bool, a []string) {
+	n, err := strconv.Atoi(a[0])
+	ts.Check(err)
+	code, out := send(ts, http.MethodGet, a[2]+"/v1/files/file-out-"+a[1]+"/content", ts.Getenv("KEY"), nil)
+	if code != http.StatusOK {
+		ts.Fatalf("results: %d %s", code, out)
+	}
+	seen := map[string]int{}
+	for _, l := range strings.Split(strings.TrimSpace(out), "\n") {
+		if gjson.Get(l, "response.status_code").Int() != http.StatusOK {
+			ts.Fatalf("no answer: %s", l)
+		}
+		seen[gjson.Get(l, "custom_id").String()]++
+	}
+	for i := range n {
+		if k := fmt.Sprint("c", i); seen[k] != 1 {
+			ts.Fatalf("item %s stands %d times in the results", k, seen[k])
+		}
+	}
+	if len(seen) != n {
+		ts.Fatalf("%d results, not %d", len(seen), n)
+	}
+}
+
+// signal sends a signal to the process whose identifier stands in a file: signal NAME FILE.
+func signal(ts *testscript.TestScript, _ bool, a []string) {
+	n, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(a[1])))
+	ts.Check(err)
+	x := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL}
+	ts.Check(syscall.Kill(n, x[a[0]]))
+}
+
+// owner finds the owner of the only job: its process goes into OWNER, another one into OTHER and the HTTP address of a third into LEFT.
+func owner(ts *testscript.TestScript, _ bool, a []string) {
+	code, out := send(ts, http.MethodPost, ts.Getenv("BULRUSHLUG_ENTRY")+"/admin/v1/jobs", credential, []byte("{}"))
+	if code != http.StatusOK {
+		ts.Fatalf("jobs: %d %s", code, out)
+	}
+	http := map[string]string{"ea": "A0", "eb": "A2", "ec": "A7", "ed": "A9"}
+	var l []string
+	for _, n := range a {
+		if "entry-"+n[1:] == gjson.Get(out, "jobs.0.owner").String() {
+			ts.Setenv("OWNER", n)
+		} else {
+			l = append(l, n)
+		}
+	}
+	ts.Setenv("OTHER", l[0])
+	ts.Setenv("LEFT", ts.Getenv(http[l[1]]))
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -85,7 +85,11 @@
 		c, stop = context.WithTimeout(c, time.Duration(w.DeadlineMs)*time.Millisecond)
 		defer stop()
 	}
-	if err := a.stage.Run(c, codec.DecodeCall(w), k); err != nil {
+	b, quiet := context.WithCancel(c)
+	go k.beat(b)
+	err := a.stage.Run(c, codec.DecodeCall(w), k)
+	quiet()
+	if err != nil {
 		return k.fail(err)
 	}
 	return k.end()
--- a/tally/filter.go
+++ b/tally/filter.go
@@ -18,7 +18,7 @@
 // New returns a filter that counts in m.
 func New(m *expvar.Map, e bulrushlug.Recorder) *Filter { return &Filter{counts: m, recorder: e} }
 
-// Pass counts r once it has ended.
+// Pass counts r once it has ended; batch items that succeed leave no event, since their chunks do.
 func (f *Filter) Pass(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink, n bulrushlug.Stage) error {
 	t := time.Now()
 	f.counts.Add("open", 1)
@@ -29,7 +29,9 @@
 		o = bulrushlug.KindOf(err).String()
 	}
 	f.counts.Add(o, 1)
-	f.recorder.Record(bulrushlug.NewEvent("requestEnd", bulrushlug.ForRequest(r),
-		bulrushlug.WithDetail(o+" after "+time.Since(t).Round(time.Millisecond).String())))
+	if !r.Batch() || err != nil {
+		f.recorder.Record(bulrushlug.NewEvent("requestEnd", bulrushlug.ForRequest(r),
+			bulrushlug.WithDetail(o+" after "+time.Since(t).Round(time.Millisecond).String())))
+	}
 	return err
 }
