feat(batch): fair queues per organisation, bounded open chunks, no fight over ownership

Cause: (1) an owner cut off from its peers but not from the key-value service was replaced and took its job back at every scan, so none got on; (2) the queue of items was searched from end to end for each admission, and each job held 1,024 items waiting: 40 jobs of 1,000 items did not end in 20 s of processor time. Ruled out: a longer time before replacement, which only slows the fight. Change: an owner is replaced when it neither answers nor writes the record for 6 s; a heap per organisation; at most 32 open chunks in one process.

--- a/batch/run.go
+++ b/batch/run.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	openChunks  = 4                      // Chunks of one job that run at once.
+	openChunks  = 32                     // Chunks of all jobs that are open at once.
+	jobChunks   = 4                      // Chunks of one job that are open at once.
 	commitPause = 500 * time.Millisecond // Time between two commits of one job.
 	storePause  = time.Second            // Pause before a failed read or write is tried again.
 )
@@ -83,7 +84,7 @@
 	for _, x := range r.job.Results() {
 		have[x.Chunk()] = true
 	}
-	slots := make(chan struct{}, openChunks)
+	slots := make(chan struct{}, jobChunks)
 	var g sync.WaitGroup
 	for i, p := range f.Parts() {
 		if have[uint32(i)] {
@@ -97,6 +98,10 @@
 		}
 		g.Go(func() {
 			defer func() { <-slots }()
+			if r.open.Enter(w, r.job.Organisation(), r.job.Due()) != nil {
+				return
+			}
+			defer r.open.Leave(r.job.Organisation(), false)
 			r.chunk(c, w, uint32(i), p)
 		})
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -29,7 +29,8 @@
 	self     string
 	jobs     *jobs.Jobs
 	copies   *copies.Copies
-	lanes    *lane.Lanes
+	lanes    *lane.Lanes // Items that run.
+	open     *lane.Lanes // Chunks whose items run or wait.
 	stage    bulrushlug.Stage
 	source   bulrushlug.Source
 	roster   bulrushlug.Roster
@@ -39,11 +40,23 @@
 
 	mu     sync.Mutex           // Guards the fields below.
 	runs   map[string]*run      // By job.
-	owners map[string]string    // Last known owner by job.
+	owners map[string]sight     // What was last seen of each job that others own.
 	heard  map[string]time.Time // When a VM last answered, or was first probed.
 	closed bool                 // No more jobs are claimed.
 }
 
+// sight is what a process saw of the record of a job.
+type sight struct {
+	owner   string
+	fence   uint64
+	results int
+	at      time.Time // When the record was last seen to change.
+}
+
+func sightOf(x bulrushlug.Job) sight {
+	return sight{owner: x.Owner(), fence: x.Fence(), results: len(x.Results()), at: time.Now()}
+}
+
 // option sets one part of a runner.
 type option func(r *Runner)
 
@@ -69,7 +82,7 @@
 
 // New returns the runner on VM v.
 func New(v string, o ...option) *Runner {
-	r := &Runner{self: v, runs: map[string]*run{}, owners: map[string]string{}, heard: map[string]time.Time{}}
+	r := &Runner{self: v, open: lane.New(func() int { return openChunks }), runs: map[string]*run{}, owners: map[string]sight{}, heard: map[string]time.Time{}}
 	for _, f := range o {
 		f(r)
 	}
@@ -131,27 +144,48 @@
 	}
 }
 
-// shouldOwn reports whether this process is the first that answers in the order of the job.
+// shouldOwn reports whether this process is the first that answers in the order of the job, and its owner neither
+// answers nor gets on.
 func (r *Runner) shouldOwn(c context.Context, o bulrushlug.OpenJob) bool {
-	r.mu.Lock()
-	n, ok := r.owners[o.ID()]
-	r.mu.Unlock()
+	n, ok := r.seen(o.ID())
 	if !ok {
 		x, err := r.jobs.Job(c, o.Organisation(), o.ID())
 		if err != nil {
 			return false
 		}
-		n = x.Owner()
-		r.setOwner(o.ID(), n)
+		n = sightOf(x)
+		r.note(o.ID(), n)
 	}
-	if n != "" && n != r.self && r.answers(c, n) {
+	if n.owner != "" && n.owner != r.self && (r.answers(c, n.owner) || !r.stands(c, o, n)) {
 		return false
 	}
 	f := rank.First(o.ID(), r.candidates(), func(v string) bool { return v == r.self || r.answers(c, v) })
 	return f == r.self
 }
 
-func (r *Runner) setOwner(id, n string) {
+// stands reports whether the record of o has not changed for deadAfter; an owner that is only cut off from its
+// peers goes on writing it.
+func (r *Runner) stands(c context.Context, o bulrushlug.OpenJob, n sight) bool {
+	x, err := r.jobs.Job(c, o.Organisation(), o.ID())
+	if err != nil {
+		return false
+	}
+	m := sightOf(x)
+	if m.owner != n.owner || m.fence != n.fence || m.results != n.results {
+		r.note(o.ID(), m)
+		return false
+	}
+	return time.Since(n.at) >= deadAfter
+}
+
+func (r *Runner) seen(id string) (sight, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, ok := r.owners[id]
+	return n, ok
+}
+
+func (r *Runner) note(id string, n sight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.owners[id] = n
@@ -201,14 +235,14 @@
 // claim makes this process the owner of job o under a new fence, and starts it.
 func (r *Runner) claim(c, w context.Context, o bulrushlug.OpenJob) {
 	r.mu.Lock()
-	seen, closed := r.owners[o.ID()], r.closed
+	seen, closed := r.owners[o.ID()].owner, r.closed
 	r.mu.Unlock()
 	if closed {
 		return
 	}
 	x, err := r.jobs.Update(c, o.Organisation(), o.ID(), func(x bulrushlug.Job) (bulrushlug.Job, error) {
 		if x.Owner() != seen && x.Owner() != r.self {
-			r.setOwner(o.ID(), x.Owner())
+			r.note(o.ID(), sightOf(x))
 			return x, errNotOwner
 		}
 		if x.Status().Final() {
@@ -231,7 +265,7 @@
 	n.cancel = cancel || x.Status() == bulrushlug.StatusCancelling
 	r.mu.Lock()
 	r.runs[x.ID()] = n
-	r.owners[x.ID()] = r.self
+	delete(r.owners, x.ID())
 	r.mu.Unlock()
 	go func() {
 		defer close(n.done)
--- a/lane/lanes.go
+++ b/lane/lanes.go
@@ -2,8 +2,8 @@
 package lane
 
 import (
+	"container/heap"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,27 +22,56 @@
 	mu      sync.Mutex // Guards the fields below.
 	window  float64    // Items that may run at once, at least 1.
 	running int
-	byOrg   map[string]int // Running items by organisation; no zeros.
-	waiting []*turn
-	shrunk  time.Time // When the window last shrank.
+	byOrg   map[string]int    // Running items by organisation; no zeros.
+	waiting map[string]*queue // Items that wait by organisation; no empty queues.
+	shrunk  time.Time         // When the window last shrank.
 }
 
+// turn is one item that waits.
 type turn struct {
 	organisation string
 	due          time.Time
-	start        chan struct{}
+	start        chan struct{} // Closed once the item may run.
+	place        int           // Place in its queue; -1 once it has left.
+}
+
+// queue is a heap of turns, the one that is due first on top.
+type queue []*turn
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].due.Before(q[j].due) }
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].place, q[j].place = i, j
+}
+
+// Push adds x, for package heap.
+func (q *queue) Push(x any) {
+	t := x.(*turn)
+	t.place = len(*q)
+	*q = append(*q, t)
+}
+
+// Pop removes the last turn, for package heap.
+func (q *queue) Pop() any {
+	o := *q
+	t := o[len(o)-1]
+	o[len(o)-1] = nil
+	*q = o[:len(o)-1]
+	t.place = -1
+	return t
 }
 
 // New returns lanes that admit at most as many items as f says.
 func New(f func() int) *Lanes {
-	return &Lanes{limit: f, window: firstWindow, byOrg: map[string]int{}}
+	return &Lanes{limit: f, window: firstWindow, byOrg: map[string]int{}, waiting: map[string]*queue{}}
 }
 
 // Enter waits until an item of organisation o, due at t, may run.
 func (l *Lanes) Enter(c context.Context, o string, t time.Time) error {
 	x := &turn{organisation: o, due: t, start: make(chan struct{})}
 	l.mu.Lock()
-	l.waiting = append(l.waiting, x)
+	l.push(x)
 	l.fill()
 	l.mu.Unlock()
 	select {
@@ -52,14 +81,31 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if i := slices.Index(l.waiting, x); i >= 0 {
-		l.waiting = slices.Delete(l.waiting, i, i+1)
+	if x.place >= 0 {
+		l.remove(x)
 	} else {
 		l.end(o)
 	}
 	return c.Err()
 }
 
+func (l *Lanes) push(x *turn) {
+	q, ok := l.waiting[x.organisation]
+	if !ok {
+		q = &queue{}
+		l.waiting[x.organisation] = q
+	}
+	heap.Push(q, x)
+}
+
+func (l *Lanes) remove(x *turn) {
+	q := l.waiting[x.organisation]
+	heap.Remove(q, x.place)
+	if q.Len() == 0 {
+		delete(l.waiting, x.organisation)
+	}
+}
+
 // Leave notes that an item of o ended; refused says that there was no idle slot for it.
 func (l *Lanes) Leave(o string, refused bool) {
 	l.mu.Lock()
@@ -84,37 +130,28 @@
 
 // fill admits those that are next; the caller holds the lock.
 func (l *Lanes) fill() {
-	n := l.limit()
-	l.window = max(1, min(l.window, float64(n)))
+	l.window = max(1, min(l.window, float64(l.limit())))
 	for len(l.waiting) > 0 && l.running < int(l.window) {
-		i := l.next()
-		x := l.waiting[i]
-		l.waiting = slices.Delete(l.waiting, i, i+1)
+		x := l.next()
+		l.remove(x)
 		l.running++
 		l.byOrg[x.organisation]++
 		close(x.start)
 	}
 }
 
-func (l *Lanes) next() int {
-	b := 0
-	for i, x := range l.waiting {
-		y := l.waiting[b]
-		n, m := l.byOrg[x.organisation], l.byOrg[y.organisation]
-		if n < m || n == m && x.due.Before(y.due) {
-			b = i
+// next returns the turn that is due first of the organisation with the fewest running items.
+func (l *Lanes) next() *turn {
+	var b *turn
+	for o, q := range l.waiting {
+		x := (*q)[0]
+		if b == nil || l.byOrg[o] < l.byOrg[b.organisation] || l.byOrg[o] == l.byOrg[b.organisation] && x.due.Before(b.due) {
+			b = x
 		}
 	}
 	return b
 }
 
-// Counts returns the items that run and those that wait.
-func (l *Lanes) Counts() (running, waiting int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.running, len(l.waiting)
-}
-
 // Refused reports whether err means that an item found no idle slot, and may run again unharmed.
 func Refused(err error) bool {
 	switch bulrushlug.KindOf(err) {
