--- /dev/null
+++ b/admit/filter_test.go
@@ -0,0 +1,76 @@
+package admit
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// hold runs each request for a second.
+var hold = bulrushlug.StageFunc(func(c context.Context, _ *bulrushlug.Request, _ bulrushlug.Sink) error {
+	return bulrushlug.Wait(c, time.Second)
+})
+
+func request(o string, i int) *bulrushlug.Request {
+	return bulrushlug.NewRequest(fmt.Sprint(o, i), bulrushlug.WithOrganisation(o))
+}
+
+func TestOverloadIsSharedFairly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(4, new(expvar.Map).Init())
+		served := map[string]int{}
+		refused := map[string]int{}
+		var mu sync.Mutex
+		var g sync.WaitGroup
+		send := func(o string, n int) {
+			for i := range n {
+				g.Go(func() {
+					err := f.Pass(context.Background(), request(o, i), nil, hold)
+					mu.Lock()
+					defer mu.Unlock()
+					if err == nil {
+						served[o]++
+					} else if k := bulrushlug.KindOf(err); k == bulrushlug.KindOverloaded && !k.Answer().Ran() {
+						refused[o]++
+					} else {
+						t.Errorf("%v", err)
+					}
+				})
+			}
+		}
+		send("flood", 100)
+		time.Sleep(10 * time.Millisecond)
+		send("quiet", 5)
+		g.Wait()
+		if served["quiet"] != 5 || refused["flood"] < 70 {
+			t.Errorf("served %v, refused %v", served, refused)
+		}
+	})
+}
+
+func TestLeavingAgentEndsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(2, new(expvar.Map).Init())
+		var g sync.WaitGroup
+		for i := range 4 {
+			g.Go(func() {
+				if err := f.Pass(context.Background(), request("o", i), nil, hold); err != nil {
+					t.Errorf("request %d: %v", i, err)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		idle := f.Leave()
+		if err := f.Pass(context.Background(), request("late", 0), nil, hold); bulrushlug.KindOf(err) != bulrushlug.KindLeaving {
+			t.Errorf("a leaving agent answered %v", err)
+		}
+		<-idle
+		g.Wait()
+	})
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -22,6 +22,7 @@
 	"bulrushlug.dev/bulrushlug/node"
 	"bulrushlug.dev/bulrushlug/simkv"
 	"bulrushlug.dev/bulrushlug/simlm"
+	"bulrushlug.dev/bulrushlug/simsvc"
 	"bulrushlug.dev/bulrushlug/simvm"
 )
 
@@ -34,6 +35,7 @@
 	token       = 15 * time.Millisecond
 	prefill     = 30 * time.Millisecond
 	headerTime  = 10 * time.Second
+	idleTime    = 2 * time.Minute
 )
 
 // Demo runs two entries and two agents in two availability zones, on stand-ins of the platform.
@@ -43,12 +45,14 @@
 	store   string // URL of the key-value service.
 	vmList  string // URL of the VM list.
 	list    *memvm.List
-	entries []string // URLs of the entries.
+	entries []string       // URLs of the entries.
+	service *simsvc.Server // Plain service beside both agents.
+	logger  log.Logger
 	wait    sync.WaitGroup
 }
 
 // New returns a demonstration that writes to w.
-func New(w io.Writer) *Demo { return &Demo{out: w} }
+func New(w io.Writer) *Demo { return &Demo{out: w, service: simsvc.New(), logger: log.NewNopLogger()} }
 
 // Run starts the fleet, asks one question, runs one batch job and shows the events of both.
 func (d *Demo) Run(c context.Context) error {
@@ -93,7 +97,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	d.wait.Go(func() { _ = s.Serve(l) })
 	context.AfterFunc(c, func() { _ = s.Close() })
 	return "http://" + l.Addr().String(), nil
@@ -128,10 +132,15 @@
 	if err != nil {
 		return err
 	}
+	v, err := d.serve(c, d.service)
+	if err != nil {
+		return err
+	}
 	return d.node(c, "agent-"+zone, zone, fmt.Sprintf(`
 		"role": "agent",
 		"drainSeconds": 5,
-		"engine": %q,`, u))
+		"engine": %q,
+		"services": [{"name": "tickets", "url": %q}],`, u, v))
 }
 
 // node runs the process n with some more settings.
@@ -154,7 +163,7 @@
 		return err
 	}
 	d.list.Put(s.Member())
-	x, err := node.New(s, log.NewNopLogger())
+	x, err := node.New(s, d.logger)
 	if err != nil {
 		return err
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -39,7 +39,7 @@
 	return &Client{
 		base:    u,
 		client:  &http.Client{Transport: t},
-		control: &http.Client{Timeout: controlTimeout},
+		control: &http.Client{Transport: t, Timeout: controlTimeout},
 	}
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -80,8 +80,12 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// key returns the bearer token of r, or nothing.
 func key(r *http.Request) string {
-	k, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	k, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
 	return k
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -33,7 +33,7 @@
 func newEntry(n *Node) *entry {
 	e := &entry{Node: n, guard: guard.New(n.control.State()), once: once.New(n.store)}
 	n.control.State().OnChange(func(*bulrushlug.Config) { go e.guard.Check() })
-	e.http = &http.Server{Addr: n.settings.HTTP(), Handler: e.handler(), ReadHeaderTimeout: headerTime}
+	e.http = &http.Server{Addr: n.settings.HTTP(), Handler: e.handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	return e
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -268,7 +268,7 @@
 
 // listen serves h at a until c ends.
 func listen(c context.Context, a string, h http.Handler) error {
-	s := &http.Server{Addr: a, Handler: h, ReadHeaderTimeout: headerTime}
+	s := &http.Server{Addr: a, Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	stop := context.AfterFunc(c, func() { _ = s.Close() })
 	defer stop()
 	if err := s.ListenAndServe(); err != http.ErrServerClosed {
@@ -277,8 +277,10 @@
 	return nil
 }
 
-// headerTime bounds the time in which a caller sends its headers.
-const headerTime = 10 * time.Second
+const (
+	headerTime = 10 * time.Second // Bounds the time in which a caller sends its headers.
+	idleTime   = 2 * time.Minute  // Time after which an idle connection of a caller is closed.
+)
 
 // startData runs jobs and repairs chunks where the process has a data folder.
 func (n *Node) startData(c context.Context, g *group) {
--- /dev/null
+++ b/relay/stage_test.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/fleet"
+)
+
+type nobody struct{}
+
+func (nobody) Record(bulrushlug.Event) {}
+
+// caller is what one caller sees.
+type caller struct {
+	head int
+	data string
+}
+
+func (k *caller) Head(n int, _ string) error {
+	k.head++
+	return nil
+}
+
+func (k *caller) Write(p []byte) error {
+	k.data += string(p)
+	return nil
+}
+
+// agents stands in for the agents; it notes how often the request ran.
+type agents struct {
+	steps []string // What happens to each attempt.
+	calls int
+	ran   int
+}
+
+// Dispatch fails at the point that the next step names.
+func (a *agents) Dispatch(c context.Context, d bulrushlug.Candidate, _ *bulrushlug.Request, s bulrushlug.Sink) error {
+	x := a.steps[min(a.calls, len(a.steps)-1)]
+	a.calls++
+	switch x {
+	case "refusedConnection":
+		return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "connection refused")
+	case "leaving":
+		return bulrushlug.NewFault(bulrushlug.KindLeaving, "leaving")
+	case "full":
+		return bulrushlug.NewFault(bulrushlug.KindOverloaded, "no slot")
+	case "lostBeforeRun":
+		return bulrushlug.NewFault(bulrushlug.KindUncertain, "cut before it ran")
+	}
+	a.ran++
+	if x == "lostAfterRun" {
+		return bulrushlug.NewFault(bulrushlug.KindUncertain, "cut after it ran")
+	}
+	if err := s.Head(200, "text/plain"); err != nil {
+		return err
+	}
+	for i := range 3 {
+		if x == "brokenAfterOne" && i == 1 {
+			return bulrushlug.NewFault(bulrushlug.KindBroken, "cut")
+		}
+		if err := s.Write(fmt.Append(nil, d.VM(), i, " ")); err != nil {
+			return err
+		}
+	}
+	if x == "cancelled" {
+		return context.Canceled
+	}
+	return nil
+}
+
+func TestCutPoints(t *testing.T) {
+	all := []string{"refusedConnection", "leaving", "full", "lostBeforeRun", "lostAfterRun", "brokenAfterOne", "cancelled", "ok"}
+	for _, first := range all {
+		for _, second := range all {
+			for mode, o := range map[string][]bulrushlug.RequestOption{
+				"idempotent":             {bulrushlug.WithIdempotent(true)},
+				"idempotent, streamed":   {bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true)},
+				"not idempotent":         {},
+				"not idempotent, stream": {bulrushlug.WithStream(true)},
+			} {
+				t.Run(first+", then "+second+"/"+mode, func(t *testing.T) { cutPoint(t, []string{first, second, "ok"}, o) })
+			}
+		}
+	}
+}
+
+func cutPoint(t *testing.T, steps []string, o []bulrushlug.RequestOption) {
+	a := &agents{steps: steps}
+	r := bulrushlug.NewRequest("r", o...)
+	r.Place([]bulrushlug.Candidate{bulrushlug.NewCandidate("x", "x"), bulrushlug.NewCandidate("y", "y"), bulrushlug.NewCandidate("z", "z")})
+	k := &caller{}
+	err := New(a, fleet.New(), nobody{}).Run(context.Background(), r, k)
+	if !r.Idempotent() && a.ran > 1 {
+		t.Errorf("ran %d times", a.ran)
+	}
+	if err != nil && !bulrushlug.KindOf(err).Answer().Ran() && a.ran > 0 {
+		t.Errorf("%v says that the request did not run, but it did", err)
+	}
+	if k.head > 1 {
+		t.Errorf("%d answers", k.head)
+	}
+	whole := false
+	for _, v := range []string{"x", "y", "z"} {
+		whole = whole || k.data == v+"0 "+v+"1 "+v+"2 "
+	}
+	if err == nil && !whole {
+		t.Errorf("the answer is %q", k.data)
+	}
+	if err != nil && !r.Stream() && k.data != "" {
+		t.Errorf("a part of an answer was passed on: %q", k.data)
+	}
+	if r.Idempotent() && steps[0] == "refusedConnection" && steps[1] == "ok" && err != nil {
+		t.Errorf("not tried again: %v", err)
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	a := &agents{steps: []string{"refusedConnection"}}
+	g := New(a, fleet.New(), nobody{})
+	for range 1000 {
+		r := bulrushlug.NewRequest("r", bulrushlug.WithIdempotent(true))
+		r.Place([]bulrushlug.Candidate{bulrushlug.NewCandidate("x", "x"), bulrushlug.NewCandidate("y", "y"), bulrushlug.NewCandidate("z", "z")})
+		if g.Run(context.Background(), r, &caller{}) == nil {
+			t.Fatal("a call to nobody was answered")
+		}
+	}
+	if n := a.calls - 1000; n > 1000/retryShare+retryAtOnce {
+		t.Errorf("%d retries of 1000 requests", n)
+	}
+}
+
+func TestDeadAndSlowServersAreLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New()
+		report := func(v string, n uint64, leaving bool) {
+			f.Receive(bulrushlug.NewMessage(bulrushlug.MessageLoads(bulrushlug.NewLoad(v, n,
+				bulrushlug.LoadAt(v, "r", "z", "boot"), bulrushlug.LoadCounts(8, 0, 0, 0),
+				bulrushlug.LoadServes([]string{"m"}, nil), bulrushlug.LoadLeaving(leaving)))))
+		}
+		r := bulrushlug.NewRequest("r", bulrushlug.WithModel("m"))
+		good := func() (l []string) {
+			for _, v := range f.Offering(r) {
+				if v.Live() && !v.Avoid() {
+					l = append(l, v.Load().VM())
+				}
+			}
+			return l
+		}
+		report("silent", 1, false)
+		for i := range uint64(5) {
+			report("lively", i+1, false)
+			time.Sleep(time.Second)
+		}
+		if l := good(); len(l) != 1 || l[0] != "lively" {
+			t.Errorf("a server that was silent for 5 s is among %v", l)
+		}
+		f.Fail("lively")
+		if l := good(); len(l) != 0 {
+			t.Errorf("a server that failed is among %v", l)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		report("lively", 9, false)
+		report("leaves", 1, true)
+		if l := good(); len(l) != 1 || l[0] != "lively" {
+			t.Errorf("wanted the server that recovered, not %v", l)
+		}
+	})
+}
--- a/sims/app.go
+++ b/sims/app.go
@@ -65,7 +65,7 @@
 func listen(c context.Context, m *cli.Command, h http.Handler) error {
 	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	s := &http.Server{Addr: m.String("listen"), Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s := &http.Server{Addr: m.String("listen"), Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
 	end := context.AfterFunc(c, func() { _ = s.Close() })
 	defer end()
 	if err := s.ListenAndServe(); err != http.ErrServerClosed {
