test: planned stops, a frozen agent and an outage, with real processes

Change: scripts drain and freeze. A stream of 5 s ends whole while its entry or both agents stop; a call that may not be repeated is answered as 'may have run' once its agent is frozen, and its resend through the other entry is refused; questions go on while the key-value service is out.

--- a/script_test.go
+++ b/script_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -51,6 +52,7 @@
 			"results":  results,
 			"signal":   signal,
 			"owner":    owner,
+			"stream":   stream,
 		},
 	})
 }
@@ -255,3 +257,34 @@
 	ts.Setenv("OTHER", l[0])
 	ts.Setenv("LEFT", ts.Getenv(http[l[1]]))
 }
+
+// streams holds the answer that each script waits for.
+var streams sync.Map
+
+// stream starts a streamed request in the background, or waits for its end: stream start URL BODY | stream wait.
+func stream(ts *testscript.TestScript, _ bool, a []string) {
+	if a[0] == "wait" {
+		x, _ := streams.Load(ts.Getenv("WORK"))
+		if out := <-x.(chan string); !strings.Contains(out, "[DONE]") {
+			ts.Fatalf("the stream was cut: %q", out)
+		}
+		return
+	}
+	c := make(chan string, 1)
+	streams.Store(ts.Getenv("WORK"), c)
+	begun := make(chan struct{})
+	go func() {
+		q, _ := http.NewRequest(http.MethodPost, a[1], strings.NewReader(a[2]))
+		q.Header.Set("Authorization", "Bearer "+ts.Getenv("KEY"))
+		r, err := http.DefaultClient.Do(q)
+		close(begun)
+		if err != nil {
+			c <- err.Error()
+			return
+		}
+		defer func() { _ = r.Body.Close() }()
+		b, _ := io.ReadAll(r.Body)
+		c <- string(b)
+	}()
+	<-begun
+}
