--- /dev/null
+++ b/conf/load_test.go
@@ -0,0 +1,64 @@
+package conf
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func example(t testing.TB, n string) string {
+	b, err := os.ReadFile("../examples/" + n + ".json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestExamples(t *testing.T) {
+	for _, n := range []string{"entry", "agent"} {
+		s, err := Load("../examples/" + n + ".json")
+		if err != nil || s.Role() != n {
+			t.Errorf("%s: %v", n, err)
+		}
+	}
+}
+
+func TestFaultsAreNamed(t *testing.T) {
+	for name, x := range map[string]struct{ from, old, new, says string }{
+		"unknown field":      {"entry", `"role"`, `"rolle": 1, "role"`, `s.json:4: rolle: `},
+		"wrong type":         {"entry", `"replicas": 3`, `"replicas": "three"`, `s.json:13: `},
+		"no JSON":            {"entry", `"role": "entry"`, `"role" "entry"`, `s.json`},
+		"missing field":      {"entry", `"vm": "entry-1",`, ``, `s.json:1: vm: is missing`},
+		"unknown role":       {"entry", `"role": "entry"`, `"role": "exit"`, `s.json:4: role: is "exit"`},
+		"no host and port":   {"entry", `127.0.0.1:7001`, `7001`, `s.json:7: listen: is no host:port`},
+		"no URL":             {"entry", `http://127.0.0.1:9001`, `here`, `s.json:10: store: is no URL`},
+		"too many replicas":  {"entry", `"replicas": 3`, `"replicas": 9`, `s.json:13: replicas: is 9, not from 1 to 5`},
+		"short secret":       {"entry", `eeff"]`, `ee"]`, `peerSecrets: needs 64 hex digits`},
+		"engine of an entry": {"entry", `"debug"`, `"engine": "http://h:1", "debug"`, `engine: an entry has neither`},
+		"agent of nothing":   {"agent", `"engine": "http://127.0.0.1:9101",`, ``, ``},
+		"half of TLS":        {"agent", `"slots": 0,`, `"slots": 0, "tls": {"key": "k"},`, `tls: certificate, key and authority`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := strings.Replace(example(t, x.from), x.old, x.new, 1)
+			if s == example(t, x.from) {
+				t.Fatal("the example has changed")
+			}
+			_, err := Parse("s.json", []byte(s))
+			if x.says != "" && (err == nil || !strings.Contains(err.Error(), x.says)) {
+				t.Errorf("got %v, wanted %q", err, x.says)
+			}
+		})
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(example(f, "entry")))
+	f.Add([]byte(example(f, "agent")))
+	f.Add([]byte(`{"drainSeconds":4294967296}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Parse("f", b)
+		if (s == nil) == (err == nil) {
+			t.Errorf("settings %v, error %v", s, err)
+		}
+	})
+}
--- /dev/null
+++ b/mint/authority.go
@@ -0,0 +1,102 @@
+// Package mint makes certificates for connections between processes.
+package mint
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	authorityTime = 10 * 365 * 24 * time.Hour // Validity of an authority.
+	processTime   = 90 * 24 * time.Hour       // Validity of a process's certificate.
+	serialBits    = 120
+	fileMode      = 0o600
+	folderMode    = 0o700
+	serverName    = "bulrushlug" // DNS name in the certificates of all processes.
+)
+
+// Authority signs the certificates of processes.
+type Authority struct {
+	folder      string // Where the files go.
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// New makes an authority and writes its certificate to ca.pem in folder d.
+//
+// The key of the authority is kept nowhere: more certificates need a new authority beside the old one in ca.pem.
+func New(d string) (*Authority, error) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindInternal, d, err)
+	}
+	t := template("bulrushlug authority", authorityTime)
+	t.IsCA, t.BasicConstraintsValid = true, true
+	t.KeyUsage = x509.KeyUsageCertSign
+	b, err := x509.CreateCertificate(rand.Reader, t, t, &k.PublicKey, k)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindInternal, d, err)
+	}
+	c, err := x509.ParseCertificate(b)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindInternal, d, err)
+	}
+	if err := os.MkdirAll(d, folderMode); err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindBadRequest, d, err)
+	}
+	a := &Authority{folder: d, certificate: c, key: k}
+	return a, a.write("ca.pem", "CERTIFICATE", b)
+}
+
+func template(name string, d time.Duration) *x509.Certificate {
+	n, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	t := time.Now()
+	return &x509.Certificate{
+		SerialNumber: n,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    t.Add(-time.Hour),
+		NotAfter:     t.Add(d),
+	}
+}
+
+// Issue writes certificate and key of the process on VM v to v.pem and v-key.pem.
+func (a *Authority) Issue(v string) error {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, v, err)
+	}
+	t := template(v, processTime)
+	t.DNSNames = []string{serverName}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	b, err := x509.CreateCertificate(rand.Reader, t, a.certificate, &k.PublicKey, a.key)
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, v, err)
+	}
+	p, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, v, err)
+	}
+	if err := a.write(v+".pem", "CERTIFICATE", b); err != nil {
+		return err
+	}
+	return a.write(v+"-key.pem", "PRIVATE KEY", p)
+}
+
+func (a *Authority) write(name, kind string, b []byte) error {
+	p := filepath.Join(a.folder, name)
+	if err := os.WriteFile(p, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), fileMode); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindBadRequest, p, err)
+	}
+	return nil
+}
