--- a/beat/beat.go
+++ b/beat/beat.go
@@ -16,10 +16,14 @@
 const (
 	interval = time.Second // Time between two reports to the same process.
 	jitter   = 100 * time.Millisecond
-	fixed    = 6 // Processes that get every report.
-	turning  = 2 // Further processes that get one report each, by turns.
+	fixed    = 3 // Processes that get every report.
+	turning  = 1 // Further processes that get one report each, by turns.
+	few      = 8 // Processes up to which all get every report.
 )
 
+// bootDigits is the number of hex digits that tell one start of a process from another.
+const bootDigits = 8
+
 // Beat sends reports to a bounded number of the processes that place work.
 type Beat struct {
 	self     bulrushlug.Member
@@ -34,7 +38,7 @@
 
 // New returns the beat of the agent m.
 func New(m bulrushlug.Member, p bulrushlug.Reporter, r bulrushlug.Roster, x bulrushlug.Mesh) *Beat {
-	return &Beat{self: m, boot: uuid.NewString(), reporter: p, roster: r, mesh: x}
+	return &Beat{self: m, boot: uuid.NewString()[:bootDigits], reporter: p, roster: r, mesh: x}
 }
 
 // Run sends reports until c ends.
@@ -67,7 +71,7 @@
 // some returns the processes for the next report: the first by rank, and a few others by turns.
 func (b *Beat) some() []bulrushlug.Member {
 	l := b.placers()
-	if len(l) <= fixed+turning {
+	if len(l) <= few {
 		return l
 	}
 	m := map[string]bulrushlug.Member{}
--- a/cmds/org.go
+++ b/cmds/org.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return err
 	}
+	if m.Bool("dry-run") {
+		return nil
+	}
 	return write(m, a, func(w io.Writer) { _, _ = fmt.Fprintf(w, "accepted as revision %d\n", a.Revision) })
 }
 
--- a/conf/load.go
+++ b/conf/load.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"net/url"
 	"os"
 	"regexp"
@@ -136,6 +137,9 @@
 			f.add(x.name, "is no host:port: %v", err)
 		}
 	}
+	if _, err := netip.ParseAddrPort(w.Listen); w.Listen != "" && err != nil {
+		f.add("listen", "needs an IP number and a port: %v", err)
+	}
 	urls := []struct{ name, value string }{{"store", w.Store}, {"vmList", w.VmList}, {"engine", w.Engine}}
 	for _, x := range w.Services {
 		if x.Name == "" {
--- a/conf/load_test.go
+++ b/conf/load_test.go
@@ -31,6 +31,7 @@
 		"missing field":      {"entry", `"vm": "entry-1",`, ``, `s.json:1: vm: is missing`},
 		"unknown role":       {"entry", `"role": "entry"`, `"role": "exit"`, `s.json:4: role: is "exit"`},
 		"no host and port":   {"entry", `127.0.0.1:7001`, `7001`, `s.json:7: listen: is no host:port`},
+		"name for a number":  {"entry", `127.0.0.1:7001`, `entry-1:7001`, `s.json:7: listen: needs an IP number`},
 		"no URL":             {"entry", `http://127.0.0.1:9001`, `here`, `s.json:10: store: is no URL`},
 		"too many replicas":  {"entry", `"replicas": 3`, `"replicas": 9`, `s.json:13: replicas: is 9, not from 1 to 5`},
 		"short secret":       {"entry", `eeff"]`, `ee"]`, `peerSecrets: needs 64 hex digits`},
--- a/ctrl/control.go
+++ b/ctrl/control.go
@@ -50,7 +50,7 @@
 	if m.Role() == bulrushlug.RoleEntry {
 		c.home = home.New(m.Name(), c.state, c.roster, x, sub("home"))
 		c.quota = quota.New(c.home, x, sub("quota"))
-		c.ringer = ringer.New(m, c.state, c.roster, p, c.ledger, func() bool { return c.spread.AsksStore() && !c.follow.Failing() }, c.rule.Ages)
+		c.ringer = ringer.New(m, c.state, c.roster, p, c.ledger, func() bool { return c.spread.AsksStore() && !c.follow.Failing() })
 		c.state.OnChange(c.home.Notice)
 	}
 	return c
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -4,11 +4,11 @@
 import (
 	"context"
 	"expvar"
-	"sync"
+	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/panjf2000/gnet/v2"
 
 	"bulrushlug.dev/bulrushlug"
@@ -16,13 +16,14 @@
 )
 
 const (
-	shardCount   = 8
-	maxDatagram  = 60 * 1024   // Bytes of a sealed message.
-	peersPerPart = 512         // Peers that one shard keeps connections to.
-	stopTimeout  = time.Second // Bounds the end of the event loops.
+	maxDatagram = 60 * 1024   // Bytes of a sealed message.
+	stopTimeout = time.Second // Bounds the end of the event loops.
 )
 
-// Mesh receives on one UDP address and sends to any.
+// Mesh receives on one UDP address, by the event loops of gnet, and sends from a socket of its own.
+//
+// Sending by connected sockets of gnet's client was given up: the loop closes one when its peer is down, and
+// later writes go to whatever has taken the descriptor.
 type Mesh struct {
 	gnet.BuiltinEventEngine
 	vm      string
@@ -30,28 +31,22 @@
 	seal    *seal
 	handle  atomic.Pointer[func(bulrushlug.Message)]
 	engine  gnet.Engine
-	client  *gnet.Client
 	booted  chan struct{}
-	shards  [shardCount]shard
+	out     *net.UDPConn // Safe for use by several goroutines.
 	counts  *expvar.Map
 }
 
-type shard struct {
-	mu    sync.Mutex
-	conns map[string]gnet.Conn // By address.
-}
-
 // New returns the mesh of VM v, which listens on address a; counts gets the numbers of messages and bytes.
 func New(v, a string, secrets []string, counts *expvar.Map) (*Mesh, error) {
 	s, err := newSeal(secrets)
 	if err != nil {
 		return nil, err
 	}
-	m := &Mesh{vm: v, address: a, seal: s, booted: make(chan struct{}), counts: counts}
-	for i := range m.shards {
-		m.shards[i].conns = map[string]gnet.Conn{}
+	o, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindInternal, a, err)
 	}
-	return m, nil
+	return &Mesh{vm: v, address: a, seal: s, booted: make(chan struct{}), out: o, counts: counts}, nil
 }
 
 // OnMessage sets the function that handles messages; it must not block.
@@ -59,15 +54,7 @@
 
 // Run receives until c ends.
 func (m *Mesh) Run(c context.Context) error {
-	k, err := gnet.NewClient(&gnet.BuiltinEventEngine{}, gnet.WithLogger(quiet{}))
-	if err != nil {
-		return bulrushlug.WrapFault(bulrushlug.KindInternal, m.address, err)
-	}
-	if err := k.Start(); err != nil {
-		return bulrushlug.WrapFault(bulrushlug.KindInternal, m.address, err)
-	}
-	m.client = k
-	defer func() { _ = k.Stop() }()
+	defer func() { _ = m.out.Close() }()
 	done := make(chan error, 1)
 	go func() {
 		done <- gnet.Run(m, "udp://"+m.address, gnet.WithReusePort(false), gnet.WithLogger(quiet{}))
@@ -132,58 +119,19 @@
 		return
 	}
 	b = m.seal.close(b)
-	k, err := m.conn(a)
-	if err == nil {
-		_, err = k.Write(b)
-	}
-	if err != nil {
+	if err := m.write(a, b); err != nil {
 		m.counts.Add("notSent", 1)
-		m.forget(a)
 		return
 	}
 	m.counts.Add("messagesOut", 1)
 	m.counts.Add("bytesOut", int64(len(b)))
 }
 
-func (m *Mesh) shard(a string) *shard { return &m.shards[xxhash.Sum64String(a)%shardCount] }
-
-func (m *Mesh) conn(a string) (gnet.Conn, error) {
-	select {
-	case <-m.booted:
-	default:
-		return nil, bulrushlug.NewFault(bulrushlug.KindUnplaceable, "%s: not started", m.address)
-	}
-	s := m.shard(a)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if k, ok := s.conns[a]; ok {
-		return k, nil
-	}
-	k, err := m.client.Dial("udp", a)
+func (m *Mesh) write(a string, b []byte) error {
+	p, err := netip.ParseAddrPort(a)
 	if err != nil {
-		return nil, err
-	}
-	if len(s.conns) >= peersPerPart {
-		s.closeOne()
-	}
-	s.conns[a] = k
-	return k, nil
-}
-
-func (s *shard) closeOne() {
-	for a, k := range s.conns {
-		_ = k.Close()
-		delete(s.conns, a)
-		return
-	}
-}
-
-func (m *Mesh) forget(a string) {
-	s := m.shard(a)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if k, ok := s.conns[a]; ok {
-		_ = k.Close()
-		delete(s.conns, a)
+		return err
 	}
+	_, err = m.out.WriteToUDPAddrPort(b, p)
+	return err
 }
--- a/ringer/ringer.go
+++ b/ringer/ringer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,23 +21,21 @@
 	author     = "ringer"
 )
 
-// Ringer looks after the entries of its own availability zone, and after zones that are silent.
+// Ringer looks after the entries of its own availability zone, and of zones in which no entry answers.
 type Ringer struct {
 	self   bulrushlug.Member
 	source bulrushlug.Source
 	roster bulrushlug.Roster
 	prober bulrushlug.Prober
 	ledger bulrushlug.Proposer
-	roots  func() bool                     // Reports whether the process has this duty.
-	zones  func() map[string]time.Duration // Ages of the zones heard.
-	heard  map[string]time.Time            // When each entry last answered or was first seen; only Run uses it.
-	silent map[string]time.Time            // Since when each zone is silent; only Run uses it.
-	epoch  uint64                          // Newest ring seen; only Run uses it.
-	since  time.Time                       // When it was first seen.
+	roots  func() bool          // Reports whether the process has this duty.
+	heard  map[string]time.Time // When each entry last answered or was first seen; only Run uses it.
+	epoch  uint64               // Newest ring seen; only Run uses it.
+	since  time.Time            // When it was first seen.
 }
 
-// New returns the ringer of the entry m, which has the duty while f says so; z gives the ages of the zones heard.
-func New(m bulrushlug.Member, s bulrushlug.Source, r bulrushlug.Roster, p bulrushlug.Prober, l bulrushlug.Proposer, f func() bool, z func() map[string]time.Duration) *Ringer {
+// New returns the ringer of the entry m, which has the duty while f says so.
+func New(m bulrushlug.Member, s bulrushlug.Source, r bulrushlug.Roster, p bulrushlug.Prober, l bulrushlug.Proposer, f func() bool) *Ringer {
 	return &Ringer{
 		self:   m,
 		source: s,
@@ -44,9 +43,7 @@
 		prober: p,
 		ledger: l,
 		roots:  f,
-		zones:  z,
 		heard:  map[string]time.Time{},
-		silent: map[string]time.Time{},
 	}
 }
 
@@ -99,34 +96,56 @@
 }
 
 // want returns the members that the ring should have, sorted by name.
+//
+// Before the first ring, these are all entries that answer. Later each zone looks after its own entries, and
+// after those of the zones that follow it up to the first one in which an entry answers.
 func (g *Ringer) want(c context.Context, now bulrushlug.Ring) []string {
-	f := g.source.Config()
-	silent := g.silentZones()
+	zones := g.byZone()
+	duty := g.duty(c, zones, now.Epoch() == 0)
 	var w []string
-	for _, m := range g.roster.Members() {
-		if m.Role() != bulrushlug.RoleEntry || m.Leaving() || f.VM(m.Name()).Draining() {
-			continue
-		}
-		if g.keeps(c, m, now, silent) {
-			w = append(w, m.Name())
+	for z, l := range zones {
+		for _, m := range l {
+			if duty[z] && g.answers(c, m) || !duty[z] && slices.Contains(now.Members(), m.Name()) {
+				w = append(w, m.Name())
+			}
 		}
 	}
 	slices.Sort(w)
 	return w
 }
 
-// keeps reports whether m belongs in the ring; entries of other zones are those zones' duty while they are heard.
-func (g *Ringer) keeps(c context.Context, m bulrushlug.Member, now bulrushlug.Ring, silent map[string]bool) bool {
-	if m.Name() == g.self.Name() {
-		return true
+// byZone returns the entries that stay, by zone.
+func (g *Ringer) byZone() map[string][]bulrushlug.Member {
+	f := g.source.Config()
+	l := map[string][]bulrushlug.Member{}
+	for _, m := range g.roster.Members() {
+		if m.Role() == bulrushlug.RoleEntry && !m.Leaving() && !f.VM(m.Name()).Draining() {
+			l[m.Zone()] = append(l[m.Zone()], m)
+		}
 	}
-	if m.Zone() != g.self.Zone() && now.Epoch() > 0 {
-		return slices.Contains(now.Members(), m.Name()) && !silent[m.Zone()]
+	return l
+}
+
+// duty returns the zones that the process looks after.
+func (g *Ringer) duty(c context.Context, zones map[string][]bulrushlug.Member, all bool) map[string]bool {
+	names := slices.Sorted(maps.Keys(zones))
+	own := slices.Index(names, g.self.Zone())
+	d := map[string]bool{g.self.Zone(): true}
+	for i := 1; i < len(names); i++ {
+		z := names[(max(0, own)+i)%len(names)]
+		if !all && slices.ContainsFunc(zones[z], func(m bulrushlug.Member) bool { return g.answers(c, m) }) {
+			break
+		}
+		d[z] = true
 	}
-	return g.answers(c, m)
+	return d
 }
 
+// answers reports whether m answered within deadAfter.
 func (g *Ringer) answers(c context.Context, m bulrushlug.Member) bool {
+	if m.Name() == g.self.Name() {
+		return true
+	}
 	c, stop := context.WithTimeout(c, probeTime)
 	defer stop()
 	t, seen := g.heard[m.Name()]
@@ -136,21 +155,3 @@
 	}
 	return seen && time.Since(t) < deadAfter
 }
-
-// silentZones returns the zones that were not heard for deadAfter.
-func (g *Ringer) silentZones() map[string]bool {
-	ages := g.zones()
-	l := map[string]bool{}
-	for _, m := range g.roster.Members() {
-		z := m.Zone()
-		if _, ok := ages[z]; ok || z == g.self.Zone() {
-			delete(g.silent, z)
-			continue
-		}
-		if _, ok := g.silent[z]; !ok {
-			g.silent[z] = time.Now()
-		}
-		l[z] = time.Since(g.silent[z]) >= deadAfter
-	}
-	return l
-}
--- a/spread/tree.go
+++ b/spread/tree.go
@@ -43,6 +43,7 @@
 	return t
 }
 
+// byRank returns the members of zone z in their order: entries first, since agents send load reports besides.
 func byRank(z string, l []bulrushlug.Member) []bulrushlug.Member {
 	m := map[string]bulrushlug.Member{}
 	var n []string
@@ -50,11 +51,15 @@
 		m[x.Name()] = x
 		n = append(n, x.Name())
 	}
-	var o []bulrushlug.Member
+	var entries, others []bulrushlug.Member
 	for _, x := range rank.Order(z, n) {
-		o = append(o, m[x])
+		if m[x].Role() == bulrushlug.RoleEntry {
+			entries = append(entries, m[x])
+		} else {
+			others = append(others, m[x])
+		}
 	}
-	return o
+	return append(entries, others...)
 }
 
 // isRoot reports whether the process asks the key-value service.
