--- a/batch/items.go
+++ b/batch/items.go
@@ -13,7 +13,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/authn"
-	"bulrushlug.dev/bulrushlug/lane"
+	"bulrushlug.dev/bulrushlug/sched"
 )
 
 const (
@@ -66,7 +66,7 @@
 		switch {
 		case err == nil:
 			return done(id, line, a), nil
-		case !lane.Refused(err):
+		case !sched.Refused(err):
 			if fails++; fails >= itemAttempts || isFinal(err) {
 				return failed(id, line, err), nil
 			}
@@ -98,14 +98,14 @@
 // attempt runs the item once it is its turn.
 func (r *run) attempt(c context.Context, id string, n uint32, line []byte) (*answer, error) {
 	o := r.job.Organisation()
-	if err := r.lanes.Enter(c, o, r.job.Due()); err != nil {
+	if err := r.scheduler.Enter(c, o, r.job.Due()); err != nil {
 		return nil, err
 	}
 	c, stop := context.WithTimeout(c, itemTime)
 	defer stop()
 	a := &answer{}
 	err := r.stage.Run(c, r.request(id, n, line), a)
-	r.lanes.Leave(o, err != nil && lane.Refused(err))
+	r.scheduler.Leave(o, err != nil && sched.Refused(err))
 	return a, err
 }
 
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -13,8 +13,8 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/copies"
 	"bulrushlug.dev/bulrushlug/jobs"
-	"bulrushlug.dev/bulrushlug/lane"
 	"bulrushlug.dev/bulrushlug/rank"
+	"bulrushlug.dev/bulrushlug/sched"
 )
 
 const (
@@ -26,17 +26,17 @@
 
 // Runner owns and runs jobs.
 type Runner struct {
-	self     string
-	jobs     *jobs.Jobs
-	copies   *copies.Copies
-	lanes    *lane.Lanes // Items that run.
-	open     *lane.Lanes // Chunks whose items run or wait.
-	stage    bulrushlug.Stage
-	source   bulrushlug.Source
-	roster   bulrushlug.Roster
-	prober   bulrushlug.Prober
-	recorder bulrushlug.Recorder
-	counts   *expvar.Map
+	self      string
+	jobs      *jobs.Jobs
+	copies    *copies.Copies
+	scheduler *sched.Scheduler // Items that run.
+	open      *sched.Scheduler // Chunks whose items run or wait.
+	stage     bulrushlug.Stage
+	source    bulrushlug.Source
+	roster    bulrushlug.Roster
+	prober    bulrushlug.Prober
+	recorder  bulrushlug.Recorder
+	counts    *expvar.Map
 
 	mu     sync.Mutex           // Guards the fields below.
 	runs   map[string]*run      // By job.
@@ -61,8 +61,8 @@
 type option func(r *Runner)
 
 // WithPipe runs items by the pipe g, admitted by l.
-func WithPipe(g bulrushlug.Stage, l *lane.Lanes) option {
-	return func(r *Runner) { r.stage, r.lanes = g, l }
+func WithPipe(g bulrushlug.Stage, l *sched.Scheduler) option {
+	return func(r *Runner) { r.stage, r.scheduler = g, l }
 }
 
 // WithRecords keeps jobs in j and chunks in x.
@@ -82,7 +82,7 @@
 
 // New returns the runner on VM v.
 func New(v string, o ...option) *Runner {
-	r := &Runner{self: v, open: lane.New(func() int { return openChunks }), runs: map[string]*run{}, owners: map[string]sight{}, heard: map[string]time.Time{}}
+	r := &Runner{self: v, open: sched.New(func() int { return openChunks }), runs: map[string]*run{}, owners: map[string]sight{}, heard: map[string]time.Time{}}
 	for _, f := range o {
 		f(r)
 	}
--- a/cmds/certificate.go
+++ b/cmds/certificate.go
@@ -6,7 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"bulrushlug.dev/bulrushlug/mint"
+	"bulrushlug.dev/bulrushlug/issuer"
 )
 
 func certificateCommand() *cli.Command {
@@ -19,7 +19,7 @@
 			if m.Args().Len() == 0 {
 				return fmt.Errorf("%s: needs at least one VM", m.FullName())
 			}
-			a, err := mint.New(m.String("folder"))
+			a, err := issuer.New(m.String("folder"))
 			if err != nil {
 				return err
 			}
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/disk"
 	"bulrushlug.dev/bulrushlug/rank"
-	"bulrushlug.dev/bulrushlug/vault"
 )
 
 const (
@@ -20,7 +20,7 @@
 
 // Copies writes and reads chunks by the VMs of a roster.
 type Copies struct {
-	vault  bulrushlug.Vault
+	chunks bulrushlug.ChunkStore
 	roster bulrushlug.Roster
 	count  int                  // Copies of each chunk, at least one.
 	mu     sync.Mutex           // Guards failed.
@@ -28,8 +28,8 @@
 }
 
 // New returns a store with n copies of each chunk.
-func New(v bulrushlug.Vault, r bulrushlug.Roster, n int) *Copies {
-	return &Copies{vault: v, roster: r, count: max(1, n), failed: map[string]time.Time{}}
+func New(v bulrushlug.ChunkStore, r bulrushlug.Roster, n int) *Copies {
+	return &Copies{chunks: v, roster: r, count: max(1, n), failed: map[string]time.Time{}}
 }
 
 // data returns the data VMs that take new chunks.
@@ -97,7 +97,7 @@
 	if len(v) < want/2+1 {
 		return bulrushlug.Part{}, bulrushlug.WrapFault(bulrushlug.KindStorage, f, err)
 	}
-	return bulrushlug.NewPart(f, n, v, items, uint32(len(p)), vault.Sum(p)), nil
+	return bulrushlug.NewPart(f, n, v, items, uint32(len(p)), disk.Sum(p)), nil
 }
 
 // spread puts p on want of the VMs in l; the later ones stand in for those that fail.
@@ -108,7 +108,7 @@
 	}
 	out := make(chan answer, len(l))
 	put := func(m bulrushlug.Member) {
-		out <- answer{vm: m.Name(), err: x.vault.Put(c, m.Address(), f, n, p)}
+		out <- answer{vm: m.Name(), err: x.chunks.Put(c, m.Address(), f, n, p)}
 	}
 	for _, m := range l[:want] {
 		go put(m)
@@ -153,11 +153,11 @@
 func (x *Copies) read(c context.Context, m bulrushlug.Member, p bulrushlug.Part) ([]byte, error) {
 	c, stop := context.WithTimeout(c, readTimeout)
 	defer stop()
-	b, err := x.vault.Get(c, m.Address(), p.File(), p.Index())
+	b, err := x.chunks.Get(c, m.Address(), p.File(), p.Index())
 	if err != nil {
 		return nil, err
 	}
-	if vault.Sum(b) != p.Sum() {
+	if disk.Sum(b) != p.Sum() {
 		return nil, bulrushlug.NewFault(bulrushlug.KindStorage, "%s: the copy on %s is damaged", p.File(), m.Name())
 	}
 	return b, nil
@@ -167,7 +167,7 @@
 func (x *Copies) Drop(c context.Context, p bulrushlug.Part) {
 	for _, m := range x.roster.Members() {
 		if slices.Contains(p.VMs(), m.Name()) {
-			_ = x.vault.Drop(c, m.Address(), p.File(), p.Index())
+			_ = x.chunks.Drop(c, m.Address(), p.File(), p.Index())
 		}
 	}
 }
@@ -187,7 +187,7 @@
 		if len(left) >= x.count {
 			break
 		}
-		if slices.Contains(left, m.Name()) || x.vault.Put(c, m.Address(), p.File(), p.Index(), b) != nil {
+		if slices.Contains(left, m.Name()) || x.chunks.Put(c, m.Address(), p.File(), p.Index(), b) != nil {
 			continue
 		}
 		left = append(left, m.Name())
--- a/ctrl/control.go
+++ b/ctrl/control.go
@@ -12,7 +12,7 @@
 	"bulrushlug.dev/bulrushlug/home"
 	"bulrushlug.dev/bulrushlug/ledger"
 	"bulrushlug.dev/bulrushlug/quota"
-	"bulrushlug.dev/bulrushlug/ringer"
+	"bulrushlug.dev/bulrushlug/ring"
 	"bulrushlug.dev/bulrushlug/roster"
 	"bulrushlug.dev/bulrushlug/spread"
 	"bulrushlug.dev/bulrushlug/state"
@@ -27,9 +27,9 @@
 	spread *spread.Spread
 	ledger *ledger.Ledger
 	follow *follow.Follow
-	home   *home.Home     // Nil on agents.
-	quota  *quota.Quota   // Nil on agents.
-	ringer *ringer.Ringer // Nil on agents.
+	home   *home.Home       // Nil on agents.
+	quota  *quota.Quota     // Nil on agents.
+	rings  *ring.Maintainer // Nil on agents.
 }
 
 // peers calls other processes.
@@ -50,7 +50,7 @@
 	if m.Role() == bulrushlug.RoleEntry {
 		c.home = home.New(m.Name(), c.state, c.roster, x, sub("home"))
 		c.quota = quota.New(c.home, x, sub("quota"))
-		c.ringer = ringer.New(m, c.state, c.roster, p, c.ledger, func() bool { return c.spread.AsksStore() && !c.follow.Failing() })
+		c.rings = ring.New(m, c.state, c.roster, p, c.ledger, func() bool { return c.spread.AsksStore() && !c.follow.Failing() })
 		c.state.OnChange(c.home.Notice)
 	}
 	return c
@@ -85,8 +85,8 @@
 	_ = c.roster.Poll(x)
 	var g sync.WaitGroup
 	parts := []func(context.Context) error{c.roster.Run, c.follow.Run, c.spread.Run}
-	if c.ringer != nil {
-		parts = append(parts, c.ringer.Run)
+	if c.rings != nil {
+		parts = append(parts, c.rings.Run)
 	}
 	for _, f := range parts {
 		g.Go(func() { _ = f(x) })
@@ -101,5 +101,5 @@
 	if len(r.Members()) < 2 {
 		return bulrushlug.NewFault(bulrushlug.KindConflict, "no other entry is in the ring")
 	}
-	return c.ringer.Propose(x, r, r.Members(), func(n string) bool { return n == c.self.Name() })
+	return c.rings.Propose(x, r, r.Members(), func(n string) bool { return n == c.self.Name() })
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -20,6 +20,7 @@
 	"bulrushlug.dev/bulrushlug/memlm"
 	"bulrushlug.dev/bulrushlug/memvm"
 	"bulrushlug.dev/bulrushlug/node"
+	"bulrushlug.dev/bulrushlug/ports"
 	"bulrushlug.dev/bulrushlug/simkv"
 	"bulrushlug.dev/bulrushlug/simlm"
 	"bulrushlug.dev/bulrushlug/simsvc"
@@ -48,11 +49,14 @@
 	entries []string       // URLs of the entries.
 	service *simsvc.Server // Plain service beside both agents.
 	logger  log.Logger
+	ports   *ports.Ports
 	wait    sync.WaitGroup
 }
 
 // New returns a demonstration that writes to w.
-func New(w io.Writer) *Demo { return &Demo{out: w, service: simsvc.New(), logger: log.NewNopLogger()} }
+func New(w io.Writer) *Demo {
+	return &Demo{out: w, service: simsvc.New(), logger: log.NewNopLogger(), ports: ports.New()}
+}
 
 // Run starts the fleet, asks one question, runs one batch job and shows the events of both.
 func (d *Demo) Run(c context.Context) error {
@@ -93,7 +97,11 @@
 
 // serve serves h on a free port and returns its URL.
 func (d *Demo) serve(c context.Context, h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := d.ports.Next()
+	if err != nil {
+		return "", err
+	}
+	l, err := net.Listen("tcp", a)
 	if err != nil {
 		return "", err
 	}
@@ -103,18 +111,8 @@
 	return "http://" + l.Addr().String(), nil
 }
 
-// free returns an address that nothing listens on.
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func (d *Demo) entry(c context.Context, zone string) error {
-	h, err := free()
+	h, err := d.ports.Next()
 	if err != nil {
 		return err
 	}
@@ -145,7 +143,7 @@
 
 // node runs the process n with some more settings.
 func (d *Demo) node(c context.Context, n, zone, more string) error {
-	a, err := free()
+	a, err := d.ports.Next()
 	if err != nil {
 		return err
 	}
--- a/vault/disk.go
+++ b/disk/disk.go
@@ -1,5 +1,5 @@
-// Package vault keeps chunks of files on the disk of one VM.
-package vault
+// Package disk keeps chunks of files on the disk of one VM.
+package disk
 
 import (
 	"encoding/binary"
--- a/vault/disk_test.go
+++ b/disk/disk_test.go
@@ -1,4 +1,4 @@
-package vault
+package disk
 
 import (
 	"bytes"
--- a/mint/authority.go
+++ b/issuer/authority.go
@@ -1,5 +1,5 @@
-// Package mint makes certificates for connections between processes.
-package mint
+// Package issuer makes certificates for connections between processes.
+package issuer
 
 import (
 	"crypto/ecdsa"
--- a/link/link.go
+++ b/link/link.go
@@ -159,7 +159,7 @@
 func (l *Link) Put(c context.Context, a, f string, n uint32, p []byte) error {
 	c, stop := context.WithTimeout(c, callTimeout)
 	defer stop()
-	_, err := wire.NewDRPCVaultClient(l.conn(c, a)).Put(c, &wire.Chunk{File: f, Index: n, Data: p})
+	_, err := wire.NewDRPCChunksClient(l.conn(c, a)).Put(c, &wire.Chunk{File: f, Index: n, Data: p})
 	return storage(a, err)
 }
 
@@ -167,7 +167,7 @@
 func (l *Link) Get(c context.Context, a, f string, n uint32) ([]byte, error) {
 	c, stop := context.WithTimeout(c, callTimeout)
 	defer stop()
-	x, err := wire.NewDRPCVaultClient(l.conn(c, a)).Get(c, &wire.ChunkRef{File: f, Index: n})
+	x, err := wire.NewDRPCChunksClient(l.conn(c, a)).Get(c, &wire.ChunkRef{File: f, Index: n})
 	if err != nil {
 		return nil, storage(a, err)
 	}
@@ -178,7 +178,7 @@
 func (l *Link) Drop(c context.Context, a, f string, n uint32) error {
 	c, stop := context.WithTimeout(c, callTimeout)
 	defer stop()
-	_, err := wire.NewDRPCVaultClient(l.conn(c, a)).Drop(c, &wire.ChunkRef{File: f, Index: n})
+	_, err := wire.NewDRPCChunksClient(l.conn(c, a)).Drop(c, &wire.ChunkRef{File: f, Index: n})
 	return storage(a, err)
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -15,8 +15,8 @@
 	"bulrushlug.dev/bulrushlug/clock"
 	"bulrushlug.dev/bulrushlug/event"
 	"bulrushlug.dev/bulrushlug/fresh"
+	"bulrushlug.dev/bulrushlug/issuer"
 	"bulrushlug.dev/bulrushlug/link"
-	"bulrushlug.dev/bulrushlug/mint"
 	"bulrushlug.dev/bulrushlug/serve"
 	"bulrushlug.dev/bulrushlug/state"
 	"bulrushlug.dev/bulrushlug/wire"
@@ -88,7 +88,7 @@
 // certificates makes an authority and returns the configuration of one process.
 func certificates(t *testing.T, vm string) func() *tls.Config {
 	d := t.TempDir()
-	a, err := mint.New(d)
+	a, err := issuer.New(d)
 	if err == nil {
 		err = a.Issue(vm)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,20 +21,20 @@
 	"bulrushlug.dev/bulrushlug/conf"
 	"bulrushlug.dev/bulrushlug/copies"
 	"bulrushlug.dev/bulrushlug/ctrl"
+	"bulrushlug.dev/bulrushlug/disk"
 	"bulrushlug.dev/bulrushlug/event"
 	"bulrushlug.dev/bulrushlug/fleet"
 	"bulrushlug.dev/bulrushlug/jobs"
-	"bulrushlug.dev/bulrushlug/lane"
 	"bulrushlug.dev/bulrushlug/link"
 	"bulrushlug.dev/bulrushlug/mesh"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/place"
 	"bulrushlug.dev/bulrushlug/relay"
 	"bulrushlug.dev/bulrushlug/repair"
+	"bulrushlug.dev/bulrushlug/sched"
 	"bulrushlug.dev/bulrushlug/serve"
 	"bulrushlug.dev/bulrushlug/store"
 	"bulrushlug.dev/bulrushlug/tally"
-	"bulrushlug.dev/bulrushlug/vault"
 	"bulrushlug.dev/bulrushlug/vmlist"
 	"bulrushlug.dev/bulrushlug/wire"
 )
@@ -59,6 +59,7 @@
 	store    bulrushlug.Store
 	tls      func() *tls.Config
 	leaving  atomic.Bool
+	taken    chan struct{} // Closed once the platform takes the VM away.
 	role     role
 	disk     bulrushlug.Disk // Nil without a data folder.
 }
@@ -99,6 +100,7 @@
 		clock:    clock.New(),
 		fleet:    fleet.New(),
 		store:    store.New(s.Store()),
+		taken:    make(chan struct{}),
 	}
 	if err := n.secure(); err != nil {
 		return nil, err
@@ -133,7 +135,7 @@
 
 func (n *Node) setRole() error {
 	if d := n.settings.DataFolder(); d != "" {
-		k, err := vault.New(d)
+		k, err := disk.New(d)
 		if err != nil {
 			return err
 		}
@@ -159,6 +161,7 @@
 	for _, m := range l {
 		if m.Name() == n.self.Name() && m.Leaving() && n.leaving.CompareAndSwap(false, true) {
 			_ = n.logger.Log("event", "leaving", "reason", "VM list")
+			close(n.taken)
 		}
 	}
 }
@@ -182,16 +185,19 @@
 	}
 	data, stopData := context.WithCancel(work)
 	defer stopData()
-	var batches group
-	batches.fail = stop
-	n.startData(data, &batches)
+	batches := &group{fail: stop}
+	n.startData(data, batches)
 	_ = n.logger.Log("event", "started", "role", n.settings.Role(), "listen", n.settings.Listen())
-	n.await(c, work)
+	select {
+	case <-c.Done():
+	case <-work.Done():
+	case <-n.taken:
+	}
 	if err := context.Cause(work); err != nil {
 		_ = n.logger.Log("event", "failed", "err", err)
 		return err
 	}
-	n.drain(stopData, &batches)
+	n.drain(stopData, batches)
 	stop(nil)
 	g.wait.Wait()
 	_ = n.link.Close()
@@ -199,27 +205,7 @@
 	return nil
 }
 
-// leavePoll is the time between two looks whether the platform takes the VM away.
-const leavePoll = 500 * time.Millisecond
-
-// await waits until the process must stop.
-func (n *Node) await(c, work context.Context) {
-	t := time.NewTicker(leavePoll)
-	defer t.Stop()
-	for {
-		select {
-		case <-c.Done():
-			return
-		case <-work.Done():
-			return
-		case <-t.C:
-			if n.leaving.Load() {
-				return
-			}
-		}
-	}
-}
-
+// drain gives the jobs up and then has the role finish or hand over what it has.
 func (n *Node) drain(stopData func(), batches *group) {
 	n.leaving.Store(true)
 	_ = n.logger.Log("event", "draining")
@@ -234,7 +220,7 @@
 func (n *Node) server() *serve.Server {
 	return serve.New(n.control.State(), n.events, n.clock, n.position,
 		serve.WithStage(n.role.stage()),
-		serve.WithVault(n.disk),
+		serve.WithDisk(n.disk),
 		serve.WithTLS(n.tls))
 }
 
@@ -293,7 +279,7 @@
 		tally.New(n.sub("items"), n.events),
 		place.New(n.control.State(), n.control.Roster(), n.fleet, choose.New(n.self.Zone())))
 	r := batch.New(n.self.Name(),
-		batch.WithPipe(p, lane.New(n.capacity)),
+		batch.WithPipe(p, sched.New(n.capacity)),
 		batch.WithRecords(n.jobs, n.copies),
 		batch.WithFleet(n.control.State(), n.control.Roster(), n.link),
 		batch.WithReports(n.events, counts))
--- a/relay/hold.go
+++ b/relay/heldanswer.go
@@ -5,8 +5,8 @@
 // holdLimit is the number of bytes of an answer that are held back at most.
 const holdLimit = 4 << 20
 
-// hold keeps an answer back until it is whole or too large, so that it can still be replaced.
-type hold struct {
+// heldAnswer keeps an answer back until it is whole or too large, so that it can still be replaced.
+type heldAnswer struct {
 	sink        bulrushlug.Sink
 	keep        bool // Pieces are kept back.
 	passed      bool // Something was passed on.
@@ -16,22 +16,22 @@
 	headed      func() // Called when the head comes.
 }
 
-func newHold(s bulrushlug.Sink, keep bool) *hold { return &hold{sink: s, keep: keep} }
+func newHeldAnswer(s bulrushlug.Sink, keep bool) *heldAnswer { return &heldAnswer{sink: s, keep: keep} }
 
-func (h *hold) onHead(f func()) { h.headed = f }
+func (h *heldAnswer) onHead(f func()) { h.headed = f }
 
 // reset forgets what was kept back.
-func (h *hold) reset() { h.status, h.contentType, h.data = 0, "", nil }
+func (h *heldAnswer) reset() { h.status, h.contentType, h.data = 0, "", nil }
 
 // Head keeps the head until data comes.
-func (h *hold) Head(n int, t string) error {
+func (h *heldAnswer) Head(n int, t string) error {
 	h.status, h.contentType = n, t
 	h.headed()
 	return nil
 }
 
 // Write keeps p or passes it on.
-func (h *hold) Write(p []byte) error {
+func (h *heldAnswer) Write(p []byte) error {
 	if h.keep && len(h.data)+len(p) <= holdLimit {
 		h.data = append(h.data, p...)
 		return nil
@@ -43,7 +43,7 @@
 }
 
 // release passes on what was kept.
-func (h *hold) release() error {
+func (h *heldAnswer) release() error {
 	h.keep = false
 	if h.passed {
 		return nil
@@ -61,4 +61,4 @@
 }
 
 // flush passes on the rest of an answer that is whole.
-func (h *hold) flush() error { return h.release() }
+func (h *heldAnswer) flush() error { return h.release() }
--- a/relay/stage.go
+++ b/relay/stage.go
@@ -26,7 +26,7 @@
 // and nothing of its answer was passed on.
 func (g *Stage) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
 	g.budget.earn()
-	h := newHold(s, !r.Stream())
+	h := newHeldAnswer(s, !r.Stream())
 	var err error
 	for i, d := range r.Candidates() {
 		if i > 0 {
@@ -44,7 +44,7 @@
 }
 
 // try sends r to d and notes how that went.
-func (g *Stage) try(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, h *hold) error {
+func (g *Stage) try(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, h *heldAnswer) error {
 	if !r.Batch() {
 		g.recorder.Record(bulrushlug.NewEvent("dispatch", bulrushlug.ForRequest(r), bulrushlug.WithDetail(d.VM())))
 	}
@@ -75,7 +75,7 @@
 }
 
 // again reports whether r may be sent to another candidate after err.
-func again(r *bulrushlug.Request, h *hold, err error) bool {
+func again(r *bulrushlug.Request, h *heldAnswer, err error) bool {
 	if h.passed {
 		return false
 	}
--- a/relay/stage_test.go
+++ b/relay/stage_test.go
@@ -11,9 +11,9 @@
 	"bulrushlug.dev/bulrushlug/fleet"
 )
 
-type nobody struct{}
+type noRecorder struct{}
 
-func (nobody) Record(bulrushlug.Event) {}
+func (noRecorder) Record(bulrushlug.Event) {}
 
 // caller is what one caller sees.
 type caller struct {
@@ -94,7 +94,7 @@
 	r := bulrushlug.NewRequest("r", o...)
 	r.Place([]bulrushlug.Candidate{bulrushlug.NewCandidate("x", "x"), bulrushlug.NewCandidate("y", "y"), bulrushlug.NewCandidate("z", "z")})
 	k := &caller{}
-	err := New(a, fleet.New(), nobody{}).Run(context.Background(), r, k)
+	err := New(a, fleet.New(), noRecorder{}).Run(context.Background(), r, k)
 	if !r.Idempotent() && a.ran > 1 {
 		t.Errorf("ran %d times", a.ran)
 	}
@@ -121,12 +121,12 @@
 
 func TestRetryBudget(t *testing.T) {
 	a := &agents{steps: []string{"refusedConnection"}}
-	g := New(a, fleet.New(), nobody{})
+	g := New(a, fleet.New(), noRecorder{})
 	for range 1000 {
 		r := bulrushlug.NewRequest("r", bulrushlug.WithIdempotent(true))
 		r.Place([]bulrushlug.Candidate{bulrushlug.NewCandidate("x", "x"), bulrushlug.NewCandidate("y", "y"), bulrushlug.NewCandidate("z", "z")})
 		if g.Run(context.Background(), r, &caller{}) == nil {
-			t.Fatal("a call to nobody was answered")
+			t.Fatal("a call to noRecorder was answered")
 		}
 	}
 	if n := a.calls - 1000; n > 1000/retryShare+retryAtOnce {
--- a/ringer/ringer.go
+++ b/ring/maintainer.go
@@ -1,5 +1,5 @@
-// Package ringer proposes new rings as entries come and go.
-package ringer
+// Package ring proposes new rings as entries come and go.
+package ring
 
 import (
 	"context"
@@ -18,11 +18,11 @@
 	deadAfter  = 4 * time.Second  // Time without an answer after which an entry is left out.
 	ringPause  = 30 * time.Second // Least time between two rings.
 	leavePause = 15 * time.Second // Least time between two rings where an entry leaves.
-	author     = "ringer"
+	author     = "ring"
 )
 
-// Ringer looks after the entries of its own availability zone, and of zones in which no entry answers.
-type Ringer struct {
+// Maintainer looks after the entries of its own availability zone, and of zones in which no entry answers.
+type Maintainer struct {
 	self   bulrushlug.Member
 	source bulrushlug.Source
 	roster bulrushlug.Roster
@@ -34,9 +34,9 @@
 	since  time.Time            // When it was first seen.
 }
 
-// New returns the ringer of the entry m, which has the duty while f says so.
-func New(m bulrushlug.Member, s bulrushlug.Source, r bulrushlug.Roster, p bulrushlug.Prober, l bulrushlug.Proposer, f func() bool) *Ringer {
-	return &Ringer{
+// New returns the maintainer of the entry m, which has the duty while f says so.
+func New(m bulrushlug.Member, s bulrushlug.Source, r bulrushlug.Roster, p bulrushlug.Prober, l bulrushlug.Proposer, f func() bool) *Maintainer {
+	return &Maintainer{
 		self:   m,
 		source: s,
 		roster: r,
@@ -48,7 +48,7 @@
 }
 
 // Run proposes rings until c ends.
-func (g *Ringer) Run(c context.Context) error {
+func (g *Maintainer) Run(c context.Context) error {
 	for bulrushlug.Wait(c, lookPause) == nil {
 		if g.roots() && g.source.Fresh() {
 			g.look(c)
@@ -57,7 +57,7 @@
 	return nil
 }
 
-func (g *Ringer) look(c context.Context) {
+func (g *Maintainer) look(c context.Context) {
 	now := g.source.Config().Ring()
 	if now.Epoch() != g.epoch {
 		g.epoch, g.since = now.Epoch(), time.Now()
@@ -73,7 +73,7 @@
 }
 
 // pause returns the least time since the last ring: a leaving entry is not kept waiting long.
-func (g *Ringer) pause(now bulrushlug.Ring, want []string) time.Duration {
+func (g *Maintainer) pause(now bulrushlug.Ring, want []string) time.Duration {
 	for _, n := range now.Members() {
 		if !slices.Contains(want, n) {
 			return leavePause
@@ -83,7 +83,7 @@
 }
 
 // Propose writes the ring after now, without those members of l that f accepts, unless another ring came first.
-func (g *Ringer) Propose(c context.Context, now bulrushlug.Ring, l []string, f func(n string) bool) error {
+func (g *Maintainer) Propose(c context.Context, now bulrushlug.Ring, l []string, f func(n string) bool) error {
 	l = slices.DeleteFunc(slices.Clone(l), f)
 	id := uuid.NewString()
 	_, err := g.ledger.Propose(c, func(x *bulrushlug.Config) (bulrushlug.Change, error) {
@@ -99,7 +99,7 @@
 //
 // Before the first ring, these are all entries that answer. Later each zone looks after its own entries, and
 // after those of the zones that follow it up to the first one in which an entry answers.
-func (g *Ringer) want(c context.Context, now bulrushlug.Ring) []string {
+func (g *Maintainer) want(c context.Context, now bulrushlug.Ring) []string {
 	zones := g.byZone()
 	duty := g.duty(c, zones, now.Epoch() == 0)
 	var w []string
@@ -115,7 +115,7 @@
 }
 
 // byZone returns the entries that stay, by zone.
-func (g *Ringer) byZone() map[string][]bulrushlug.Member {
+func (g *Maintainer) byZone() map[string][]bulrushlug.Member {
 	f := g.source.Config()
 	l := map[string][]bulrushlug.Member{}
 	for _, m := range g.roster.Members() {
@@ -127,7 +127,7 @@
 }
 
 // duty returns the zones that the process looks after.
-func (g *Ringer) duty(c context.Context, zones map[string][]bulrushlug.Member, all bool) map[string]bool {
+func (g *Maintainer) duty(c context.Context, zones map[string][]bulrushlug.Member, all bool) map[string]bool {
 	names := slices.Sorted(maps.Keys(zones))
 	own := slices.Index(names, g.self.Zone())
 	d := map[string]bool{g.self.Zone(): true}
@@ -142,7 +142,7 @@
 }
 
 // answers reports whether m answered within deadAfter.
-func (g *Ringer) answers(c context.Context, m bulrushlug.Member) bool {
+func (g *Maintainer) answers(c context.Context, m bulrushlug.Member) bool {
 	if m.Name() == g.self.Name() {
 		return true
 	}
--- a/lane/lanes.go
+++ b/sched/scheduler.go
@@ -1,5 +1,5 @@
-// Package lane shares the idle capacity among batch jobs.
-package lane
+// Package sched shares the idle capacity among batch jobs.
+package sched
 
 import (
 	"container/heap"
@@ -16,8 +16,8 @@
 	shrinkPause = 200 * time.Millisecond
 )
 
-// Lanes admits items: first the organisation with the fewest running items, then the job that is due first.
-type Lanes struct {
+// Scheduler admits items: first the organisation with the fewest running items, then the job that is due first.
+type Scheduler struct {
 	limit   func() int // Upper bound of the window.
 	mu      sync.Mutex // Guards the fields below.
 	window  float64    // Items that may run at once, at least 1.
@@ -62,13 +62,13 @@
 	return t
 }
 
-// New returns lanes that admit at most as many items as f says.
-func New(f func() int) *Lanes {
-	return &Lanes{limit: f, window: firstWindow, byOrg: map[string]int{}, waiting: map[string]*queue{}}
+// New returns a scheduler that admit at most as many items as f says.
+func New(f func() int) *Scheduler {
+	return &Scheduler{limit: f, window: firstWindow, byOrg: map[string]int{}, waiting: map[string]*queue{}}
 }
 
 // Enter waits until an item of organisation o, due at t, may run.
-func (l *Lanes) Enter(c context.Context, o string, t time.Time) error {
+func (l *Scheduler) Enter(c context.Context, o string, t time.Time) error {
 	x := &turn{organisation: o, due: t, start: make(chan struct{})}
 	l.mu.Lock()
 	l.push(x)
@@ -89,7 +89,7 @@
 	return c.Err()
 }
 
-func (l *Lanes) push(x *turn) {
+func (l *Scheduler) push(x *turn) {
 	q, ok := l.waiting[x.organisation]
 	if !ok {
 		q = &queue{}
@@ -98,7 +98,7 @@
 	heap.Push(q, x)
 }
 
-func (l *Lanes) remove(x *turn) {
+func (l *Scheduler) remove(x *turn) {
 	q := l.waiting[x.organisation]
 	heap.Remove(q, x.place)
 	if q.Len() == 0 {
@@ -107,7 +107,7 @@
 }
 
 // Leave notes that an item of o ended; refused says that there was no idle slot for it.
-func (l *Lanes) Leave(o string, refused bool) {
+func (l *Scheduler) Leave(o string, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -120,7 +120,7 @@
 	l.end(o)
 }
 
-func (l *Lanes) end(o string) {
+func (l *Scheduler) end(o string) {
 	l.running--
 	if l.byOrg[o]--; l.byOrg[o] == 0 {
 		delete(l.byOrg, o)
@@ -129,7 +129,7 @@
 }
 
 // fill admits those that are next; the caller holds the lock.
-func (l *Lanes) fill() {
+func (l *Scheduler) fill() {
 	l.window = max(1, min(l.window, float64(l.limit())))
 	for len(l.waiting) > 0 && l.running < int(l.window) {
 		x := l.next()
@@ -141,7 +141,7 @@
 }
 
 // next returns the turn that is due first of the organisation with the fewest running items.
-func (l *Lanes) next() *turn {
+func (l *Scheduler) next() *turn {
 	var b *turn
 	for o, q := range l.waiting {
 		x := (*q)[0]
--- a/script_test.go
+++ b/script_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,11 +17,16 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/tidwall/gjson"
+
+	"bulrushlug.dev/bulrushlug/ports"
 )
 
 // commandTime bounds the wait of one command of a script for its condition.
 const commandTime = 60 * time.Second
 
+// addresses are those of all scripts.
+var addresses = ports.New()
+
 // programs is the folder with the programs under test.
 var programs string
 
@@ -68,7 +72,7 @@
 	e.Setenv("BULRUSHLUG_CREDENTIAL", credential)
 	e.Setenv("HASH", credentialHash)
 	for i := range 24 {
-		a, err := free()
+		a, err := addresses.Next()
 		if err != nil {
 			return err
 		}
@@ -78,15 +82,6 @@
 	return nil
 }
 
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // settings writes a settings file and registers the VM: settings FILE VM ROLE ZONE LISTEN [FIELD=VALUE ...].
 func settings(ts *testscript.TestScript, _ bool, a []string) {
 	f, vm, role, zone, listen := a[0], a[1], a[2], a[3], a[4]
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -23,7 +23,7 @@
 // Server serves the pipe, the disk and the events of one process; parts that are nil are refused.
 type Server struct {
 	stage    bulrushlug.Stage // Pipe of the agent, or nil.
-	vault    bulrushlug.Disk  // Chunks on disk, or nil.
+	disk     bulrushlug.Disk  // Chunks on disk, or nil.
 	source   bulrushlug.Source
 	events   *event.Log
 	clock    *clock.Clock
@@ -37,8 +37,8 @@
 // WithStage serves calls by the pipe g.
 func WithStage(g bulrushlug.Stage) option { return func(s *Server) { s.stage = g } }
 
-// WithVault serves chunks from v.
-func WithVault(v bulrushlug.Disk) option { return func(s *Server) { s.vault = v } }
+// WithDisk serves chunks from v.
+func WithDisk(v bulrushlug.Disk) option { return func(s *Server) { s.disk = v } }
 
 // WithTLS secures connections by the configuration of t.
 func WithTLS(t func() *tls.Config) option { return func(s *Server) { s.tls = t } }
@@ -58,7 +58,7 @@
 	if err := wire.DRPCRegisterAgent(m, &agent{s}); err != nil {
 		return bulrushlug.WrapFault(bulrushlug.KindInternal, "drpc", err)
 	}
-	if err := wire.DRPCRegisterVault(m, &vault{s}); err != nil {
+	if err := wire.DRPCRegisterChunks(m, &chunks{s}); err != nil {
 		return bulrushlug.WrapFault(bulrushlug.KindInternal, "drpc", err)
 	}
 	if err := wire.DRPCRegisterPeer(m, &peer{s}); err != nil {
@@ -95,33 +95,33 @@
 	return k.end()
 }
 
-type vault struct{ *Server }
+type chunks struct{ *Server }
 
 var errNoFolder = bulrushlug.NewFault(bulrushlug.KindStorage, "this process has no data folder")
 
 // Put keeps a chunk.
-func (v *vault) Put(_ context.Context, w *wire.Chunk) (*wire.Done, error) {
-	if v.vault == nil {
+func (v *chunks) Put(_ context.Context, w *wire.Chunk) (*wire.Done, error) {
+	if v.disk == nil {
 		return nil, errNoFolder
 	}
-	return &wire.Done{}, v.vault.Put(w.File, w.Index, w.Data)
+	return &wire.Done{}, v.disk.Put(w.File, w.Index, w.Data)
 }
 
 // Get returns a chunk.
-func (v *vault) Get(_ context.Context, w *wire.ChunkRef) (*wire.Chunk, error) {
-	if v.vault == nil {
+func (v *chunks) Get(_ context.Context, w *wire.ChunkRef) (*wire.Chunk, error) {
+	if v.disk == nil {
 		return nil, errNoFolder
 	}
-	b, err := v.vault.Get(w.File, w.Index)
+	b, err := v.disk.Get(w.File, w.Index)
 	return &wire.Chunk{File: w.File, Index: w.Index, Data: b}, err
 }
 
 // Drop removes a chunk.
-func (v *vault) Drop(_ context.Context, w *wire.ChunkRef) (*wire.Done, error) {
-	if v.vault == nil {
+func (v *chunks) Drop(_ context.Context, w *wire.ChunkRef) (*wire.Done, error) {
+	if v.disk == nil {
 		return nil, errNoFolder
 	}
-	return &wire.Done{}, v.vault.Drop(w.File, w.Index)
+	return &wire.Done{}, v.disk.Drop(w.File, w.Index)
 }
 
 type peer struct{ *Server }
--- a/transport.go
+++ b/transport.go
@@ -8,8 +8,8 @@
 	Dispatch(c context.Context, d Candidate, r *Request, s Sink) error
 }
 
-// Vault keeps chunks of files on the VM at an address.
-type Vault interface {
+// ChunkStore keeps chunks of files on the VM at an address.
+type ChunkStore interface {
 	// Put keeps chunk n of file f; it returns once the chunk is synced to disk.
 	Put(c context.Context, address, f string, n uint32, p []byte) error
 	// Get returns chunk n of file f.
--- a/trial/batch_test.go
+++ b/trial/batch_test.go
@@ -19,17 +19,17 @@
 	"bulrushlug.dev/bulrushlug/bounds"
 	"bulrushlug.dev/bulrushlug/copies"
 	"bulrushlug.dev/bulrushlug/jobs"
-	"bulrushlug.dev/bulrushlug/lane"
 	"bulrushlug.dev/bulrushlug/memkv"
 	"bulrushlug.dev/bulrushlug/memlm"
 	"bulrushlug.dev/bulrushlug/park"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/repair"
+	"bulrushlug.dev/bulrushlug/sched"
 	"bulrushlug.dev/bulrushlug/upload"
 )
 
-// shelf is the disks of all data VMs, and their roster.
-type shelf struct {
+// dataVMs is the disks of all data VMs, and their roster.
+type dataVMs struct {
 	mu    sync.Mutex
 	disks map[string]map[string][]byte
 	down  map[string]bool // Neither process nor disk answers.
@@ -38,15 +38,15 @@
 	runs  map[string]bool // The process runs.
 }
 
-func newShelf(l ...string) *shelf {
-	s := &shelf{disks: map[string]map[string][]byte{}, down: map[string]bool{}, full: map[string]bool{}, gone: map[string]bool{}, runs: map[string]bool{}}
+func newDataVMs(l ...string) *dataVMs {
+	s := &dataVMs{disks: map[string]map[string][]byte{}, down: map[string]bool{}, full: map[string]bool{}, gone: map[string]bool{}, runs: map[string]bool{}}
 	for _, n := range l {
 		s.disks[n] = map[string][]byte{}
 	}
 	return s
 }
 
-func (s *shelf) set(m map[string]bool, n string, v bool) {
+func (s *dataVMs) set(m map[string]bool, n string, v bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m[n] = v
@@ -56,7 +56,7 @@
 
 func chunkKey(f string, n uint32) string { return fmt.Sprint(f, "/", n) }
 
-func (s *shelf) Put(_ context.Context, a, f string, n uint32, p []byte) error {
+func (s *dataVMs) Put(_ context.Context, a, f string, n uint32, p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -69,7 +69,7 @@
 	return nil
 }
 
-func (s *shelf) Get(_ context.Context, a, f string, n uint32) ([]byte, error) {
+func (s *dataVMs) Get(_ context.Context, a, f string, n uint32) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.disks[a][chunkKey(f, n)]
@@ -79,7 +79,7 @@
 	return b, nil
 }
 
-func (s *shelf) Drop(_ context.Context, a, f string, n uint32) error {
+func (s *dataVMs) Drop(_ context.Context, a, f string, n uint32) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.disks[a], chunkKey(f, n))
@@ -88,7 +88,7 @@
 
 // prober is one process's view of the others.
 type prober struct {
-	*shelf
+	*dataVMs
 	self string
 }
 
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func (s *shelf) Members() (l []bulrushlug.Member) {
+func (s *dataVMs) Members() (l []bulrushlug.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range []string{"d0", "d1", "d2", "d3"} {
@@ -112,7 +112,7 @@
 	return l
 }
 
-func (s *shelf) Member(n string) (bulrushlug.Member, bool) {
+func (s *dataVMs) Member(n string) (bulrushlug.Member, bool) {
 	for _, m := range s.Members() {
 		if m.Name() == n {
 			return m, true
@@ -121,7 +121,7 @@
 	return bulrushlug.Member{}, false
 }
 
-func (s *shelf) Gone(n string) bool {
+func (s *dataVMs) Gone(n string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.gone[n]
@@ -134,25 +134,25 @@
 func (x fixed) Fresh() bool                { return true }
 func (x fixed) Accepted() uint64           { return 1 }
 
-// plant is the batch side of a small fleet.
-type plant struct {
-	t      *testing.T
-	shelf  *shelf
-	table  *memkv.Table
-	jobs   *jobs.Jobs
-	copies *copies.Copies
-	engine *memlm.Engine
-	stage  bulrushlug.Stage
-	source fixed
-	stops  map[string]context.CancelFunc
-	gates  map[string]*gate
-	poison string // Items with this text always break.
+// batchFleet is the batch side of a small fleet.
+type batchFleet struct {
+	t        *testing.T
+	dataVMs  *dataVMs
+	table    *memkv.Table
+	jobs     *jobs.Jobs
+	copies   *copies.Copies
+	engine   *memlm.Engine
+	stage    bulrushlug.Stage
+	source   fixed
+	stops    map[string]context.CancelFunc
+	accesses map[string]*storeAccess
+	poison   string // Items with this text always break.
 }
 
 func counts() *expvar.Map { return new(expvar.Map).Init() }
 
-func newPlant(t *testing.T, names ...string) *plant {
-	p := &plant{t: t, shelf: newShelf(names...), table: memkv.New(), engine: memlm.New(slots, token, 0), stops: map[string]context.CancelFunc{}, gates: map[string]*gate{}}
+func newBatchFleet(t *testing.T, names ...string) *batchFleet {
+	p := &batchFleet{t: t, dataVMs: newDataVMs(names...), table: memkv.New(), engine: memlm.New(slots, token, 0), stops: map[string]context.CancelFunc{}, accesses: map[string]*storeAccess{}}
 	f, err := bulrushlug.NewConfig().Apply(bulrushlug.NewChange("1", "t", bulrushlug.NewModel("m", "1", "")).WithRevision(1))
 	if err == nil {
 		f, err = f.Apply(bulrushlug.NewChange("2", "t", org("fog", 1, 1)).WithRevision(2))
@@ -162,7 +162,7 @@
 	}
 	p.source = fixed{f: f}
 	p.jobs = jobs.New(p.table)
-	p.copies = copies.New(p.shelf, p.shelf, 3)
+	p.copies = copies.New(p.dataVMs, p.dataVMs, 3)
 	q := pipe.New(p.engine, park.New(counts()), admit.New(slots, counts()))
 	p.stage = bulrushlug.StageFunc(func(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
 		if p.poison != "" && bytes.Contains(r.Body(), []byte(p.poison)) {
@@ -174,30 +174,30 @@
 }
 
 // start runs the process on VM n.
-func (p *plant) start(n string) {
+func (p *batchFleet) start(n string) {
 	c, stop := context.WithCancel(context.Background())
-	p.gates[n] = &gate{Table: p.table}
-	j := jobs.New(p.gates[n])
+	p.accesses[n] = &storeAccess{Table: p.table}
+	j := jobs.New(p.accesses[n])
 	r := batch.New(n,
-		batch.WithPipe(p.stage, lane.New(func() int { return 2 * slots })),
+		batch.WithPipe(p.stage, sched.New(func() int { return 2 * slots })),
 		batch.WithRecords(j, p.copies),
-		batch.WithFleet(p.source, p.shelf, prober{p.shelf, n}),
-		batch.WithReports(nobody{}, counts()))
+		batch.WithFleet(p.source, p.dataVMs, prober{p.dataVMs, n}),
+		batch.WithReports(noRecorder{}, counts()))
 	go func() { _ = r.Run(c) }()
 	go func() {
-		_ = repair.New(n, j, p.copies, p.shelf, 24*time.Hour, nobody{}, counts()).Run(c)
+		_ = repair.New(n, j, p.copies, p.dataVMs, 24*time.Hour, noRecorder{}, counts()).Run(c)
 	}()
-	p.shelf.set(p.shelf.runs, n, true)
+	p.dataVMs.set(p.dataVMs.runs, n, true)
 	p.stops[n] = func() {
-		p.shelf.set(p.shelf.runs, n, false)
+		p.dataVMs.set(p.dataVMs.runs, n, false)
 		stop()
 	}
 }
 
 // kill takes the process and the disk of VM n away; the process's own goroutines go on, as of one that is cut off.
-func (p *plant) kill(n string) { p.shelf.set(p.shelf.down, n, true) }
+func (p *batchFleet) kill(n string) { p.dataVMs.set(p.dataVMs.down, n, true) }
 
-func (p *plant) close() {
+func (p *batchFleet) close() {
 	for _, f := range p.stops {
 		f()
 	}
@@ -206,7 +206,7 @@
 }
 
 // submit uploads n items and creates a job with idempotency key k.
-func (p *plant) submit(n int, k string) (bulrushlug.Job, error) {
+func (p *batchFleet) submit(n int, k string) (bulrushlug.Job, error) {
 	var b strings.Builder
 	for i := range n {
 		fmt.Fprintf(&b, `{"custom_id":"c%d","method":"POST","url":"/v1/completions","body":{"model":"m","max_tokens":5,"prompt":"item-%d."}}`+"\n", i, i)
@@ -222,13 +222,13 @@
 	return p.create(f, k)
 }
 
-func (p *plant) create(f bulrushlug.File, k string) (bulrushlug.Job, error) {
+func (p *batchFleet) create(f bulrushlug.File, k string) (bulrushlug.Job, error) {
 	t := time.Now()
 	return p.jobs.Create(context.Background(), bulrushlug.NewJob(jobs.ID("fog", k), "fog", f.ID(), "/v1/completions",
 		bulrushlug.JobTimes(t, t.Add(time.Hour), time.Time{}), bulrushlug.JobItems(f.Items(), nil)))
 }
 
-func (p *plant) job(i string) (x bulrushlug.Job) {
+func (p *batchFleet) job(i string) (x bulrushlug.Job) {
 	for {
 		x, err := p.jobs.Job(context.Background(), "fog", i)
 		if err == nil {
@@ -239,7 +239,7 @@
 }
 
 // await waits until job i is final, and returns it.
-func (p *plant) await(i string, d time.Duration) bulrushlug.Job {
+func (p *batchFleet) await(i string, d time.Duration) bulrushlug.Job {
 	for end := time.Now().Add(d); ; time.Sleep(500 * time.Millisecond) {
 		x := p.job(i)
 		if x.Status().Final() {
@@ -252,7 +252,7 @@
 }
 
 // check reads all results of x: each item stands there once, and the counts of the record match.
-func (p *plant) check(x bulrushlug.Job, items, failed int) {
+func (p *batchFleet) check(x bulrushlug.Job, items, failed int) {
 	seen := map[string]int{}
 	read := func(q bulrushlug.Part) (n int) {
 		if len(q.VMs()) == 0 {
@@ -284,62 +284,62 @@
 	}
 }
 
-var batchFaults = map[string]func(p *plant, x bulrushlug.Job){
-	"none": func(*plant, bulrushlug.Job) {},
-	"ownerKilled": func(p *plant, x bulrushlug.Job) {
+var batchFaults = map[string]func(p *batchFleet, x bulrushlug.Job){
+	"none": func(*batchFleet, bulrushlug.Job) {},
+	"ownerKilled": func(p *batchFleet, x bulrushlug.Job) {
 		n := p.owner(x)
 		p.kill(n)
-		p.gates[n].shut.Store(true)
+		p.accesses[n].shut.Store(true)
 	},
-	"ownerCutOffFromPeers": func(p *plant, x bulrushlug.Job) { p.kill(p.owner(x)) },
-	"ownerCutOff": func(p *plant, x bulrushlug.Job) {
+	"ownerCutOffFromPeers": func(p *batchFleet, x bulrushlug.Job) { p.kill(p.owner(x)) },
+	"ownerCutOff": func(p *batchFleet, x bulrushlug.Job) {
 		n := p.owner(x)
 		p.kill(n)
 		time.Sleep(15 * time.Second)
-		p.shelf.set(p.shelf.down, n, false)
+		p.dataVMs.set(p.dataVMs.down, n, false)
 	},
-	"ownerStops": func(p *plant, x bulrushlug.Job) { p.stops[p.owner(x)]() },
-	"storeOut": func(p *plant, _ bulrushlug.Job) {
+	"ownerStops": func(p *batchFleet, x bulrushlug.Job) { p.stops[p.owner(x)]() },
+	"storeOut": func(p *batchFleet, _ bulrushlug.Job) {
 		p.table.SetOutage(true)
 		time.Sleep(10 * time.Minute)
 		p.table.SetOutage(false)
 	},
-	"storeSlow":   func(p *plant, _ bulrushlug.Job) { p.table.SetDelay(800 * time.Millisecond) },
-	"lostAnswers": func(p *plant, _ bulrushlug.Job) { p.table.LoseAnswers(10) },
-	"diskFull":    func(p *plant, _ bulrushlug.Job) { p.shelf.set(p.shelf.full, "d1", true) },
-	"twoDisksFull": func(p *plant, _ bulrushlug.Job) {
-		p.shelf.set(p.shelf.full, "d1", true)
-		p.shelf.set(p.shelf.full, "d2", true)
+	"storeSlow":   func(p *batchFleet, _ bulrushlug.Job) { p.table.SetDelay(800 * time.Millisecond) },
+	"lostAnswers": func(p *batchFleet, _ bulrushlug.Job) { p.table.LoseAnswers(10) },
+	"diskFull":    func(p *batchFleet, _ bulrushlug.Job) { p.dataVMs.set(p.dataVMs.full, "d1", true) },
+	"twoDisksFull": func(p *batchFleet, _ bulrushlug.Job) {
+		p.dataVMs.set(p.dataVMs.full, "d1", true)
+		p.dataVMs.set(p.dataVMs.full, "d2", true)
 	},
-	"twoDataVMsLost": func(p *plant, x bulrushlug.Job) {
+	"twoDataVMsLost": func(p *batchFleet, x bulrushlug.Job) {
 		p.lose("d0")
 		p.lose("d2")
 	},
-	"engineBreaks": func(p *plant, _ bulrushlug.Job) {
+	"engineBreaks": func(p *batchFleet, _ bulrushlug.Job) {
 		p.engine.SetOutage(true)
 		time.Sleep(20 * time.Second)
 		p.engine.SetOutage(false)
 	},
-	"ownerKilledInOutage": func(p *plant, x bulrushlug.Job) {
+	"ownerKilledInOutage": func(p *batchFleet, x bulrushlug.Job) {
 		n := p.owner(x)
 		p.table.SetOutage(true)
 		p.kill(n)
 		time.Sleep(2 * time.Minute)
 		p.table.SetOutage(false)
 	},
-	"ownerKilledAndAnswersLost": func(p *plant, x bulrushlug.Job) {
+	"ownerKilledAndAnswersLost": func(p *batchFleet, x bulrushlug.Job) {
 		p.kill(p.owner(x))
 		p.table.LoseAnswers(5)
 	},
 }
 
 // lose takes VM n away for good.
-func (p *plant) lose(n string) {
+func (p *batchFleet) lose(n string) {
 	p.kill(n)
-	p.shelf.set(p.shelf.gone, n, true)
+	p.dataVMs.set(p.dataVMs.gone, n, true)
 }
 
-func (p *plant) owner(x bulrushlug.Job) string {
+func (p *batchFleet) owner(x bulrushlug.Job) string {
 	for {
 		if n := p.job(x.ID()).Owner(); n != "" {
 			return n
@@ -353,7 +353,7 @@
 	for name, fault := range batchFaults {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
-				p := newPlant(t, "d0", "d1", "d2", "d3")
+				p := newBatchFleet(t, "d0", "d1", "d2", "d3")
 				defer p.close()
 				for _, n := range []string{"d0", "d1", "d2", "d3"} {
 					p.start(n)
@@ -378,7 +378,7 @@
 }
 
 // account logs what the engine ran and what the records cost.
-func (p *plant) account(t *testing.T, items int) {
+func (p *batchFleet) account(t *testing.T, items int) {
 	started, finished := 0, 0
 	p.engine.Ran(func(_ string, s, f, _, _ uint32) {
 		started += int(s)
@@ -390,7 +390,7 @@
 
 func TestPoisonItem(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		p := newPlant(t, "d0", "d1", "d2")
+		p := newBatchFleet(t, "d0", "d1", "d2")
 		defer p.close()
 		p.poison = "item-77."
 		p.start("d0")
@@ -405,7 +405,7 @@
 
 func TestCancelledJob(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		p := newPlant(t, "d0", "d1", "d2")
+		p := newBatchFleet(t, "d0", "d1", "d2")
 		defer p.close()
 		p.start("d0")
 		p.start("d1")
@@ -434,7 +434,7 @@
 
 func TestLostRightAfterAcceptance(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		p := newPlant(t, "d0", "d1", "d2")
+		p := newBatchFleet(t, "d0", "d1", "d2")
 		defer p.close()
 		x, err := p.submit(600, "k")
 		if err != nil {
@@ -450,7 +450,7 @@
 
 func TestNoDataVM(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		p := newPlant(t, "d0", "d1", "d2")
+		p := newBatchFleet(t, "d0", "d1", "d2")
 		for _, n := range []string{"d0", "d1"} {
 			p.kill(n)
 		}
@@ -472,7 +472,7 @@
 	for name, x := range sizes {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
-				p := newPlant(t, "d0", "d1", "d2")
+				p := newBatchFleet(t, "d0", "d1", "d2")
 				defer p.close()
 				p.start("d0")
 				r0, w0 := p.table.Calls()
--- a/trial/compare_test.go
+++ b/trial/compare_test.go
@@ -129,34 +129,34 @@
 	return wrong, inside, messages
 }
 
-// anyone chooses at random.
-type anyone struct{}
+// randomChooser chooses at random.
+type randomChooser struct{}
 
-func (anyone) Choose(_ *bulrushlug.Request, l []bulrushlug.View) []bulrushlug.View {
+func (randomChooser) Choose(_ *bulrushlug.Request, l []bulrushlug.View) []bulrushlug.View {
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l
 }
 
-// leastReported chooses the server with the lowest load report.
-type leastReported struct{}
+// leastReportedChooser chooses the server with the lowest load report.
+type leastReportedChooser struct{}
 
-func (leastReported) Choose(_ *bulrushlug.Request, l []bulrushlug.View) []bulrushlug.View {
+func (leastReportedChooser) Choose(_ *bulrushlug.Request, l []bulrushlug.View) []bulrushlug.View {
 	slices.SortFunc(l, func(a, b bulrushlug.View) int {
 		return int(a.Load().Online()+a.Load().Queued()) - int(b.Load().Online()+b.Load().Queued())
 	})
 	return l
 }
 
-// yard is a set of engines behind agents.
-type yard struct {
+// engineFleet is a set of engines behind agents.
+type engineFleet struct {
 	engines map[string]*memlm.Engine
 	admits  map[string]*admit.Filter
 	pipes   map[string]bulrushlug.Stage
 	fleet   *fleet.Fleet
 }
 
-func newYard(n int) *yard {
-	y := &yard{engines: map[string]*memlm.Engine{}, admits: map[string]*admit.Filter{}, pipes: map[string]bulrushlug.Stage{}, fleet: fleet.New()}
+func newEngineFleet(n int) *engineFleet {
+	y := &engineFleet{engines: map[string]*memlm.Engine{}, admits: map[string]*admit.Filter{}, pipes: map[string]bulrushlug.Stage{}, fleet: fleet.New()}
 	for i := range n {
 		v := fmt.Sprintf("vm-%02d", i)
 		d := token
@@ -171,7 +171,7 @@
 }
 
 // beat reports the loads once a second, as they were a second before.
-func (y *yard) beat(c context.Context) {
+func (y *engineFleet) beat(c context.Context) {
 	for n := uint64(1); ; n++ {
 		var l []bulrushlug.Load
 		for v, a := range y.admits {
@@ -186,14 +186,14 @@
 	}
 }
 
-func (y *yard) Dispatch(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, s bulrushlug.Sink) error {
+func (y *engineFleet) Dispatch(c context.Context, d bulrushlug.Candidate, r *bulrushlug.Request, s bulrushlug.Sink) error {
 	return y.pipes[d.VM()].Run(c, r, s)
 }
 
 func TestPlacement(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		p99 := map[string]time.Duration{}
-		for name, c := range map[string]bulrushlug.Chooser{"balanced": choose.New("z1"), "random": anyone{}, "least reported": leastReported{}} {
+		for name, c := range map[string]bulrushlug.Chooser{"balanced": choose.New("z1"), "random": randomChooser{}, "least reported": leastReportedChooser{}} {
 			p50, p, hits, refused := placementRun(c)
 			p99[name] = p
 			t.Logf("%-15s time to first token p50 %v, p99 %v; prefixes cached %.3f; refused %d", name, p50, p, hits, refused)
@@ -205,12 +205,12 @@
 }
 
 func placementRun(h bulrushlug.Chooser) (p50, p99 time.Duration, hits float64, refused int) {
-	y := newYard(20)
+	y := newEngineFleet(20)
 	c, stop := context.WithCancel(context.Background())
 	defer stop()
 	go y.beat(c)
 	time.Sleep(1500 * time.Millisecond)
-	g := pipe.New(relay.New(y, y.fleet, nobody{}), place.New(fixed{f: placementConfig()}, newShelf(), y.fleet, h))
+	g := pipe.New(relay.New(y, y.fleet, noRecorder{}), place.New(fixed{f: placementConfig()}, newDataVMs(), y.fleet, h))
 	r := rand.New(rand.NewPCG(31, 1))
 	z := rand.NewZipf(r, 1.1, 4, 400)
 	l := &load{}
@@ -223,7 +223,7 @@
 			q := bulrushlug.NewRequest(fmt.Sprint(i), bulrushlug.WithModel("m"), bulrushlug.WithOrganisation("fog"), bulrushlug.WithStream(true),
 				bulrushlug.WithIdempotent(true), bulrushlug.WithAffinity(prefix+1),
 				bulrushlug.WithCall(http.MethodPost, "/v1/completions", "", fmt.Appendf(nil, `{"prompt":"%0240d","max_tokens":%d}`, prefix, n)))
-			k := &watch{start: time.Now()}
+			k := &firstPiece{start: time.Now()}
 			err := g.Run(context.Background(), q, k)
 			l.mu.Lock()
 			defer l.mu.Unlock()
--- a/trial/config_test.go
+++ b/trial/config_test.go
@@ -11,15 +11,15 @@
 	"bulrushlug.dev/bulrushlug/bounds"
 )
 
-// watchdog looks at every process ten times a second.
-type watchdog struct {
-	f         *world
+// monitor looks at every process ten times a second.
+type monitor struct {
+	f         *virtualFleet
 	withdrawn time.Time // Zero until the withdrawal is accepted.
 	revisions map[*process]uint64
 	late      map[string]time.Duration // Longest time for which a process served by the withdrawn key.
 }
 
-func (w *watchdog) run(c context.Context, t *testing.T) {
+func (w *monitor) run(c context.Context, t *testing.T) {
 	for bulrushlug.Wait(c, 100*time.Millisecond) == nil {
 		w.f.mu.Lock()
 		for n, p := range w.f.nodes {
@@ -29,7 +29,7 @@
 	}
 }
 
-func (w *watchdog) look(t *testing.T, n string, p *process) {
+func (w *monitor) look(t *testing.T, n string, p *process) {
 	s := p.control.State()
 	f := s.Config()
 	if f.Revision() < w.revisions[p] {
@@ -42,25 +42,25 @@
 }
 
 var configFaults = map[string]struct {
-	before func(f *world) // Starts before the change is proposed.
-	after  func(f *world) // Starts once the change is accepted.
-	cut    bool           // A part of the fleet can't hear of the change in time.
+	before func(f *virtualFleet) // Starts before the change is proposed.
+	after  func(f *virtualFleet) // Starts once the change is accepted.
+	cut    bool                  // A part of the fleet can't hear of the change in time.
 }{
 	"none":       {},
-	"lostAnswer": {before: func(f *world) { f.table.LoseAnswers(2) }},
-	"slowStore":  {before: func(f *world) { f.table.SetDelay(300 * time.Millisecond) }},
-	"outageAfter": {cut: true, after: func(f *world) {
+	"lostAnswer": {before: func(f *virtualFleet) { f.table.LoseAnswers(2) }},
+	"slowStore":  {before: func(f *virtualFleet) { f.table.SetDelay(300 * time.Millisecond) }},
+	"outageAfter": {cut: true, after: func(f *virtualFleet) {
 		f.table.SetOutage(true)
 		time.Sleep(20 * time.Second)
 		f.table.SetOutage(false)
 	}},
-	"zoneCut": {cut: true, before: func(f *world) { go f.cutZone("z01", 30*time.Second, false) }},
-	"zoneCutAndStoreOut": {cut: true, before: func(f *world) { go f.cutZone("z01", 30*time.Second, false) }, after: func(f *world) {
+	"zoneCut": {cut: true, before: func(f *virtualFleet) { go f.cutZone("z01", 30*time.Second, false) }},
+	"zoneCutAndStoreOut": {cut: true, before: func(f *virtualFleet) { go f.cutZone("z01", 30*time.Second, false) }, after: func(f *virtualFleet) {
 		f.table.SetOutage(true)
 		time.Sleep(10 * time.Second)
 		f.table.SetOutage(false)
 	}},
-	"restartInOutage": {cut: true, after: func(f *world) {
+	"restartInOutage": {cut: true, after: func(f *virtualFleet) {
 		f.table.SetOutage(true)
 		n := f.order[4]
 		f.kill(n)
@@ -72,24 +72,24 @@
 		}
 		f.table.SetOutage(false)
 	}},
-	"rootsKilled": {before: func(f *world) {
+	"rootsKilled": {before: func(f *virtualFleet) {
 		for _, n := range f.order[:3] {
 			f.kill(n)
 		}
 	}},
-	"nodeAlone": {cut: true, before: func(f *world) {
+	"nodeAlone": {cut: true, before: func(f *virtualFleet) {
 		n := f.order[5]
 		f.net.Cut(func(a, b bulrushlug.Member) bool { return a.Name() == n || b.Name() == n })
-		f.get(n).gate.shut.Store(true)
-	}, after: func(f *world) {
+		f.get(n).storeAccess.shut.Store(true)
+	}, after: func(f *virtualFleet) {
 		time.Sleep(10 * time.Second)
 		if f.get(f.order[5]).control.State().Fresh() {
 			f.t.Error("a process that is cut off still serves")
 		}
 		f.net.Cut(nil)
 	}},
-	"paused": {cut: true, before: func(f *world) { go f.pause(f.order[7], 15*time.Second) }},
-	"lossyNetwork": {before: func(f *world) {
+	"paused": {cut: true, before: func(f *virtualFleet) { go f.pause(f.order[7], 15*time.Second) }},
+	"lossyNetwork": {before: func(f *virtualFleet) {
 		var n int
 		var mu sync.Mutex
 		f.net.Cut(func(_, _ bulrushlug.Member) bool {
@@ -109,8 +109,8 @@
 	}
 }
 
-func withdrawTrial(t *testing.T, cut bool, before, after func(f *world)) {
-	f := newWorld(t, 11, 0, 3, 5)
+func withdrawTrial(t *testing.T, cut bool, before, after func(f *virtualFleet)) {
+	f := newVirtualFleet(t, 11, 0, 3, 5)
 	defer f.close()
 	time.Sleep(6 * time.Second)
 	o := org("zvonik", 10, 5)
@@ -118,7 +118,7 @@
 		t.Fatal(err)
 	}
 	time.Sleep(5 * time.Second)
-	w := &watchdog{f: f, revisions: map[*process]uint64{}, late: map[string]time.Duration{}}
+	w := &monitor{f: f, revisions: map[*process]uint64{}, late: map[string]time.Duration{}}
 	c, stop := context.WithCancel(context.Background())
 	defer stop()
 	go w.run(c, t)
@@ -152,7 +152,7 @@
 }
 
 // waitFor waits until all processes that callers reach have revision n.
-func (f *world) waitFor(n uint64, d time.Duration) {
+func (f *virtualFleet) waitFor(n uint64, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ok := true
 		for _, x := range f.order {
@@ -167,7 +167,7 @@
 
 func TestRacingOperators(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		f := newWorld(t, 13, 0, 3, 3)
+		f := newVirtualFleet(t, 13, 0, 3, 3)
 		defer f.close()
 		time.Sleep(6 * time.Second)
 		if _, err := f.propose(0, org("zvonik", 10, 5)); err != nil {
@@ -214,7 +214,7 @@
 
 func TestMinorityWriter(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		f := newWorld(t, 17, 0, 3, 3)
+		f := newVirtualFleet(t, 17, 0, 3, 3)
 		defer f.close()
 		time.Sleep(6 * time.Second)
 		o := org("zvonik", 10, 5)
--- a/trial/world_test.go
+++ b/trial/fleet_test.go
@@ -19,39 +19,39 @@
 	"bulrushlug.dev/bulrushlug/memvm"
 )
 
-// nobody records no events.
-type nobody struct{}
+// noRecorder records no events.
+type noRecorder struct{}
 
-func (nobody) Record(bulrushlug.Event) {}
+func (noRecorder) Record(bulrushlug.Event) {}
 
-// gate is one process's way to the key-value service.
-type gate struct {
+// storeAccess is one process's way to the key-value service.
+type storeAccess struct {
 	*memkv.Table
 	shut atomic.Bool
 }
 
-func (g *gate) err() error {
+func (g *storeAccess) err() error {
 	if g.shut.Load() {
 		return bulrushlug.NewFault(bulrushlug.KindStoreDown, "cut off")
 	}
 	return nil
 }
 
-func (g *gate) Get(c context.Context, k string) (bulrushlug.Item, error) {
+func (g *storeAccess) Get(c context.Context, k string) (bulrushlug.Item, error) {
 	if err := g.err(); err != nil {
 		return bulrushlug.Item{}, err
 	}
 	return g.Table.Get(c, k)
 }
 
-func (g *gate) Swap(c context.Context, k string, v []byte, prev uint64) (uint64, error) {
+func (g *storeAccess) Swap(c context.Context, k string, v []byte, prev uint64) (uint64, error) {
 	if err := g.err(); err != nil {
 		return 0, err
 	}
 	return g.Table.Swap(c, k, v, prev)
 }
 
-func (g *gate) List(c context.Context, p string) ([]bulrushlug.Item, uint64, error) {
+func (g *storeAccess) List(c context.Context, p string) ([]bulrushlug.Item, uint64, error) {
 	if err := g.err(); err != nil {
 		return nil, 0, err
 	}
@@ -60,14 +60,14 @@
 
 // process is one node of the virtual fleet.
 type process struct {
-	member  bulrushlug.Member
-	control *ctrl.Control
-	gate    *gate
-	stop    context.CancelFunc
+	member      bulrushlug.Member
+	control     *ctrl.Control
+	storeAccess *storeAccess
+	stop        context.CancelFunc
 }
 
-// world runs the control parts of many processes in virtual time.
-type world struct {
+// virtualFleet runs the control parts of many processes in virtual time.
+type virtualFleet struct {
 	t     *testing.T
 	net   *memnet.Net
 	table *memkv.Table
@@ -94,9 +94,9 @@
 	return farDelay
 }
 
-// newWorld starts entries in each of the zones.
-func newWorld(t *testing.T, seed uint64, loss float64, zones, each int) *world {
-	f := &world{
+// newVirtualFleet starts entries in each of the zones.
+func newVirtualFleet(t *testing.T, seed uint64, loss float64, zones, each int) *virtualFleet {
+	f := &virtualFleet{
 		t:     t,
 		net:   memnet.New(seed, loss, delay),
 		table: memkv.New(),
@@ -120,10 +120,10 @@
 }
 
 // start runs the process m, in place of an earlier one of its name.
-func (f *world) start(m bulrushlug.Member) *process {
+func (f *virtualFleet) start(m bulrushlug.Member) *process {
 	c, stop := context.WithCancel(context.Background())
-	p := &process{member: m, gate: &gate{Table: f.table}, stop: stop}
-	p.control = ctrl.New(m, p.gate, f.list, f.net.Mesh(m), f.net.Peers(m), nobody{},
+	p := &process{member: m, storeAccess: &storeAccess{Table: f.table}, stop: stop}
+	p.control = ctrl.New(m, p.storeAccess, f.list, f.net.Mesh(m), f.net.Peers(m), noRecorder{},
 		func(string) *expvar.Map { return new(expvar.Map).Init() })
 	f.net.Join(m, p.control.Receive, p.control.State().Config)
 	f.mu.Lock()
@@ -137,56 +137,56 @@
 	return p
 }
 
-func (f *world) node(i int) *process {
+func (f *virtualFleet) node(i int) *process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.nodes[f.order[i]]
 }
 
-func (f *world) get(n string) *process {
+func (f *virtualFleet) get(n string) *process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.nodes[n]
 }
 
 // all returns the processes by VM.
-func (f *world) all() map[string]*process {
+func (f *virtualFleet) all() map[string]*process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return maps.Clone(f.nodes)
 }
 
 // kill ends a process without a farewell.
-func (f *world) kill(n string) {
+func (f *virtualFleet) kill(n string) {
 	f.setDown(n, true)
 	f.net.Kill(f.get(n).member.Address())
 	f.get(n).stop()
 }
 
-func (f *world) close() {
+func (f *virtualFleet) close() {
 	for _, p := range f.all() {
 		p.stop()
 	}
 	time.Sleep(20 * time.Second)
 }
 
-func (f *world) setDown(n string, v bool) {
+func (f *virtualFleet) setDown(n string, v bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.down[n] = v
 }
 
-func (f *world) isDown(n string) bool {
+func (f *virtualFleet) isDown(n string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.down[n]
 }
 
 // home returns the process that is the home of organisation o.
-func (f *world) home(o string) string { return f.node(1).control.Owners().Owner(o) }
+func (f *virtualFleet) home(o string) string { return f.node(1).control.Owners().Owner(o) }
 
 // reachable returns the processes that callers reach and that serve.
-func (f *world) reachable() (l []*process) {
+func (f *virtualFleet) reachable() (l []*process) {
 	f.mu.Lock()
 	o := slices.Clone(f.order)
 	f.mu.Unlock()
@@ -199,7 +199,7 @@
 }
 
 // propose writes a change through node i.
-func (f *world) propose(i int, e bulrushlug.Organisation) (uint64, error) {
+func (f *virtualFleet) propose(i int, e bulrushlug.Organisation) (uint64, error) {
 	return f.node(i).control.Ledger().Propose(context.Background(), func(x *bulrushlug.Config) (bulrushlug.Change, error) {
 		return bulrushlug.NewChange(fmt.Sprint(e.Name(), x.Revision()), "test", e), nil
 	})
--- a/trial/priority_test.go
+++ b/trial/priority_test.go
@@ -27,15 +27,15 @@
 	batchTokens = 100
 )
 
-// watch notes when the first piece of an answer comes.
-type watch struct {
+// firstPiece notes when the first piece of an answer comes.
+type firstPiece struct {
 	start time.Time
 	first time.Duration
 }
 
-func (w *watch) Head(int, string) error { return nil }
+func (w *firstPiece) Head(int, string) error { return nil }
 
-func (w *watch) Write([]byte) error {
+func (w *firstPiece) Write([]byte) error {
 	if w.first == 0 {
 		w.first = time.Since(w.start)
 	}
@@ -76,7 +76,7 @@
 func (l *load) ask(g bulrushlug.Stage, i, n int) {
 	q := bulrushlug.NewRequest(fmt.Sprint("online-", i), bulrushlug.WithStream(true), bulrushlug.WithOrganisation(fmt.Sprint("o", i%4)),
 		bulrushlug.WithCall(http.MethodPost, "/v1/completions", "", fmt.Appendf(nil, `{"max_tokens":%d,"prompt":"p%d"}`, n, i)))
-	k := &watch{start: time.Now()}
+	k := &firstPiece{start: time.Now()}
 	err := g.Run(context.Background(), q, k)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -106,7 +106,7 @@
 	for time.Since(start) < priorityRun {
 		q := bulrushlug.NewRequest(id, bulrushlug.WithBatch("job"), bulrushlug.WithOrganisation("b"),
 			bulrushlug.WithCall(http.MethodPost, "/v1/completions", "", fmt.Appendf(nil, `{"max_tokens":%d,"prompt":%q}`, batchTokens, id)))
-		if g.Run(context.Background(), q, &watch{start: time.Now()}) == nil {
+		if g.Run(context.Background(), q, &firstPiece{start: time.Now()}) == nil {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.items++
--- a/trial/rates_test.go
+++ b/trial/rates_test.go
@@ -26,7 +26,7 @@
 
 // rateRun drives organisations through all entries, and collects what the homes granted and what callers saw.
 type rateRun struct {
-	f      *world
+	f      *virtualFleet
 	random *rand.Rand
 	mu     sync.Mutex
 	limits map[string]*bucket // What is inside the rate, by organisation.
@@ -48,7 +48,7 @@
 	skew  bool    // All requests come through one entry.
 }
 
-func newRateRun(f *world, seed uint64) *rateRun {
+func newRateRun(f *virtualFleet, seed uint64) *rateRun {
 	r := &rateRun{f: f, random: rand.New(rand.NewPCG(seed, 7)), limits: map[string]*bucket{}, grants: map[string][]grant{},
 		inside: map[string]int{}, wrong: map[string]int{}, passed: map[string]int{}}
 	f.net.Observe(func(_ bulrushlug.Member, m bulrushlug.Message) {
@@ -141,22 +141,22 @@
 var rateFaults = map[string]struct {
 	bound float64 // Share of requests inside the rate that may be refused; 1 where it is only reported.
 	long  time.Duration
-	fault func(f *world, home string)
+	fault func(f *virtualFleet, home string)
 }{
-	"none": {bound: bounds.InRateRefusals, long: 60 * time.Second, fault: func(*world, string) {}},
-	"homeKilled": {bound: 1, long: 60 * time.Second, fault: func(f *world, home string) {
+	"none": {bound: bounds.InRateRefusals, long: 60 * time.Second, fault: func(*virtualFleet, string) {}},
+	"homeKilled": {bound: 1, long: 60 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.kill(home)
 		f.list.Remove(home)
 	}},
-	"homeCrashed":    {bound: 1, long: 60 * time.Second, fault: func(f *world, home string) { f.kill(home) }},
-	"homePaused":     {bound: 1, long: 60 * time.Second, fault: func(f *world, home string) { f.pause(home, 8*time.Second) }},
-	"homePausedLong": {bound: 1, long: 90 * time.Second, fault: func(f *world, home string) { f.pause(home, 40*time.Second) }},
-	"homeRestarted": {bound: 1, long: 60 * time.Second, fault: func(f *world, home string) {
+	"homeCrashed":    {bound: 1, long: 60 * time.Second, fault: func(f *virtualFleet, home string) { f.kill(home) }},
+	"homePaused":     {bound: 1, long: 60 * time.Second, fault: func(f *virtualFleet, home string) { f.pause(home, 8*time.Second) }},
+	"homePausedLong": {bound: 1, long: 90 * time.Second, fault: func(f *virtualFleet, home string) { f.pause(home, 40*time.Second) }},
+	"homeRestarted": {bound: 1, long: 60 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.kill(home)
 		time.Sleep(time.Second)
 		f.start(f.get(home).member)
 	}},
-	"joinsAndLeaves": {bound: 1, long: 120 * time.Second, fault: func(f *world, home string) {
+	"joinsAndLeaves": {bound: 1, long: 120 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.list.SetLag(0)
 		m := member(len(f.order), 3)
 		f.list.Put(m)
@@ -164,23 +164,23 @@
 		time.Sleep(40 * time.Second)
 		f.list.Leave(home)
 	}},
-	"homesZoneCut": {bound: 1, long: 90 * time.Second, fault: func(f *world, home string) {
+	"homesZoneCut": {bound: 1, long: 90 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.cutZone(f.get(home).member.Zone(), 40*time.Second, false)
 	}},
-	"leavesWhileCut": {bound: 1, long: 60 * time.Second, fault: func(f *world, home string) {
+	"leavesWhileCut": {bound: 1, long: 60 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.list.SetLag(0)
 		f.list.Leave(home)
 		f.cutZone(f.get(home).member.Zone(), 20*time.Second, false)
 	}},
-	"homesZoneCutWithStore": {bound: 1, long: 90 * time.Second, fault: func(f *world, home string) {
+	"homesZoneCutWithStore": {bound: 1, long: 90 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.cutZone(f.get(home).member.Zone(), 40*time.Second, true)
 	}},
-	"storeOut": {bound: bounds.InRateRefusals, long: 60 * time.Second, fault: func(f *world, home string) {
+	"storeOut": {bound: bounds.InRateRefusals, long: 60 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.table.SetOutage(true)
 		time.Sleep(40 * time.Second)
 		f.table.SetOutage(false)
 	}},
-	"storeOutAndHomeKilled": {bound: 1, long: 60 * time.Second, fault: func(f *world, home string) {
+	"storeOutAndHomeKilled": {bound: 1, long: 60 * time.Second, fault: func(f *virtualFleet, home string) {
 		f.table.SetOutage(true)
 		f.kill(home)
 		f.list.Remove(home)
@@ -190,27 +190,27 @@
 }
 
 // pause stops a process for d: what it sends is lost, what it gets is held, and the store is out of its reach.
-func (f *world) pause(n string, d time.Duration) {
+func (f *virtualFleet) pause(n string, d time.Duration) {
 	p := f.get(n)
 	f.setDown(n, true)
 	defer f.setDown(n, false)
 	f.net.Pause(p.member.Address(), true)
-	p.gate.shut.Store(true)
+	p.storeAccess.shut.Store(true)
 	time.Sleep(d)
-	p.gate.shut.Store(false)
+	p.storeAccess.shut.Store(false)
 	f.net.Pause(p.member.Address(), false)
 }
 
 // cutZone cuts zone z off for d; the store is on its side if withStore is true.
-func (f *world) cutZone(z string, d time.Duration, withStore bool) {
+func (f *virtualFleet) cutZone(z string, d time.Duration, withStore bool) {
 	f.net.Cut(func(a, b bulrushlug.Member) bool { return (a.Zone() == z) != (b.Zone() == z) })
 	for _, p := range f.all() {
-		p.gate.shut.Store((p.member.Zone() == z) != withStore)
+		p.storeAccess.shut.Store((p.member.Zone() == z) != withStore)
 	}
 	time.Sleep(d)
 	f.net.Cut(nil)
 	for _, p := range f.all() {
-		p.gate.shut.Store(false)
+		p.storeAccess.shut.Store(false)
 	}
 }
 
@@ -230,8 +230,8 @@
 	}
 }
 
-func rateTrial(t *testing.T, orgs map[string]traffic, victim string, bound float64, long time.Duration, fault func(*world, string)) {
-	f := newWorld(t, 3, 0, 3, 3)
+func rateTrial(t *testing.T, orgs map[string]traffic, victim string, bound float64, long time.Duration, fault func(*virtualFleet, string)) {
+	f := newVirtualFleet(t, 3, 0, 3, 3)
 	defer f.close()
 	time.Sleep(5 * time.Second)
 	for n, x := range orgs {
--- a/trial/scale_test.go
+++ b/trial/scale_test.go
@@ -26,7 +26,7 @@
 	for name, x := range sizes {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
-				f := newWorld(t, 19, 0, x.zones, x.each)
+				f := newVirtualFleet(t, 19, 0, x.zones, x.each)
 				defer f.close()
 				time.Sleep(8 * time.Second)
 				f.table.SetOutage(x.outage)
@@ -76,7 +76,7 @@
 }
 
 // bytes returns what each process has sent.
-func (f *world) bytes() map[string]uint64 {
+func (f *virtualFleet) bytes() map[string]uint64 {
 	m := map[string]uint64{}
 	for n, p := range f.all() {
 		m[n], _ = f.net.Bytes(p.member.Address())
--- a/trial/smoke_test.go
+++ b/trial/smoke_test.go
@@ -8,7 +8,7 @@
 
 func TestFleetAgrees(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		f := newWorld(t, 1, 0, 3, 3)
+		f := newVirtualFleet(t, 1, 0, 3, 3)
 		defer f.close()
 		time.Sleep(5 * time.Second)
 		n, err := f.propose(0, org("zvonik", 10, 5))
--- a/trial/spread_test.go
+++ b/trial/spread_test.go
@@ -12,7 +12,7 @@
 func TestWaysToSpread(t *testing.T) {
 	const zones, each = 5, 60
 	bubble(t, func(t *testing.T) {
-		f := newWorld(t, 29, 0, zones, each)
+		f := newVirtualFleet(t, 29, 0, zones, each)
 		defer f.close()
 		time.Sleep(10 * time.Second)
 		r := rand.New(rand.NewPCG(37, 1))
