--- a/script_test.go
+++ b/script_test.go
@@ -256,12 +256,13 @@
 // streams holds the answer that each script waits for.
 var streams sync.Map
 
-// stream starts a streamed request in the background, or waits for its end: stream start URL BODY | stream wait.
+// stream starts a streamed request in the background, or waits for its end:
+// stream start URL BODY | stream wait TEXT.
 func stream(ts *testscript.TestScript, _ bool, a []string) {
 	if a[0] == "wait" {
 		x, _ := streams.Load(ts.Getenv("WORK"))
-		if out := <-x.(chan string); !strings.Contains(out, "[DONE]") {
-			ts.Fatalf("the stream was cut: %q", out)
+		if out := <-x.(chan string); !strings.Contains(out, a[1]) || strings.Contains(out, "[DONE]") != (a[1] == "[DONE]") {
+			ts.Fatalf("the stream ended otherwise: %q", out)
 		}
 		return
 	}
--- a/sims/app.go
+++ b/sims/app.go
@@ -14,6 +14,7 @@
 	"bulrushlug.dev/bulrushlug/memkv"
 	"bulrushlug.dev/bulrushlug/memlm"
 	"bulrushlug.dev/bulrushlug/memvm"
+	"bulrushlug.dev/bulrushlug/report"
 	"bulrushlug.dev/bulrushlug/simkv"
 	"bulrushlug.dev/bulrushlug/simlm"
 	"bulrushlug.dev/bulrushlug/simsvc"
@@ -36,6 +37,8 @@
 				&cli.DurationFlag{Name: "prefill", Usage: "`time` before the first token", Value: 20 * time.Millisecond},
 			}, Action: engine},
 			{Name: "service", Usage: "plain service", Flags: []cli.Flag{l}, Action: service},
+			{Name: "report", Usage: "run the trials and write a page with plots", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "out", Usage: "`path` of the page", Value: "report.html"}}, Action: runReport},
 			{Name: "demo", Usage: "run a small fleet with one question and one batch job", Action: runDemo},
 		},
 	}
@@ -61,6 +64,10 @@
 	return demo.New(m.Root().Writer).Run(c)
 }
 
+func runReport(c context.Context, m *cli.Command) error {
+	return report.New().Run(c, m.String("out"))
+}
+
 // listen serves h until a signal comes.
 func listen(c context.Context, m *cli.Command, h http.Handler) error {
 	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
--- a/trial/batch_test.go
+++ b/trial/batch_test.go
@@ -493,6 +493,7 @@
 				perSecond := perItem * bounds.BatchItemsPerDay / (24 * time.Hour).Seconds()
 				t.Logf("writes %d (%.5f per item, %.1f per job), reads %d; at the target %.1f writes/s",
 					w1-w0, perItem, float64(w1-w0)/float64(x.jobs), r1-r0, perSecond)
+				measure(t, "batch: writes on the key-value service per item", name, perItem)
 				if x.items >= 10000 && perSecond > bounds.StoreWritesPerSecond {
 					t.Errorf("%.1f writes/s at the target", perSecond)
 				}
--- a/trial/compare_test.go
+++ b/trial/compare_test.go
@@ -98,6 +98,7 @@
 				} {
 					wrong, inside, messages := compareLimits(l, x.rate, x.burst, x.skew, entries)
 					t.Logf("%-17s refused inside the rate %.4f, messages per request %.2f", way, float64(wrong)/float64(inside), float64(messages)/float64(inside))
+					measure(t, "refused inside the rate, "+name+", share", way, float64(wrong)/float64(inside))
 					if way == "permit a request" && wrong > 0 {
 						t.Errorf("permits refused %d requests inside the rate", wrong)
 					}
@@ -196,6 +197,8 @@
 		for name, c := range map[string]bulrushlug.Chooser{"balanced": choose.New("z1"), "random": randomChooser{}, "least reported": leastReportedChooser{}} {
 			p50, p, hits, refused := placementRun(c)
 			p99[name] = p
+			measure(t, "placement: time to first token, 99th percentile, s", name, p.Seconds())
+			measure(t, "placement: prefixes cached, share", name, hits)
 			t.Logf("%-15s time to first token p50 %v, p99 %v; prefixes cached %.3f; refused %d", name, p50, p, hits, refused)
 		}
 		if p99["balanced"] > p99["random"] || p99["balanced"] > p99["least reported"] {
--- a/trial/fleet_test.go
+++ b/trial/fleet_test.go
@@ -211,3 +211,9 @@
 }
 
 func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+// measure logs one measure for the report: a bar of a chart.
+func measure(t *testing.T, chart, bar string, v float64) {
+	t.Helper()
+	t.Logf("measure: %s | %s | %g", chart, bar, v)
+}
--- a/trial/priority_test.go
+++ b/trial/priority_test.go
@@ -144,6 +144,12 @@
 		t.Logf("time to first token, 99th percentile: alone %v, with batch %v, with batch and no priority %v", alone.p99(), mixed.p99(), plain.p99())
 		t.Logf("batch items: %d of %.0f that idle capacity allows (%.3f); without priority %d", mixed.items, possible, share, plain.items)
 		t.Logf("online refused: alone %d, with batch %d, without priority %d", alone.refused, mixed.refused, plain.refused)
+		for n, l := range map[string]*load{"online alone": alone, "with batch": mixed, "with batch, no priority": plain} {
+			measure(t, "online time to first token, 99th percentile, s", n, l.p99().Seconds())
+		}
+		measure(t, "batch items done", "idle capacity allows", possible)
+		measure(t, "batch items done", "with priority", float64(mixed.items))
+		measure(t, "batch items done", "no priority", float64(plain.items))
 		if float64(mixed.p99()) > bounds.OnlineHarm*float64(alone.p99()) {
 			t.Errorf("batch raises the 99th percentile from %v to %v", alone.p99(), mixed.p99())
 		}
--- a/trial/rates_test.go
+++ b/trial/rates_test.go
@@ -258,6 +258,9 @@
 		if p := r.passed[n]; p > granted(r.grants[n]) {
 			t.Errorf("%s: %d requests passed on %d grants", n, p, granted(r.grants[n]))
 		}
+		if n == victim && x.load <= 1 {
+			measure(t, "refused inside the rate of the organisation whose home is hit, share", t.Name()[len("TestRates/"):], share)
+		}
 		if x.load <= 1 && share > bound {
 			t.Errorf("%s: %.4f of the requests inside the rate refused, bound %.4f", n, share, bound)
 		}
--- a/trial/scale_test.go
+++ b/trial/scale_test.go
@@ -46,6 +46,8 @@
 				mean := sum / s / uint64(len(f.order))
 				t.Logf("%d zones: sent per node: mean %d, most %d bytes/s; reads %.1f/s, writes %.1f/s",
 					x.zones, mean, most/s, float64(r1-r0)/quiet.Seconds(), float64(w1-w0)/quiet.Seconds())
+				measure(t, "control: most bytes/s sent by a process", name, float64(most/s))
+				measure(t, "control: reads/s on the key-value service", name, float64(r1-r0)/quiet.Seconds())
 				t.Logf("processor %.4f%% of a core, memory %d KB per node",
 					100*cpu.Seconds()/quiet.Seconds()/float64(len(f.order)), heap()/1024/uint64(len(f.order)))
 				if most/s > bounds.ControlBytes {
