--- a/trial/batch_test.go
+++ b/trial/batch_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,6 +147,7 @@
 	source   fixed
 	stops    map[string]context.CancelFunc
 	accesses map[string]*storeAccess
+	answers  atomic.Int64
 	poison   string // Items with this text always break.
 }
 
@@ -168,11 +170,21 @@
 		if p.poison != "" && bytes.Contains(r.Body(), []byte(p.poison)) {
 			return bulrushlug.NewFault(bulrushlug.KindBroken, "engine crashed")
 		}
-		return q.Run(c, r, s)
+		return q.Run(c, r, unequal{s, int(p.answers.Add(1))})
 	})
 	return p
 }
 
+// unequal makes the answers to one item differ from run to run, as those of engines do.
+type unequal struct {
+	bulrushlug.Sink
+	n int
+}
+
+func (u unequal) Write(b []byte) error {
+	return u.Sink.Write(append(bytes.Clone(b), strings.Repeat(" ", u.n%17)...))
+}
+
 // start runs the process on VM n.
 func (p *batchFleet) start(n string) {
 	c, stop := context.WithCancel(context.Background())
@@ -501,3 +513,30 @@
 		})
 	}
 }
+
+// TestPausedOwnerGoesOn has an owner that was replaced run on beside the new one.
+func TestPausedOwnerGoesOn(t *testing.T) {
+	const items = 5000
+	bubble(t, func(t *testing.T) {
+		p := newBatchFleet(t, "d0", "d1", "d2", "d3")
+		defer p.close()
+		for _, n := range []string{"d0", "d1", "d2", "d3"} {
+			p.start(n)
+		}
+		x, err := p.submit(items, "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		n := p.owner(x)
+		p.kill(n)
+		p.accesses[n].shut.Store(true)
+		time.Sleep(20 * time.Second)
+		p.dataVMs.set(p.dataVMs.down, n, false)
+		p.accesses[n].shut.Store(false)
+		x = p.await(x.ID(), 20*time.Minute)
+		time.Sleep(time.Minute)
+		p.check(p.job(x.ID()), items, 0)
+		p.account(t, items)
+	})
+}
