--- a/admin/changes.go
+++ b/admin/changes.go
@@ -74,7 +74,10 @@
 	case q.GetRate() > 0 && q.Burst != nil && *q.Burst == 0:
 		return bulrushlug.NewFault(bulrushlug.KindBadRequest, "the burst must be at least 1 request")
 	}
-	return match.Valid(q.GetSelector())
+	if err := match.Valid(q.GetSelector()); err != nil {
+		return err
+	}
+	return match.Valid(q.GetModels())
 }
 
 func validName(n string) bool {
@@ -102,6 +105,9 @@
 	if q.Selector != nil {
 		o = o.WithSelector(*q.Selector)
 	}
+	if q.Models != nil {
+		o = o.WithModels(*q.Models)
+	}
 	return o
 }
 
--- a/authn/filter.go
+++ b/authn/filter.go
@@ -59,16 +59,17 @@
 		return bulrushlug.NewFault(bulrushlug.KindUnknownModel, "the model %q does not exist", m)
 	}
 	g, ok := f.Organisation(o)
-	if !ok || !match.Labels(x.Organisations(), withName(g)) {
+	if !ok || !match.Labels(x.Organisations(), with(g.Labels(), "organisation", o)) ||
+		!match.Labels(g.Models(), with(x.Labels(), "model", m)) {
 		return bulrushlug.NewFault(bulrushlug.KindForbidden, "the model %q is not open to %s", m, o)
 	}
 	return nil
 }
 
-// withName returns the labels of o and its name under the label organisation.
-func withName(o bulrushlug.Organisation) map[string]string {
+// with returns the labels l and one more.
+func with(l map[string]string, k, v string) map[string]string {
 	m := map[string]string{}
-	maps.Copy(m, o.Labels())
-	m["organisation"] = o.Name()
+	maps.Copy(m, l)
+	m[k] = v
 	return m
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -20,6 +20,7 @@
 const (
 	scanPause = 1500 * time.Millisecond // Time between two reads of the open jobs.
 	scanTime  = 10 * time.Second        // Bounds one read.
+	probeTime = time.Second             // Bounds one probe.
 	deadAfter = 6 * time.Second         // Time without an answer after which an owner is replaced.
 	stopTime  = 5 * time.Second         // Bounds the release of the jobs at a planned stop.
 )
@@ -82,7 +83,13 @@
 
 // New returns the runner on VM v.
 func New(v string, o ...option) *Runner {
-	r := &Runner{self: v, open: sched.New(func() int { return openChunks }), runs: map[string]*run{}, owners: map[string]sight{}, heard: map[string]time.Time{}}
+	r := &Runner{
+		self:   v,
+		open:   sched.New(func() int { return openChunks }),
+		runs:   map[string]*run{},
+		owners: map[string]sight{},
+		heard:  map[string]time.Time{},
+	}
 	for _, f := range o {
 		f(r)
 	}
@@ -223,6 +230,8 @@
 	if time.Since(t) < scanPause && ok {
 		return true
 	}
+	c, stop := context.WithTimeout(c, probeTime)
+	defer stop()
 	if r.prober.Probe(c, a) == nil {
 		r.mu.Lock()
 		r.heard[v] = time.Now()
--- a/cmds/org.go
+++ b/cmds/org.go
@@ -38,6 +38,7 @@
 		&cli.Uint32Flag{Name: "burst", Usage: "`requests` that may come at once"},
 		&cli.StringSliceFlag{Name: "label", Usage: "`name=value`; replaces all labels"},
 		&cli.StringFlag{Name: "selector", Usage: "VMs that may run the organisation's work"},
+		&cli.StringFlag{Name: "models", Usage: "`selector` of the models that it may use"},
 	)
 }
 
@@ -64,6 +65,10 @@
 			v := m.String("selector")
 			q.Selector = &v
 		}
+		if m.IsSet("models") {
+			v := m.String("models")
+			q.Models = &v
+		}
 		a, err := call[wire.Accepted](c, m, "organisation", q)
 		return accepted(m, a, err)
 	}
@@ -119,9 +124,9 @@
 		return err
 	}
 	return write(m, v, func(w io.Writer) {
-		row(w, "NAME", "RATE/S", "BURST", "KEYS", "SELECTOR", "LABELS")
+		row(w, "NAME", "RATE/S", "BURST", "KEYS", "VMS", "MODELS", "LABELS")
 		for _, o := range l {
-			row(w, o.Name, o.Rate, o.Burst, len(o.Keys), o.Selector, labels(o.Labels))
+			row(w, o.Name, o.Rate, o.Burst, len(o.Keys), o.Selector, o.Models, labels(o.Labels))
 		}
 	})
 }
--- a/codec/change.go
+++ b/codec/change.go
@@ -84,6 +84,7 @@
 		Rate:     o.Rate(),
 		Burst:    o.Burst(),
 		Selector: o.Selector(),
+		Models:   o.Models(),
 	}
 	for _, k := range o.Keys() {
 		w.Keys = append(w.Keys, &wire.Key{Id: k.ID(), Hash: k.Hash(), Withdrawn: k.Withdrawn()})
@@ -93,7 +94,7 @@
 
 func decodeOrganisation(w *wire.Organisation) bulrushlug.Organisation {
 	o := bulrushlug.NewOrganisation(w.GetName(), w.GetRate(), w.GetBurst())
-	o = o.WithLabels(w.GetLabels()).WithSelector(w.GetSelector())
+	o = o.WithLabels(w.GetLabels()).WithSelector(w.GetSelector()).WithModels(w.GetModels())
 	for _, k := range w.GetKeys() {
 		o = o.WithKey(bulrushlug.NewKey(k.GetId(), k.GetHash(), k.GetWithdrawn()))
 	}
--- a/organisation.go
+++ b/organisation.go
@@ -15,6 +15,7 @@
 	burst    uint32            // Requests, at least one where the rate is above zero.
 	keys     []Key             // Unique by identifier.
 	selector string            // Selects the VMs that may run its work; empty selects all.
+	models   string            // Selects the models that it may use; empty selects all.
 }
 
 // Key is the hash of a caller's key.
@@ -59,6 +60,12 @@
 	return o
 }
 
+// WithModels returns a copy with the model selector s.
+func (o Organisation) WithModels(s string) Organisation {
+	o.models = s
+	return o
+}
+
 // WithRate returns a copy with the given rate and burst.
 func (o Organisation) WithRate(rate float64, burst uint32) Organisation {
 	o.rate, o.burst = rate, burst
@@ -90,6 +97,9 @@
 // Selector returns the VM selector.
 func (o Organisation) Selector() string { return o.selector }
 
+// Models returns the model selector.
+func (o Organisation) Models() string { return o.models }
+
 // Key returns the key with identifier i.
 func (o Organisation) Key(i string) (Key, bool) {
 	n := slices.IndexFunc(o.keys, func(k Key) bool { return k.id == i })
