--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -15,6 +15,9 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/tidwall/gjson"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/conf"
 )
 
 // fleet starts a fleet with an organisation, and returns it with the organisation's key.
@@ -122,6 +125,7 @@
 		"batch of no endpoint":  {"POST", "/v1/batches", `{"input_file_id":"file-x","endpoint":"/v1/none"}`, k, 400, "badRequest", "/v1/none"},
 		"window is no time":     {"POST", "/v1/batches", `{"endpoint":"/v1/completions","completion_window":"soon"}`, k, 400, "badRequest", "soon"},
 		"unknown batch":         {"GET", "/v1/batches/batch_x", "", k, 404, "notFound", "batch_x"},
+		"settings lack a field": {"settings", "s.json", `{"role": "entry"}`, "", 0, "badRequest", "s.json:1: vm: is missing"},
 		"no credential":         {"POST", "/admin/v1/config", `{}`, k, 401, "unauthenticated", "credential"},
 		"command field unknown": {"POST", "/admin/v1/organisation", `{"nme":"x"}`, credential, 400, "badRequest", "nme"},
 		"rate below zero":       {"POST", "/admin/v1/organisation", `{"name":"x","rate":-1,"create":true}`, credential, 400, "badRequest", "rate"},
@@ -129,6 +133,13 @@
 		"route is reserved":     {"POST", "/admin/v1/entity", `{"change":{"route":{"name":"x","prefix":"/v1/x"}}}`, credential, 400, "badRequest", "reserved"},
 	} {
 		t.Run(name, func(t *testing.T) {
+			if x.method == "settings" {
+				_, err := conf.Parse(x.path, []byte(x.body))
+				if bulrushlug.KindOf(err).String() != x.kind || !strings.Contains(err.Error(), x.says) {
+					t.Errorf("got %v; wanted kind %s, %q", err, x.kind, x.says)
+				}
+				return
+			}
 			q, err := http.NewRequest(x.method, d.entries[0]+x.path, strings.NewReader(x.body))
 			if err != nil {
 				t.Fatal(err)
