--- /dev/null
+++ b/rest/rest.go
@@ -0,0 +1,34 @@
+// Package rest reads and writes the JSON bodies of the stand-ins.
+package rest
+
+import (
+	"io"
+	"net/http"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushlug.dev/bulrushlug/codec"
+)
+
+// Read decodes the body of r; where that fails it answers the caller and reports false.
+func Read[T any, P codec.Message[T]](w http.ResponseWriter, r *http.Request) (P, bool) {
+	b, err := io.ReadAll(r.Body)
+	if err == nil {
+		var m P
+		if m, err = codec.ParseJSON[T, P](b); err == nil {
+			return m, true
+		}
+	}
+	http.Error(w, err.Error(), http.StatusBadRequest)
+	return nil, false
+}
+
+// Write answers with m.
+func Write(w http.ResponseWriter, m proto.Message) {
+	b, err := codec.JSON(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b)
+}
--- a/simkv/leases.go
+++ b/simkv/leases.go
@@ -1,7 +1,6 @@
 package simkv
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -55,5 +54,3 @@
 		l.drop(k)
 	}
 }
-
-func noContext() context.Context { return context.Background() }
--- a/simkv/server.go
+++ b/simkv/server.go
@@ -2,17 +2,16 @@
 package simkv
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"bulrushlug.dev/bulrushlug"
-	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/memkv"
+	"bulrushlug.dev/bulrushlug/rest"
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
@@ -104,7 +103,7 @@
 	for _, i := range l {
 		e.Entries = append(e.Entries, entry(i))
 	}
-	reply(w, e)
+	rest.Write(w, e)
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
@@ -122,7 +121,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		reply(w, e)
+		rest.Write(w, e)
 		if _, err := io.WriteString(w, "\n"); err != nil || f.Flush() != nil {
 			return
 		}
@@ -138,7 +137,7 @@
 		http.Error(w, "ttlMs must be a positive number of milliseconds", http.StatusBadRequest)
 		return
 	}
-	reply(w, &wire.Lease{Id: s.leases.grant(time.Duration(n) * time.Millisecond), TtlMs: uint64(n)})
+	rest.Write(w, &wire.Lease{Id: s.leases.grant(time.Duration(n) * time.Millisecond), TtlMs: uint64(n)})
 }
 
 func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
@@ -152,7 +151,7 @@
 
 // expire removes the keys of a lease that ran out.
 func (s *Server) expire(k string) {
-	c := noContext()
+	c := context.Background()
 	i, err := s.table.Get(c, k)
 	if err == nil && i.Revision() > 0 {
 		_ = s.table.Delete(c, k, i.Revision())
@@ -160,14 +159,8 @@
 }
 
 func (s *Server) faults(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	f, err := codec.ParseJSON[wire.Faults](b)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	f, ok := rest.Read[wire.Faults](w, r)
+	if !ok {
 		return
 	}
 	s.table.SetOutage(f.Outage)
@@ -177,7 +170,7 @@
 
 func (s *Server) calls(w http.ResponseWriter, r *http.Request) {
 	a, b := s.table.Calls()
-	reply(w, &wire.Calls{Reads: a, Writes: b})
+	rest.Write(w, &wire.Calls{Reads: a, Writes: b})
 }
 
 func previous(r *http.Request) uint64 {
@@ -189,15 +182,6 @@
 	return &wire.Entry{Key: i.Key(), Value: i.Value(), Revision: i.Revision()}
 }
 
-func reply(w http.ResponseWriter, m proto.Message) {
-	b, err := codec.JSON(m)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(b)
-}
-
 // fail reports err; an outage and a lost answer cut the connection.
 func fail(w http.ResponseWriter, err error) {
 	switch bulrushlug.KindOf(err) {
--- a/simlm/server.go
+++ b/simlm/server.go
@@ -11,11 +11,10 @@
 
 	"github.com/google/uuid"
 	"github.com/tidwall/gjson"
-	"google.golang.org/protobuf/proto"
 
 	"bulrushlug.dev/bulrushlug"
-	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/memlm"
+	"bulrushlug.dev/bulrushlug/rest"
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
@@ -108,13 +107,12 @@
 		}
 		s.taken = time.Now()
 	}
-	reply(w, s.report)
+	rest.Write(w, s.report)
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	o, err := read[wire.Order](r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	o, ok := rest.Read[wire.Order](w, r)
+	if !ok {
 		return
 	}
 	if err := s.engine.Load(r.Context(), o.Model, o.Version, o.Fence); err != nil {
@@ -127,13 +125,12 @@
 	s.engine.Ran(func(id string, started, finished, cancelled, resumed uint32) {
 		l.Ran = append(l.Ran, &wire.Ran{Id: id, Started: started, Finished: finished, Cancelled: cancelled, Resumed: resumed})
 	})
-	reply(w, l)
+	rest.Write(w, l)
 }
 
 func (s *Server) faults(w http.ResponseWriter, r *http.Request) {
-	f, err := read[wire.Faults](r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	f, ok := rest.Read[wire.Faults](w, r)
+	if !ok {
 		return
 	}
 	s.engine.SetOutage(f.Outage)
@@ -143,20 +140,3 @@
 		s.engine.SetToken(time.Duration(f.TokenMs) * time.Millisecond)
 	}
 }
-
-func read[T any, P codec.Message[T]](r *http.Request) (P, error) {
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, err
-	}
-	return codec.ParseJSON[T, P](b)
-}
-
-func reply(w http.ResponseWriter, m proto.Message) {
-	b, err := codec.JSON(m)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(b)
-}
--- a/simvm/server.go
+++ b/simvm/server.go
@@ -2,13 +2,13 @@
 package simvm
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/memvm"
+	"bulrushlug.dev/bulrushlug/rest"
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
@@ -42,23 +42,12 @@
 	for _, x := range l {
 		m.Members = append(m.Members, codec.EncodeMember(x))
 	}
-	b, err := codec.JSON(m)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(b)
+	rest.Write(w, m)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	m, err := codec.ParseJSON[wire.Member](b)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	m, ok := rest.Read[wire.Member](w, r)
+	if !ok {
 		return
 	}
 	s.list.Put(codec.DecodeMember(m))
