refactor: look-ups of VMs by name, one loop for changes of records

Cause: reading the whole change once more: placing a request built a map of all VMs that leave, and each look-up of a VM walked the whole list, both for every request; files and jobs had a read-change-swap loop each; the comment of Update promised a second write that its callers make. Ruled out: a cache in place, which would stand beside the roster's own list. Change: the roster keeps its members by name as well; place asks it for one VM; one generic loop in jobs; the comment says what happens.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -270,7 +270,7 @@
 func (r *Runner) start(w context.Context, x bulrushlug.Job, cancel bool) {
 	r.recorder.Record(bulrushlug.NewEvent("jobClaimed", bulrushlug.ForJob(x.ID(), x.Organisation())))
 	c, stop := context.WithCancel(w)
-	n := &run{Runner: r, job: x, stop: stop, done: make(chan struct{}), cancel: cancel}
+	n := &run{Runner: r, job: x, stop: stop, done: make(chan struct{})}
 	n.cancel = cancel || x.Status() == bulrushlug.StatusCancelling
 	r.mu.Lock()
 	r.runs[x.ID()] = n
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -66,13 +66,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = j.create(c, filePrefix+f.Organisation()+"/"+f.ID(), b)
+	_, err = j.create(c, fileKey(f.Organisation(), f.ID()), b)
 	return err
 }
 
 // File returns the record of file i of organisation o.
 func (j *Jobs) File(c context.Context, o, i string) (bulrushlug.File, error) {
-	x, err := j.get(c, filePrefix+o+"/"+i, "file "+i)
+	x, err := j.get(c, fileKey(o, i), "file "+i)
 	if err != nil {
 		return bulrushlug.File{}, err
 	}
@@ -125,7 +125,7 @@
 
 // DeleteFile removes the record of file i of organisation o.
 func (j *Jobs) DeleteFile(c context.Context, o, i string) error {
-	k := filePrefix + o + "/" + i
+	k := fileKey(o, i)
 	x, err := j.get(c, k, "file "+i)
 	if err != nil {
 		return err
@@ -135,23 +135,34 @@
 
 // UpdateFile writes what f makes of the record of file i of organisation o.
 func (j *Jobs) UpdateFile(c context.Context, o, i string, f func(bulrushlug.File) bulrushlug.File) error {
-	k := filePrefix + o + "/" + i
+	g := func(x bulrushlug.File) (bulrushlug.File, error) { return f(x), nil }
+	_, err := update(c, j, fileKey(o, i), "file "+i, g, codec.DecodeFile, codec.EncodeFile)
+	return err
+}
+
+// update writes what f makes of the record under k, and returns it; it starts again where another write came first.
+func update[T any](c context.Context, j *Jobs, k, name string, f func(T) (T, error), decode func([]byte) (T, error), encode func(T) ([]byte, error)) (T, error) {
 	for {
-		x, err := j.get(c, k, "file "+i)
+		x, err := j.get(c, k, name)
 		if err != nil {
-			return err
+			var none T
+			return none, err
 		}
-		r, err := codec.DecodeFile(x.Value())
+		r, err := decode(x.Value())
 		if err != nil {
-			return err
+			return r, err
 		}
-		b, err := codec.EncodeFile(f(r))
+		y, err := f(r)
 		if err != nil {
-			return err
+			return r, err
+		}
+		b, err := encode(y)
+		if err != nil {
+			return r, err
 		}
 		_, err = j.store.Swap(c, k, b, x.Revision())
 		if bulrushlug.KindOf(err) != bulrushlug.KindConflict {
-			return err
+			return y, err
 		}
 	}
 }
@@ -175,6 +186,8 @@
 	return y, j.mark(c, y)
 }
 
+func fileKey(o, i string) string { return filePrefix + o + "/" + i }
+
 func jobKey(o, i string) string { return jobPrefix + o + "/" + i }
 
 // mark makes the job visible to the processes that run jobs.
@@ -198,31 +211,10 @@
 
 // Update writes what f makes of the record of job i of organisation o, and returns it.
 //
-// f may be called several times, since a write whose answer is lost is made again; it says no by an error.
+// f may be called several times and says no by an error. Where the answer to the write is lost, an error is
+// returned though the write may have taken effect.
 func (j *Jobs) Update(c context.Context, o, i string, f func(bulrushlug.Job) (bulrushlug.Job, error)) (bulrushlug.Job, error) {
-	for {
-		x, err := j.get(c, jobKey(o, i), "batch "+i)
-		if err != nil {
-			return bulrushlug.Job{}, err
-		}
-		r, err := codec.DecodeJob(x.Value())
-		if err != nil {
-			return r, err
-		}
-		y, err := f(r)
-		if err != nil {
-			return r, err
-		}
-		b, err := codec.EncodeJob(y)
-		if err != nil {
-			return r, err
-		}
-		_, err = j.store.Swap(c, jobKey(o, i), b, x.Revision())
-		if bulrushlug.KindOf(err) == bulrushlug.KindConflict {
-			continue
-		}
-		return y, err
-	}
+	return update(c, j, jobKey(o, i), "batch "+i, f, codec.DecodeJob, codec.EncodeJob)
 }
 
 // Cancel asks that job i of organisation o stops, and returns its record.
--- a/place/filter.go
+++ b/place/filter.go
@@ -43,13 +43,12 @@
 // eligible returns the servers that may run r; those that are silent or failed serve only where no others are left.
 func (p *Filter) eligible(r *bulrushlug.Request) []bulrushlug.View {
 	f := p.source.Config()
-	gone := p.leaving()
 	var good, poor []bulrushlug.View
 	for _, v := range p.fleet.Offering(r) {
 		l := v.Load()
 		m := f.VM(l.VM())
 		switch {
-		case m.Draining() || gone[l.VM()] || match.Allowed(f, r, m, l.Zone(), l.Region()) != nil:
+		case m.Draining() || p.leaving(l.VM()) || match.Allowed(f, r, m, l.Zone(), l.Region()) != nil:
 		case v.Live() && !v.Avoid():
 			good = append(good, v)
 		default:
@@ -62,12 +61,8 @@
 	return poor
 }
 
-func (p *Filter) leaving() map[string]bool {
-	m := map[string]bool{}
-	for _, x := range p.roster.Members() {
-		if x.Leaving() {
-			m[x.Name()] = true
-		}
-	}
-	return m
+// leaving reports whether the platform takes the VM v away.
+func (p *Filter) leaving(v string) bool {
+	m, ok := p.roster.Member(v)
+	return ok && m.Leaving()
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -22,8 +22,9 @@
 type Roster struct {
 	list    bulrushlug.VMList
 	mu      sync.RWMutex
-	members []bulrushlug.Member  // Sorted by name.
-	absent  map[string]time.Time // First time at which a VM was asked for and was not listed.
+	members []bulrushlug.Member          // Sorted by name.
+	byName  map[string]bulrushlug.Member // The same members.
+	absent  map[string]time.Time         // First time at which a VM was asked for and was not listed.
 	onList  []func([]bulrushlug.Member)
 }
 
@@ -58,10 +59,14 @@
 	if len(l) == 0 {
 		return bulrushlug.NewFault(bulrushlug.KindStoreDown, "the VM list is empty")
 	}
+	m := make(map[string]bulrushlug.Member, len(l))
+	for _, x := range l {
+		m[x.Name()] = x
+	}
 	r.mu.Lock()
-	r.members = l
-	for _, m := range l {
-		delete(r.absent, m.Name())
+	r.members, r.byName = l, m
+	for n := range m {
+		delete(r.absent, n)
 	}
 	fs := slices.Clone(r.onList)
 	r.mu.Unlock()
@@ -80,12 +85,10 @@
 
 // Member returns the VM called n.
 func (r *Roster) Member(n string) (bulrushlug.Member, bool) {
-	for _, m := range r.Members() {
-		if m.Name() == n {
-			return m, true
-		}
-	}
-	return bulrushlug.Member{}, false
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	m, ok := r.byName[n]
+	return m, ok
 }
 
 // Gone reports whether the VM n has been off the list for DropAfter.
