--- a/authn/filter.go
+++ b/authn/filter.go
@@ -15,12 +15,16 @@
 // New returns a filter over the configuration in f.
 func New(f bulrushlug.Source) *Filter { return &Filter{source: f} }
 
-// Pass refuses requests without a valid key, but for those on open routes.
+// Pass refuses requests without a valid key, but for those on open routes, which are bound only by a valid one.
 func (a *Filter) Pass(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink, n bulrushlug.Stage) error {
 	f := a.source.Config()
 	if r.Route() != "" {
 		if t, ok := f.RouteNamed(r.Route()); ok && t.Open() {
-			r.Authenticate("", "")
+			o, i, err := Check(f, r.Key())
+			if err != nil {
+				o, i = "", ""
+			}
+			r.Authenticate(o, i)
 			return n.Run(c, r, s)
 		}
 	}
--- a/cmds/app.go
+++ b/cmds/app.go
@@ -28,7 +28,7 @@
 			&cli.BoolFlag{Name: "dry-run", Usage: "show changes in place of making them"},
 		},
 		Commands: []*cli.Command{
-			runCommand(), checkCommand(), secretCommand(), certificateCommand(),
+			runCommand(), serveCommand(), checkCommand(), secretCommand(), certificateCommand(),
 			orgCommand(), keyCommand(), modelCommand(), vmCommand(), routeCommand(),
 			rolloutCommand(), serversCommand(), jobsCommand(), timelineCommand(),
 		},
--- /dev/null
+++ b/cmds/serve.go
@@ -0,0 +1,54 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"bulrushlug.dev/bulrushlug/logs"
+	"bulrushlug.dev/bulrushlug/setup"
+	"bulrushlug.dev/bulrushlug/site"
+)
+
+// settingsVariable names the variable with the path of the settings.
+const settingsVariable = "BULRUSHLUG_BOOT"
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the process that the settings file in $" + settingsVariable + " describes, until SIGTERM",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "`path` of the settings", Sources: cli.EnvVars(settingsVariable)}},
+		Action: func(c context.Context, m *cli.Command) error {
+			return serve(c, m.String("settings"))
+		},
+	}
+}
+
+func serve(c context.Context, p string) error {
+	s, err := setup.Load(p)
+	if err != nil {
+		return err
+	}
+	w := logs.New(os.Stdout)
+	defer func() { _ = w.Close() }()
+	l := log.With(log.NewLogfmtLogger(w), "ts", log.DefaultTimestampUTC)
+	x, err := site.New(s, l)
+	if err != nil {
+		return err
+	}
+	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			_, err := setup.Load(p)
+			_ = l.Log("event", "reload", "err", err)
+		}
+	}()
+	return x.Run(c)
+}
--- a/codec/packet.go
+++ b/codec/packet.go
@@ -30,6 +30,9 @@
 	if r := m.Released(); r != nil {
 		w.Released = &wire.Released{Organisation: r.Organisation(), Epoch: r.Epoch(), Balance: r.Balance()}
 	}
+	if r := m.Report(); r != nil {
+		w.Report = EncodeReport(*r)
+	}
 	return proto.Marshal(w)
 }
 
@@ -50,6 +53,9 @@
 	if w.Digest != nil {
 		o = append(o, bulrushlug.MessageDigest(decodeDigest(w.Digest)))
 	}
+	if w.Report != nil {
+		o = append(o, bulrushlug.MessageReport(DecodeReport(w.Report)))
+	}
 	return bulrushlug.NewMessage(append(o, decodeLimits(&w)...)...), nil
 }
 
--- /dev/null
+++ b/codec/report.go
@@ -0,0 +1,51 @@
+package codec
+
+import (
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// EncodeReport returns r as a message.
+func EncodeReport(r bulrushlug.Report) *wire.Report {
+	m := r.Member()
+	w := &wire.Report{
+		Vm:       m.Name(),
+		Address:  m.Address(),
+		Zone:     m.Zone(),
+		Role:     m.Role(),
+		Leaving:  m.Leaving(),
+		Boot:     r.Boot(),
+		Sequence: r.Sequence(),
+		Disk:     r.Disk(),
+		Manifest: r.Manifest(),
+	}
+	for _, u := range r.Usages() {
+		w.Usages = append(w.Usages, &wire.Usage{Backend: u.Backend(), Online: u.Online(), Batch: u.Batch()})
+	}
+	for _, s := range r.Spendings() {
+		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
+	}
+	for _, y := range r.Yields() {
+		w.Yields = append(w.Yields, &wire.Yield{Backend: y.Backend(), Count: y.Count()})
+	}
+	return w
+}
+
+// DecodeReport returns the report in w.
+func DecodeReport(w *wire.Report) bulrushlug.Report {
+	m := bulrushlug.NewMember(w.Vm, w.Address, "", w.Zone, w.Role).WithLeaving(w.Leaving).WithData(w.Disk != "")
+	var u []bulrushlug.Usage
+	for _, x := range w.Usages {
+		u = append(u, bulrushlug.NewUsage(x.Backend, x.Online, x.Batch))
+	}
+	var s []bulrushlug.Spending
+	for _, x := range w.Spendings {
+		s = append(s, bulrushlug.NewSpending(x.Organisation, x.Admitted, x.Level))
+	}
+	var y []bulrushlug.Yield
+	for _, x := range w.Yields {
+		y = append(y, bulrushlug.NewYield(x.Backend, x.Count))
+	}
+	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest),
+		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportYields(y...))
+}
--- a/config.go
+++ b/config.go
@@ -140,6 +140,23 @@
 	return Route{}, false
 }
 
+// RouteFor returns the route of host h with the longest prefix of p.
+func (f *Config) RouteFor(h, p string) (Route, bool) {
+	for _, r := range f.routes {
+		if strings.EqualFold(r.host, h) && strings.HasPrefix(p, r.prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// HasLots reports whether a route of host h takes lots.
+func (f *Config) HasLots(h string) bool {
+	return slices.ContainsFunc(f.routes, func(r Route) bool {
+		return r.traffic == TrafficLot && strings.EqualFold(r.host, h)
+	})
+}
+
 // RouteNamed returns the route called n.
 func (f *Config) RouteNamed(n string) (Route, bool) {
 	c, ok := f.last["route/"+n]
--- /dev/null
+++ b/direct/stage.go
@@ -0,0 +1,278 @@
+// Package direct is the last stage of a pipe that sends requests straight to backend servers.
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/slots"
+	"bulrushlug.dev/bulrushlug/stream"
+)
+
+const (
+	maxSends  = 4                      // Backend servers that one request is sent to, those that refuse it included.
+	retryWait = 300 * time.Millisecond // Time after which a full service is worth another try: a short answer's length.
+	maxWhole  = 8 << 20                // Bytes of an answer that is held until it is whole.
+	readSize  = 16 << 10
+)
+
+// Stage sends each request to a backend server and repeats it where that is safe.
+type Stage struct {
+	table    *slots.Table
+	caller   bulrushlug.Caller
+	recorder bulrushlug.Recorder
+	yield    func(b string) // Asks others to free a slot.
+}
+
+// New returns a stage over the servers in t; y asks for a slot that batch items hold.
+func New(t *slots.Table, c bulrushlug.Caller, e bulrushlug.Recorder, y func(b string)) *Stage {
+	return &Stage{table: t, caller: c, recorder: e, yield: y}
+}
+
+// attempt is one request on its way through the servers.
+type attempt struct {
+	*Stage
+	request *bulrushlug.Request
+	sink    *sink
+	service string
+	skip    map[string]bool // Servers that failed or refused the request.
+	ran     int             // Sends after which the request may have run.
+}
+
+// Run sends r until a server answers it; the answer of the last server goes to s.
+func (g *Stage) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
+	if d := r.Deadline(); !d.IsZero() {
+		var stop context.CancelFunc
+		c, stop = context.WithDeadline(c, d)
+		defer stop()
+	}
+	a := &attempt{Stage: g, request: r, sink: &sink{sink: s}, service: service(r.Target()), skip: map[string]bool{}}
+	var err error
+	for range maxSends {
+		var again bool
+		if again, err = a.send(c); !again || c.Err() != nil {
+			break
+		}
+		r.NextAttempt()
+	}
+	return a.final(c, err)
+}
+
+// final turns what could not run into a refusal that says so, and what may have run into one that doesn't.
+func (a *attempt) final(c context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	k := bulrushlug.KindOf(err)
+	switch {
+	case a.ran > 0 && !k.Answer().Ran():
+		return bulrushlug.WrapFault(bulrushlug.KindUncertain, "an earlier attempt may have run", err)
+	case a.ran == 0 && c.Err() != nil && k != bulrushlug.KindCancelled:
+		return bulrushlug.WrapFault(bulrushlug.KindOverloaded, "no server took the request in time", err)
+	}
+	return err
+}
+
+// service returns one service of t, by weight.
+func service(t bulrushlug.Route) string {
+	sum := 0
+	for _, s := range t.Shares() {
+		sum += s.Weight()
+	}
+	if sum == 0 {
+		return t.Name()
+	}
+	n := rand.IntN(sum)
+	for _, s := range t.Shares() {
+		if n -= s.Weight(); n < 0 {
+			return s.Service()
+		}
+	}
+	return t.Name()
+}
+
+// send offers the request to one server; it reports whether another one may be tried after the error.
+func (a *attempt) send(c context.Context) (bool, error) {
+	l, yield := a.table.Online(a.service, a.skip)
+	if l == nil {
+		return false, bulrushlug.NewFault(bulrushlug.KindOverloaded, "no server of %s has room: %d known, %d tried", a.service, a.table.Known(a.service), len(a.skip)).WithWait(retryWait)
+	}
+	defer l.Release()
+	if yield {
+		a.yield(l.Backend().ID())
+	}
+	t := time.Now()
+	p, err := a.caller.Call(c, l.Backend(), a.request)
+	if err != nil {
+		return a.failed(c, l, err)
+	}
+	defer p.Close()
+	a.ran++
+	if p.Status() >= 500 && a.mayRepeat() {
+		a.skip[l.Backend().ID()] = true
+		return true, bulrushlug.NewFault(bulrushlug.KindUncertain, "%s answered %d", l.Backend().ID(), p.Status())
+	}
+	n, err := a.pass(p)
+	if err == nil {
+		l.Answered(pace(t, n))
+		return false, nil
+	}
+	a.record("answerBroken", l.Backend(), err)
+	if c.Err() != nil || a.sink.broken {
+		return false, err
+	}
+	a.skip[l.Backend().ID()] = true
+	return a.mayRepeat() && a.resumes(), err
+}
+
+// pace returns the seconds per event of an answer of n events that began at t.
+func pace(t time.Time, n int) float64 {
+	if n < 2 {
+		return 0
+	}
+	return time.Since(t).Seconds() / float64(n)
+}
+
+// failed classifies an exchange without an answer.
+func (a *attempt) failed(c context.Context, l *slots.Lease, err error) (bool, error) {
+	k := bulrushlug.KindOf(err)
+	a.skip[l.Backend().ID()] = true
+	a.record("callFailed", l.Backend(), err)
+	switch k {
+	case bulrushlug.KindUnplaceable, bulrushlug.KindMisdirected:
+		l.Failed()
+		return true, err
+	case bulrushlug.KindOverloaded:
+		return true, err
+	}
+	a.ran++
+	if c.Err() != nil {
+		return false, err
+	}
+	if k == bulrushlug.KindUncertain {
+		l.Failed()
+	}
+	return a.mayRepeat(), err
+}
+
+// mayRepeat reports whether the request may run once more.
+func (a *attempt) mayRepeat() bool {
+	n := a.request.Target().Attempts()
+	return a.request.Idempotent() && (n == 0 || a.ran < n)
+}
+
+// resumes reports whether an answer that was begun can go on.
+func (a *attempt) resumes() bool {
+	return !a.sink.headed || a.request.Target().Resumable() && a.sink.resumable
+}
+
+func (a *attempt) record(w string, b bulrushlug.Backend, err error) {
+	a.recorder.Record(bulrushlug.NewEvent(w, bulrushlug.ForRequest(a.request),
+		bulrushlug.WithDetail(b.ID()+" "+bulrushlug.KindOf(err).String()+": "+err.Error())))
+}
+
+// pass hands the answer p to the caller; it returns the number of events.
+func (a *attempt) pass(p bulrushlug.Reply) (int, error) {
+	if strings.HasPrefix(bulrushlug.FieldValue(p.Fields(), "Content-Type"), "text/event-stream") && p.Status() == 200 {
+		return a.events(p)
+	}
+	return 0, a.whole(p)
+}
+
+// events passes on whole events as they come.
+func (a *attempt) events(p bulrushlug.Reply) (n int, err error) {
+	r := stream.New(p)
+	for {
+		e, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return n, a.sink.head(p)
+		}
+		if err != nil {
+			return n, broken(err)
+		}
+		if err := a.sink.head(p); err != nil {
+			return n, err
+		}
+		if err := a.sink.write(e); err != nil {
+			return n, err
+		}
+		n++
+		if id, ok := r.ID(); ok {
+			a.request.SkipEvents(id)
+			a.sink.resumable = true
+		}
+	}
+}
+
+// whole passes on an answer once it is complete, or in parts if it is large or may not be repeated.
+func (a *attempt) whole(p bulrushlug.Reply) error {
+	var b []byte
+	q := make([]byte, readSize)
+	for {
+		n, err := p.Read(q)
+		b = append(b, q[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			if err := a.sink.head(p); err != nil {
+				return err
+			}
+			return a.sink.write(b)
+		case err != nil:
+			return broken(err)
+		case len(b) < maxWhole:
+			continue
+		}
+		if err := a.sink.head(p); err != nil {
+			return err
+		}
+		if err := a.sink.write(b); err != nil {
+			return err
+		}
+		b = b[:0]
+	}
+}
+
+func broken(err error) error {
+	if bulrushlug.KindOf(err) == bulrushlug.KindInternal {
+		return bulrushlug.WrapFault(bulrushlug.KindBroken, "the answer broke off", err)
+	}
+	return err
+}
+
+// sink passes one answer on and notes how far it got.
+type sink struct {
+	sink      bulrushlug.Sink
+	headed    bool // The head was passed on.
+	broken    bool // The caller took no more.
+	resumable bool // The last event passed on had an identifier.
+}
+
+// head passes on the head of p, unless an earlier server's was.
+func (s *sink) head(p bulrushlug.Reply) error {
+	if s.headed {
+		return nil
+	}
+	s.headed = true
+	var err error
+	if f, ok := s.sink.(bulrushlug.FieldSink); ok {
+		err = f.HeadFields(p.Status(), p.Fields())
+	} else {
+		err = s.sink.Head(p.Status(), bulrushlug.FieldValue(p.Fields(), "Content-Type"))
+	}
+	s.broken = err != nil
+	return err
+}
+
+func (s *sink) write(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	err := s.sink.Write(p)
+	s.broken = err != nil
+	return err
+}
--- a/kind.go
+++ b/kind.go
@@ -27,6 +27,9 @@
 	KindRejected
 	KindPreempted
 	KindRepeated
+	KindHistoryLost
+	KindMisdirected
+	KindHeaderTooLarge
 	kindCount
 )
 
@@ -54,6 +57,9 @@
 	KindRejected:        {name: "rejected", status: 422, ran: true},
 	KindPreempted:       {name: "preempted", status: 503, ran: true},
 	KindRepeated:        {name: "repeated", status: 409, ran: true},
+	KindHistoryLost:     {name: "historyLost", status: 410},
+	KindMisdirected:     {name: "misdirected", status: 503, retryable: true},
+	KindHeaderTooLarge:  {name: "headerTooLarge", status: 431},
 }
 
 // Answer returns how k is reported to a caller.
--- /dev/null
+++ b/locate/lots.go
@@ -0,0 +1,212 @@
+// Package locate finds the process that runs a lot, for the front ends.
+package locate
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/peers"
+)
+
+const (
+	shardCount    = 8
+	submitTimeout = 1500 * time.Millisecond // Longest wait for one process that accepts a lot.
+	submitTries   = 3                       // Processes to which one lot is offered.
+	readExtra     = 800 * time.Millisecond  // Time beyond the caller's own wait for one process.
+	readTries     = 3                       // Processes that are asked for one lot.
+	pause         = 150 * time.Millisecond  // Time between tries; a change of replicas takes about as long.
+	maxPlaces     = 20000                   // Lots of one shard whose place is remembered; all are forgotten beyond it.
+	retryWait     = 400 * time.Millisecond  // Time after which a refused call is worth another try.
+)
+
+// Remote reaches the processes with disks.
+type remote interface {
+	Submit(c context.Context, a string, l bulrushlug.Lot) error
+	Read(c context.Context, a string, q bulrushlug.LotQuery) (bulrushlug.LotPage, error)
+	Body(c context.Context, a string, q bulrushlug.LotQuery) ([]byte, error)
+	End(c context.Context, a string, q bulrushlug.LotQuery) error
+}
+
+// Lots hands calls about lots to the processes that run them.
+type Lots struct {
+	remote remote
+	table  bulrushlug.Table
+	prefix string // Prefix of the records of lots.
+	peers  *peers.Peers
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu     sync.Mutex
+	places map[string]string // Disk of the primary, by lot.
+}
+
+// New returns a front to the lots whose records are the entries of t under prefix.
+func New(r remote, t bulrushlug.Table, prefix string, p *peers.Peers) *Lots {
+	l := &Lots{remote: r, table: t, prefix: prefix, peers: p}
+	for i := range l.shards {
+		l.shards[i].places = map[string]string{}
+	}
+	return l
+}
+
+func (l *Lots) shard(i string) *shard { return &l.shards[xxhash.Sum64String(i)%shardCount] }
+
+func (l *Lots) remember(i, disk string) {
+	s := l.shard(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.places) >= maxPlaces {
+		clear(s.places)
+	}
+	s.places[i] = disk
+}
+
+func (l *Lots) forget(i string) {
+	s := l.shard(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.places, i)
+}
+
+func (l *Lots) place(i string) string {
+	s := l.shard(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.places[i]
+}
+
+// Submit offers x to processes with disks, those of the own zone first, until one accepts it.
+func (l *Lots) Submit(c context.Context, x bulrushlug.Lot) error {
+	var err error = bulrushlug.NewFault(bulrushlug.KindUnplaceable, "no process with a disk is there")
+	doubt := false
+	for n, p := range l.order() {
+		if n == submitTries || c.Err() != nil {
+			break
+		}
+		if err = l.submitTo(c, p, x); err == nil {
+			l.remember(x.ID(), p.Disk())
+			return nil
+		}
+		doubt = doubt || bulrushlug.KindOf(err).Answer().Ran()
+	}
+	if doubt {
+		return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+x.ID(), err)
+	}
+	return bulrushlug.WrapFault(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithWait(retryWait)
+}
+
+func (l *Lots) submitTo(c context.Context, p peers.Peer, x bulrushlug.Lot) error {
+	c, stop := context.WithTimeout(c, submitTimeout)
+	defer stop()
+	return l.remote.Submit(c, p.Member().Address(), x)
+}
+
+// order returns the processes with disks by turns, those of the own zone first.
+func (l *Lots) order() (near []peers.Peer) {
+	var far []peers.Peer
+	all := l.peers.Disks()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, p := range all {
+		if p.Member().Zone() == l.peers.Self().Zone() {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	return append(near, far...)
+}
+
+// at calls f with the process that runs lot i.
+func (l *Lots) at(c context.Context, q bulrushlug.LotQuery, f func(c context.Context, address string) error) error {
+	var err error
+	for n := range readTries {
+		if n > 0 {
+			if e := bulrushlug.Wait(c, pause); e != nil {
+				break
+			}
+		}
+		var a string
+		if a, err = l.find(c, q.ID()); err != nil {
+			if bulrushlug.KindOf(err) == bulrushlug.KindNotFound {
+				return err
+			}
+			continue
+		}
+		if err = l.try(c, q, a, f); err == nil || !elsewhere(err) {
+			return err
+		}
+		l.forget(q.ID())
+	}
+	return bulrushlug.WrapFault(bulrushlug.KindStale, "lot "+q.ID(), err).WithWait(retryWait)
+}
+
+func (l *Lots) try(c context.Context, q bulrushlug.LotQuery, a string, f func(c context.Context, address string) error) error {
+	c, stop := context.WithTimeout(c, q.Wait()+readExtra)
+	defer stop()
+	return f(c, a)
+}
+
+// elsewhere reports whether another process may answer after err.
+func elsewhere(err error) bool {
+	switch bulrushlug.KindOf(err) {
+	case bulrushlug.KindNotFound, bulrushlug.KindCancelled:
+		return false
+	}
+	return true
+}
+
+// find returns the address of the process that runs lot i.
+func (l *Lots) find(c context.Context, i string) (string, error) {
+	d := l.place(i)
+	if d == "" {
+		x, err := l.table.Get(c, l.prefix+i)
+		if err != nil {
+			return "", err
+		}
+		if x.Revision() == 0 {
+			return "", bulrushlug.NewFault(bulrushlug.KindNotFound, "lot %s does not exist", i)
+		}
+		r, err := codec.DecodeLotRecord(x.Value())
+		if err != nil {
+			return "", err
+		}
+		d = r.Replicas()[0]
+		l.remember(i, d)
+	}
+	p, ok := l.peers.ByDisk(d)
+	if !ok {
+		l.forget(i)
+		return "", bulrushlug.NewFault(bulrushlug.KindStale, "lot %s is on disk %s, which no known process has", i, d)
+	}
+	return p.Member().Address(), nil
+}
+
+// Read returns results of a lot.
+func (l *Lots) Read(c context.Context, q bulrushlug.LotQuery) (p bulrushlug.LotPage, err error) {
+	err = l.at(c, q, func(c context.Context, a string) error {
+		p, err = l.remote.Read(c, a, q)
+		return err
+	})
+	return p, err
+}
+
+// Body returns the body of an item.
+func (l *Lots) Body(c context.Context, q bulrushlug.LotQuery) (b []byte, err error) {
+	err = l.at(c, q, func(c context.Context, a string) error {
+		b, err = l.remote.Body(c, a, q)
+		return err
+	})
+	return b, err
+}
+
+// End ends a lot.
+func (l *Lots) End(c context.Context, q bulrushlug.LotQuery) error {
+	return l.at(c, q, func(c context.Context, a string) error { return l.remote.End(c, a, q) })
+}
--- /dev/null
+++ b/lotlog/log.go
@@ -0,0 +1,223 @@
+// Package lotlog keeps the logs of lots in one file each.
+package lotlog
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"hash/crc32"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+const (
+	suffix     = ".lot"
+	identity   = "disk" // File that names the disk.
+	headerSize = 8      // Bytes before each record: its length and its checksum.
+	folderMode = 0o750
+	fileMode   = 0o640
+	shardCount = 16
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Log is a folder of logs.
+type Log struct {
+	folder string
+	disk   string
+	shards [shardCount]shard
+}
+
+// shard holds the open files of some lots; its lock is held while they are written.
+type shard struct {
+	mu    sync.Mutex
+	files map[string]*file // By identifier of the lot.
+}
+
+// file is one log.
+type file struct {
+	*os.File
+	size int64 // Bytes of whole records; what lies beyond them is cut before the next record.
+}
+
+// Open opens the folder d and names the disk if it has no name yet.
+func Open(d string) (*Log, error) {
+	l := &Log{folder: d}
+	for i := range l.shards {
+		l.shards[i].files = map[string]*file{}
+	}
+	if err := os.MkdirAll(d, folderMode); err != nil {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindStorage, d, err)
+	}
+	p := filepath.Join(d, identity)
+	b, err := os.ReadFile(p)
+	if err == nil && len(b) == len(uuid.UUID{})*2 {
+		l.disk = string(b)
+		return l, nil
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindStorage, p, err)
+	}
+	u := uuid.New()
+	l.disk = hex.EncodeToString(u[:])
+	return l, l.name(p)
+}
+
+// name writes the name of the disk to the file p; copies written before it are lost with a torn name, so it is synced first.
+func (l *Log) name(p string) error {
+	f, err := os.OpenFile(p, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindStorage, p, err)
+	}
+	_, err = f.WriteString(l.disk)
+	if err = errors.Join(err, f.Sync(), f.Close(), l.syncFolder()); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindStorage, p, err)
+	}
+	return nil
+}
+
+// Disk returns the name of the disk; an emptied disk has another one.
+func (l *Log) Disk() string { return l.disk }
+
+func (l *Log) syncFolder() error {
+	f, err := os.Open(l.folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+func (l *Log) shard(i string) *shard {
+	return &l.shards[crc32.Checksum([]byte(i), table)%shardCount]
+}
+
+func (l *Log) path(i string) string {
+	return filepath.Join(l.folder, hex.EncodeToString([]byte(i))+suffix)
+}
+
+// Append keeps u; it returns once u is synced.
+func (l *Log) Append(u bulrushlug.LotUpdate) error {
+	b, err := proto.Marshal(codec.EncodeLotUpdate(u))
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindStorage, u.Lot(), err)
+	}
+	r := make([]byte, headerSize, headerSize+len(b))
+	binary.BigEndian.PutUint32(r, uint32(len(b)))
+	binary.BigEndian.PutUint32(r[4:], crc32.Checksum(b, table))
+	r = append(r, b...)
+	s := l.shard(u.Lot())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := l.write(s, u.Lot(), r); err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindStorage, l.path(u.Lot()), err)
+	}
+	return nil
+}
+
+// write appends r to the file of lot i; what an error left of it is cut before the next record.
+func (l *Log) write(s *shard, i string, r []byte) error {
+	f, ok := s.files[i]
+	if !ok {
+		x, err := os.OpenFile(l.path(i), os.O_CREATE|os.O_RDWR, fileMode)
+		if err != nil {
+			return err
+		}
+		n, err := x.Seek(0, io.SeekEnd)
+		if err != nil {
+			return errors.Join(err, x.Close())
+		}
+		f = &file{File: x, size: n}
+		s.files[i] = f
+	}
+	n, err := f.WriteAt(r, f.size)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err == nil && !ok {
+		err = l.syncFolder()
+	}
+	if err != nil && n > 0 {
+		return errors.Join(err, f.Truncate(f.size))
+	}
+	if err == nil {
+		f.size += int64(len(r))
+	}
+	return err
+}
+
+// Load hands all steps to f; a file that ends with a torn record is cut before it, since that was never acknowledged.
+func (l *Log) Load(f func(u bulrushlug.LotUpdate)) error {
+	e, err := os.ReadDir(l.folder)
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindStorage, l.folder, err)
+	}
+	for _, x := range e {
+		if !strings.HasSuffix(x.Name(), suffix) {
+			continue
+		}
+		p := filepath.Join(l.folder, x.Name())
+		if err := load(p, f); err != nil {
+			return bulrushlug.WrapFault(bulrushlug.KindStorage, p, err)
+		}
+	}
+	return nil
+}
+
+func load(p string, f func(u bulrushlug.LotUpdate)) error {
+	b, err := os.ReadFile(p)
+	if err != nil {
+		return err
+	}
+	n := 0
+	for len(b)-n > headerSize {
+		size := int(binary.BigEndian.Uint32(b[n:]))
+		sum := binary.BigEndian.Uint32(b[n+4:])
+		if size > len(b)-n-headerSize {
+			break
+		}
+		r := b[n+headerSize : n+headerSize+size]
+		w := &wire.LotAppend{}
+		if crc32.Checksum(r, table) != sum || proto.Unmarshal(r, w) != nil {
+			break
+		}
+		u, err := codec.DecodeLotUpdate(w)
+		if err != nil {
+			break
+		}
+		f(u)
+		n += headerSize + size
+	}
+	if n == len(b) {
+		return nil
+	}
+	if n == 0 {
+		return os.Remove(p)
+	}
+	return os.Truncate(p, int64(n))
+}
+
+// Drop removes the log of lot i.
+func (l *Log) Drop(i string) error {
+	s := l.shard(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f, ok := s.files[i]; ok {
+		delete(s.files, i)
+		_ = f.Close()
+	}
+	if err := os.Remove(l.path(i)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return bulrushlug.WrapFault(bulrushlug.KindStorage, l.path(i), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lots/accept.go
@@ -0,0 +1,275 @@
+package lots
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+)
+
+// firstEpoch is the epoch in which a lot is accepted.
+const firstEpoch = 1
+
+// Submit accepts x: it is synced on all its replicas before its record is written.
+func (k *Keeper) Submit(c context.Context, x bulrushlug.Lot) error {
+	if known, err := k.await(c, x.ID()); known || err != nil {
+		return err
+	}
+	r := k.choose([]string{k.disk})
+	if len(r) < k.copies || k.retiring(k.peers.Self().Name()) {
+		return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks are there", x.ID(), len(r), k.copies)
+	}
+	u := bulrushlug.NewLotUpdate(x.ID(), firstEpoch, r, 0, []bulrushlug.LotEntry{bulrushlug.LotHead(x)}, false)
+	if err := k.place(c, u); err != nil {
+		k.withdraw(c, u)
+		return bulrushlug.WrapFault(bulrushlug.KindUnplaceable, "lot "+x.ID(), err)
+	}
+	k.with(x.ID(), func(l *lot) { l.placed = true })
+	return k.settle(c, x.ID())
+}
+
+// await reports whether lot i is accepted already; it waits while another call is accepting it here.
+func (k *Keeper) await(c context.Context, i string) (bool, error) {
+	for {
+		accepted, own := false, false
+		var change chan struct{}
+		if !k.with(i, func(l *lot) { accepted, own, change = l.confirmed, l.primary(k.disk), l.change }) {
+			return false, nil
+		}
+		if accepted || !own {
+			return accepted, nil
+		}
+		select {
+		case <-change:
+		case <-time.After(retryTime):
+		case <-c.Done():
+			return false, bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+i, c.Err())
+		}
+	}
+}
+
+// place writes the step u to this disk and to all other replicas.
+func (k *Keeper) place(c context.Context, u bulrushlug.LotUpdate) error {
+	return each(u.Replicas(), func(d string) error {
+		if d != k.disk {
+			return k.sendAll(c, d, u, copyTimeout)
+		}
+		s, err := k.keepStep(u, func(l *lot) bool { return !l.confirmed })
+		if err == nil && !s.OK() {
+			err = bulrushlug.NewFault(bulrushlug.KindConflict, "lot %s was accepted meanwhile", u.Lot())
+		}
+		return err
+	})
+}
+
+// sendAll sends u to the replica on disk d.
+func (k *Keeper) sendAll(c context.Context, d string, u bulrushlug.LotUpdate, wait time.Duration) error {
+	s, err := k.send(c, d, u, wait)
+	if err == nil && !s.OK() {
+		err = bulrushlug.NewFault(bulrushlug.KindConflict, "the replica on disk %s follows epoch %d", d, s.Epoch())
+	}
+	return err
+}
+
+// send sends u to the replica on disk d and returns its state.
+func (k *Keeper) send(c context.Context, d string, u bulrushlug.LotUpdate, wait time.Duration) (bulrushlug.LotState, error) {
+	p, ok := k.peers.ByDisk(d)
+	if !ok {
+		return bulrushlug.LotState{}, bulrushlug.NewFault(bulrushlug.KindUnplaceable, "disk %s is at no known process", d)
+	}
+	c, stop := context.WithTimeout(c, wait)
+	defer stop()
+	return k.remote.Append(c, p.Member().Address(), u)
+}
+
+// each calls f for every element of l at the same time and returns all errors.
+func each(l []string, f func(d string) error) error {
+	e := make([]error, len(l))
+	var w sync.WaitGroup
+	for i, d := range l {
+		w.Go(func() { e[i] = f(d) })
+	}
+	w.Wait()
+	return errors.Join(e...)
+}
+
+// withdraw removes the copies of a lot that was not accepted.
+func (k *Keeper) withdraw(c context.Context, u bulrushlug.LotUpdate) {
+	k.forget(c, u.Lot(), u.Epoch(), u.Replicas())
+	unconfirmed := false
+	k.with(u.Lot(), func(l *lot) { unconfirmed = !l.confirmed && l.epoch == u.Epoch() })
+	if unconfirmed {
+		k.drop(u.Lot(), "not accepted")
+	}
+}
+
+// forget asks the replicas on the disks l to drop their copies of lot i.
+func (k *Keeper) forget(c context.Context, i string, n uint64, l []string) {
+	for _, d := range l {
+		p, ok := k.peers.ByDisk(d)
+		if d == k.disk || !ok {
+			continue
+		}
+		go func() {
+			x, stop := context.WithTimeout(context.WithoutCancel(c), copyTimeout)
+			defer stop()
+			if err := k.remote.Forget(x, p.Member().Address(), i, n); err != nil {
+				_ = k.logger.Log("event", "copyNotForgotten", "lot", i, "vm", p.Member().Name(), "err", err)
+			}
+		}()
+	}
+}
+
+// choose adds disks to those in l until there are enough copies, in zones that have none first.
+func (k *Keeper) choose(l []string) []string {
+	zones := map[string]bool{}
+	for _, d := range l {
+		if p, ok := k.peers.ByDisk(d); ok {
+			zones[p.Member().Zone()] = true
+		}
+	}
+	if slices.Contains(l, k.disk) {
+		zones[k.peers.Self().Zone()] = true
+	}
+	free := k.peers.Disks()
+	for i := range free {
+		j := int(time.Now().UnixNano()>>10) % (len(free) - i)
+		free[i], free[i+j] = free[i+j], free[i]
+	}
+	for _, other := range []bool{true, false} {
+		for _, p := range free {
+			z := p.Member().Zone()
+			if len(l) < k.copies && !slices.Contains(l, p.Disk()) && !k.retiring(p.Member().Name()) && zones[z] != other {
+				l = append(l, p.Disk())
+				zones[z] = true
+			}
+		}
+	}
+	return l
+}
+
+// settle makes the record of a lot whose copies are in place.
+func (k *Keeper) settle(c context.Context, i string) error {
+	for {
+		err := k.record(c, i, 0)
+		switch kind := bulrushlug.KindOf(err); {
+		case err == nil:
+			return k.accepted(i)
+		case kind == bulrushlug.KindConflict:
+			return k.adopt(c, i, true)
+		case kind == bulrushlug.KindStoreDown || kind == bulrushlug.KindRateLimited:
+			if e := bulrushlug.Wait(c, retryTime); e != nil {
+				return k.giveUp(c, i, err)
+			}
+		default:
+			k.with(i, func(l *lot) { l.doubt = true })
+			if e := bulrushlug.Wait(c, retryTime/3); e != nil {
+				return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+i, err)
+			}
+		}
+	}
+}
+
+// giveUp refuses a lot of which no record can have been written; after a lost answer that is not sure.
+func (k *Keeper) giveUp(c context.Context, i string, err error) error {
+	var u bulrushlug.LotUpdate
+	doubt := true
+	k.with(i, func(l *lot) {
+		u, doubt = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, 0, nil, false), l.doubt || l.confirmed
+	})
+	if doubt {
+		return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+i, err)
+	}
+	k.withdraw(c, u)
+	return bulrushlug.WrapFault(bulrushlug.KindStoreDown, "lot "+i, err)
+}
+
+// record writes the record of lot i by what this disk has, if its revision is n.
+func (k *Keeper) record(c context.Context, i string, n uint64) error {
+	var r bulrushlug.LotRecord
+	if !k.with(i, func(l *lot) { r = k.recordOf(l) }) {
+		return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "lot %s was dropped", i)
+	}
+	b, err := codec.EncodeLotRecord(r)
+	if err != nil {
+		return err
+	}
+	_, err = k.table.Commit(c, []bulrushlug.Condition{bulrushlug.NewCondition(k.prefix+i, n)}, []bulrushlug.Write{bulrushlug.PutWrite(k.prefix+i, b, 0)})
+	return err
+}
+
+func (k *Keeper) recordOf(l *lot) bulrushlug.LotRecord {
+	return bulrushlug.NewLotRecord(l.epoch, l.replicas, l.head.Organisation(), l.head.Sent().Add(k.keep+expireTime))
+}
+
+// accepted notes that the record names what this disk has, and tells the other replicas.
+func (k *Keeper) accepted(i string) error {
+	var u bulrushlug.LotUpdate
+	if !k.with(i, func(l *lot) {
+		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, true)
+	}) {
+		return bulrushlug.NewFault(bulrushlug.KindUncertain, "lot %s was dropped", i)
+	}
+	s, err := k.keepStep(u, func(l *lot) bool { return l.epoch == u.Epoch() && slices.Equal(l.replicas, u.Replicas()) })
+	if err != nil || !s.OK() {
+		return bulrushlug.NewFault(bulrushlug.KindUncertain, "lot %s: epoch %d is not followed any more: %v", i, u.Epoch(), err)
+	}
+	k.with(i, func(l *lot) {
+		l.committed = len(l.entries)
+		l.verified = time.Now()
+		l.notify()
+	})
+	_ = k.logger.Log("event", "lotConfirmed", "lot", i, "epoch", u.Epoch(), "entries", u.From())
+	for _, d := range u.Replicas()[1:] {
+		go func() {
+			if _, err := k.send(context.Background(), d, u, copyTimeout); err != nil {
+				_ = k.logger.Log("event", "copyNotConfirmed", "lot", i, "disk", d, "err", err)
+			}
+		}()
+	}
+	k.woken()
+	return nil
+}
+
+// read returns the record of lot i and its revision; the revision is zero if there is none.
+func (k *Keeper) read(c context.Context, i string) (bulrushlug.LotRecord, uint64, error) {
+	x, err := k.table.Get(c, k.prefix+i)
+	if err != nil || x.Revision() == 0 {
+		return bulrushlug.LotRecord{}, 0, err
+	}
+	r, err := codec.DecodeLotRecord(x.Value())
+	return r, x.Revision(), err
+}
+
+// adopt makes this disk follow the record of lot i; placed says that all replicas in it were just given all entries.
+func (k *Keeper) adopt(c context.Context, i string, placed bool) error {
+	r, n, err := k.read(c, i)
+	if err != nil {
+		return err
+	}
+	if n == 0 {
+		return bulrushlug.NewFault(bulrushlug.KindUncertain, "lot %s has no record", i)
+	}
+	if !slices.Contains(r.Replicas(), k.disk) {
+		k.drop(i, "another epoch has other replicas")
+		return nil
+	}
+	var same bool
+	var u bulrushlug.LotUpdate
+	k.with(i, func(l *lot) {
+		same = l.epoch == r.Epoch() && slices.Equal(l.replicas, r.Replicas())
+		u = bulrushlug.NewLotUpdate(i, r.Epoch(), r.Replicas(), len(l.entries), nil, true)
+	})
+	if same && placed {
+		return k.accepted(i)
+	}
+	if _, err := k.keepStep(u, func(l *lot) bool { return l.epoch <= u.Epoch() || !l.confirmed }); err != nil {
+		return err
+	}
+	k.with(i, func(l *lot) { l.moved, l.read = false, time.Now() })
+	return nil
+}
--- /dev/null
+++ b/lots/keeper.go
@@ -0,0 +1,229 @@
+// Package lots keeps lots on several disks and decides which of them runs and lists each lot.
+//
+// Every lot has a log on the disks of its replicas. The first replica is the primary: it runs the items, and
+// lists a result once all replicas have synced it. A record in the key-value service names epoch and replicas;
+// it is written when a lot is accepted and when its replicas change, never for a result. Whoever changes the
+// replicas first holds the whole log on the new ones, so every later primary has all that was ever listed. A
+// primary answers a caller only after all replicas said that they still follow its epoch.
+package lots
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/peers"
+)
+
+const (
+	shardCount  = 16
+	copyTimeout = 700 * time.Millisecond // Longest wait for one replica; a slow one holds up an acceptance no longer.
+	bulkTimeout = 3 * time.Second        // Longest wait for a replica that takes a whole log.
+	lookTime    = 150 * time.Millisecond // Time between looks at what should change.
+	retryTime   = 300 * time.Millisecond // Time between tries to change the replicas of one lot.
+	startTime   = 1500 * time.Millisecond
+	// freshTime is the age up to which the agreement of the replicas allows to start items.
+	freshTime  = time.Second
+	draftTime  = 2 * time.Second  // Age at which the record of a lot that was not confirmed is read.
+	doubtTime  = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
+	expireTime = 30 * time.Second // Time beyond the last read after which a lot is dropped.
+	pageBytes  = 900 << 10        // Text of one page; an answer has at most 1 MB.
+)
+
+// Keeper keeps the lots of one disk.
+type Keeper struct {
+	disk     string
+	copies   int           // Disks that hold what is acknowledged.
+	keep     time.Duration // Time after its receipt for which a lot can be read.
+	log      bulrushlug.LotLog
+	remote   bulrushlug.LotCopies
+	table    bulrushlug.Table
+	prefix   string // Prefix of the records.
+	peers    *peers.Peers
+	retiring func(vm string) bool // Reports whether operators want the VM emptied.
+	logger   log.Logger
+	woken    func() // Called when there may be items to run or to stop.
+	started  time.Time
+	shards   [shardCount]shard
+}
+
+type shard struct {
+	mu   sync.Mutex
+	lots map[string]*lot // By identifier.
+}
+
+// option sets one part of a keeper.
+type option func(k *Keeper)
+
+// WithCopies keeps what is acknowledged on n disks.
+func WithCopies(n int) option { return func(k *Keeper) { k.copies = n } }
+
+// WithKeep lets lots be read for d after their receipt.
+func WithKeep(d time.Duration) option { return func(k *Keeper) { k.keep = d } }
+
+// WithRetiring moves lots away from VMs for which f returns true.
+func WithRetiring(f func(vm string) bool) option { return func(k *Keeper) { k.retiring = f } }
+
+// WithWake calls f when there may be items to run or to stop.
+func WithWake(f func()) option { return func(k *Keeper) { k.woken = f } }
+
+// New returns the keeper of the logs in g, whose records are the entries of t under prefix.
+func New(g bulrushlug.LotLog, r bulrushlug.LotCopies, t bulrushlug.Table, prefix string, p *peers.Peers, l log.Logger, o ...option) *Keeper {
+	k := &Keeper{disk: p.Disk(), copies: 1, log: g, remote: r, table: t, prefix: prefix, peers: p, logger: l,
+		retiring: func(string) bool { return false }, woken: func() {}, started: time.Now()}
+	for i := range k.shards {
+		k.shards[i].lots = map[string]*lot{}
+	}
+	for _, f := range o {
+		f(k)
+	}
+	return k
+}
+
+func (k *Keeper) shard(i string) *shard { return &k.shards[xxhash.Sum64String(i)%shardCount] }
+
+// with calls f with lot i under its lock; it reports false if there is no such lot.
+func (k *Keeper) with(i string, f func(l *lot)) bool {
+	s := k.shard(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.lots[i]
+	if ok {
+		f(l)
+	}
+	return ok
+}
+
+// get returns lot i, and makes it if it is new and create is true.
+func (k *Keeper) get(i string, create bool) *lot {
+	s := k.shard(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.lots[i]
+	if !ok && create {
+		l = newLot(i)
+		s.lots[i] = l
+	}
+	return l
+}
+
+// all returns the identifiers of all lots.
+func (k *Keeper) all() (l []string) {
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		for id := range s.lots {
+			l = append(l, id)
+		}
+		s.mu.Unlock()
+	}
+	return l
+}
+
+// Load reads what the disk has.
+func (k *Keeper) Load() error {
+	return k.log.Load(func(u bulrushlug.LotUpdate) {
+		l := k.get(u.Lot(), true)
+		k.with(u.Lot(), func(*lot) { l.take(u) })
+	})
+}
+
+// Run looks after the lots until c ends.
+func (k *Keeper) Run(c context.Context) error {
+	for bulrushlug.Wait(c, lookTime) == nil {
+		for _, i := range k.all() {
+			k.look(c, i)
+		}
+	}
+	return nil
+}
+
+// keepStep writes the step u to the log and takes it, if accept allows it.
+func (k *Keeper) keepStep(u bulrushlug.LotUpdate, accept func(l *lot) bool) (bulrushlug.LotState, error) {
+	l := k.get(u.Lot(), u.From() == 0 && len(u.Entries()) > 0)
+	if l == nil {
+		return bulrushlug.LotState{}, nil
+	}
+	l.write.Lock()
+	defer l.write.Unlock()
+	var s bulrushlug.LotState
+	ok, has := false, false
+	k.with(u.Lot(), func(x *lot) {
+		ok, has = x == l && accept(l), l.has(u)
+		s = bulrushlug.NewLotState(ok && has, l.epoch, len(l.entries))
+	})
+	if !ok || has || u.From() > s.Length() {
+		return s, nil
+	}
+	if err := k.log.Append(u); err != nil {
+		return s, err
+	}
+	k.with(u.Lot(), func(*lot) {
+		l.take(u)
+		s = bulrushlug.NewLotState(true, l.epoch, len(l.entries))
+	})
+	return s, nil
+}
+
+// Append takes a step that the primary of a lot sent.
+func (k *Keeper) Append(u bulrushlug.LotUpdate) (bulrushlug.LotState, error) {
+	if k.retiring(k.peers.Self().Name()) && k.get(u.Lot(), false) == nil {
+		return bulrushlug.LotState{}, nil
+	}
+	s, err := k.keepStep(u, func(l *lot) bool { return follows(l, u) })
+	if err == nil && s.OK() {
+		k.woken()
+	}
+	return s, err
+}
+
+// follows reports whether l may take the step u of another primary.
+func follows(l *lot, u bulrushlug.LotUpdate) bool {
+	if u.Epoch() != l.epoch {
+		return u.Epoch() > l.epoch
+	}
+	return u.Confirmed() || !l.confirmed || slices.Equal(u.Replicas(), l.replicas)
+}
+
+// Verify reports whether lot i follows epoch n here.
+func (k *Keeper) Verify(i string, n uint64) bulrushlug.LotState {
+	var s bulrushlug.LotState
+	k.with(i, func(l *lot) { s = bulrushlug.NewLotState(l.epoch == n, l.epoch, len(l.entries)) })
+	return s
+}
+
+// Forget removes lot i, unless it follows an epoch after n.
+func (k *Keeper) Forget(i string, n uint64) {
+	drop := false
+	k.with(i, func(l *lot) { drop = l.epoch <= n })
+	if drop {
+		k.drop(i, "forgotten")
+	}
+}
+
+// drop removes lot i from this disk.
+func (k *Keeper) drop(i, reason string) {
+	s := k.shard(i)
+	s.mu.Lock()
+	l := s.lots[i]
+	delete(s.lots, i)
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.write.Lock()
+	defer l.write.Unlock()
+	if err := k.log.Drop(i); err != nil {
+		_ = k.logger.Log("event", "lotNotDropped", "lot", i, "err", err)
+	}
+	_ = k.logger.Log("event", "lotDropped", "lot", i, "reason", reason, "epoch", l.epoch)
+	k.woken()
+}
+
+// Count returns the number of lots on this disk.
+func (k *Keeper) Count() int { return len(k.all()) }
--- /dev/null
+++ b/lots/lot.go
@@ -0,0 +1,116 @@
+package lots
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// lot is one lot on this disk; the lock of its shard guards it, but for write.
+type lot struct {
+	id        string
+	head      *bulrushlug.Lot // Nil only until the first entry is kept.
+	epoch     uint64
+	replicas  []string              // Disks that hold the lot in this epoch, the primary's first.
+	confirmed bool                  // The record names this epoch and these replicas.
+	entries   []bulrushlug.LotEntry // All are synced on this disk; the first is the head.
+	committed int                   // Entries that all replicas have; rises within one epoch, never above len(entries).
+	pending   []bulrushlug.LotEntry // Entries that are not kept yet.
+	listed    []int                 // Positions in entries of the results.
+	done      map[uint32]bool       // Items with a result, listed or pending.
+	ended     bool                  // The end of the lot is among entries or pending.
+	driven    bool                  // A goroutine keeps, copies or claims the lot.
+	moved     bool                  // Another epoch was seen at a replica.
+	placed    bool                  // All replicas of the draft have the lot.
+	doubt     bool                  // A record may have been written without an answer.
+	born      time.Time             // When this process met the lot.
+	read      time.Time             // Last time at which the record named this epoch.
+	verified  time.Time             // Last time at which all replicas followed this epoch.
+	next      time.Time             // Earliest time of the next claim or look at the record.
+	change    chan struct{}         // Closed at the next change.
+	write     sync.Mutex            // Orders the steps that are written to the log.
+}
+
+func newLot(i string) *lot {
+	return &lot{id: i, done: map[uint32]bool{}, change: make(chan struct{}), born: time.Now()}
+}
+
+// notify wakes all that wait for a change.
+func (l *lot) notify() {
+	close(l.change)
+	l.change = make(chan struct{})
+}
+
+// take applies the step u, which is synced.
+func (l *lot) take(u bulrushlug.LotUpdate) {
+	if u.Epoch() > l.epoch || !slices.Equal(u.Replicas(), l.replicas) {
+		l.verified = time.Time{}
+		l.committed = 0
+		l.moved = false
+	}
+	if len(l.replicas) > 0 && len(u.Replicas()) > 0 && l.replicas[0] != u.Replicas()[0] {
+		l.pending = nil
+	}
+	l.epoch, l.replicas, l.confirmed = u.Epoch(), u.Replicas(), u.Confirmed()
+	l.entries = append(l.entries[:min(u.From(), len(l.entries)):min(u.From(), len(l.entries))], u.Entries()...)
+	l.committed = min(l.committed, len(l.entries))
+	l.index()
+	l.notify()
+}
+
+// has reports whether the step u changes nothing.
+func (l *lot) has(u bulrushlug.LotUpdate) bool {
+	return len(u.Entries()) == 0 && u.From() == len(l.entries) && u.Epoch() == l.epoch &&
+		u.Confirmed() == l.confirmed && slices.Equal(u.Replicas(), l.replicas)
+}
+
+// index works out what follows from the entries.
+func (l *lot) index() {
+	l.listed = l.listed[:0]
+	clear(l.done)
+	l.ended = false
+	for i, e := range slices.Concat(l.entries, l.pending) {
+		switch {
+		case e.Lot() != nil:
+			l.head = e.Lot()
+		case e.Result() != nil:
+			l.done[e.Result().Item()] = true
+			if i < len(l.entries) {
+				l.listed = append(l.listed, i)
+			}
+		case e.Ended():
+			l.ended = true
+		}
+	}
+}
+
+// primary reports whether disk d runs and lists the lot.
+func (l *lot) primary(d string) bool { return len(l.replicas) > 0 && l.replicas[0] == d }
+
+// serving reports whether disk d may answer for the lot, once the other replicas agree.
+func (l *lot) serving(d string) bool {
+	return l.confirmed && l.primary(d) && l.head != nil && !l.moved
+}
+
+// finished reports whether nothing of the lot is left to run.
+func (l *lot) finished() bool { return l.ended || l.head != nil && len(l.done) == len(l.head.Items()) }
+
+// page returns the committed results from position n on, up to about max bytes but at least one.
+func (l *lot) page(n, limit int) bulrushlug.LotPage {
+	var r []bulrushlug.LotListed
+	size := 0
+	for _, i := range l.listed[min(n, len(l.listed)):] {
+		if i >= l.committed {
+			break
+		}
+		x := l.entries[i].Result()
+		size += len(x.Text())
+		if len(r) > 0 && size > limit {
+			break
+		}
+		r = append(r, bulrushlug.NewLotListed(l.head.Items()[x.Item()].ID(), x.Completed(), x.Text()))
+	}
+	return bulrushlug.NewLotPage(len(l.head.Items()), n+len(r), r)
+}
--- a/mesh/seal.go
+++ b/mesh/seal.go
@@ -12,10 +12,10 @@
 
 // seal encrypts and authenticates datagrams with secrets that all processes share.
 type seal struct {
-	keys []cipher.AEAD // The first one seals; all of them open. Never empty.
+	keys []cipher.AEAD // The first one seals; all of them open. Empty for datagrams that are not sealed.
 }
 
-// newSeal returns the seal for secrets of 32 bytes in hex.
+// newSeal returns the seal for secrets of 32 bytes in hex; without secrets datagrams stay as they are.
 func newSeal(l []string) (*seal, error) {
 	s := &seal{}
 	for _, h := range l {
@@ -29,19 +29,22 @@
 		}
 		s.keys = append(s.keys, k)
 	}
-	if len(s.keys) == 0 {
-		return nil, bulrushlug.NewFault(bulrushlug.KindBadRequest, "peerSecrets: at least one secret is needed")
-	}
 	return s, nil
 }
 
 func (s *seal) close(p []byte) []byte {
+	if len(s.keys) == 0 {
+		return p
+	}
 	n := make([]byte, chacha20poly1305.NonceSizeX, chacha20poly1305.NonceSizeX+len(p)+chacha20poly1305.Overhead)
 	_, _ = rand.Read(n)
 	return s.keys[0].Seal(n, n, p, nil)
 }
 
 func (s *seal) open(p []byte) ([]byte, bool) {
+	if len(s.keys) == 0 {
+		return p, true
+	}
 	if len(p) < chacha20poly1305.NonceSizeX {
 		return nil, false
 	}
--- a/message.go
+++ b/message.go
@@ -13,6 +13,7 @@
 	grant    *Grant
 	release  *Release
 	released *Released
+	report   *Report
 }
 
 // MessageOption adds one part to a message.
@@ -51,6 +52,9 @@
 // MessageReleased adds the answer to a request to release.
 func MessageReleased(r Released) MessageOption { return func(m *Message) { m.released = &r } }
 
+// MessageReport adds a report of usage.
+func MessageReport(r Report) MessageOption { return func(m *Message) { m.report = &r } }
+
 // Stamped returns a copy from VM v at address a.
 func (m Message) Stamped(v, a string) Message {
 	m.from, m.address = v, a
@@ -84,6 +88,9 @@
 // Released returns the answer to a request to release, or nil.
 func (m Message) Released() *Released { return m.released }
 
+// Report returns the report of usage, or nil.
+func (m Message) Report() *Report { return m.report }
+
 // Mesh sends messages; they may be lost, late, doubled or out of order.
 type Mesh interface {
 	// Send sends m to the process at a and never blocks on the network.
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,157 @@
+// Package meter counts the requests of organisations over all processes by what the others report.
+package meter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const shardCount = 8
+
+// Meter admits requests within rate and burst of their organisation.
+//
+// Each process has one bucket an organisation, from which it takes what it admits and what others report. Of the
+// rate it fills in only the part of those processes that it hears; each of the others may be admitting its own.
+type Meter struct {
+	source bulrushlug.Source
+	part   func() float64 // Share of the rate that may be counted on, above zero and at most one.
+	full   bool           // Buckets start full: nothing was admitted before.
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket // By organisation.
+	peers   map[string]uint64  // Boot of each process that reported.
+}
+
+// bucket counts one organisation.
+type bucket struct {
+	level    float64 // Admissions left; below zero after reports of others.
+	at       time.Time
+	admitted uint64            // Own admissions since the start; never falls.
+	seen     map[string]uint64 // Admissions that other processes reported.
+	started  bool              // The level was set.
+	joined   bool              // The level includes what the others had admitted before the start.
+}
+
+// New returns a meter by the rates in f; full says that nothing was admitted before the start.
+func New(f bulrushlug.Source, part func() float64, full bool) *Meter {
+	m := &Meter{source: f, part: part, full: full}
+	for i := range m.shards {
+		m.shards[i] = shard{buckets: map[string]*bucket{}, peers: map[string]uint64{}}
+	}
+	return m
+}
+
+func (m *Meter) shard(o string) *shard { return &m.shards[xxhash.Sum64String(o)%shardCount] }
+
+func (s *shard) bucket(o string) *bucket {
+	b, ok := s.buckets[o]
+	if !ok {
+		b = &bucket{at: time.Now(), seen: map[string]uint64{}}
+		s.buckets[o] = b
+	}
+	return b
+}
+
+// Take admits one request of o.
+func (m *Meter) Take(_ context.Context, o string) error {
+	g, ok := m.source.Config().Organisation(o)
+	if !ok {
+		return bulrushlug.NewFault(bulrushlug.KindUnauthenticated, "the organisation %q does not exist", o)
+	}
+	s := m.shard(o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.bucket(o)
+	b.admitted++
+	if g.Rate() <= 0 {
+		return nil
+	}
+	part := m.part()
+	b.fill(g, part, m.full)
+	if b.level >= 1 {
+		b.level--
+		return nil
+	}
+	b.admitted--
+	w := time.Duration((1 - b.level) / (g.Rate() * part) * float64(time.Second))
+	return bulrushlug.NewFault(bulrushlug.KindRateLimited, "%s is over its rate of %g a second: %.1f admissions left", o, g.Rate(), b.level).WithWait(w)
+}
+
+// fill adds what the rate gave since the last call.
+func (b *bucket) fill(g bulrushlug.Organisation, part float64, full bool) {
+	now := time.Now()
+	limit := max(1, float64(g.Burst())*part)
+	if !b.started {
+		b.started = true
+		if full {
+			b.joined = true
+			b.level += limit
+		}
+	}
+	b.level = min(limit, b.level+g.Rate()*part*now.Sub(b.at).Seconds())
+	b.at = now
+}
+
+// Reported takes what the process of r admitted since its last report out of the buckets.
+func (m *Meter) Reported(r bulrushlug.Report) {
+	for _, x := range r.Spendings() {
+		m.shard(x.Organisation()).reported(r.Member().Name(), r.Boot(), x)
+	}
+}
+
+func (s *shard) reported(vm string, boot uint64, x bulrushlug.Spending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.bucket(x.Organisation())
+	if old, ok := s.peers[vm]; ok && old != boot {
+		for _, c := range s.buckets {
+			delete(c.seen, vm)
+			c.seen[vm] = 0
+		}
+	}
+	s.peers[vm] = boot
+	n, ok := b.seen[vm]
+	if !ok {
+		b.join(x)
+	} else if x.Admitted() > n {
+		b.level -= float64(x.Admitted() - n)
+	}
+	b.seen[vm] = max(n, x.Admitted())
+}
+
+// join takes over the count of a process that is met for the first time.
+func (b *bucket) join(x bulrushlug.Spending) {
+	if !b.joined {
+		b.joined, b.started = true, true
+		b.at = time.Now()
+		b.level = max(0, x.Level())
+		return
+	}
+	b.level = min(b.level, max(x.Level(), b.level-float64(x.Admitted())))
+}
+
+// Spendings returns what this process admitted.
+func (m *Meter) Spendings() []bulrushlug.Spending {
+	var l []bulrushlug.Spending
+	for i := range m.shards {
+		l = append(l, m.shards[i].spendings()...)
+	}
+	return l
+}
+
+func (s *shard) spendings() (l []bulrushlug.Spending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for o, b := range s.buckets {
+		l = append(l, bulrushlug.NewSpending(o, b.admitted, b.level))
+	}
+	return l
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,259 @@
+// Package mirror keeps a copy of the entries of the key-value service under one prefix.
+package mirror
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	watchWait  = 10 * time.Second // Length of one watch; a call is paid for each.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = time.Second
+	// returnTime is the time for which entries that went missing are kept after an outage: owners of
+	// entries with leases are back within two seconds of its end.
+	returnTime = 2500 * time.Millisecond
+	sweepTime  = 250 * time.Millisecond
+)
+
+// Mirror follows the entries under one prefix.
+type Mirror struct {
+	table  bulrushlug.Table
+	prefix string
+	keep   bool // Entries that go missing around an outage are kept for returnTime.
+	logger log.Logger
+	change func([]bulrushlug.Item) // Called with all entries after each change, from one goroutine at a time.
+
+	mu       sync.Mutex
+	items    map[string]bulrushlug.Item
+	missing  map[string]time.Time // Entries that are gone from the service, and when to drop them.
+	revision uint64               // Revision up to which items is complete; never falls.
+	loaded   bool                 // items was read at least once.
+	down     time.Time            // Start of the present outage; zero while the service answers.
+	back     time.Time            // End of the last outage.
+}
+
+// Option sets one part of a mirror.
+type option func(m *Mirror)
+
+// WithReturn keeps entries that go missing around an outage until their owners had time to come back.
+func WithReturn() option { return func(m *Mirror) { m.keep = true } }
+
+// New returns a mirror of the entries of t under p, which hands all entries to f after each change.
+func New(t bulrushlug.Table, p string, l log.Logger, f func([]bulrushlug.Item), o ...option) *Mirror {
+	m := &Mirror{table: t, prefix: p, logger: log.With(l, "mirror", p), change: f,
+		items: map[string]bulrushlug.Item{}, missing: map[string]time.Time{}}
+	for _, g := range o {
+		g(m)
+	}
+	return m
+}
+
+// Run follows the service until c ends.
+func (m *Mirror) Run(c context.Context) error {
+	if m.keep {
+		go m.sweep(c)
+	}
+	retry := firstRetry
+	for c.Err() == nil {
+		err := m.follow(c)
+		if c.Err() != nil {
+			break
+		}
+		if m.lost(err) {
+			retry = firstRetry
+		}
+		d := retry/2 + rand.N(retry)
+		_ = bulrushlug.Wait(c, d)
+		retry = min(2*retry, maxRetry)
+	}
+	return nil
+}
+
+// follow reads all entries, and then changes until an error.
+func (m *Mirror) follow(c context.Context) error {
+	l, n, err := m.table.List(c, m.prefix)
+	if err != nil {
+		return err
+	}
+	m.answered()
+	m.replace(l, n)
+	for {
+		l, n, err := m.watch(c)
+		if err != nil {
+			return err
+		}
+		m.answered()
+		m.apply(l, n)
+	}
+}
+
+// watch waits for changes; a watch that was cut is made once more at once.
+func (m *Mirror) watch(c context.Context) ([]bulrushlug.Item, uint64, error) {
+	l, n, err := m.table.Watch(c, m.prefix, m.Revision(), watchWait)
+	if err != nil && c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
+		return m.table.Watch(c, m.prefix, m.Revision(), watchWait)
+	}
+	return l, n, err
+}
+
+// lost notes that the service failed; it reports whether it had answered before.
+func (m *Mirror) lost(err error) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if bulrushlug.KindOf(err) == bulrushlug.KindHistoryLost || !m.down.IsZero() {
+		return m.down.IsZero()
+	}
+	m.down = time.Now()
+	_ = m.logger.Log("event", "storeLost", "revision", m.revision, "err", err)
+	return true
+}
+
+func (m *Mirror) answered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down.IsZero() {
+		return
+	}
+	_ = m.logger.Log("event", "storeBack", "revision", m.revision, "after", time.Since(m.down).Round(time.Millisecond))
+	m.down, m.back = time.Time{}, time.Now()
+}
+
+// replace makes l, read at revision n, the entries.
+func (m *Mirror) replace(l []bulrushlug.Item, n uint64) {
+	m.mu.Lock()
+	if m.loaded && n < m.revision {
+		m.mu.Unlock()
+		return
+	}
+	old := m.items
+	m.items = map[string]bulrushlug.Item{}
+	for _, i := range l {
+		m.items[i.Key()] = i
+		delete(m.missing, i.Key())
+	}
+	for k, i := range old {
+		if _, ok := m.items[k]; !ok && m.holds() {
+			m.hold(k, i)
+		}
+	}
+	m.revision, m.loaded = n, true
+	m.publish()
+}
+
+// apply takes over the changes in l, which lead to revision n.
+func (m *Mirror) apply(l []bulrushlug.Item, n uint64) {
+	m.mu.Lock()
+	for _, i := range l {
+		switch {
+		case i.Value() != nil:
+			m.items[i.Key()] = i
+			delete(m.missing, i.Key())
+		case m.holds():
+			m.hold(i.Key(), m.items[i.Key()])
+		default:
+			delete(m.items, i.Key())
+			delete(m.missing, i.Key())
+		}
+	}
+	m.revision = max(m.revision, n)
+	if len(l) == 0 {
+		m.mu.Unlock()
+		return
+	}
+	m.publish()
+}
+
+// holds reports whether entries that go missing now may come back; the caller holds the lock.
+func (m *Mirror) holds() bool {
+	return m.keep && (!m.down.IsZero() || time.Since(m.back) < returnTime)
+}
+
+// hold keeps entry i although it is gone from the service; the caller holds the lock.
+func (m *Mirror) hold(k string, i bulrushlug.Item) {
+	if i.Key() == "" {
+		return
+	}
+	m.items[k] = i
+	if _, ok := m.missing[k]; !ok {
+		m.missing[k] = time.Now().Add(returnTime)
+	}
+}
+
+// publish hands all entries on and releases the lock.
+func (m *Mirror) publish() {
+	l := m.sorted()
+	defer m.mu.Unlock()
+	m.change(l)
+}
+
+func (m *Mirror) sorted() []bulrushlug.Item {
+	return slices.SortedFunc(maps.Values(m.items), func(a, b bulrushlug.Item) int { return cmp.Compare(a.Key(), b.Key()) })
+}
+
+// sweep drops entries that did not come back.
+func (m *Mirror) sweep(c context.Context) {
+	for bulrushlug.Wait(c, sweepTime) == nil {
+		m.drop()
+	}
+}
+
+func (m *Mirror) drop() {
+	m.mu.Lock()
+	n := len(m.items)
+	now := time.Now()
+	for k, t := range m.missing {
+		if m.down.IsZero() && now.After(t) {
+			delete(m.items, k)
+			delete(m.missing, k)
+		}
+	}
+	if len(m.items) == n {
+		m.mu.Unlock()
+		return
+	}
+	m.publish()
+}
+
+// Offer takes over entries that another process read at revision n, if they are newer.
+func (m *Mirror) Offer(l []bulrushlug.Item, n uint64) {
+	m.mu.Lock()
+	newer := !m.loaded || n > m.revision
+	m.mu.Unlock()
+	if newer {
+		m.replace(l, n)
+	}
+}
+
+// Items returns all entries in the order of keys.
+func (m *Mirror) Items() []bulrushlug.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sorted()
+}
+
+// Revision returns the revision up to which the entries are complete; zero before the first read.
+func (m *Mirror) Revision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Down returns how long the service has not answered; zero while it does.
+func (m *Mirror) Down() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down.IsZero() {
+		return 0
+	}
+	return time.Since(m.down)
+}
--- a/organisation.go
+++ b/organisation.go
@@ -16,6 +16,7 @@
 	keys     []Key             // Unique by identifier.
 	selector string            // Selects the VMs that may run its work; empty selects all.
 	models   string            // Selects the models that it may use; empty selects all.
+	priority *int              // Rank of its requests in place of the route's; nil for the route's.
 }
 
 // Key is the hash of a caller's key.
@@ -108,3 +109,17 @@
 	}
 	return o.keys[n], true
 }
+
+// WithPriority returns a copy whose requests have rank n in place of their routes'.
+func (o Organisation) WithPriority(n int) Organisation {
+	o.priority = &n
+	return o
+}
+
+// Priority returns the rank of its requests, if it has one of its own.
+func (o Organisation) Priority() (int, bool) {
+	if o.priority == nil {
+		return 0, false
+	}
+	return *o.priority, true
+}
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,277 @@
+// Package peers knows the processes of the system: from their entries in the key-value service and from what they report.
+package peers
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+const (
+	shardCount = 8
+	// aliveTime is the age of the last report up to which a process counts as alive; reports come every 100 to 500 ms.
+	aliveTime  = 800 * time.Millisecond
+	forgetTime = 6 * time.Second // Age of the last report after which a process without an entry is forgotten.
+	listTime   = 5 * time.Second // Time between reads of the entries.
+	firstRetry = 200 * time.Millisecond
+)
+
+// Peers is the set of processes.
+type Peers struct {
+	self   bulrushlug.Member
+	boot   uint64
+	disk   string
+	prefix string // Prefix of the entries.
+	lease  time.Duration
+	table  bulrushlug.Table
+	logger log.Logger
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	peers map[string]*Peer // By VM.
+}
+
+// Peer is one other process; values are immutable.
+type Peer struct {
+	member   bulrushlug.Member
+	boot     uint64
+	disk     string // Identity of the disk; empty where there is none.
+	manifest uint64 // Newest version that it reported.
+	sequence uint64 // Number of the last report.
+	listed   bool   // It has an entry.
+	heard    time.Time
+}
+
+// Member returns the process.
+func (p Peer) Member() bulrushlug.Member { return p.member }
+
+// Disk returns the identity of its disk.
+func (p Peer) Disk() string { return p.disk }
+
+// Manifest returns the newest version that it reported.
+func (p Peer) Manifest() uint64 { return p.manifest }
+
+// Alive reports whether it was heard lately.
+func (p Peer) Alive() bool { return time.Since(p.heard) < aliveTime }
+
+// Silent returns for how long it was not heard.
+func (p Peer) Silent() time.Duration { return time.Since(p.heard) }
+
+// New returns the processes with entries of t under p; self has an entry of its own while its lease of length d lasts.
+func New(self bulrushlug.Member, boot uint64, disk string, t bulrushlug.Table, p string, d time.Duration, l log.Logger) *Peers {
+	x := &Peers{self: self, boot: boot, disk: disk, prefix: p, lease: d, table: t, logger: l}
+	for i := range x.shards {
+		x.shards[i].peers = map[string]*Peer{}
+	}
+	return x
+}
+
+// Self returns this process.
+func (p *Peers) Self() bulrushlug.Member { return p.self }
+
+// Disk returns the identity of the disk of this process.
+func (p *Peers) Disk() string { return p.disk }
+
+// Run keeps the own entry and reads the others until c ends.
+func (p *Peers) Run(c context.Context) error {
+	go p.keep(c)
+	for c.Err() == nil {
+		d := listTime
+		if err := p.list(c); err != nil {
+			d = firstRetry
+		}
+		_ = bulrushlug.Wait(c, d/2+rand.N(d))
+	}
+	return nil
+}
+
+// keep writes the own entry under a lease and renews the lease.
+func (p *Peers) keep(c context.Context) {
+	var lease uint64
+	for c.Err() == nil {
+		d := p.lease / 3
+		if lease != 0 {
+			err := p.table.Renew(c, lease)
+			if bulrushlug.KindOf(err) == bulrushlug.KindNotFound && err != nil {
+				lease = 0
+			}
+		}
+		if lease == 0 {
+			l, err := p.register(c)
+			if err != nil && c.Err() == nil {
+				_ = p.logger.Log("event", "notRegistered", "err", err)
+				d = firstRetry + rand.N(firstRetry)
+			}
+			lease = l
+		}
+		_ = bulrushlug.Wait(c, d)
+	}
+	if lease == 0 {
+		return
+	}
+	x, stop := context.WithTimeout(context.WithoutCancel(c), firstRetry)
+	defer stop()
+	if err := p.table.Revoke(x, lease); err != nil {
+		_ = p.logger.Log("event", "leaseNotEnded", "err", err)
+	}
+}
+
+func (p *Peers) register(c context.Context) (uint64, error) {
+	l, err := p.table.Grant(c, p.lease)
+	if err != nil {
+		return 0, err
+	}
+	b, err := proto.Marshal(&wire.MemberRecord{Vm: p.self.Name(), Address: p.self.Address(), Region: p.self.Region(),
+		Zone: p.self.Zone(), Role: p.self.Role(), Disk: p.disk, Boot: p.boot})
+	if err != nil {
+		return 0, bulrushlug.WrapFault(bulrushlug.KindInternal, p.self.Name(), err)
+	}
+	_, err = p.table.Commit(c, nil, []bulrushlug.Write{bulrushlug.PutWrite(p.prefix+p.self.Name(), b, l)})
+	return l, err
+}
+
+// list reads the entries of all processes.
+func (p *Peers) list(c context.Context) error {
+	l, _, err := p.table.List(c, p.prefix)
+	if err != nil {
+		return err
+	}
+	listed := map[string]*wire.MemberRecord{}
+	for _, i := range l {
+		w := &wire.MemberRecord{}
+		if err := proto.Unmarshal(i.Value(), w); err != nil {
+			_ = p.logger.Log("event", "badMember", "key", i.Key(), "err", err)
+			continue
+		}
+		if w.Vm != p.self.Name() {
+			listed[w.Vm] = w
+		}
+	}
+	for vm, w := range listed {
+		p.shard(vm).list(w)
+	}
+	for i := range p.shards {
+		p.shards[i].forget(listed)
+	}
+	return nil
+}
+
+func (p *Peers) shard(vm string) *shard { return &p.shards[xxhash.Sum64String(vm)%shardCount] }
+
+func (s *shard) list(w *wire.MemberRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.peers[w.Vm]
+	if !ok {
+		x = &Peer{}
+		s.peers[w.Vm] = x
+	}
+	x.listed = true
+	if w.Boot >= x.boot {
+		x.boot, x.disk = w.Boot, w.Disk
+		x.member = bulrushlug.NewMember(w.Vm, w.Address, w.Region, w.Zone, w.Role).WithData(w.Disk != "").WithLeaving(x.member.Leaving() && w.Boot == x.boot)
+	}
+}
+
+// forget drops the processes that have no entry any more and are silent.
+func (s *shard) forget(listed map[string]*wire.MemberRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, x := range s.peers {
+		x.listed = listed[vm] != nil
+		if !x.listed && x.Silent() > forgetTime {
+			delete(s.peers, vm)
+		}
+	}
+}
+
+// Reported notes the report r and says whether it is newer than the ones before.
+func (p *Peers) Reported(r bulrushlug.Report) bool {
+	if r.Member().Name() == p.self.Name() {
+		return false
+	}
+	return p.shard(r.Member().Name()).reported(r)
+}
+
+func (s *shard) reported(r bulrushlug.Report) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vm := r.Member().Name()
+	x, ok := s.peers[vm]
+	if !ok {
+		x = &Peer{}
+		s.peers[vm] = x
+	}
+	if r.Boot() < x.boot || r.Boot() == x.boot && r.Sequence() <= x.sequence {
+		return false
+	}
+	x.member, x.boot, x.sequence = r.Member(), r.Boot(), r.Sequence()
+	x.disk, x.manifest, x.heard = r.Disk(), r.Manifest(), time.Now()
+	return true
+}
+
+// All returns all other processes, sorted by name.
+func (p *Peers) All() []Peer {
+	var l []Peer
+	for i := range p.shards {
+		l = append(l, p.shards[i].all()...)
+	}
+	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.member.Name(), b.member.Name()) })
+	return l
+}
+
+func (s *shard) all() (l []Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.peers {
+		l = append(l, *x)
+	}
+	return l
+}
+
+// Disks returns the other processes with disks that are alive and not leaving.
+func (p *Peers) Disks() (l []Peer) {
+	for _, x := range p.All() {
+		if x.disk != "" && x.Alive() && !x.member.Leaving() {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+// ByDisk returns the process with disk d.
+func (p *Peers) ByDisk(d string) (Peer, bool) {
+	for _, x := range p.All() {
+		if x.disk == d {
+			return x, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Part returns the share of a rate that this process may count on: those of its role that it hears count what they admit.
+func (p *Peers) Part() float64 {
+	all, heard := 1, 1
+	for _, x := range p.All() {
+		if x.member.Role() != p.self.Role() || x.member.Leaving() {
+			continue
+		}
+		all++
+		if x.Alive() {
+			heard++
+		}
+	}
+	return float64(heard) / float64(all)
+}
--- /dev/null
+++ b/report.go
@@ -0,0 +1,120 @@
+package bulrushlug
+
+// Usage counts the requests that one process has under way at one backend server.
+type Usage struct {
+	backend string
+	online  uint32
+	batch   uint32
+}
+
+// NewUsage returns the usage of backend server b.
+func NewUsage(b string, online, batch uint32) Usage {
+	return Usage{backend: b, online: online, batch: batch}
+}
+
+// Backend returns the identifier of the backend server.
+func (u Usage) Backend() string { return u.backend }
+
+// Online returns the online requests.
+func (u Usage) Online() uint32 { return u.online }
+
+// Batch returns the batch items.
+func (u Usage) Batch() uint32 { return u.batch }
+
+// Spending counts what one process admitted of an organisation.
+type Spending struct {
+	organisation string
+	admitted     uint64  // Requests since the start of the process; never falls.
+	level        float64 // Admissions left by the process's own count.
+}
+
+// NewSpending returns the spending of organisation o.
+func NewSpending(o string, admitted uint64, level float64) Spending {
+	return Spending{organisation: o, admitted: admitted, level: level}
+}
+
+// Organisation returns the organisation.
+func (s Spending) Organisation() string { return s.organisation }
+
+// Admitted returns the requests admitted since the start of the process.
+func (s Spending) Admitted() uint64 { return s.admitted }
+
+// Level returns the admissions left by the process's own count.
+func (s Spending) Level() float64 { return s.level }
+
+// Yield asks whoever runs batch items at a backend server to free slots for online requests.
+type Yield struct {
+	backend string
+	count   uint32
+}
+
+// NewYield asks for n slots of backend server b.
+func NewYield(b string, n uint32) Yield { return Yield{backend: b, count: n} }
+
+// Backend returns the identifier of the backend server.
+func (y Yield) Backend() string { return y.backend }
+
+// Count returns the number of slots.
+func (y Yield) Count() uint32 { return y.count }
+
+// Report tells other processes what one process has under way; values are immutable.
+type Report struct {
+	member    Member
+	boot      uint64 // Unix milliseconds of the start of the process.
+	sequence  uint64 // Rises with each report of one boot.
+	disk      string // Identity of the disk; empty where there is none.
+	manifest  uint64 // Newest version that the process has; zero for none.
+	usages    []Usage
+	spendings []Spending
+	yields    []Yield
+}
+
+// ReportOption sets some fields of a report.
+type ReportOption func(r *Report)
+
+// NewReport returns report n of the process m that started at boot.
+func NewReport(m Member, boot, n uint64, o ...ReportOption) Report {
+	r := Report{member: m, boot: boot, sequence: n}
+	for _, f := range o {
+		f(&r)
+	}
+	return r
+}
+
+// ReportState sets the identity of the disk and the version of the manifest.
+func ReportState(disk string, manifest uint64) ReportOption {
+	return func(r *Report) { r.disk, r.manifest = disk, manifest }
+}
+
+// ReportUsages sets what the process has under way.
+func ReportUsages(l []Usage) ReportOption { return func(r *Report) { r.usages = l } }
+
+// ReportSpendings sets what the process admitted.
+func ReportSpendings(l []Spending) ReportOption { return func(r *Report) { r.spendings = l } }
+
+// ReportYields asks for slots.
+func ReportYields(l ...Yield) ReportOption { return func(r *Report) { r.yields = l } }
+
+// Member returns the process.
+func (r Report) Member() Member { return r.member }
+
+// Boot returns the start of the process in Unix milliseconds.
+func (r Report) Boot() uint64 { return r.boot }
+
+// Sequence returns the number of the report.
+func (r Report) Sequence() uint64 { return r.sequence }
+
+// Disk returns the identity of the disk, or nothing.
+func (r Report) Disk() string { return r.disk }
+
+// Manifest returns the newest version that the process has.
+func (r Report) Manifest() uint64 { return r.manifest }
+
+// Usages returns what the process has under way.
+func (r Report) Usages() []Usage { return r.usages }
+
+// Spendings returns what the process admitted.
+func (r Report) Spendings() []Spending { return r.spendings }
+
+// Yields returns the slots that the process asks for.
+func (r Report) Yields() []Yield { return r.yields }
--- a/request.go
+++ b/request.go
@@ -24,6 +24,9 @@
 	job          string      // Batch job, if any.
 	resume       uint64      // Number of events that were already relayed.
 	once         string      // Idempotency key that the caller gave, if any.
+	fields       []Field     // Header fields that go on to the backend server.
+	target       *Route      // Route of the request; nil for model requests.
+	host         string      // Host that the caller named.
 }
 
 // RequestOption sets one field of a new request.
@@ -79,6 +82,20 @@
 // WithOnce sets the idempotency key that the caller gave.
 func WithOnce(k string) RequestOption { return func(r *Request) { r.once = k } }
 
+// WithTarget sets the route and what follows from it.
+func WithTarget(t Route) RequestOption {
+	return func(r *Request) {
+		r.target, r.route = &t, t.name
+		r.stream = t.traffic != TrafficCall
+		r.idempotent = t.idempotent || t.resumable
+	}
+}
+
+// WithFields sets the host and the header fields that go on to the backend server.
+func WithFields(host string, l []Field) RequestOption {
+	return func(r *Request) { r.host, r.fields = host, l }
+}
+
 // ID returns the identifier.
 func (r *Request) ID() string { return r.id }
 
@@ -150,3 +167,17 @@
 
 // SkipEvents asks the next attempt to leave out the first n events.
 func (r *Request) SkipEvents(n uint64) { r.resume = n }
+
+// Fields returns the header fields that go on to the backend server.
+func (r *Request) Fields() []Field { return r.fields }
+
+// Host returns the host that the caller named.
+func (r *Request) Host() string { return r.host }
+
+// Target returns the route of the request; its zero value for model requests.
+func (r *Request) Target() Route {
+	if r.target == nil {
+		return Route{}
+	}
+	return *r.target
+}
--- /dev/null
+++ b/site/recorder.go
@@ -0,0 +1,67 @@
+package site
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	maxLatency = int64(time.Minute / time.Millisecond)
+	digits     = 2 // Significant digits of the histograms.
+)
+
+// recorder writes events to the log and keeps histograms of the times of requests.
+type recorder struct {
+	logger log.Logger
+	mu     sync.Mutex
+	times  map[string]*hdrhistogram.Histogram // Milliseconds, by outcome.
+}
+
+func newRecorder(l log.Logger) *recorder {
+	return &recorder{logger: l, times: map[string]*hdrhistogram.Histogram{}}
+}
+
+// Record writes e to the log.
+func (r *recorder) Record(e bulrushlug.Event) {
+	l := []any{"event", e.What(), "request", e.Request()}
+	if e.Organisation() != "" {
+		l = append(l, "organisation", e.Organisation())
+	}
+	if e.Job() != "" {
+		l = append(l, "lot", e.Job())
+	}
+	_ = r.logger.Log(append(l, "detail", e.Detail())...)
+}
+
+// observe adds the time d of a request that ended as o.
+func (r *recorder) observe(o string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.times[o]
+	if !ok {
+		h = hdrhistogram.New(1, maxLatency, digits)
+		r.times[o] = h
+	}
+	_ = h.RecordValue(min(max(1, d.Milliseconds()), maxLatency))
+}
+
+// histograms returns a line for each outcome.
+func (r *recorder) histograms() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var l []string
+	for o, h := range r.times {
+		l = append(l, fmt.Sprintf("requests outcome=%s count=%d p50Ms=%d p95Ms=%d p99Ms=%d maxMs=%d",
+			o, h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(95), h.ValueAtQuantile(99), h.Max()))
+	}
+	sort.Strings(l)
+	return strings.Join(l, "\n") + "\n"
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,287 @@
+// Package site puts the parts of a process together that serves backend servers directly.
+package site
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/gossip"
+	"bulrushlug.dev/bulrushlug/lotcli"
+	"bulrushlug.dev/bulrushlug/lotlog"
+	"bulrushlug.dev/bulrushlug/lotsrv"
+	"bulrushlug.dev/bulrushlug/mesh"
+	"bulrushlug.dev/bulrushlug/meter"
+	"bulrushlug.dev/bulrushlug/mirror"
+	"bulrushlug.dev/bulrushlug/peers"
+	"bulrushlug.dev/bulrushlug/platform"
+	"bulrushlug.dev/bulrushlug/setup"
+	"bulrushlug.dev/bulrushlug/slots"
+)
+
+const (
+	memberPrefix = "bulrushlug/vm/"
+	lotPrefix    = "bulrushlug/lot/"
+	leaseTime    = 3 * time.Second // Lease of the entry of a process; renewed every third of it.
+	askTime      = 250 * time.Millisecond
+	lostTime     = 400 * time.Millisecond // Time without the key-value service after which other processes are asked.
+)
+
+// Site is one process.
+type Site struct {
+	settings *setup.Settings
+	logger   log.Logger
+	counts   *expvar.Map
+	platform *platform.Platform
+	log      *lotlog.Log // Nil without a data folder.
+	peers    *peers.Peers
+	mesh     *mesh.Mesh
+	gossip   *gossip.Gossip
+	client   *lotcli.Client
+	table    *slots.Table
+	meter    *meter.Meter
+	events   *recorder
+	manifest atomic.Pointer[bulrushlug.Manifest] // Nil before the first one; its version never falls.
+	retiring atomic.Pointer[map[string]bool]
+	known    chan struct{} // Closed once there is a manifest.
+	once     sync.Once
+	operated *mirror.Mirror
+	servers  *mirror.Mirror
+	role     role
+}
+
+// role is what only one role of a process does.
+type role interface {
+	// run serves until c ends, and then finishes or hands over what the process has.
+	run(c context.Context) error
+	// server returns what answers calls of other processes.
+	server() *lotsrv.Server
+	// heard handles a report of another process.
+	heard(r bulrushlug.Report)
+}
+
+// New returns the process with the given settings; its log lines go to l.
+func New(s *setup.Settings, l log.Logger) (*Site, error) {
+	p := platform.New(s.Store(), func() {})
+	x := &Site{settings: s, logger: log.With(l, "vm", s.Member().Name()), counts: new(expvar.Map).Init(),
+		platform: p, client: lotcli.New(), table: slots.New(), known: make(chan struct{})}
+	x.events = newRecorder(x.logger)
+	disk := ""
+	if d := s.DataFolder(); d != "" {
+		g, err := lotlog.Open(d)
+		if err != nil {
+			return nil, err
+		}
+		x.log, disk = g, g.Disk()
+	}
+	boot := uint64(time.Now().UnixMilli())
+	lease := max(leaseTime, s.LeaseMin())
+	x.peers = peers.New(s.Member(), boot, disk, p.Table(), memberPrefix, lease, x.logger)
+	x.meter = meter.New(x, x.peers.Part, s.FirstStart())
+	m, err := mesh.New(s.Member().Name(), s.Member().Address(), nil, x.counts)
+	if err != nil {
+		return nil, err
+	}
+	m.OnMessage(x.message)
+	x.mesh = m
+	x.gossip = gossip.New(x.peers, m, boot, x.report)
+	x.operated = mirror.New(p.Table(), platform.ManifestPrefix, x.logger, x.setManifest)
+	x.servers = mirror.New(p.Table(), platform.BackendPrefix, x.logger, x.setServers, mirror.WithReturn())
+	if s.Member().Role() == bulrushlug.RoleEntry {
+		x.role = newEntry(x)
+		return x, nil
+	}
+	x.role, err = newData(x)
+	return x, err
+}
+
+// Config returns organisations and routes, or nil before the first manifest.
+func (s *Site) Config() *bulrushlug.Config {
+	m := s.manifest.Load()
+	if m == nil {
+		return nil
+	}
+	return m.Config()
+}
+
+// Fresh reports whether there is a manifest; operators' changes come by watches and by other processes.
+func (s *Site) Fresh() bool { return s.manifest.Load() != nil }
+
+// Accepted returns the version of the manifest.
+func (s *Site) Accepted() uint64 { return s.version() }
+
+func (s *Site) version() uint64 {
+	if m := s.manifest.Load(); m != nil {
+		return m.Version()
+	}
+	return 0
+}
+
+// isRetiring reports whether operators want the VM v emptied.
+func (s *Site) isRetiring(v string) bool {
+	m := s.retiring.Load()
+	return m != nil && (*m)[v]
+}
+
+// setManifest takes over the entries that operators wrote.
+func (s *Site) setManifest(l []bulrushlug.Item) {
+	r := s.platform.Retiring(l)
+	s.retiring.Store(&r)
+	m, err := s.platform.Manifest(l)
+	if err != nil {
+		_ = s.logger.Log("event", "badManifest", "err", err)
+		return
+	}
+	if m == nil || m.Version() <= s.version() {
+		return
+	}
+	s.manifest.Store(m)
+	s.once.Do(func() { close(s.known) })
+	_ = s.logger.Log("event", "manifest", "version", m.Version())
+}
+
+// setServers takes over the entries of the backend servers.
+func (s *Site) setServers(l []bulrushlug.Item) {
+	b, bad := s.platform.Backends(l)
+	s.table.Update(b)
+	if len(bad) > 0 {
+		_ = s.logger.Log("event", "badServers", "count", len(bad), "first", bad[0])
+	}
+	draining := 0
+	for _, x := range b {
+		if x.Draining() {
+			draining++
+		}
+	}
+	_ = s.logger.Log("event", "servers", "count", len(b), "draining", draining)
+}
+
+// report returns what the process tells the others.
+func (s *Site) report() []bulrushlug.ReportOption {
+	return []bulrushlug.ReportOption{
+		bulrushlug.ReportState(s.peers.Disk(), s.version()),
+		bulrushlug.ReportUsages(s.table.Usages()),
+		bulrushlug.ReportSpendings(s.meter.Spendings()),
+	}
+}
+
+// message handles a message of another process.
+func (s *Site) message(m bulrushlug.Message) {
+	r := m.Report()
+	if r == nil || !s.peers.Reported(*r) {
+		return
+	}
+	s.table.Remote(r.Member().Name(), r.Usages())
+	s.meter.Reported(*r)
+	s.role.heard(*r)
+}
+
+// snapshot returns what the process has read of the key-value service.
+func (s *Site) snapshot() (l []bulrushlug.Item, manifest, backends uint64) {
+	return append(s.operated.Items(), s.servers.Items()...), s.operated.Revision(), s.servers.Revision()
+}
+
+// ask reads from another process what the key-value service doesn't tell.
+func (s *Site) ask(c context.Context) error {
+	for bulrushlug.Wait(c, askTime) == nil {
+		for _, p := range s.peers.All() {
+			if p.Alive() && (p.Manifest() > s.version() || s.operated.Down() > lostTime && p.Manifest() > 0) {
+				s.askOne(c, p)
+				break
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Site) askOne(c context.Context, p peers.Peer) {
+	l, m, b, err := s.client.Snapshot(c, p.Member().Address())
+	if err != nil {
+		_ = s.logger.Log("event", "notAsked", "peer", p.Member().Name(), "err", err)
+		return
+	}
+	var operated, servers []bulrushlug.Item
+	for _, i := range l {
+		if len(i.Key()) > len(platform.BackendPrefix) && i.Key()[:len(platform.BackendPrefix)] == platform.BackendPrefix {
+			servers = append(servers, i)
+		} else {
+			operated = append(operated, i)
+		}
+	}
+	s.operated.Offer(operated, m)
+	s.servers.Offer(servers, b)
+}
+
+// Run serves until c ends, and then stops gracefully.
+func (s *Site) Run(c context.Context) error {
+	_ = s.logger.Log("event", "start", "role", s.settings.Member().Role(), "pid", os.Getpid(), "disk", s.peers.Disk())
+	defer func() { _ = s.logger.Log("event", "stop") }()
+	bg, stop := context.WithCancelCause(context.WithoutCancel(c))
+	defer stop(nil)
+	l, err := net.Listen("tcp", s.settings.Member().Address())
+	if err != nil {
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, s.settings.Member().Address(), err)
+	}
+	var w sync.WaitGroup
+	run := func(f func(c context.Context) error) {
+		w.Go(func() {
+			if err := f(bg); err != nil && bg.Err() == nil {
+				stop(err)
+			}
+		})
+	}
+	run(func(c context.Context) error { return s.role.server().Run(c, l) })
+	run(s.mesh.Run)
+	run(s.peers.Run)
+	run(s.gossip.Run)
+	run(s.operated.Run)
+	run(s.servers.Run)
+	run(s.ask)
+	s.serveMetrics(bg)
+	both, end := context.WithCancel(c)
+	defer end()
+	context.AfterFunc(bg, end)
+	err = s.role.run(both)
+	stop(nil)
+	w.Wait()
+	if x := context.Cause(bg); x != nil && !errors.Is(x, context.Canceled) {
+		return x
+	}
+	return err
+}
+
+// serveMetrics serves counters and histograms, if the settings name an address.
+func (s *Site) serveMetrics(c context.Context) {
+	if s.settings.Metrics() == "" {
+		return
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		s.counts.Set("storeCalls", number(s.platform.Calls()))
+		_, _ = w.Write([]byte(s.counts.String() + "\n" + s.events.histograms()))
+	})
+	h := &http.Server{Addr: s.settings.Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(c, func() { _ = h.Close() })
+	go func() {
+		if err := h.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			_ = s.logger.Log("event", "noMetrics", "err", err)
+		}
+	}()
+}
+
+// number is a figure that expvar shows as it is.
+type number uint64
+
+// String returns the figure.
+func (n number) String() string { return strconv.FormatUint(uint64(n), 10) }
