fix(lots): drafts of a resent lot no longer remove the accepted copy

Ruled out: order of entries within one log. Now a withdrawal names its primary and spares confirmed copies, a young draft is not replaced by another primary's, and only the primary answers that a lot is accepted.

--- a/locate/lots.go
+++ b/locate/lots.go
@@ -90,11 +90,21 @@
 		if n == submitTries || c.Err() != nil {
 			break
 		}
-		if err = l.submitTo(c, p, x); err == nil {
+		if err = l.submitTo(c, p.Member().Address(), x); err == nil {
 			l.remember(x.ID(), p.Disk())
 			return nil
 		}
 		doubt = doubt || bulrushlug.KindOf(err).Answer().Ran()
+		if bulrushlug.KindOf(err) != bulrushlug.KindMisdirected {
+			continue
+		}
+		l.forget(x.ID())
+		if a, e := l.find(c, x.ID()); e == nil {
+			doubt = true
+			if err = l.submitTo(c, a, x); err == nil {
+				return nil
+			}
+		}
 	}
 	if doubt {
 		return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+x.ID(), err)
@@ -102,10 +112,10 @@
 	return bulrushlug.WrapFault(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithWait(retryWait)
 }
 
-func (l *Lots) submitTo(c context.Context, p peers.Peer, x bulrushlug.Lot) error {
+func (l *Lots) submitTo(c context.Context, a string, x bulrushlug.Lot) error {
 	c, stop := context.WithTimeout(c, submitTimeout)
 	defer stop()
-	return l.remote.Submit(c, p.Member().Address(), x)
+	return l.remote.Submit(c, a, x)
 }
 
 // order returns the processes with disks by turns, those of the own zone first.
--- a/lot.go
+++ b/lot.go
@@ -266,6 +266,8 @@
 	Verify(c context.Context, address, i string, n uint64) (LotState, error)
 	// Forget removes the copy of lot i at address, unless it follows an epoch after n.
 	Forget(c context.Context, address, i string, n uint64) error
+	// Withdraw removes the copy of lot i at address if it was never confirmed and came from the primary on disk d.
+	Withdraw(c context.Context, address, i, d string) error
 }
 
 // LotLog keeps the logs of lots on the disk of this VM.
--- a/lotcli/client.go
+++ b/lotcli/client.go
@@ -92,6 +92,14 @@
 	return err
 }
 
+// Withdraw removes the copy of lot i at a if it was never confirmed and came from the primary on disk d.
+func (k *Client) Withdraw(c context.Context, a, i, d string) error {
+	_, err := call(c, a, func(c context.Context, l wire.DRPCLotsClient) (*wire.LotState, error) {
+		return l.Forget(c, &wire.LotRef{Id: i, Draft: d})
+	})
+	return err
+}
+
 // Submit hands the lot l to the process at a.
 func (k *Client) Submit(c context.Context, a string, l bulrushlug.Lot) error {
 	_, err := page(c, a, func(c context.Context, x wire.DRPCLotsClient) (*wire.LotPage, error) {
--- a/lots/accept.go
+++ b/lots/accept.go
@@ -15,6 +15,8 @@
 const firstEpoch = 1
 
 // Submit accepts x: it is synced on all its replicas before its record is written.
+//
+// Only the primary says that a lot is accepted; KindMisdirected means that another disk may be that.
 func (k *Keeper) Submit(c context.Context, x bulrushlug.Lot) error {
 	if known, err := k.await(c, x.ID()); known || err != nil {
 		return err
@@ -25,23 +27,36 @@
 	}
 	u := bulrushlug.NewLotUpdate(x.ID(), firstEpoch, r, 0, []bulrushlug.LotEntry{bulrushlug.LotHead(x)}, false)
 	if err := k.place(c, u); err != nil {
-		k.withdraw(c, u)
-		return bulrushlug.WrapFault(bulrushlug.KindUnplaceable, "lot "+x.ID(), err)
+		k.withdraw(c, x.ID(), r)
+		return bulrushlug.WrapFault(bulrushlug.KindMisdirected, "lot "+x.ID(), err)
 	}
-	k.with(x.ID(), func(l *lot) { l.placed = true })
-	return k.settle(c, x.ID())
+	if err := k.settle(c, x.ID()); err != nil {
+		return err
+	}
+	if known, err := k.await(c, x.ID()); known || err != nil {
+		return err
+	}
+	k.withdraw(c, x.ID(), r)
+	return bulrushlug.NewFault(bulrushlug.KindMisdirected, "lot %s was accepted elsewhere", x.ID())
 }
 
-// await reports whether lot i is accepted already; it waits while another call is accepting it here.
+// await reports whether lot i is accepted and this disk its primary; it waits while another call is accepting it here.
 func (k *Keeper) await(c context.Context, i string) (bool, error) {
 	for {
-		accepted, own := false, false
+		var accepted, own, safe bool
 		var change chan struct{}
-		if !k.with(i, func(l *lot) { accepted, own, change = l.confirmed, l.primary(k.disk), l.change }) {
+		if !k.with(i, func(l *lot) {
+			accepted, own, safe, change = l.confirmed, l.primary(k.disk), l.committed > 0, l.change
+		}) {
 			return false, nil
 		}
-		if accepted || !own {
-			return accepted, nil
+		switch {
+		case accepted && !own:
+			return false, bulrushlug.NewFault(bulrushlug.KindMisdirected, "lot %s is run elsewhere", i)
+		case accepted && safe:
+			return true, k.agree(c, i)
+		case !own:
+			return false, nil
 		}
 		select {
 		case <-change:
@@ -97,18 +112,19 @@
 	return errors.Join(e...)
 }
 
-// withdraw removes the copies of a lot that was not accepted.
-func (k *Keeper) withdraw(c context.Context, u bulrushlug.LotUpdate) {
-	k.forget(c, u.Lot(), u.Epoch(), u.Replicas())
-	unconfirmed := false
-	k.with(u.Lot(), func(l *lot) { unconfirmed = !l.confirmed && l.epoch == u.Epoch() })
-	if unconfirmed {
-		k.drop(u.Lot(), "not accepted")
-	}
+// withdraw removes the copies of a draft of this disk from the disks l.
+func (k *Keeper) withdraw(c context.Context, i string, l []string) {
+	k.onOthers(c, i, l, func(c context.Context, a string) error { return k.remote.Withdraw(c, a, i, k.disk) })
+	k.Withdraw(i, k.disk)
 }
 
 // forget asks the replicas on the disks l to drop their copies of lot i.
 func (k *Keeper) forget(c context.Context, i string, n uint64, l []string) {
+	k.onOthers(c, i, l, func(c context.Context, a string) error { return k.remote.Forget(c, a, i, n) })
+}
+
+// onOthers calls f with the address of each other process that has one of the disks l, and does not wait.
+func (k *Keeper) onOthers(c context.Context, i string, l []string, f func(c context.Context, address string) error) {
 	for _, d := range l {
 		p, ok := k.peers.ByDisk(d)
 		if d == k.disk || !ok {
@@ -117,7 +133,7 @@
 		go func() {
 			x, stop := context.WithTimeout(context.WithoutCancel(c), copyTimeout)
 			defer stop()
-			if err := k.remote.Forget(x, p.Member().Address(), i, n); err != nil {
+			if err := f(x, p.Member().Address()); err != nil {
 				_ = k.logger.Log("event", "copyNotForgotten", "lot", i, "vm", p.Member().Name(), "err", err)
 			}
 		}()
@@ -176,15 +192,13 @@
 
 // giveUp refuses a lot of which no record can have been written; after a lost answer that is not sure.
 func (k *Keeper) giveUp(c context.Context, i string, err error) error {
-	var u bulrushlug.LotUpdate
+	var r []string
 	doubt := true
-	k.with(i, func(l *lot) {
-		u, doubt = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, 0, nil, false), l.doubt || l.confirmed
-	})
+	k.with(i, func(l *lot) { r, doubt = l.replicas, l.doubt || l.confirmed })
 	if doubt {
 		return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+i, err)
 	}
-	k.withdraw(c, u)
+	k.withdraw(c, i, r)
 	return bulrushlug.WrapFault(bulrushlug.KindStoreDown, "lot "+i, err)
 }
 
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -182,12 +182,18 @@
 	return s, err
 }
 
-// follows reports whether l may take the step u of another primary.
+// follows reports whether l may take the step u of another primary; a draft does not replace that of another
+// primary which may still be accepting the lot.
 func follows(l *lot, u bulrushlug.LotUpdate) bool {
-	if u.Epoch() != l.epoch {
+	switch {
+	case u.Epoch() != l.epoch:
 		return u.Epoch() > l.epoch
+	case u.Confirmed() || slices.Equal(u.Replicas(), l.replicas):
+		return true
+	case l.confirmed:
+		return false
 	}
-	return u.Confirmed() || !l.confirmed || slices.Equal(u.Replicas(), l.replicas)
+	return l.primary(u.Replicas()[0]) || time.Since(l.born) > draftTime
 }
 
 // Verify reports whether lot i follows epoch n here.
@@ -206,6 +212,15 @@
 	}
 }
 
+// Withdraw removes lot i if it was never confirmed and came from the primary on disk d.
+func (k *Keeper) Withdraw(i, d string) {
+	drop := false
+	k.with(i, func(l *lot) { drop = !l.confirmed && l.primary(d) })
+	if drop {
+		k.drop(i, "withdrawn")
+	}
+}
+
 // drop removes lot i from this disk.
 func (k *Keeper) drop(i, reason string) {
 	s := k.shard(i)
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -23,7 +23,6 @@
 	ended     bool                  // The end of the lot is among entries or pending.
 	driven    bool                  // A goroutine keeps, copies or claims the lot.
 	moved     bool                  // Another epoch was seen at a replica.
-	placed    bool                  // All replicas of the draft have the lot.
 	doubt     bool                  // A record may have been written without an answer.
 	born      time.Time             // When this process met the lot.
 	read      time.Time             // Last time at which the record named this epoch.
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -106,6 +106,10 @@
 
 // Forget drops a copy.
 func (k *keeper) Forget(_ context.Context, w *wire.LotRef) (*wire.LotState, error) {
-	k.Keeper.Forget(w.Id, w.Epoch)
+	if w.Draft != "" {
+		k.Withdraw(w.Id, w.Draft)
+	} else {
+		k.Keeper.Forget(w.Id, w.Epoch)
+	}
 	return &wire.LotState{}, nil
 }
