fix(slots): one process comes first with batch items at each backend server

Ruled out: too few slots. Now each server has an order of the processes, the first fills its slots, the others wait between starts, and only what the ones before leave no room for is ended. Connections stay open as long as the server names.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -233,13 +233,16 @@
 	if w.Close || w.ContentLength < 0 && len(w.TransferEncoding) == 0 || c.in.Buffered() > 0 {
 		return false
 	}
-	d := idleTime
+	d := time.Duration(0)
 	for v := range strings.SplitSeq(w.Header.Get("Keep-Alive"), ",") {
 		n, t, _ := strings.Cut(strings.TrimSpace(v), "=")
 		if s, err := strconv.Atoi(t); err == nil && strings.EqualFold(n, "timeout") {
-			d = min(d, time.Duration(s)*time.Second)
+			d = time.Duration(s) * time.Second
 		}
 	}
+	if d == 0 {
+		d = idleTime
+	}
 	c.until = time.Now().Add(d - idleMargin)
 	c.used = true
 	return c.SetDeadline(time.Time{}) == nil
--- a/items/runner.go
+++ b/items/runner.go
@@ -118,7 +118,7 @@
 		if full[v] {
 			continue
 		}
-		s := r.table.Batch(v, nil)
+		s := r.table.Batch(v)
 		if s == nil {
 			full[v] = true
 			continue
--- a/site/site.go
+++ b/site/site.go
@@ -74,7 +74,7 @@
 func New(s *setup.Settings, l log.Logger) (*Site, error) {
 	p := platform.New(s.Store(), func() {})
 	x := &Site{settings: s, logger: log.With(l, "vm", s.Member().Name()), counts: new(expvar.Map).Init(),
-		platform: p, client: lotcli.New(), table: slots.New(), known: make(chan struct{})}
+		platform: p, client: lotcli.New(), known: make(chan struct{})}
 	x.events = newRecorder(x.logger)
 	disk := ""
 	if d := s.DataFolder(); d != "" {
@@ -87,6 +87,7 @@
 	boot := uint64(time.Now().UnixMilli())
 	lease := max(leaseTime, s.LeaseMin())
 	x.peers = peers.New(s.Member(), boot, disk, p.Table(), memberPrefix, lease, x.logger)
+	x.table = slots.New(s.Member().Name(), x.rivals)
 	x.meter = meter.New(x, x.peers.Part, s.FirstStart())
 	m, err := mesh.New(s.Member().Name(), s.Member().Address(), nil, x.counts)
 	if err != nil {
@@ -127,6 +128,14 @@
 	return 0
 }
 
+// rivals returns the other processes that run batch items.
+func (s *Site) rivals() (l []string) {
+	for _, p := range s.peers.Disks() {
+		l = append(l, p.Member().Name())
+	}
+	return l
+}
+
 // isRetiring reports whether operators want the VM v emptied.
 func (s *Site) isRetiring(v string) bool {
 	m := s.retiring.Load()
--- a/slots/table.go
+++ b/slots/table.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,8 @@
 	shardCount    = 8
 	remoteTimeout = 1500 * time.Millisecond // Age at which the usage that another process reported no longer counts.
 	queueShare    = 4                       // A server takes one waiting online request for so many slots.
-	batchReserve  = 1                       // Slots of a server that batch items leave free for online requests.
+	batchReserve  = 1                       // Slots of a server that a new batch item leaves free for online requests.
+	startPause    = 100 * time.Millisecond  // Time between starts at a server that another process has first; its reports come as often.
 	jitter        = 0.5                     // Random part of a score, in requests; spreads processes that see the same counts.
 	firstPenalty  = time.Second             // Time for which a server that failed is passed over.
 	maxPenalty    = 8 * time.Second
@@ -24,6 +26,8 @@
 
 // Table knows the backend servers and what is under way at each of them.
 type Table struct {
+	self   string
+	rivals func() []string // Other processes that run batch items.
 	shards [shardCount]shard
 }
 
@@ -42,6 +46,7 @@
 	penalty time.Duration // Length of the next pause; zero after a success.
 	pace    float64       // Smoothed time between events in seconds; zero before the first.
 	fence   chan struct{} // Closed once this start of the server is gone.
+	started time.Time     // Last start of an own batch item.
 }
 
 // remote is what another process has under way at one server.
@@ -50,9 +55,9 @@
 	at            time.Time
 }
 
-// New returns an empty table.
-func New() *Table {
-	t := &Table{}
+// New returns an empty table of the process vm; f returns the other processes that run batch items.
+func New(vm string, f func() []string) *Table {
+	t := &Table{self: vm, rivals: f}
 	for i := range t.shards {
 		t.shards[i].entries = map[string]*entry{}
 		t.shards[i].remote = map[string]map[string]remote{}
@@ -252,12 +257,32 @@
 	return e.pace
 }
 
+// order tells which process comes first with its batch items at each server.
+type order struct {
+	self   string
+	rivals []string
+}
+
+func (t *Table) order() order { return order{self: t.self, rivals: t.rivals()} }
+
+// precedence is the weight of process vm at server id; the highest comes first.
+func precedence(vm, id string) uint64 { return xxhash.Sum64String(vm + " " + id) }
+
+// first reports whether this process comes before all others at server id.
+func (o order) first(id string) bool {
+	w := precedence(o.self, id)
+	return !slices.ContainsFunc(o.rivals, func(vm string) bool { return precedence(vm, id) > w })
+}
+
 // Batch picks a server of service v with a slot that online requests leave idle, or returns nil.
-func (t *Table) Batch(v string, skip map[string]bool) *Lease {
+//
+// At each server one process comes first, so that processes rarely start items for the same slot.
+func (t *Table) Batch(v string) *Lease {
 	now := time.Now()
+	o := t.order()
 	var best choice
 	for i := range t.shards {
-		if c, ok := t.shards[i].idle(v, skip, now); ok && c.better(best) {
+		if c, ok := t.shards[i].idle(v, o, now); ok && c.better(best) {
 			best = c
 		}
 	}
@@ -267,19 +292,20 @@
 	return best.shard.take(best.id, true)
 }
 
-func (s *shard) idle(v string, skip map[string]bool, now time.Time) (best choice, ok bool) {
+func (s *shard) idle(v string, o order, now time.Time) (best choice, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
-		if !e.usable(v, skip, now, true) {
+		if !e.usable(v, nil, now, true) {
 			continue
 		}
 		online, batch := s.load(e, now)
 		free := int(e.backend.Slots()) - batchReserve - online - batch
-		if free <= 0 {
+		first := o.first(id)
+		if free <= 0 || !first && now.Sub(e.started) < startPause {
 			continue
 		}
-		c := choice{shard: s, id: id, score: -float64(free) - jitter*rand.Float64()}
+		c := choice{shard: s, id: id, full: !first, score: -float64(free) - jitter*rand.Float64()}
 		if c.better(best) {
 			best, ok = c, true
 		}
@@ -287,16 +313,19 @@
 	return best, ok
 }
 
-// Excess returns how many own batch items at each server stand in the way of online requests.
+// Excess returns how many own batch items at each server have to make room for online requests.
+//
+// Processes make room in an order that all of them know, so that no two end items for the same request.
 func (t *Table) Excess() map[string]int {
 	m := map[string]int{}
+	o := t.order()
 	for i := range t.shards {
-		t.shards[i].excess(m)
+		t.shards[i].excess(o, m)
 	}
 	return m
 }
 
-func (s *shard) excess(m map[string]int) {
+func (s *shard) excess(o order, m map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -304,14 +333,25 @@
 		if e.batch == 0 {
 			continue
 		}
-		online, batch := s.load(e, now)
-		over := min(batch, online+batch-int(e.backend.Slots())+batchReserve)
-		if over > 0 {
-			m[id] = (over*e.batch + batch - 1) / batch
+		online, _ := s.load(e, now)
+		room := int(e.backend.Slots()) - online - s.before(o, id, now)
+		if n := e.batch - max(0, room); n > 0 {
+			m[id] = n
 		}
 	}
 }
 
+// before returns the batch items at server id of the processes that come before this one.
+func (s *shard) before(o order, id string, now time.Time) (n int) {
+	w := precedence(o.self, id)
+	for vm, m := range s.remote {
+		if r, ok := m[id]; ok && now.Sub(r.at) < remoteTimeout && precedence(vm, id) > w {
+			n += r.batch
+		}
+	}
+	return n
+}
+
 // take counts one more request at server id.
 func (s *shard) take(id string, batch bool) *Lease {
 	s.mu.Lock()
@@ -322,6 +362,7 @@
 	}
 	if batch {
 		e.batch++
+		e.started = time.Now()
 	} else {
 		e.online++
 	}
