fix(mirror): changes that a watch misses are read once another process saw them

Ruled out: a lost retry after a cut (no call failed). Two lookouts watch in calls of 2 s; every report names the newest change seen, and whoever lacks it for 300 ms reads anew.

--- a/codec/report.go
+++ b/codec/report.go
@@ -19,6 +19,7 @@
 		Disk:     r.Disk(),
 		Manifest: r.Manifest(),
 	}
+	w.Operated, w.Servers = r.Seen()
 	for _, u := range r.Usages() {
 		w.Usages = append(w.Usages, &wire.Usage{Backend: u.Backend(), Online: u.Online(), Batch: u.Batch()})
 	}
@@ -46,6 +47,6 @@
 	for _, x := range w.Yields {
 		y = append(y, bulrushlug.NewYield(x.Backend, x.Count))
 	}
-	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest),
+	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeen(w.Operated, w.Servers),
 		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportYields(y...))
 }
--- /dev/null
+++ b/lotlog/log_test.go
@@ -0,0 +1,150 @@
+package lotlog
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+func step(i string, epoch uint64, from int, text ...string) bulrushlug.LotUpdate {
+	var l []bulrushlug.LotEntry
+	for n, x := range text {
+		l = append(l, bulrushlug.LotDone(bulrushlug.NewLotResult(uint32(from+n), true, x)))
+	}
+	return bulrushlug.NewLotUpdate(i, epoch, []string{"d1", "d2"}, from, l, true)
+}
+
+func open(t *testing.T, d string) *Log {
+	t.Helper()
+	l, err := Open(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// texts returns the texts of all steps of lot i.
+func texts(t *testing.T, l *Log, i string) (s string) {
+	t.Helper()
+	if err := l.Load(func(u bulrushlug.LotUpdate) {
+		if u.Lot() != i {
+			return
+		}
+		for _, e := range u.Entries() {
+			s += e.Result().Text()
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestEveryTornTail(t *testing.T) {
+	d := t.TempDir()
+	l := open(t, d)
+	p := l.path("lot")
+	var ends []int // Size of the file after each step.
+	for n, x := range []string{"a", "b", "c"} {
+		if err := l.Append(step("lot", 1, n, x)); err != nil {
+			t.Fatal(err)
+		}
+		i, err := os.Stat(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, int(i.Size()))
+	}
+	whole, err := os.ReadFile(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(whole) + 1 {
+		t.Run(fmt.Sprint(n, " bytes"), func(t *testing.T) {
+			if err := os.WriteFile(p, whole[:n], fileMode); err != nil {
+				t.Fatal(err)
+			}
+			l := open(t, d)
+			steps := 0
+			for steps < len(ends) && ends[steps] <= n {
+				steps++
+			}
+			want := "abc"[:steps]
+			if got := texts(t, l, "lot"); got != want {
+				t.Fatalf("%q is left of %q", got, want)
+			}
+			if err := l.Append(step("lot", 1, steps, "x")); err != nil {
+				t.Fatal(err)
+			}
+			if got := texts(t, open(t, d), "lot"); got != want+"x" {
+				t.Errorf("%q after one more step", got)
+			}
+		})
+	}
+}
+
+func TestSpoiledRecord(t *testing.T) {
+	d := t.TempDir()
+	l := open(t, d)
+	for n, x := range []string{"a", "b"} {
+		if err := l.Append(step("lot", 1, n, x)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b, _ := os.ReadFile(l.path("lot"))
+	b[len(b)-1]++
+	if err := os.WriteFile(l.path("lot"), b, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if got := texts(t, open(t, d), "lot"); got != "a" {
+		t.Errorf("%q is read back", got)
+	}
+}
+
+func TestIdentity(t *testing.T) {
+	for name, x := range map[string]struct {
+		spoil func(d string) error
+		same  bool
+	}{
+		"the same disk":   {spoil: func(string) error { return nil }, same: true},
+		"an emptied disk": {spoil: func(d string) error { return os.Remove(filepath.Join(d, identity)) }},
+		"a torn name":     {spoil: func(d string) error { return os.Truncate(filepath.Join(d, identity), 5) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := t.TempDir()
+			a := open(t, d).Disk()
+			if err := x.spoil(d); err != nil {
+				t.Fatal(err)
+			}
+			b := open(t, d).Disk()
+			if (a == b) != x.same || len(b) != 32 || b != open(t, d).Disk() {
+				t.Errorf("%s became %s", a, b)
+			}
+		})
+	}
+}
+
+func TestDrop(t *testing.T) {
+	l := open(t, t.TempDir())
+	for _, i := range []string{"a/b", "c"} {
+		if err := l.Append(step(i, 1, 0, i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		if err := l.Drop("a/b"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a, c := texts(t, l, "a/b"), texts(t, l, "c"); a != "" || c != "c" {
+		t.Errorf("%q and %q are left", a, c)
+	}
+	if err := l.Append(step("a/b", 1, 0, "new")); err != nil {
+		t.Fatal(err)
+	}
+	if a := texts(t, l, "a/b"); a != "new" {
+		t.Errorf("%q after a new start", a)
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -11,16 +11,23 @@
 	"bulrushlug.dev/bulrushlug"
 )
 
-const shardCount = 8
+const (
+	shardCount = 8
+	// startDebt is the time of its rate for which an organisation gets nothing from a process that starts again:
+	// others need as long to hear of it, and it to hear what they admitted.
+	startDebt = 250 * time.Millisecond
+)
 
 // Meter admits requests within rate and burst of their organisation.
 //
-// Each process has one bucket an organisation, from which it takes what it admits and what others report. Of the
-// rate it fills in only the part of those processes that it hears; each of the others may be admitting its own.
+// Each process has one bucket an organisation, from which it takes what it admits and what others report. Between
+// two rounds of reports it admits only its part of what is left, so that processes that don't hear each other never
+// give out the same admissions. Of the rate it fills in only the part of those processes that it hears; each of the
+// others may be admitting its own.
 type Meter struct {
 	source bulrushlug.Source
-	part   func() float64 // Share of the rate that may be counted on, above zero and at most one.
-	full   bool           // Buckets start full: nothing was admitted before.
+	heard  func() (heard, all int) // Processes that count, this one included.
+	full   bool                    // Buckets start full: nothing was admitted before.
 	shards [shardCount]shard
 }
 
@@ -28,6 +35,7 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket // By organisation.
 	peers   map[string]uint64  // Boot of each process that reported.
+	round   map[string]bool    // Processes that reported since the last round ended.
 }
 
 // bucket counts one organisation.
@@ -38,13 +46,14 @@
 	seen     map[string]uint64 // Admissions that other processes reported.
 	started  bool              // The level was set.
 	joined   bool              // The level includes what the others had admitted before the start.
+	spent    float64           // Own admissions in this round.
 }
 
 // New returns a meter by the rates in f; full says that nothing was admitted before the start.
-func New(f bulrushlug.Source, part func() float64, full bool) *Meter {
-	m := &Meter{source: f, part: part, full: full}
+func New(f bulrushlug.Source, heard func() (heard, all int), full bool) *Meter {
+	m := &Meter{source: f, heard: heard, full: full}
 	for i := range m.shards {
-		m.shards[i] = shard{buckets: map[string]*bucket{}, peers: map[string]uint64{}}
+		m.shards[i] = shard{buckets: map[string]*bucket{}, peers: map[string]uint64{}, round: map[string]bool{}}
 	}
 	return m
 }
@@ -74,14 +83,16 @@
 	if g.Rate() <= 0 {
 		return nil
 	}
-	part := m.part()
+	heard, all := m.heard()
+	part := float64(heard) / float64(all)
 	b.fill(g, part, m.full)
-	if b.level >= 1 {
+	if b.level >= 1 && b.spent+1 <= max(1, (b.level+b.spent)/float64(heard)) {
 		b.level--
+		b.spent++
 		return nil
 	}
 	b.admitted--
-	w := time.Duration((1 - b.level) / (g.Rate() * part) * float64(time.Second))
+	w := time.Duration(max(1, 1-b.level) / (g.Rate() * part) * float64(time.Second))
 	return bulrushlug.NewFault(bulrushlug.KindRateLimited, "%s is over its rate of %g a second: %.1f admissions left", o, g.Rate(), b.level).WithWait(w)
 }
 
@@ -94,6 +105,8 @@
 		if full {
 			b.joined = true
 			b.level += limit
+		} else {
+			b.level -= g.Rate() * startDebt.Seconds()
 		}
 	}
 	b.level = min(limit, b.level+g.Rate()*part*now.Sub(b.at).Seconds())
@@ -105,6 +118,24 @@
 	for _, x := range r.Spendings() {
 		m.shard(x.Organisation()).reported(r.Member().Name(), r.Boot(), x)
 	}
+	heard, _ := m.heard()
+	for i := range m.shards {
+		m.shards[i].endRound(r.Member().Name(), heard-1)
+	}
+}
+
+// endRound starts a new round once n other processes reported in this one.
+func (s *shard) endRound(vm string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.round[vm] = true
+	if len(s.round) < n {
+		return
+	}
+	clear(s.round)
+	for _, b := range s.buckets {
+		b.spent = 0
+	}
 }
 
 func (s *shard) reported(vm string, boot uint64, x bulrushlug.Spending) {
@@ -132,7 +163,7 @@
 	if !b.joined {
 		b.joined, b.started = true, true
 		b.at = time.Now()
-		b.level = max(0, x.Level())
+		b.level = min(b.level, 0) + x.Level()
 		return
 	}
 	b.level = min(b.level, max(x.Level(), b.level-float64(x.Admitted())))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	watchWait  = 10 * time.Second // Length of one watch; a call is paid for each.
-	firstRetry = 100 * time.Millisecond
-	maxRetry   = time.Second
+	// hintTime is the time after which a change that others saw, and the own watch did not bring, is read.
+	hintTime    = 300 * time.Millisecond
+	defaultWait = 10 * time.Second
+	firstRetry  = 100 * time.Millisecond
+	maxRetry    = time.Second
 	// returnTime is the time for which entries that went missing are kept after an outage: owners of
 	// entries with leases are back within two seconds of its end.
 	returnTime = 2500 * time.Millisecond
@@ -31,26 +33,35 @@
 	prefix string
 	keep   bool // Entries that go missing around an outage are kept for returnTime.
 	logger log.Logger
+	wait   func() time.Duration    // Length of the next watch.
 	change func([]bulrushlug.Item) // Called with all entries after each change, from one goroutine at a time.
 
 	mu       sync.Mutex
 	items    map[string]bulrushlug.Item
 	missing  map[string]time.Time // Entries that are gone from the service, and when to drop them.
-	revision uint64               // Revision up to which items is complete; never falls.
+	revision uint64               // Revision up to which items is complete, as far as the watch tells; never falls.
+	newest   uint64               // Revision of the newest change that was seen.
+	hint     uint64               // Revision of the newest change that others saw.
+	hinted   time.Time            // When hint rose above newest.
+	stop     context.CancelFunc   // Ends the present watch.
 	loaded   bool                 // items was read at least once.
 	down     time.Time            // Start of the present outage; zero while the service answers.
 	back     time.Time            // End of the last outage.
 }
 
-// Option sets one part of a mirror.
+// option sets one part of a mirror.
 type option func(m *Mirror)
 
+// WithWait makes watches as long as f says; a call is paid for each.
+func WithWait(f func() time.Duration) option { return func(m *Mirror) { m.wait = f } }
+
 // WithReturn keeps entries that go missing around an outage until their owners had time to come back.
 func WithReturn() option { return func(m *Mirror) { m.keep = true } }
 
 // New returns a mirror of the entries of t under p, which hands all entries to f after each change.
 func New(t bulrushlug.Table, p string, l log.Logger, f func([]bulrushlug.Item), o ...option) *Mirror {
 	m := &Mirror{table: t, prefix: p, logger: log.With(l, "mirror", p), change: f,
+		wait:  func() time.Duration { return defaultWait },
 		items: map[string]bulrushlug.Item{}, missing: map[string]time.Time{}}
 	for _, g := range o {
 		g(m)
@@ -60,15 +71,16 @@
 
 // Run follows the service until c ends.
 func (m *Mirror) Run(c context.Context) error {
-	if m.keep {
-		go m.sweep(c)
-	}
+	go m.sweep(c)
 	retry := firstRetry
 	for c.Err() == nil {
 		err := m.follow(c)
 		if c.Err() != nil {
 			break
 		}
+		if bulrushlug.KindOf(err) == bulrushlug.KindHistoryLost {
+			continue
+		}
 		if m.lost(err) {
 			retry = firstRetry
 		}
@@ -99,19 +111,56 @@
 
 // watch waits for changes; a watch that was cut is made once more at once.
 func (m *Mirror) watch(c context.Context) ([]bulrushlug.Item, uint64, error) {
-	l, n, err := m.table.Watch(c, m.prefix, m.Revision(), watchWait)
-	if err != nil && c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
-		return m.table.Watch(c, m.prefix, m.Revision(), watchWait)
+	x, stop := context.WithCancel(c)
+	defer stop()
+	m.mu.Lock()
+	m.stop = stop
+	m.mu.Unlock()
+	l, n, err := m.table.Watch(x, m.prefix, m.Revision(), m.wait())
+	if err != nil && x.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
+		l, n, err = m.table.Watch(x, m.prefix, m.Revision(), m.wait())
+	}
+	if err != nil && x.Err() != nil && c.Err() == nil {
+		return nil, 0, bulrushlug.NewFault(bulrushlug.KindHistoryLost, "the watch of %s missed a change", m.prefix)
 	}
 	return l, n, err
 }
 
+// Hint says that another process saw a change at revision n.
+func (m *Mirror) Hint(n uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n > m.newest && m.hint <= m.newest {
+		m.hinted = time.Now()
+	}
+	m.hint = max(m.hint, n)
+}
+
+// Newest returns the revision of the newest change that was seen.
+func (m *Mirror) Newest() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest
+}
+
+// missed ends the present watch if it did not bring a change that others saw.
+func (m *Mirror) missed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hint <= m.newest || time.Since(m.hinted) < hintTime || !m.down.IsZero() || m.stop == nil {
+		return
+	}
+	_ = m.logger.Log("event", "changeMissed", "newest", m.newest, "hint", m.hint)
+	m.hinted = time.Now()
+	m.stop()
+}
+
 // lost notes that the service failed; it reports whether it had answered before.
 func (m *Mirror) lost(err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if bulrushlug.KindOf(err) == bulrushlug.KindHistoryLost || !m.down.IsZero() {
-		return m.down.IsZero()
+	if !m.down.IsZero() {
+		return false
 	}
 	m.down = time.Now()
 	_ = m.logger.Log("event", "storeLost", "revision", m.revision, "err", err)
@@ -139,6 +188,7 @@
 	m.items = map[string]bulrushlug.Item{}
 	for _, i := range l {
 		m.items[i.Key()] = i
+		m.newest = max(m.newest, i.Revision())
 		delete(m.missing, i.Key())
 	}
 	for k, i := range old {
@@ -147,6 +197,7 @@
 		}
 	}
 	m.revision, m.loaded = n, true
+	m.newest = max(m.newest, min(m.hint, n))
 	m.publish()
 }
 
@@ -154,6 +205,7 @@
 func (m *Mirror) apply(l []bulrushlug.Item, n uint64) {
 	m.mu.Lock()
 	for _, i := range l {
+		m.newest = max(m.newest, i.Revision())
 		switch {
 		case i.Value() != nil:
 			m.items[i.Key()] = i
@@ -200,10 +252,11 @@
 	return slices.SortedFunc(maps.Values(m.items), func(a, b bulrushlug.Item) int { return cmp.Compare(a.Key(), b.Key()) })
 }
 
-// sweep drops entries that did not come back.
+// sweep drops entries that did not come back, and ends watches that miss changes.
 func (m *Mirror) sweep(c context.Context) {
 	for bulrushlug.Wait(c, sweepTime) == nil {
 		m.drop()
+		m.missed()
 	}
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -21,8 +21,9 @@
 	shardCount = 8
 	// aliveTime is the age of the last report up to which a process counts as alive; reports come every 100 to 500 ms.
 	aliveTime  = 800 * time.Millisecond
-	forgetTime = 6 * time.Second // Age of the last report after which a process without an entry is forgotten.
-	listTime   = 5 * time.Second // Time between reads of the entries.
+	heardTime  = 350 * time.Millisecond // The same for what others admit: three reports that come every 100 ms.
+	forgetTime = 6 * time.Second        // Age of the last report after which a process without an entry is forgotten.
+	listTime   = 5 * time.Second        // Time between reads of the entries.
 	firstRetry = 200 * time.Millisecond
 )
 
@@ -261,17 +262,17 @@
 	return Peer{}, false
 }
 
-// Part returns the share of a rate that this process may count on: those of its role that it hears count what they admit.
-func (p *Peers) Part() float64 {
-	all, heard := 1, 1
+// Heard returns how many processes of this one's role are heard, and how many there are, this one included.
+func (p *Peers) Heard() (heard, all int) {
+	heard, all = 1, 1
 	for _, x := range p.All() {
 		if x.member.Role() != p.self.Role() || x.member.Leaving() {
 			continue
 		}
 		all++
-		if x.Alive() {
+		if x.Silent() < heardTime {
 			heard++
 		}
 	}
-	return float64(heard) / float64(all)
+	return heard, all
 }
--- a/report.go
+++ b/report.go
@@ -64,6 +64,8 @@
 	sequence  uint64 // Rises with each report of one boot.
 	disk      string // Identity of the disk; empty where there is none.
 	manifest  uint64 // Newest version that the process has; zero for none.
+	operated  uint64 // Revision of the newest change by operators that the process saw.
+	servers   uint64 // Revision of the newest change of a backend server's entry that the process saw.
 	usages    []Usage
 	spendings []Spending
 	yields    []Yield
@@ -86,6 +88,11 @@
 	return func(r *Report) { r.disk, r.manifest = disk, manifest }
 }
 
+// ReportSeen sets the revisions of the newest changes by operators and of backend servers that the process saw.
+func ReportSeen(operated, servers uint64) ReportOption {
+	return func(r *Report) { r.operated, r.servers = operated, servers }
+}
+
 // ReportUsages sets what the process has under way.
 func ReportUsages(l []Usage) ReportOption { return func(r *Report) { r.usages = l } }
 
@@ -110,6 +117,9 @@
 // Manifest returns the newest version that the process has.
 func (r Report) Manifest() uint64 { return r.manifest }
 
+// Seen returns the revisions of the newest changes by operators and of backend servers that the process saw.
+func (r Report) Seen() (operated, servers uint64) { return r.operated, r.servers }
+
 // Usages returns what the process has under way.
 func (r Report) Usages() []Usage { return r.usages }
 
--- a/site/site.go
+++ b/site/site.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"bulrushlug.dev/bulrushlug/mirror"
 	"bulrushlug.dev/bulrushlug/peers"
 	"bulrushlug.dev/bulrushlug/platform"
+	"bulrushlug.dev/bulrushlug/rank"
 	"bulrushlug.dev/bulrushlug/setup"
 	"bulrushlug.dev/bulrushlug/slots"
 )
@@ -34,6 +36,9 @@
 	lotPrefix    = "bulrushlug/lot/"
 	leaseTime    = 3 * time.Second // Lease of the entry of a process; renewed every third of it.
 	askTime      = 250 * time.Millisecond
+	lookouts     = 2                      // Processes that watch in short calls and tell the others of changes that their watches miss.
+	shortWatch   = 2 * time.Second        // Less than the time after trouble in the service at which its bounds count again.
+	longWatch    = 10 * time.Second       // A call is paid for each watch.
 	lostTime     = 400 * time.Millisecond // Time without the key-value service after which other processes are asked.
 )
 
@@ -88,7 +93,7 @@
 	lease := max(leaseTime, s.LeaseMin())
 	x.peers = peers.New(s.Member(), boot, disk, p.Table(), memberPrefix, lease, x.logger)
 	x.table = slots.New(s.Member().Name(), x.rivals)
-	x.meter = meter.New(x, x.peers.Part, s.FirstStart())
+	x.meter = meter.New(x, x.peers.Heard, s.FirstStart())
 	m, err := mesh.New(s.Member().Name(), s.Member().Address(), nil, x.counts)
 	if err != nil {
 		return nil, err
@@ -96,8 +101,8 @@
 	m.OnMessage(x.message)
 	x.mesh = m
 	x.gossip = gossip.New(x.peers, m, boot, x.report)
-	x.operated = mirror.New(p.Table(), platform.ManifestPrefix, x.logger, x.setManifest)
-	x.servers = mirror.New(p.Table(), platform.BackendPrefix, x.logger, x.setServers, mirror.WithReturn())
+	x.operated = mirror.New(p.Table(), platform.ManifestPrefix, x.logger, x.setManifest, mirror.WithWait(x.watchTime))
+	x.servers = mirror.New(p.Table(), platform.BackendPrefix, x.logger, x.setServers, mirror.WithReturn(), mirror.WithWait(x.watchTime))
 	if s.Member().Role() == bulrushlug.RoleEntry {
 		x.role = newEntry(x)
 		return x, nil
@@ -136,6 +141,20 @@
 	return l
 }
 
+// watchTime returns the length of a watch of the key-value service.
+func (s *Site) watchTime() time.Duration {
+	l := []string{s.peers.Self().Name()}
+	for _, p := range s.peers.All() {
+		if p.Alive() && !p.Member().Leaving() {
+			l = append(l, p.Member().Name())
+		}
+	}
+	if slices.Index(rank.Order("lookout", l), s.peers.Self().Name()) < lookouts {
+		return shortWatch
+	}
+	return longWatch
+}
+
 // isRetiring reports whether operators want the VM v emptied.
 func (s *Site) isRetiring(v string) bool {
 	m := s.retiring.Load()
@@ -179,6 +198,7 @@
 func (s *Site) report() []bulrushlug.ReportOption {
 	return []bulrushlug.ReportOption{
 		bulrushlug.ReportState(s.peers.Disk(), s.version()),
+		bulrushlug.ReportSeen(s.operated.Newest(), s.servers.Newest()),
 		bulrushlug.ReportUsages(s.table.Usages()),
 		bulrushlug.ReportSpendings(s.meter.Spendings()),
 	}
@@ -192,6 +212,9 @@
 	}
 	s.table.Remote(r.Member().Name(), r.Usages())
 	s.meter.Reported(*r)
+	operated, servers := r.Seen()
+	s.operated.Hint(operated)
+	s.servers.Hint(servers)
 	s.role.heard(*r)
 }
 
--- /dev/null
+++ b/slots/table_test.go
@@ -0,0 +1,198 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+func backend(id string, slots uint32, o ...bulrushlug.BackendOption) bulrushlug.Backend {
+	return bulrushlug.NewBackend(id, "s", "10.0.0.1:80", append(o, bulrushlug.BackendPlace("z", slots))...)
+}
+
+func alone() []string { return nil }
+
+func TestOnline(t *testing.T) {
+	for name, x := range map[string]struct {
+		servers []bulrushlug.Backend
+		remote  []bulrushlug.Usage
+		skip    map[string]bool
+		want    string // Empty for none.
+		yield   bool
+	}{
+		"the less loaded": {
+			servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8)},
+			remote:  []bulrushlug.Usage{bulrushlug.NewUsage("a", 3, 0)}, want: "b"},
+		"not one that drains": {
+			servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8, bulrushlug.BackendDraining(true))},
+			remote:  []bulrushlug.Usage{bulrushlug.NewUsage("a", 7, 0)}, want: "a"},
+		"not one that was tried": {
+			servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8)}, skip: map[string]bool{"a": true}, want: "b"},
+		"a free one before one with batch items": {
+			servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8)},
+			remote:  []bulrushlug.Usage{bulrushlug.NewUsage("a", 0, 8), bulrushlug.NewUsage("b", 6, 0)}, want: "b"},
+		"batch items yield where all are full": {
+			servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8)},
+			remote:  []bulrushlug.Usage{bulrushlug.NewUsage("a", 2, 6), bulrushlug.NewUsage("b", 8, 0)}, want: "a", yield: true},
+		"some wait at a server": {
+			servers: []bulrushlug.Backend{backend("a", 8)}, remote: []bulrushlug.Usage{bulrushlug.NewUsage("a", 9, 0)}, want: "a"},
+		"none where too many wait": {
+			servers: []bulrushlug.Backend{backend("a", 8)}, remote: []bulrushlug.Usage{bulrushlug.NewUsage("a", 10, 0)}},
+		"none of another service": {
+			servers: []bulrushlug.Backend{bulrushlug.NewBackend("a", "t", "10.0.0.1:80")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := New("e", alone)
+			b.Update(x.servers)
+			b.Remote("other", x.remote)
+			l, yield := b.Online("s", x.skip)
+			got := ""
+			if l != nil {
+				got = l.Backend().ID()
+			}
+			if got != x.want || yield != x.yield {
+				t.Errorf("picked %q, yield %v", got, yield)
+			}
+		})
+	}
+}
+
+func TestBatchLeavesRoom(t *testing.T) {
+	b := New("d", alone)
+	b.Update([]bulrushlug.Backend{backend("a", 8)})
+	b.Remote("entry", []bulrushlug.Usage{bulrushlug.NewUsage("a", 4, 0)})
+	n := 0
+	for b.Batch("s") != nil {
+		n++
+	}
+	if n != 8-batchReserve-4 {
+		t.Errorf("%d items were started", n)
+	}
+	b.Remote("entry", []bulrushlug.Usage{bulrushlug.NewUsage("a", 7, 0)})
+	if m := b.Excess(); m["a"] != n-1 {
+		t.Errorf("%d of %d items make room for 7 requests", m["a"], n)
+	}
+}
+
+// TestOneMakesRoom shows that several processes end no more items than the online requests need.
+func TestOneMakesRoom(t *testing.T) {
+	vms := []string{"d1", "d2", "d3"}
+	for _, batch := range []int{1, 2} {
+		for online := 0; online <= 8; online++ {
+			t.Run(fmt.Sprint(batch, " items each, ", online, " requests"), func(t *testing.T) {
+				ended := 0
+				for _, vm := range vms {
+					b := New(vm, func() []string { return vms })
+					b.Update([]bulrushlug.Backend{backend("a", 8)})
+					for range batch {
+						b.shard("a").take("a", true)
+					}
+					for _, x := range vms {
+						if x != vm {
+							b.Remote(x, []bulrushlug.Usage{bulrushlug.NewUsage("a", 0, uint32(batch))})
+						}
+					}
+					b.Remote("entry", []bulrushlug.Usage{bulrushlug.NewUsage("a", uint32(online), 0)})
+					ended += b.Excess()["a"]
+				}
+				if want := max(0, min(3*batch, online+3*batch-8)); ended != want {
+					t.Errorf("%d items are ended, %d have to be", ended, want)
+				}
+			})
+		}
+	}
+}
+
+// TestOneStarts shows that processes that know nothing of each other's starts rarely start items for one slot.
+func TestOneStarts(t *testing.T) {
+	vms := []string{"d1", "d2", "d3", "d4"}
+	var l []bulrushlug.Backend
+	for i := range 18 {
+		l = append(l, backend(fmt.Sprint("s", i), 8))
+	}
+	started := map[string]int{}
+	for _, vm := range vms {
+		b := New(vm, func() []string { return vms })
+		b.Update(l)
+		for range 20 {
+			x := b.Batch("s")
+			if x == nil {
+				break
+			}
+			started[x.Backend().ID()]++
+		}
+	}
+	for id, n := range started {
+		if n > 8 {
+			t.Errorf("%d items were started at once at the 8 slots of %s", n, id)
+		}
+	}
+}
+
+func TestServerThatStartsAgain(t *testing.T) {
+	for name, x := range map[string]struct {
+		after []bulrushlug.Backend
+		gone  bool
+	}{
+		"the same start":        {after: []bulrushlug.Backend{backend("a", 8, bulrushlug.BackendStart(1, 7))}},
+		"a later start":         {after: []bulrushlug.Backend{backend("a", 8, bulrushlug.BackendStart(2, 7))}, gone: true},
+		"no longer on the list": {gone: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := New("e", alone)
+			b.Update([]bulrushlug.Backend{backend("a", 8, bulrushlug.BackendStart(1, 1))})
+			l, _ := b.Online("s", nil)
+			b.Update(x.after)
+			select {
+			case <-l.Gone():
+				if !x.gone {
+					t.Error("the server counts as gone")
+				}
+			default:
+				if x.gone {
+					t.Error("the server does not count as gone")
+				}
+			}
+			l.Release()
+			if n := len(b.Usages()); n != 0 {
+				t.Errorf("%d servers have requests", n)
+			}
+		})
+	}
+}
+
+func TestRemoteUsageEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("e", alone)
+		b.Update([]bulrushlug.Backend{backend("a", 8)})
+		b.Remote("dead", []bulrushlug.Usage{bulrushlug.NewUsage("a", 10, 0)})
+		if l, _ := b.Online("s", nil); l != nil {
+			t.Error("a full server was picked")
+		}
+		time.Sleep(remoteTimeout)
+		if l, _ := b.Online("s", nil); l == nil {
+			t.Error("what a silent process reported still counts")
+		}
+	})
+}
+
+func TestFailedServerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("e", alone)
+		b.Update([]bulrushlug.Backend{backend("a", 8), backend("b", 8)})
+		l, _ := b.Online("s", map[string]bool{"b": true})
+		l.Failed()
+		for range 5 {
+			if x, _ := b.Online("s", nil); x.Backend().ID() == "a" {
+				t.Error("a server that failed was picked")
+			}
+		}
+		time.Sleep(firstPenalty)
+		if x, _ := b.Online("s", map[string]bool{"b": true}); x == nil {
+			t.Error("a server that failed is never picked again")
+		}
+	})
+}
--- /dev/null
+++ b/stream/reader_test.go
@@ -0,0 +1,70 @@
+package stream
+
+import (
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func TestNext(t *testing.T) {
+	for name, x := range map[string]struct {
+		in     string
+		events []string
+		data   []string
+		id     uint64
+		err    error
+	}{
+		"nothing":              {err: io.EOF},
+		"one event":            {in: "id: 1\ndata: a\n\n", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.EOF},
+		"several lines":        {in: "id:2\ndata:a\ndata: b\n\n", events: []string{"id:2\ndata:a\ndata: b\n\n"}, data: []string{"a", "b"}, id: 2, err: io.EOF},
+		"carriage returns":     {in: "id: 3\r\ndata: a\r\n\r\n", events: []string{"id: 3\r\ndata: a\r\n\r\n"}, data: []string{"a"}, id: 3, err: io.EOF},
+		"half an event":        {in: "id: 1\ndata: a\n\nid: 2\nda", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.ErrUnexpectedEOF},
+		"a missing blank line": {in: "id: 1\ndata: a\n", err: io.ErrUnexpectedEOF},
+		"a changed version":    {in: "x-version: 2\nid: 4\ndata: a\n\n", events: []string{"x-version: 2\nid: 4\ndata: a\n\n"}, data: []string{"a"}, id: 4, err: io.EOF},
+		"blank lines between":  {in: "\n\nid: 1\ndata: a\n\n", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.EOF},
+		"a long event":         {in: "id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n", events: []string{"id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n"}, data: []string{strings.Repeat("x", 10000)}, id: 1, err: io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for how, in := range map[string]io.Reader{
+				"at once":      strings.NewReader(x.in),
+				"byte by byte": iotest.OneByteReader(strings.NewReader(x.in)),
+			} {
+				r := New(in)
+				var got, data []string
+				var err error
+				for err == nil {
+					var e []byte
+					if e, err = r.Next(); err == nil {
+						got = append(got, string(e))
+						data = slices.Clone(r.Data())
+					}
+				}
+				if !errors.Is(err, x.err) || !slices.Equal(got, x.events) {
+					t.Errorf("%s: %q, %v", how, got, err)
+				}
+				if id, _ := r.ID(); id != x.id || len(x.events) > 0 && !slices.Equal(data, x.data) {
+					t.Errorf("%s: event %d with %q", how, id, data)
+				}
+			}
+		})
+	}
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Fuzz(func(t *testing.T, s string) {
+		r := New(strings.NewReader(s))
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			if !strings.Contains(s, string(e)) {
+				t.Fatalf("%q is not in the answer", e)
+			}
+		}
+	})
+}
