test: meters and lots under faults in virtual time

Meters: a fresh system forgot what others admitted before their first report (276 admissions where 250 were allowed; found by TestBound), and a process admitted all that was left without hearing of the others' share; both mended. Lots: clusters of four keepers under kills, cuts, lost disks, outages, lost and late writes, retirement.

--- /dev/null
+++ b/lots/cluster_test.go
@@ -0,0 +1,603 @@
+package lots
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/locate"
+	"bulrushlug.dev/bulrushlug/memtab"
+	"bulrushlug.dev/bulrushlug/peers"
+)
+
+const (
+	copies    = 2
+	callDelay = time.Millisecond
+	tellEvery = 100 * time.Millisecond
+	keepTime  = 5 * time.Minute
+	// recovery is the time after the last fault in which the lots must be whole again.
+	recovery = 12 * time.Second
+)
+
+// memDisk is a disk that outlives the process that uses it.
+type memDisk struct {
+	mu      sync.Mutex
+	name    string
+	updates map[string][]bulrushlug.LotUpdate
+}
+
+func newDisk(n string) *memDisk {
+	return &memDisk{name: n, updates: map[string][]bulrushlug.LotUpdate{}}
+}
+
+func (d *memDisk) Append(u bulrushlug.LotUpdate) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.updates[u.Lot()] = append(d.updates[u.Lot()], u)
+	return nil
+}
+
+func (d *memDisk) Load(f func(u bulrushlug.LotUpdate)) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.updates {
+		for _, u := range l {
+			f(u)
+		}
+	}
+	return nil
+}
+
+func (d *memDisk) Drop(i string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.updates, i)
+	return nil
+}
+
+// vm is one process with a disk.
+type vm struct {
+	member bulrushlug.Member
+	disk   *memDisk
+	boot   uint64
+	count  uint64
+	peers  *peers.Peers
+	keeper *Keeper
+	alive  bool
+	stop   context.CancelFunc
+	runs   int
+}
+
+// cluster is a set of processes, the network between them and the key-value service.
+type cluster struct {
+	t        *testing.T
+	c        context.Context
+	mu       sync.Mutex
+	table    *memtab.Table
+	vms      map[string]*vm
+	cut      map[string]bool // VMs that reach neither another nor the key-value service.
+	apart    map[string]bool // VMs that reach the key-value service but no other VM.
+	retiring map[string]bool
+	front    *locate.Lots
+	seen     map[string]map[int]string // Results that callers read, by lot and position.
+	items    map[string]int            // Items of each lot that was accepted.
+	offered  map[string]int            // Items of each lot.
+	ended    map[string]bool
+	boots    uint64
+	out      log.Logger
+}
+
+var errCut = errors.New("cut off")
+
+func newCluster(t *testing.T, c context.Context, n int) *cluster {
+	k := &cluster{t: t, c: c, table: memtab.New(), vms: map[string]*vm{}, cut: map[string]bool{}, apart: map[string]bool{}, retiring: map[string]bool{},
+		seen: map[string]map[int]string{}, items: map[string]int{}, offered: map[string]int{}, ended: map[string]bool{}, out: log.NewNopLogger()}
+	if os.Getenv("LOTS_LOG") != "" {
+		k.out = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
+	}
+	for i := range n {
+		k.start(fmt.Sprint("d", i), newDisk(fmt.Sprint("disk-", i)))
+	}
+	f := peers.New(bulrushlug.NewMember("front", "front", "r", "z0", bulrushlug.RoleEntry), 1, "", k.table, "vm/", time.Second, k.out)
+	k.front = locate.New(network{k, "front"}, k.table, "lot/", f)
+	go func() {
+		for bulrushlug.Wait(c, tellEvery) == nil {
+			k.tell(f)
+		}
+	}()
+	time.Sleep(startTime + tellEvery)
+	return k
+}
+
+// tableOf is the key-value service as one VM reaches it.
+type tableOf struct {
+	*memtab.Table
+	cluster *cluster
+	vm      string
+}
+
+func (t tableOf) Get(c context.Context, k string) (bulrushlug.Item, error) {
+	if t.cluster.isCut(t.vm) {
+		return bulrushlug.Item{}, bulrushlug.NewFault(bulrushlug.KindStoreDown, "cut off")
+	}
+	return t.Table.Get(c, k)
+}
+
+func (t tableOf) Commit(c context.Context, on []bulrushlug.Condition, w []bulrushlug.Write) (uint64, error) {
+	if t.cluster.isCut(t.vm) {
+		return 0, bulrushlug.NewFault(bulrushlug.KindStoreDown, "cut off")
+	}
+	return t.Table.Commit(c, on, w)
+}
+
+func (k *cluster) isCut(v string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cut[v]
+}
+
+// start starts the process on VM n with disk d.
+func (k *cluster) start(n string, d *memDisk) {
+	k.mu.Lock()
+	k.boots++
+	c, stop := context.WithCancel(k.c)
+	zone := "z" + strings.TrimPrefix(n, "d")
+	v := &vm{member: bulrushlug.NewMember(n, n, "r", zone, "data").WithData(true), disk: d, boot: k.boots, alive: true, stop: stop}
+	t := tableOf{k.table, k, n}
+	l := log.With(k.out, "vm", n)
+	v.peers = peers.New(v.member, v.boot, d.name, t, "vm/", time.Second, l)
+	v.keeper = New(d, network{k, n}, t, "lot/", v.peers, l, WithCopies(copies), WithKeep(keepTime), WithRetiring(func(x string) bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.retiring[x]
+	}))
+	k.vms[n] = v
+	k.mu.Unlock()
+	if err := v.keeper.Load(); err != nil {
+		k.t.Error(err)
+	}
+	go func() { _ = v.keeper.Run(c) }()
+	go k.run(c, v)
+}
+
+// kill ends the process on VM n at once.
+func (k *cluster) kill(n string) *memDisk {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.vms[n]
+	v.alive = false
+	v.stop()
+	return v.disk
+}
+
+// run does the items of the lots that v runs; each run of an item gives another text.
+func (k *cluster) run(c context.Context, v *vm) {
+	for bulrushlug.Wait(c, 50*time.Millisecond) == nil {
+		v.keeper.Open(func(l bulrushlug.Lot, left []uint32) {
+			n := left[rand.IntN(len(left))]
+			v.runs++
+			v.keeper.Finish(c, l.ID(), bulrushlug.NewLotResult(n, true, fmt.Sprint(l.ID(), " ", n, " run ", v.runs, " at boot ", v.boot)))
+		})
+	}
+}
+
+// tell hands the reports of all processes to those that they reach.
+func (k *cluster) tell(front *peers.Peers) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, v := range k.vms {
+		if !v.alive {
+			continue
+		}
+		v.count++
+		r := bulrushlug.NewReport(v.member, v.boot, v.count, bulrushlug.ReportState(v.disk.name, 1))
+		front.Reported(r)
+		for _, x := range k.vms {
+			if x != v && x.alive && k.reaches(v.member.Name(), x.member.Name()) {
+				x.peers.Reported(r)
+			}
+		}
+	}
+}
+
+func (k *cluster) reaches(a, b string) bool {
+	return a == "front" || b == "front" || !k.cut[a] && !k.cut[b] && !k.apart[a] && !k.apart[b]
+}
+
+// network is what one process reaches.
+type network struct {
+	cluster *cluster
+	from    string
+}
+
+// keeper returns the keeper at address a.
+func (n network) keeper(c context.Context, a string) (*Keeper, error) {
+	if err := bulrushlug.Wait(c, callDelay); err != nil {
+		return nil, err
+	}
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	v := n.cluster.vms[a]
+	if v == nil || !v.alive || !n.cluster.reaches(n.from, a) {
+		return nil, bulrushlug.WrapFault(bulrushlug.KindUncertain, a, errCut)
+	}
+	return v.keeper, nil
+}
+
+// back fails if the answer of address a doesn't arrive.
+func (n network) back(c context.Context, a string) error {
+	_, err := n.keeper(c, a)
+	return err
+}
+
+func (n network) Append(c context.Context, a string, u bulrushlug.LotUpdate) (bulrushlug.LotState, error) {
+	k, err := n.keeper(c, a)
+	if err != nil {
+		return bulrushlug.LotState{}, err
+	}
+	s, err := k.Append(u)
+	return s, errors.Join(err, n.back(c, a))
+}
+
+func (n network) Verify(c context.Context, a, i string, e uint64) (bulrushlug.LotState, error) {
+	k, err := n.keeper(c, a)
+	if err != nil {
+		return bulrushlug.LotState{}, err
+	}
+	return k.Verify(i, e), n.back(c, a)
+}
+
+func (n network) Forget(c context.Context, a, i string, e uint64) error {
+	k, err := n.keeper(c, a)
+	if err == nil {
+		k.Forget(i, e)
+	}
+	return err
+}
+
+func (n network) Withdraw(c context.Context, a, i, d string) error {
+	k, err := n.keeper(c, a)
+	if err == nil {
+		k.Withdraw(i, d)
+	}
+	return err
+}
+
+func (n network) Submit(c context.Context, a string, l bulrushlug.Lot) error {
+	k, err := n.keeper(c, a)
+	if err != nil {
+		return err
+	}
+	if err := k.Submit(c, l); err != nil {
+		return err
+	}
+	return n.back(c, a)
+}
+
+func (n network) Read(c context.Context, a string, q bulrushlug.LotQuery) (bulrushlug.LotPage, error) {
+	k, err := n.keeper(c, a)
+	if err != nil {
+		return bulrushlug.LotPage{}, err
+	}
+	return k.Read(c, q)
+}
+
+func (n network) Body(c context.Context, a string, q bulrushlug.LotQuery) ([]byte, error) {
+	k, err := n.keeper(c, a)
+	if err != nil {
+		return nil, err
+	}
+	return k.Body(c, q)
+}
+
+func (n network) End(c context.Context, a string, q bulrushlug.LotQuery) error {
+	k, err := n.keeper(c, a)
+	if err != nil {
+		return err
+	}
+	if err := k.End(c, q); err != nil {
+		return err
+	}
+	return n.back(c, a)
+}
+
+// submit hands in a lot of n items; a caller tries again after a while without an answer.
+func (k *cluster) submit(i string, n int) {
+	var l []bulrushlug.LotItem
+	for x := range n {
+		l = append(l, bulrushlug.NewLotItem(fmt.Sprint(i, "/", x), "/p", nil, []byte(fmt.Sprint("body ", x))))
+	}
+	k.mu.Lock()
+	k.offered[i] = n
+	k.mu.Unlock()
+	for range 6 {
+		c, stop := context.WithTimeout(k.c, 2*time.Second)
+		err := k.front.Submit(c, bulrushlug.NewLot(i, "o", "r", "h", time.Now(), l))
+		stop()
+		if err == nil {
+			k.mu.Lock()
+			k.items[i] = n
+			k.mu.Unlock()
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// read reads a lot from position n on and checks what was read before.
+func (k *cluster) read(i string, n int) error {
+	c, stop := context.WithTimeout(k.c, 2*time.Second)
+	defer stop()
+	p, err := k.front.Read(c, bulrushlug.NewLotQuery(i, "o").WithAfter(n, 0))
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p.Total() != k.offered[i] {
+		k.t.Errorf("lot %s: total is %d, not %d", i, p.Total(), k.offered[i])
+	}
+	if k.seen[i] == nil {
+		k.seen[i] = map[int]string{}
+	}
+	for j, r := range p.Results() {
+		s := r.ID() + ": " + r.Text()
+		if old, ok := k.seen[i][n+j]; ok && old != s {
+			k.t.Errorf("lot %s: position %d held %q and holds %q", i, n+j, old, s)
+		}
+		k.seen[i][n+j] = s
+	}
+	return nil
+}
+
+// readers read all lots until c ends.
+func (k *cluster) readers(c context.Context, r *rand.Rand) {
+	for bulrushlug.Wait(c, 100*time.Millisecond) == nil {
+		k.mu.Lock()
+		var l []string
+		for i := range k.items {
+			l = append(l, i)
+		}
+		k.mu.Unlock()
+		slices.Sort(l)
+		for _, i := range l {
+			k.mu.Lock()
+			n := len(k.seen[i])
+			k.mu.Unlock()
+			from := r.IntN(n + 1)
+			if err := k.read(i, from); bulrushlug.KindOf(err) == bulrushlug.KindNotFound && err != nil {
+				k.t.Errorf("an accepted lot is not found: %v", err)
+			}
+		}
+	}
+}
+
+// whole checks that every accepted lot has each item once, and what was read.
+func (k *cluster) whole() {
+	k.t.Helper()
+	for i, n := range k.items {
+		before := len(k.seen[i])
+		if err := k.read(i, 0); err != nil {
+			k.t.Errorf("lot %s can't be read: %v", i, err)
+			continue
+		}
+		ids := map[string]int{}
+		for _, s := range k.seen[i] {
+			id, _, _ := strings.Cut(s, ":")
+			ids[id]++
+		}
+		for id, x := range ids {
+			if x > 1 {
+				k.t.Errorf("lot %s: item %s stands at %d positions", i, id, x)
+			}
+		}
+		if len(k.seen[i]) < before || !k.ended[i] && len(ids) != n {
+			k.t.Errorf("lot %s: %d of %d items are listed, %d results were read before", i, len(ids), n, before)
+		}
+	}
+}
+
+// fault is something that happens to a cluster; it returns once it is over.
+type fault func(k *cluster, r *rand.Rand)
+
+func anyVM(k *cluster, r *rand.Rand) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var l []string
+	for n, v := range k.vms {
+		if v.alive {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l[r.IntN(len(l))]
+}
+
+func pause(r *rand.Rand) { time.Sleep(time.Duration(200+r.IntN(4000)) * time.Millisecond) }
+
+var faults = map[string]fault{
+	"kill": func(k *cluster, r *rand.Rand) {
+		n := anyVM(k, r)
+		d := k.kill(n)
+		pause(r)
+		k.start(n, d)
+	},
+	"kill all": func(k *cluster, r *rand.Rand) {
+		d := map[string]*memDisk{}
+		for n := range k.vms {
+			d[n] = k.kill(n)
+		}
+		pause(r)
+		for n, x := range d {
+			k.start(n, x)
+		}
+	},
+	"lose a disk": func(k *cluster, r *rand.Rand) {
+		time.Sleep(5 * time.Second) // No more disks at once than are tolerated.
+		n := anyVM(k, r)
+		k.kill(n)
+		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		k.start(n, newDisk(fmt.Sprint("disk-new-", k.boots)))
+		time.Sleep(5 * time.Second)
+	},
+	"cut": func(k *cluster, r *rand.Rand) {
+		n := anyVM(k, r)
+		k.mu.Lock()
+		k.cut[n] = true
+		k.mu.Unlock()
+		pause(r)
+		k.mu.Lock()
+		delete(k.cut, n)
+		k.mu.Unlock()
+	},
+	"cut from the others": func(k *cluster, r *rand.Rand) {
+		n := anyVM(k, r)
+		k.mu.Lock()
+		k.apart[n] = true
+		k.mu.Unlock()
+		pause(r)
+		k.mu.Lock()
+		delete(k.apart, n)
+		k.mu.Unlock()
+	},
+	"outage": func(k *cluster, r *rand.Rand) {
+		k.table.SetOutage(true)
+		pause(r)
+		k.table.SetOutage(false)
+	},
+	"outage and kill": func(k *cluster, r *rand.Rand) {
+		k.table.SetOutage(true)
+		n := anyVM(k, r)
+		d := k.kill(n)
+		pause(r)
+		k.table.SetOutage(false)
+		pause(r)
+		k.start(n, d)
+	},
+	"lost answers": func(k *cluster, r *rand.Rand) {
+		k.table.LoseAnswers(3)
+		n := anyVM(k, r)
+		d := k.kill(n)
+		pause(r)
+		k.start(n, d)
+		k.table.LoseAnswers(0)
+	},
+	"late writes": func(k *cluster, r *rand.Rand) {
+		k.table.DelayWrites(2)
+		n := anyVM(k, r)
+		d := k.kill(n)
+		pause(r)
+		k.start(n, d)
+		k.table.DelayWrites(0)
+	},
+	"retire": func(k *cluster, r *rand.Rand) {
+		n := anyVM(k, r)
+		k.mu.Lock()
+		k.retiring[n] = true
+		v := k.vms[n]
+		k.mu.Unlock()
+		empty := false
+		for range 50 {
+			if time.Sleep(100 * time.Millisecond); v.keeper.Count() == 0 {
+				empty = true
+				break
+			}
+		}
+		if empty {
+			k.kill(n)
+			k.start(n, newDisk(fmt.Sprint("disk-empty-", k.boots)))
+		}
+		k.mu.Lock()
+		delete(k.retiring, n)
+		k.mu.Unlock()
+	},
+	"end a lot": func(k *cluster, r *rand.Rand) {
+		i := fmt.Sprint("ended-", k.boots, "-", r.IntN(1000))
+		k.submit(i, 40)
+		time.Sleep(500 * time.Millisecond)
+		c, stop := context.WithTimeout(k.c, 3*time.Second)
+		defer stop()
+		if k.front.End(c, bulrushlug.NewLotQuery(i, "o")) == nil {
+			k.mu.Lock()
+			k.ended[i] = true
+			k.mu.Unlock()
+		}
+	},
+}
+
+// play runs the given faults while lots come in and are read.
+func play(t *testing.T, seed uint64, names []string) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := context.WithCancel(t.Context())
+		r := rand.New(rand.NewPCG(seed, seed))
+		k := newCluster(t, c, 4)
+		var w sync.WaitGroup
+		reading, quiet := context.WithCancel(c)
+		w.Go(func() { k.readers(reading, rand.New(rand.NewPCG(seed, 1))) })
+		for i := range 12 {
+			w.Go(func() {
+				time.Sleep(time.Duration(i) * 700 * time.Millisecond)
+				k.submit(fmt.Sprint("lot-", i), 10)
+			})
+		}
+		for _, n := range names {
+			time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+			faults[n](k, r)
+		}
+		time.Sleep(recovery)
+		quiet()
+		w.Wait()
+		k.whole()
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestOneFault(t *testing.T) {
+	for name := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				play(t, seed, []string{name})
+			}
+		})
+	}
+}
+
+func TestFaultTwice(t *testing.T) {
+	for name := range faults {
+		t.Run(name, func(t *testing.T) { play(t, 7, []string{name, name}) })
+	}
+}
+
+// TestFaults plays series of faults; LOTS_SEEDS sets how many.
+func TestFaults(t *testing.T) {
+	n := 20
+	if s, err := strconv.Atoi(os.Getenv("LOTS_SEEDS")); err == nil {
+		n = s
+	}
+	var all []string
+	for name := range faults {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	for seed := range n {
+		r := rand.New(rand.NewPCG(uint64(seed), 99))
+		var l []string
+		for range 4 {
+			l = append(l, all[r.IntN(len(all))])
+		}
+		t.Run(fmt.Sprint(seed, " ", strings.Join(l, ", ")), func(t *testing.T) { play(t, uint64(seed), l) })
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -27,6 +27,7 @@
 type Meter struct {
 	source bulrushlug.Source
 	heard  func() (heard, all int) // Processes that count, this one included.
+	boot   uint64                  // Unix milliseconds of the start of this process.
 	full   bool                    // Buckets start full: nothing was admitted before.
 	shards [shardCount]shard
 }
@@ -50,8 +51,8 @@
 }
 
 // New returns a meter by the rates in f; full says that nothing was admitted before the start.
-func New(f bulrushlug.Source, heard func() (heard, all int), full bool) *Meter {
-	m := &Meter{source: f, heard: heard, full: full}
+func New(f bulrushlug.Source, heard func() (heard, all int), boot uint64, full bool) *Meter {
+	m := &Meter{source: f, heard: heard, boot: boot, full: full}
 	for i := range m.shards {
 		m.shards[i] = shard{buckets: map[string]*bucket{}, peers: map[string]uint64{}, round: map[string]bool{}}
 	}
@@ -116,7 +117,7 @@
 // Reported takes what the process of r admitted since its last report out of the buckets.
 func (m *Meter) Reported(r bulrushlug.Report) {
 	for _, x := range r.Spendings() {
-		m.shard(x.Organisation()).reported(r.Member().Name(), r.Boot(), x)
+		m.shard(x.Organisation()).reported(r.Member().Name(), r.Boot(), x, m.full || r.Boot() > m.boot)
 	}
 	heard, _ := m.heard()
 	for i := range m.shards {
@@ -138,7 +139,8 @@
 	}
 }
 
-func (s *shard) reported(vm string, boot uint64, x bulrushlug.Spending) {
+// reported counts x of the process vm; later says that all of it was admitted after the start of this process.
+func (s *shard) reported(vm string, boot uint64, x bulrushlug.Spending, later bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(x.Organisation())
@@ -150,7 +152,7 @@
 	}
 	s.peers[vm] = boot
 	n, ok := b.seen[vm]
-	if !ok {
+	if !ok && !later {
 		b.join(x)
 	} else if x.Admitted() > n {
 		b.level -= float64(x.Admitted() - n)
@@ -166,7 +168,7 @@
 		b.level = min(b.level, 0) + x.Level()
 		return
 	}
-	b.level = min(b.level, max(x.Level(), b.level-float64(x.Admitted())))
+	b.level = min(b.level, x.Level())
 }
 
 // Spendings returns what this process admitted.
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -52,7 +52,7 @@
 }
 
 func (g *group) newMeter(i int, full bool) *Meter {
-	return New(organisation(rate, burst), func() (int, int) { return g.heard[i], len(g.heard) }, full)
+	return New(organisation(rate, burst), func() (int, int) { return g.heard[i], len(g.heard) }, g.boots[i], full)
 }
 
 // restart gives process i a new start.
--- a/site/site.go
+++ b/site/site.go
@@ -93,7 +93,7 @@
 	lease := max(leaseTime, s.LeaseMin())
 	x.peers = peers.New(s.Member(), boot, disk, p.Table(), memberPrefix, lease, x.logger)
 	x.table = slots.New(s.Member().Name(), x.rivals)
-	x.meter = meter.New(x, x.peers.Heard, s.FirstStart())
+	x.meter = meter.New(x, x.peers.Heard, boot, s.FirstStart())
 	m, err := mesh.New(s.Member().Name(), s.Member().Address(), nil, x.counts)
 	if err != nil {
 		return nil, err
