fix(lots): late copies no longer cut a log, and primaries that start again say nothing before their replicas

Within an epoch a log only grows now; a step of another epoch has to bring the whole log; what came in another epoch is claimed anew. Ruled out: two primaries in one epoch.

--- a/lots/accept.go
+++ b/lots/accept.go
@@ -284,6 +284,6 @@
 	if _, err := k.keepStep(u, func(l *lot) bool { return l.epoch <= u.Epoch() || !l.confirmed }); err != nil {
 		return err
 	}
-	k.with(i, func(l *lot) { l.moved, l.read = false, time.Now() })
+	k.with(i, func(l *lot) { l.moved, l.recheck, l.read = false, true, time.Now() })
 	return nil
 }
--- a/lots/answer.go
+++ b/lots/answer.go
@@ -63,6 +63,8 @@
 			err = bulrushlug.NewFault(bulrushlug.KindMisdirected, "lot %s is run elsewhere", q.ID())
 		case l.head.Organisation() != q.Organisation():
 			err = bulrushlug.NewFault(bulrushlug.KindNotFound, "lot %s belongs to another organisation", q.ID())
+		case l.committed == 0:
+			err = bulrushlug.NewFault(bulrushlug.KindStale, "lot %s: the replicas have not said yet what they have", q.ID())
 		default:
 			err = nil
 		}
--- a/lots/change.go
+++ b/lots/change.go
@@ -86,9 +86,9 @@
 		return taskRead
 	case !l.confirmed:
 		return taskNone
-	case own && k.weak(l), !own && k.lost(l):
+	case own && (l.stale || k.weak(l)), !own && k.lost(l):
 		return taskClaim
-	case own && (len(l.pending) > 0 || l.committed < len(l.entries)):
+	case own && (len(l.pending) > 0 || l.committed < len(l.entries) || l.recheck):
 		return taskCommit
 	case own && !l.finished() && now.Sub(l.verified) > freshTime/2:
 		return taskCommit
@@ -183,6 +183,7 @@
 		if l.epoch == u.Epoch() && slices.Equal(l.replicas, u.Replicas()) {
 			l.committed = max(l.committed, min(n, len(l.entries)))
 			l.verified = time.Now()
+			l.recheck = false
 			l.notify()
 		}
 	})
@@ -272,6 +273,7 @@
 	if err != nil || !s.OK() {
 		return bulrushlug.NewFault(bulrushlug.KindConflict, "lot %s: epoch %d can't be promised: %v", i, u.Epoch(), err)
 	}
+	k.with(i, func(l *lot) { l.stale = false })
 	err = each(to, func(d string) error {
 		if d == k.disk {
 			return nil
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -175,7 +175,17 @@
 	if k.retiring(k.peers.Self().Name()) && k.get(u.Lot(), false) == nil {
 		return bulrushlug.LotState{}, nil
 	}
-	s, err := k.keepStep(u, func(l *lot) bool { return follows(l, u) })
+	whole := true
+	s, err := k.keepStep(u, func(l *lot) bool {
+		if !follows(l, u) {
+			return false
+		}
+		whole = u.From() == 0 || l.same(u) && !l.stale
+		return whole
+	})
+	if !whole {
+		return bulrushlug.NewLotState(false, u.Epoch(), 0), nil
+	}
 	if err == nil && s.OK() {
 		k.woken()
 	}
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -16,13 +16,15 @@
 	replicas  []string              // Disks that hold the lot in this epoch, the primary's first.
 	confirmed bool                  // The record names this epoch and these replicas.
 	entries   []bulrushlug.LotEntry // All are synced on this disk; the first is the head.
-	committed int                   // Entries that all replicas have; rises within one epoch, never above len(entries).
+	committed int                   // Entries that all replicas have; rises within one epoch, never above len(entries). Zero while unknown.
 	pending   []bulrushlug.LotEntry // Entries that are not kept yet.
 	listed    []int                 // Positions in entries of the results.
 	done      map[uint32]bool       // Items with a result, listed or pending.
 	ended     bool                  // The end of the lot is among entries or pending.
 	driven    bool                  // A goroutine keeps, copies or claims the lot.
 	moved     bool                  // Another epoch was seen at a replica.
+	stale     bool                  // The entries came in another epoch; the primary has to send all of them, or to claim the lot.
+	recheck   bool                  // A replica may lack the lot.
 	doubt     bool                  // A record may have been written without an answer.
 	born      time.Time             // When this process met the lot.
 	read      time.Time             // Last time at which the record named this epoch.
@@ -42,27 +44,37 @@
 	l.change = make(chan struct{})
 }
 
-// take applies the step u, which is synced.
+// same reports whether u belongs to the epoch and the replicas in which the entries were kept.
+func (l *lot) same(u bulrushlug.LotUpdate) bool {
+	return u.Epoch() == l.epoch && slices.Equal(u.Replicas(), l.replicas)
+}
+
+// take applies the step u, which is synced and does not begin after the last entry.
+//
+// In one epoch the log only grows, as steps may arrive late and out of order; a step of another epoch replaces
+// all entries from its position on.
 func (l *lot) take(u bulrushlug.LotUpdate) {
-	if u.Epoch() > l.epoch || !slices.Equal(u.Replicas(), l.replicas) {
+	if l.same(u) && !l.stale {
+		if n := len(l.entries) - u.From(); n < len(u.Entries()) {
+			l.entries = append(l.entries, u.Entries()[n:]...)
+		}
+	} else {
+		l.entries = append(l.entries[:u.From():u.From()], u.Entries()...)
 		l.verified = time.Time{}
 		l.committed = 0
-		l.moved = false
+		l.moved, l.stale = false, u.From() > 0
 	}
 	if len(l.replicas) > 0 && len(u.Replicas()) > 0 && l.replicas[0] != u.Replicas()[0] {
 		l.pending = nil
 	}
-	l.epoch, l.replicas, l.confirmed = u.Epoch(), u.Replicas(), u.Confirmed()
-	l.entries = append(l.entries[:min(u.From(), len(l.entries)):min(u.From(), len(l.entries))], u.Entries()...)
-	l.committed = min(l.committed, len(l.entries))
+	l.epoch, l.replicas, l.confirmed = u.Epoch(), u.Replicas(), u.Confirmed() || l.confirmed && l.same(u)
 	l.index()
 	l.notify()
 }
 
 // has reports whether the step u changes nothing.
 func (l *lot) has(u bulrushlug.LotUpdate) bool {
-	return len(u.Entries()) == 0 && u.From() == len(l.entries) && u.Epoch() == l.epoch &&
-		u.Confirmed() == l.confirmed && slices.Equal(u.Replicas(), l.replicas)
+	return l.same(u) && !l.stale && (l.confirmed || !u.Confirmed()) && u.From()+len(u.Entries()) <= len(l.entries)
 }
 
 // index works out what follows from the entries.
