--- a/codec/report.go
+++ b/codec/report.go
@@ -9,15 +9,16 @@
 func EncodeReport(r bulrushlug.Report) *wire.Report {
 	m := r.Member()
 	w := &wire.Report{
-		Vm:       m.Name(),
-		Address:  m.Address(),
-		Zone:     m.Zone(),
-		Role:     m.Role(),
-		Leaving:  m.Leaving(),
-		Boot:     r.Boot(),
-		Sequence: r.Sequence(),
-		Disk:     r.Disk(),
-		Manifest: r.Manifest(),
+		Vm:        m.Name(),
+		Address:   m.Address(),
+		Zone:      m.Zone(),
+		Role:      m.Role(),
+		Leaving:   m.Leaving(),
+		Boot:      r.Boot(),
+		Sequence:  r.Sequence(),
+		Disk:      r.Disk(),
+		Manifest:  r.Manifest(),
+		StoreLost: r.StoreLost(),
 	}
 	w.Operated, w.Servers = r.Seen()
 	for _, u := range r.Usages() {
@@ -47,6 +48,6 @@
 	for _, x := range w.Yields {
 		y = append(y, bulrushlug.NewYield(x.Backend, x.Count))
 	}
-	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeen(w.Operated, w.Servers),
+	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeen(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
 		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportYields(y...))
 }
--- a/locate/lots.go
+++ b/locate/lots.go
@@ -2,8 +2,10 @@
 package locate
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +19,8 @@
 const (
 	shardCount    = 8
 	submitTimeout = 1500 * time.Millisecond // Longest wait for one process that accepts a lot.
-	submitTries   = 3                       // Processes to which one lot is offered.
+	submitTries   = 3                       // Processes to which one lot is offered in one round.
+	roundPause    = 200 * time.Millisecond  // Time between two rounds; trouble that is shorter than the caller's patience passes.
 	readExtra     = 800 * time.Millisecond  // Time beyond the caller's own wait for one process.
 	readTries     = 3                       // Processes that are asked for one lot.
 	pause         = 150 * time.Millisecond  // Time between tries; a change of replicas takes about as long.
@@ -82,10 +85,27 @@
 	return s.places[i]
 }
 
-// Submit offers x to processes with disks, those of the own zone first, until one accepts it.
+// Submit offers x to processes with disks until one accepts it or the caller's time is over.
 func (l *Lots) Submit(c context.Context, x bulrushlug.Lot) error {
-	var err error = bulrushlug.NewFault(bulrushlug.KindUnplaceable, "no process with a disk is there")
 	doubt := false
+	for {
+		err := l.round(c, x, &doubt)
+		if err == nil {
+			return nil
+		}
+		if e := bulrushlug.Wait(c, roundPause); e == nil {
+			continue
+		}
+		if doubt {
+			return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+x.ID(), err)
+		}
+		return bulrushlug.WrapFault(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithWait(retryWait)
+	}
+}
+
+// round offers x to each process with a disk once; doubt becomes true if one may have accepted it.
+func (l *Lots) round(c context.Context, x bulrushlug.Lot, doubt *bool) error {
+	var err error = bulrushlug.NewFault(bulrushlug.KindUnplaceable, "no process with a disk is there")
 	for n, p := range l.order() {
 		if n == submitTries || c.Err() != nil {
 			break
@@ -94,22 +114,19 @@
 			l.remember(x.ID(), p.Disk())
 			return nil
 		}
-		doubt = doubt || bulrushlug.KindOf(err).Answer().Ran()
+		*doubt = *doubt || bulrushlug.KindOf(err).Answer().Ran()
 		if bulrushlug.KindOf(err) != bulrushlug.KindMisdirected {
 			continue
 		}
 		l.forget(x.ID())
 		if a, e := l.find(c, x.ID()); e == nil {
-			doubt = true
+			*doubt = true
 			if err = l.submitTo(c, a, x); err == nil {
 				return nil
 			}
 		}
 	}
-	if doubt {
-		return bulrushlug.WrapFault(bulrushlug.KindUncertain, "lot "+x.ID(), err)
-	}
-	return bulrushlug.WrapFault(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithWait(retryWait)
+	return err
 }
 
 func (l *Lots) submitTo(c context.Context, a string, x bulrushlug.Lot) error {
@@ -118,19 +135,24 @@
 	return l.remote.Submit(c, a, x)
 }
 
-// order returns the processes with disks by turns, those of the own zone first.
-func (l *Lots) order() (near []peers.Peer) {
-	var far []peers.Peer
+// order returns the processes with disks by turns: those that reach the key-value service first, and of them those
+// of the own zone.
+func (l *Lots) order() []peers.Peer {
 	all := l.peers.Disks()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	for _, p := range all {
-		if p.Member().Zone() == l.peers.Self().Zone() {
-			near = append(near, p)
-		} else {
-			far = append(far, p)
-		}
+	slices.SortStableFunc(all, func(a, b peers.Peer) int { return cmp.Compare(l.distance(a), l.distance(b)) })
+	return all
+}
+
+// distance ranks processes; the lowest is asked first.
+func (l *Lots) distance(p peers.Peer) int {
+	switch {
+	case p.StoreLost():
+		return 2
+	case p.Member().Zone() != l.peers.Self().Zone():
+		return 1
 	}
-	return append(near, far...)
+	return 0
 }
 
 // at calls f with the process that runs lot i.
--- /dev/null
+++ b/locate/lots_test.go
@@ -0,0 +1,124 @@
+package locate
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/memtab"
+	"bulrushlug.dev/bulrushlug/peers"
+)
+
+// disks stands in for the processes with disks; it notes whom a lot was offered to.
+type disks struct {
+	fail    map[string]bulrushlug.Kind // What a process answers; those that are not named accept.
+	offered []string
+}
+
+func (d *disks) answer(a string) error {
+	d.offered = append(d.offered, a)
+	if k, ok := d.fail[a]; ok {
+		return bulrushlug.NewFault(k, "%s", a)
+	}
+	return nil
+}
+
+func (d *disks) Submit(_ context.Context, a string, _ bulrushlug.Lot) error { return d.answer(a) }
+
+func (d *disks) Read(_ context.Context, a string, _ bulrushlug.LotQuery) (bulrushlug.LotPage, error) {
+	return bulrushlug.NewLotPage(1, 0, nil), d.answer(a)
+}
+
+func (d *disks) Body(_ context.Context, a string, _ bulrushlug.LotQuery) ([]byte, error) {
+	return nil, d.answer(a)
+}
+
+func (d *disks) End(_ context.Context, a string, _ bulrushlug.LotQuery) error { return d.answer(a) }
+
+// system returns a front in zone a of three processes with disks, d1 in zone a, of which those in lost can't reach the service.
+func system(t *testing.T, d *disks, lost map[string]bool) (*Lots, *memtab.Table) {
+	t.Helper()
+	m := memtab.New()
+	p := peers.New(bulrushlug.NewMember("e1", "e1", "r", "a", bulrushlug.RoleEntry), 1, "", m, "vm/", time.Second, log.NewNopLogger())
+	for n, z := range map[string]string{"d1": "a", "d2": "b", "d3": "c"} {
+		p.Reported(bulrushlug.NewReport(bulrushlug.NewMember(n, n, "r", z, "data").WithData(true), 1, 1,
+			bulrushlug.ReportState("disk-"+n, 1), bulrushlug.ReportStoreLost(lost[n])))
+	}
+	return New(d, m, "lot/", p), m
+}
+
+func TestSubmitOrder(t *testing.T) {
+	for name, x := range map[string]struct {
+		fail  map[string]bulrushlug.Kind
+		lost  map[string]bool
+		first string // Process that is asked first, where only one may be.
+		ok    bool
+		kind  bulrushlug.Kind
+	}{
+		"own zone first":                    {first: "d1", ok: true},
+		"not one that the service rejects":  {lost: map[string]bool{"d1": true}, ok: true},
+		"the next where one refuses":        {fail: map[string]bulrushlug.Kind{"d1": bulrushlug.KindUnplaceable}, first: "d1", ok: true},
+		"the next where an answer is lost":  {fail: map[string]bulrushlug.Kind{"d1": bulrushlug.KindUncertain}, first: "d1", ok: true},
+		"all refuse: it did not run":        {fail: map[string]bulrushlug.Kind{"d1": bulrushlug.KindStoreDown, "d2": bulrushlug.KindStoreDown, "d3": bulrushlug.KindStoreDown}, first: "d1", kind: bulrushlug.KindStoreDown},
+		"one answer is lost: it may be run": {fail: map[string]bulrushlug.Kind{"d1": bulrushlug.KindUncertain, "d2": bulrushlug.KindStoreDown, "d3": bulrushlug.KindStoreDown}, first: "d1", kind: bulrushlug.KindUncertain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &disks{fail: x.fail}
+				l, _ := system(t, d, x.lost)
+				c, stop := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer stop()
+				err := l.Submit(c, bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), nil))
+				if (err == nil) != x.ok || err != nil && bulrushlug.KindOf(err) != x.kind {
+					t.Errorf("%v", err)
+				}
+				if x.first != "" && d.offered[0] != x.first || x.lost[d.offered[0]] {
+					t.Errorf("offered to %v", d.offered)
+				}
+			})
+		})
+	}
+}
+
+func TestRead(t *testing.T) {
+	for name, x := range map[string]struct {
+		record bool
+		outage bool
+		fail   map[string]bulrushlug.Kind
+		kind   bulrushlug.Kind
+		ok     bool
+	}{
+		"by its record":                  {record: true, ok: true},
+		"no record":                      {kind: bulrushlug.KindNotFound},
+		"no service: not sure":           {outage: true, kind: bulrushlug.KindStale},
+		"the primary moved":              {record: true, fail: map[string]bulrushlug.Kind{"d2": bulrushlug.KindMisdirected}, kind: bulrushlug.KindStale},
+		"the primary does not answer":    {record: true, fail: map[string]bulrushlug.Kind{"d2": bulrushlug.KindUncertain}, kind: bulrushlug.KindStale},
+		"it belongs to somebody else":    {record: true, fail: map[string]bulrushlug.Kind{"d2": bulrushlug.KindNotFound}, kind: bulrushlug.KindNotFound},
+		"the replicas have not answered": {record: true, fail: map[string]bulrushlug.Kind{"d2": bulrushlug.KindStale}, kind: bulrushlug.KindStale},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, m := system(t, &disks{fail: x.fail}, nil)
+				if x.record {
+					b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"disk-d2", "disk-d3"}, "o", time.Now()))
+					if err != nil {
+						t.Fatal(err)
+					}
+					if _, err := m.Commit(t.Context(), nil, []bulrushlug.Write{bulrushlug.PutWrite("lot/lot", b, 0)}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				m.SetOutage(x.outage)
+				_, err := l.Read(t.Context(), bulrushlug.NewLotQuery("lot", "o"))
+				if (err == nil) != x.ok || err != nil && bulrushlug.KindOf(err) != x.kind {
+					t.Errorf("%v", err)
+				}
+			})
+		})
+	}
+}
--- a/lots/accept.go
+++ b/lots/accept.go
@@ -21,6 +21,9 @@
 	if known, err := k.await(c, x.ID()); known || err != nil {
 		return err
 	}
+	if k.storeLost() {
+		return bulrushlug.NewFault(bulrushlug.KindStoreDown, "lot %s: the key-value service does not answer", x.ID())
+	}
 	r := k.choose([]string{k.disk})
 	if len(r) < k.copies || k.retiring(k.peers.Self().Name()) {
 		return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks are there", x.ID(), len(r), k.copies)
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -37,19 +37,20 @@
 
 // Keeper keeps the lots of one disk.
 type Keeper struct {
-	disk     string
-	copies   int           // Disks that hold what is acknowledged.
-	keep     time.Duration // Time after its receipt for which a lot can be read.
-	log      bulrushlug.LotLog
-	remote   bulrushlug.LotCopies
-	table    bulrushlug.Table
-	prefix   string // Prefix of the records.
-	peers    *peers.Peers
-	retiring func(vm string) bool // Reports whether operators want the VM emptied.
-	logger   log.Logger
-	woken    func() // Called when there may be items to run or to stop.
-	started  time.Time
-	shards   [shardCount]shard
+	disk      string
+	copies    int           // Disks that hold what is acknowledged.
+	keep      time.Duration // Time after its receipt for which a lot can be read.
+	log       bulrushlug.LotLog
+	remote    bulrushlug.LotCopies
+	table     bulrushlug.Table
+	prefix    string // Prefix of the records.
+	peers     *peers.Peers
+	retiring  func(vm string) bool // Reports whether operators want the VM emptied.
+	storeLost func() bool          // Reports whether the key-value service does not answer.
+	logger    log.Logger
+	woken     func() // Called when there may be items to run or to stop.
+	started   time.Time
+	shards    [shardCount]shard
 }
 
 type shard struct {
@@ -69,13 +70,16 @@
 // WithRetiring moves lots away from VMs for which f returns true.
 func WithRetiring(f func(vm string) bool) option { return func(k *Keeper) { k.retiring = f } }
 
+// WithStoreLost refuses lots at once while f reports that the key-value service does not answer.
+func WithStoreLost(f func() bool) option { return func(k *Keeper) { k.storeLost = f } }
+
 // WithWake calls f when there may be items to run or to stop.
 func WithWake(f func()) option { return func(k *Keeper) { k.woken = f } }
 
 // New returns the keeper of the logs in g, whose records are the entries of t under prefix.
 func New(g bulrushlug.LotLog, r bulrushlug.LotCopies, t bulrushlug.Table, prefix string, p *peers.Peers, l log.Logger, o ...option) *Keeper {
 	k := &Keeper{disk: p.Disk(), copies: 1, log: g, remote: r, table: t, prefix: prefix, peers: p, logger: l,
-		retiring: func(string) bool { return false }, woken: func() {}, started: time.Now()}
+		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, woken: func() {}, started: time.Now()}
 	for i := range k.shards {
 		k.shards[i].lots = map[string]*lot{}
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -52,6 +52,7 @@
 	manifest uint64 // Newest version that it reported.
 	sequence uint64 // Number of the last report.
 	listed   bool   // It has an entry.
+	lost     bool   // It can't reach the key-value service.
 	heard    time.Time
 }
 
@@ -64,6 +65,9 @@
 // Manifest returns the newest version that it reported.
 func (p Peer) Manifest() uint64 { return p.manifest }
 
+// StoreLost reports whether it can't reach the key-value service.
+func (p Peer) StoreLost() bool { return p.lost }
+
 // Alive reports whether it was heard lately.
 func (p Peer) Alive() bool { return time.Since(p.heard) < aliveTime }
 
@@ -219,7 +223,7 @@
 		return false
 	}
 	x.member, x.boot, x.sequence = r.Member(), r.Boot(), r.Sequence()
-	x.disk, x.manifest, x.heard = r.Disk(), r.Manifest(), time.Now()
+	x.disk, x.manifest, x.lost, x.heard = r.Disk(), r.Manifest(), r.StoreLost(), time.Now()
 	return true
 }
 
--- a/report.go
+++ b/report.go
@@ -66,6 +66,7 @@
 	manifest  uint64 // Newest version that the process has; zero for none.
 	operated  uint64 // Revision of the newest change by operators that the process saw.
 	servers   uint64 // Revision of the newest change of a backend server's entry that the process saw.
+	storeLost bool   // The process can't reach the key-value service.
 	usages    []Usage
 	spendings []Spending
 	yields    []Yield
@@ -93,6 +94,9 @@
 	return func(r *Report) { r.operated, r.servers = operated, servers }
 }
 
+// ReportStoreLost says whether the process can't reach the key-value service.
+func ReportStoreLost(v bool) ReportOption { return func(r *Report) { r.storeLost = v } }
+
 // ReportUsages sets what the process has under way.
 func ReportUsages(l []Usage) ReportOption { return func(r *Report) { r.usages = l } }
 
@@ -120,6 +124,9 @@
 // Seen returns the revisions of the newest changes by operators and of backend servers that the process saw.
 func (r Report) Seen() (operated, servers uint64) { return r.operated, r.servers }
 
+// StoreLost reports whether the process can't reach the key-value service.
+func (r Report) StoreLost() bool { return r.storeLost }
+
 // Usages returns what the process has under way.
 func (r Report) Usages() []Usage { return r.usages }
 
--- a/site/site.go
+++ b/site/site.go
@@ -200,6 +200,7 @@
 		bulrushlug.ReportState(s.peers.Disk(), s.version()),
 		bulrushlug.ReportSeen(s.operated.Newest(), s.servers.Newest()),
 		bulrushlug.ReportUsages(s.table.Usages()),
+		bulrushlug.ReportStoreLost(s.storeLost()),
 	}
 	if s.admits() {
 		o = append(o, bulrushlug.ReportSpendings(s.meter.Spendings()))
@@ -207,6 +208,9 @@
 	return o
 }
 
+// storeLost reports whether the key-value service does not answer this process.
+func (s *Site) storeLost() bool { return s.operated.Down() > 0 || s.servers.Down() > 0 }
+
 // admits reports whether this process admits requests of organisations; only the counts of those that do are exchanged.
 func (s *Site) admits() bool { return s.settings.Member().Role() == bulrushlug.RoleEntry }
 
