--- /dev/null
+++ b/conns/pool_test.go
@@ -0,0 +1,221 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const header = "X-Id"
+
+// serve accepts connections and hands each one with its number to f.
+func serve(t *testing.T, f func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				f(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// answer returns a whole answer to request id.
+func answer(id, more, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", header, id, more, len(body), body)
+}
+
+// request reads one request and returns its identifier.
+func request(r *bufio.Reader) string {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	return q.Header.Get(header)
+}
+
+// ask sends request id and returns the body of the answer.
+func ask(p *Pool, a, id string) (string, error) {
+	c, stop := context.WithTimeout(context.Background(), 2*time.Second)
+	defer stop()
+	w, err := p.Send(c, a, &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {id}}}, []byte("body"))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = w.Body.Close() }()
+	b, err := io.ReadAll(w.Body)
+	return string(b), err
+}
+
+func TestAnswers(t *testing.T) {
+	for name, x := range map[string]struct {
+		serve func(n int, c net.Conn, r *bufio.Reader)
+		want  []string // Bodies of the answers to requests a, b and c; an empty one means an error.
+		conns int64    // Connections made, where it matters.
+	}{
+		"kept connection": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := request(r); id != ""; id = request(r) {
+				_, _ = io.WriteString(c, answer(id, "", "to "+id))
+			}
+		}, want: []string{"to a", "to b", "to c"}, conns: 1},
+		"an extra answer at once": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := request(r); id != ""; id = request(r) {
+				_, _ = io.WriteString(c, answer(id, "", "to "+id)+answer(id, "", "again to "+id))
+			}
+		}, want: []string{"to a", "to b", "to c"}},
+		"an extra answer that is late": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			last := ""
+			for id := request(r); id != ""; id = request(r) {
+				if last != "" {
+					_, _ = io.WriteString(c, answer(last, "", "again to "+last))
+				}
+				_, _ = io.WriteString(c, answer(id, "", "to "+id))
+				last = id
+			}
+		}, want: []string{"to a", "to b", "to c"}, conns: 1},
+		"only foreign answers": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			request(r)
+			for range 5 {
+				_, _ = io.WriteString(c, answer("z", "", "to z"))
+			}
+		}, want: []string{"", "", ""}},
+		"bytes that are no answer": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			request(r)
+			_, _ = io.WriteString(c, "\x00\x01 garbage\r\n\r\n")
+		}, want: []string{"", "", ""}},
+		"a truncated answer": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			id := request(r)
+			_, _ = io.WriteString(c, strings.TrimSuffix(answer(id, "", "to "+id), "a"))
+		}, want: []string{"", "to b", "to c"}},
+		"a close without an answer": {serve: func(n int, c net.Conn, r *bufio.Reader) {
+			if id := request(r); n > 0 {
+				_, _ = io.WriteString(c, answer(id, "", "to "+id))
+			}
+		}, want: []string{"", "to b", "to c"}},
+		"a close after each answer": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			id := request(r)
+			_, _ = io.WriteString(c, answer(id, "Connection: close\r\n", "to "+id))
+		}, want: []string{"to a", "to b", "to c"}, conns: 3},
+		"a close that was not announced": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			id := request(r)
+			_, _ = io.WriteString(c, answer(id, "", "to "+id))
+		}, want: []string{"to a", "to b", "to c"}, conns: 3},
+		"an answer without a length": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			id := request(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+": "+id+"\r\n\r\nto "+id)
+		}, want: []string{"to a", "to b", "to c"}, conns: 3},
+		"an idle time that is over": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := request(r); id != ""; id = request(r) {
+				_, _ = io.WriteString(c, answer(id, "Keep-Alive: timeout=0\r\n", "to "+id))
+			}
+		}, want: []string{"to a", "to b", "to c"}},
+		"an answer before the body was read": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				id := q.Header.Get(header)
+				_, _ = io.WriteString(c, answer(id, "", "to "+id))
+				b, _ := io.ReadAll(q.Body)
+				if string(b) != "body" {
+					t.Errorf("the body is %q", b)
+				}
+			}
+		}, want: []string{"to a", "to b", "to c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var made atomic.Int64
+			p := New(header, func() { made.Add(1) })
+			a := serve(t, x.serve)
+			for i, id := range []string{"a", "b", "c"} {
+				got, err := ask(p, a, id)
+				if err != nil {
+					got = ""
+				}
+				if got != x.want[i] && (err == nil || x.want[i] != "") {
+					t.Errorf("request %s: %q, %v", id, got, err)
+				}
+				time.Sleep(20 * time.Millisecond) // Lets late bytes and closes arrive.
+			}
+			if x.conns > 0 && made.Load() != x.conns {
+				t.Errorf("%d connections were made", made.Load())
+			}
+		})
+	}
+}
+
+func TestKinds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := l.Addr().String()
+	_ = l.Close()
+	for name, x := range map[string]struct {
+		address string
+		kind    bulrushlug.Kind
+	}{
+		"nobody listens: not sent":  {address: nobody, kind: bulrushlug.KindUnplaceable},
+		"reset after the request":   {address: serve(t, func(_ int, c net.Conn, r *bufio.Reader) { request(r); _ = c.(*net.TCPConn).SetLinger(0) }), kind: bulrushlug.KindUncertain},
+		"closed before the request": {address: serve(t, func(_ int, c net.Conn, _ *bufio.Reader) { _ = c.Close() }), kind: bulrushlug.KindUncertain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ask(New(header, func() {}), x.address, "a")
+			if err == nil || bulrushlug.KindOf(err) != x.kind {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
+
+func TestCancel(t *testing.T) {
+	left := make(chan error, 1)
+	a := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id := request(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+": "+id+"\r\nContent-Length: 10\r\n\r\nhalf")
+		_, err := r.ReadByte()
+		left <- err
+	})
+	c, stop := context.WithCancel(context.Background())
+	w, err := New(header, func() {}).Send(c, a, &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {"a"}}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(20*time.Millisecond, stop)
+	if _, err := io.ReadAll(w.Body); err == nil {
+		t.Error("a cancelled answer was read to its end")
+	}
+	_ = w.Body.Close()
+	select {
+	case err := <-left:
+		if !errors.Is(err, io.EOF) && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("%v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the server still sees the connection")
+	}
+}
