fix(direct): a failure of a second server no longer becomes part of a stream

Cause: TestCutPoints: a stream that broke after an event and went on at a server that answered 500 ended with the text of that failure and looked whole. Ruled out: the reader of events. A reply that is no stream is not passed on once the head is out.

--- a/direct/stage.go
+++ b/direct/stage.go
@@ -19,6 +19,10 @@
 	retryWait = 300 * time.Millisecond // Time after which a full service is worth another try: a short answer's length.
 	maxWhole  = 8 << 20                // Bytes of an answer that is held until it is whole.
 	readSize  = 16 << 10
+
+	statusOK    = 200
+	statusFail  = 500                 // Lowest status of a failure of the server.
+	eventStream = "text/event-stream" // Media type of a series of events.
 )
 
 // Stage sends each request to a backend server and repeats it where that is safe.
@@ -113,10 +117,14 @@
 	}
 	defer p.Close()
 	a.ran++
-	if p.Status() >= 500 && a.mayRepeat() {
+	if p.Status() >= statusFail && a.mayRepeat() {
 		a.skip[l.Backend().ID()] = true
 		return true, bulrushlug.NewFault(bulrushlug.KindUncertain, "%s answered %d", l.Backend().ID(), p.Status())
 	}
+	if a.sink.headed && !streams(p) {
+		a.skip[l.Backend().ID()] = true
+		return a.mayRepeat() && a.resumes(), bulrushlug.NewFault(bulrushlug.KindBroken, "%s answered %d to a stream that was to go on", l.Backend().ID(), p.Status())
+	}
 	n, err := a.pass(p)
 	if err == nil {
 		l.Answered(pace(t, n))
@@ -178,12 +186,17 @@
 
 // pass hands the answer p to the caller; it returns the number of events.
 func (a *attempt) pass(p bulrushlug.Reply) (int, error) {
-	if strings.HasPrefix(bulrushlug.FieldValue(p.Fields(), "Content-Type"), "text/event-stream") && p.Status() == 200 {
+	if streams(p) {
 		return a.events(p)
 	}
 	return 0, a.whole(p)
 }
 
+// streams reports whether p is a series of events.
+func streams(p bulrushlug.Reply) bool {
+	return p.Status() == statusOK && strings.HasPrefix(bulrushlug.FieldValue(p.Fields(), "Content-Type"), eventStream)
+}
+
 // events passes on whole events as they come.
 func (a *attempt) events(p bulrushlug.Reply) (n int, err error) {
 	r := stream.New(p)
--- /dev/null
+++ b/direct/stage_test.go
@@ -0,0 +1,237 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/slots"
+)
+
+type noRecorder struct{}
+
+func (noRecorder) Record(bulrushlug.Event) {}
+
+// step is what one server does with one request.
+type step struct {
+	err    bulrushlug.Kind // Kind of the failure before an answer; zero is KindInternal, which means none.
+	status int
+	text   bool // The answer is no stream.
+	events int  // Whole events that are sent.
+	half   bool // Half an event follows.
+	broken bool // The answer breaks off.
+}
+
+const pieces = 4 // Events of a whole answer.
+
+var steps = map[string]step{
+	"ok":                     {status: 200, events: pieces},
+	"refused connection":     {err: bulrushlug.KindUnplaceable},
+	"full":                   {err: bulrushlug.KindOverloaded},
+	"another server there":   {err: bulrushlug.KindMisdirected},
+	"reset":                  {err: bulrushlug.KindUncertain},
+	"broken before an event": {status: 200, broken: true},
+	"broken after an event":  {status: 200, events: 1, broken: true},
+	"broken in an event":     {status: 200, events: 2, half: true, broken: true},
+	"failed":                 {status: 500, text: true},
+	"failed and broken":      {status: 500, text: true, broken: true},
+}
+
+// servers stands in for the backend servers.
+type servers struct {
+	steps []step
+	calls int
+	ran   int
+	asked []uint64 // Event after which each request was to go on.
+}
+
+func (v *servers) Call(_ context.Context, _ bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+	s := v.steps[min(v.calls, len(v.steps)-1)]
+	v.calls++
+	if s.err != bulrushlug.KindInternal {
+		if s.err.Answer().Ran() {
+			v.ran++
+		}
+		return nil, bulrushlug.NewFault(s.err, "step")
+	}
+	v.ran++
+	v.asked = append(v.asked, r.Resume())
+	var b strings.Builder
+	for i := range s.events {
+		if n := uint64(i) + 1 + r.Resume(); n <= pieces {
+			fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+		}
+	}
+	if s.half {
+		b.WriteString("id: 9\nda")
+	}
+	if s.text {
+		b.WriteString("it failed")
+	}
+	end := io.EOF
+	if s.broken {
+		end = errors.New("connection reset")
+	}
+	t := "text/event-stream"
+	if s.text {
+		t = "text/plain"
+	}
+	return &reply{status: s.status, kind: t, in: io.MultiReader(strings.NewReader(b.String()), failing{end})}, nil
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+type reply struct {
+	status int
+	kind   string
+	in     io.Reader
+}
+
+func (p *reply) Status() int { return p.status }
+
+func (p *reply) Fields() []bulrushlug.Field {
+	return []bulrushlug.Field{bulrushlug.NewField("Content-Type", p.kind)}
+}
+
+func (p *reply) Read(b []byte) (int, error) { return p.in.Read(b) }
+
+func (p *reply) Close() {}
+
+// caller is what one caller sees.
+type caller struct {
+	status int
+	heads  int
+	data   string
+}
+
+func (k *caller) Head(n int, _ string) error {
+	k.status = n
+	k.heads++
+	return nil
+}
+
+func (k *caller) Write(p []byte) error {
+	k.data += string(p)
+	return nil
+}
+
+func table() *slots.Table {
+	t := slots.New("e", func() []string { return nil })
+	var l []bulrushlug.Backend
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		l = append(l, bulrushlug.NewBackend(id, "s", "10.0.0.1:80", bulrushlug.BackendPlace("z", 8)))
+	}
+	t.Update(l)
+	return t
+}
+
+func TestCutPoints(t *testing.T) {
+	whole := "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+	for first, a := range steps {
+		for second, b := range steps {
+			for mode, route := range map[string]bulrushlug.Route{
+				"resumable":      bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTraffic(bulrushlug.TrafficStream, false, true), bulrushlug.RouteLimits(2, 0, time.Second)),
+				"not resumable":  bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTraffic(bulrushlug.TrafficStream, false, false), bulrushlug.RouteLimits(2, 0, time.Second)),
+				"idempotent":     bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTraffic(bulrushlug.TrafficCall, true, false), bulrushlug.RouteLimits(2, 0, time.Second)),
+				"not idempotent": bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTraffic(bulrushlug.TrafficCall, false, false), bulrushlug.RouteLimits(2, 0, time.Second)),
+			} {
+				t.Run(first+", then "+second+"/"+mode, func(t *testing.T) {
+					v := &servers{steps: []step{a, b, steps["ok"]}}
+					r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(time.Second)))
+					k := &caller{}
+					x := table()
+					err := New(x, v, noRecorder{}, func(string) {}).Run(t.Context(), r, k)
+					check(t, v, r, k, err, whole)
+					if n := len(x.Usages()); n != 0 {
+						t.Errorf("%d servers still have requests", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+func check(t *testing.T, v *servers, r *bulrushlug.Request, k *caller, err error, whole string) {
+	t.Helper()
+	if !r.Idempotent() && v.ran > 1 || v.ran > 2 {
+		t.Errorf("ran %d times", v.ran)
+	}
+	if err != nil && !bulrushlug.KindOf(err).Answer().Ran() && v.ran > 0 {
+		t.Errorf("%v says that the request did not run, but it may have", err)
+	}
+	if k.heads > 1 {
+		t.Errorf("%d heads", k.heads)
+	}
+	if !strings.HasPrefix(whole, k.data) && k.data != "it failed" || strings.Count(k.data, "\n\n")*len("id: 1\ndata: 1\n\n") != len(k.data) && k.data != "it failed" {
+		t.Errorf("the caller got %q", k.data)
+	}
+	if err == nil && k.status == 200 && k.data != whole {
+		t.Errorf("an answer that looks whole is %q", k.data)
+	}
+	if err == nil && k.heads == 0 {
+		t.Error("success without an answer")
+	}
+	if v.ran == 0 && v.calls < maxSends && err != nil {
+		t.Errorf("given up after %d of %d servers: %v", v.calls, maxSends, err)
+	}
+}
+
+func TestNoRoom(t *testing.T) {
+	for name, x := range map[string]struct {
+		servers []bulrushlug.Backend
+		load    uint32
+		kind    bulrushlug.Kind
+		yields  int
+		batch   uint32
+	}{
+		"no server":            {kind: bulrushlug.KindOverloaded},
+		"all full":             {servers: []bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendPlace("z", 8))}, load: 10, kind: bulrushlug.KindOverloaded},
+		"full of batch items":  {servers: []bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendPlace("z", 8))}, batch: 8, yields: 1},
+		"batch items and room": {servers: []bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendPlace("z", 8))}, batch: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := slots.New("e", func() []string { return nil })
+			b.Update(x.servers)
+			b.Remote("d", []bulrushlug.Usage{bulrushlug.NewUsage("a", x.load, x.batch)})
+			yields := 0
+			route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)))
+			v := &servers{steps: []step{steps["ok"]}}
+			err := New(b, v, noRecorder{}, func(string) { yields++ }).Run(t.Context(), bulrushlug.NewRequest("r", bulrushlug.WithTarget(route)), &caller{})
+			if yields != x.yields || (err != nil) != (x.kind != bulrushlug.KindInternal) {
+				t.Errorf("%d yields, %v", yields, err)
+			}
+			if err != nil && (bulrushlug.KindOf(err) != x.kind || bulrushlug.WaitOf(err) == 0) {
+				t.Errorf("%v, try again after %v", err, bulrushlug.WaitOf(err))
+			}
+		})
+	}
+}
+
+func TestShares(t *testing.T) {
+	for name, x := range map[string]struct {
+		shares []bulrushlug.Share
+		want   map[string]bool
+	}{
+		"one service":      {shares: []bulrushlug.Share{bulrushlug.NewShare("a", 1)}, want: map[string]bool{"a": true}},
+		"two services":     {shares: []bulrushlug.Share{bulrushlug.NewShare("a", 1), bulrushlug.NewShare("b", 3)}, want: map[string]bool{"a": true, "b": true}},
+		"a share of none":  {shares: []bulrushlug.Share{bulrushlug.NewShare("a", 0), bulrushlug.NewShare("b", 1)}, want: map[string]bool{"b": true}},
+		"no shares at all": {want: map[string]bool{"r": true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := map[string]bool{}
+			for range 200 {
+				got[service(bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(x.shares...)))] = true
+			}
+			if fmt.Sprint(got) != fmt.Sprint(x.want) {
+				t.Errorf("%v", got)
+			}
+		})
+	}
+}
