--- /dev/null
+++ b/items/runner_test.go
@@ -0,0 +1,261 @@
+package items
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/lots"
+	"bulrushlug.dev/bulrushlug/memtab"
+	"bulrushlug.dev/bulrushlug/peers"
+	"bulrushlug.dev/bulrushlug/slots"
+)
+
+const (
+	pieces    = 20 // Events of a whole run.
+	pieceTime = 50 * time.Millisecond
+)
+
+// memLog keeps nothing; the tests here end no process.
+type memLog struct{}
+
+func (memLog) Append(bulrushlug.LotUpdate) error     { return nil }
+func (memLog) Load(func(bulrushlug.LotUpdate)) error { return nil }
+func (memLog) Drop(string) error                     { return nil }
+
+// routes is the configuration.
+type routes struct {
+	mu     sync.Mutex
+	config *bulrushlug.Config
+}
+
+func (r *routes) Config() *bulrushlug.Config {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config
+}
+func (r *routes) Fresh() bool      { return true }
+func (r *routes) Accepted() uint64 { return 1 }
+
+func (r *routes) set(l ...bulrushlug.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config = bulrushlug.Restore(1, l)
+}
+
+// server stands in for all backend servers.
+type server struct {
+	mu     sync.Mutex
+	status map[string][]int // Statuses of the runs of an item; 0 breaks off after three events, 200 follows them.
+	runs   map[string]int
+	resume map[string][]uint64
+	busy   int // Runs under way.
+}
+
+// Call starts a run, whose events come one by one.
+func (v *server) Call(c context.Context, _ bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := 200
+	if l := v.status[r.ID()]; v.runs[r.ID()] < len(l) {
+		s = l[v.runs[r.ID()]]
+	}
+	v.runs[r.ID()]++
+	v.resume[r.ID()] = append(v.resume[r.ID()], r.Resume())
+	v.busy++
+	p, w := io.Pipe()
+	go func() {
+		_ = w.CloseWithError(events(c, w, s, r.Resume()))
+		v.mu.Lock()
+		v.busy--
+		v.mu.Unlock()
+	}()
+	return &run{status: max(200, s), PipeReader: p}, nil
+}
+
+func events(c context.Context, w io.Writer, status int, after uint64) error {
+	if status > 200 {
+		return nil
+	}
+	for n := after + 1; n <= pieces; n++ {
+		if status == 0 && n == after+4 {
+			return errors.New("connection reset")
+		}
+		if err := bulrushlug.Wait(c, pieceTime); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type run struct {
+	*io.PipeReader
+	status int
+}
+
+func (r *run) Status() int                { return r.status }
+func (r *run) Fields() []bulrushlug.Field { return nil }
+func (r *run) Close()                     { _ = r.PipeReader.Close() }
+
+// system is a keeper with a runner and the servers they use.
+type system struct {
+	keeper *lots.Keeper
+	table  *slots.Table
+	runner *Runner
+	server *server
+	routes *routes
+}
+
+func newSystem(c context.Context, status map[string][]int) *system {
+	s := &system{server: &server{status: status, runs: map[string]int{}, resume: map[string][]uint64{}}, routes: &routes{}}
+	s.routes.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
+		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(18*time.Second, time.Minute))))
+	m := memtab.New()
+	p := peers.New(bulrushlug.NewMember("d", "d", "r", "z", "data"), 1, "disk", m, "vm/", time.Second, log.NewNopLogger())
+	s.table = slots.New("d", func() []string { return nil })
+	s.table.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendPlace("z", 4))})
+	s.keeper = lots.New(memLog{}, nil, m, "lot/", p, log.NewNopLogger(), lots.WithCopies(1), lots.WithKeep(time.Hour), lots.WithWake(func() { s.runner.Wake() }))
+	s.runner = New(s.keeper, s.table, s.server, s.routes, log.NewNopLogger())
+	go func() { _ = s.keeper.Run(c) }()
+	go func() { _ = s.runner.Run(c) }()
+	return s
+}
+
+func (s *system) submit(c context.Context, n int) error {
+	var l []bulrushlug.LotItem
+	for i := range n {
+		l = append(l, bulrushlug.NewLotItem(fmt.Sprint("i", i), "/p", nil, nil))
+	}
+	return s.keeper.Submit(c, bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), l))
+}
+
+// listed returns the results of the lot, by item.
+func (s *system) listed(t *testing.T) map[string]string {
+	t.Helper()
+	p, err := s.keeper.Read(t.Context(), bulrushlug.NewLotQuery("lot", "o"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := map[string]string{}
+	for _, r := range p.Results() {
+		if m[r.ID()] = "given up"; r.Completed() {
+			m[r.ID()] = r.Text()
+		}
+	}
+	return m
+}
+
+func whole() string {
+	var l []string
+	for n := range pieces {
+		l = append(l, fmt.Sprint(n+1))
+	}
+	return strings.Join(l, "\n")
+}
+
+func TestItems(t *testing.T) {
+	for name, x := range map[string]struct {
+		status map[string][]int
+		during func(s *system)
+		want   string // Result of item i0; empty for none.
+		runs   int    // Runs of item i0, where they matter.
+		resume uint64 // Event after which its last run went on.
+	}{
+		"done at once":      {want: whole(), runs: 1},
+		"breaks off":        {status: map[string][]int{"i0": {0, 0}}, want: whole(), runs: 3, resume: 6},
+		"fails twice":       {status: map[string][]int{"i0": {500, 500}}, want: whole(), runs: 3},
+		"always fails":      {status: map[string][]int{"i0": {500, 500, 500, 500, 500}}, want: "given up", runs: 3},
+		"can never be done": {status: map[string][]int{"i0": {422}}, want: "given up", runs: 1},
+		"full a few times":  {status: map[string][]int{"i0": {503, 503, 503, 503}}, want: whole(), runs: 5},
+		"makes room":        {during: func(s *system) { time.Sleep(280 * time.Millisecond); s.runner.Yield("b", 4) }, want: whole(), runs: 2, resume: 5},
+		"another server":    {during: func(s *system) { time.Sleep(300 * time.Millisecond); s.runner.Yield("c", 4) }, want: whole(), runs: 1},
+		"its route ends":    {during: func(s *system) { time.Sleep(300 * time.Millisecond); s.routes.set() }, want: "given up"},
+		"its time is over":  {status: map[string][]int{"i0": repeat(503, 100)}, during: func(*system) { time.Sleep(2 * time.Minute) }, want: "given up"},
+		"its lot is ended": {during: func(s *system) {
+			time.Sleep(300 * time.Millisecond)
+			_ = s.keeper.End(context.Background(), bulrushlug.NewLotQuery("lot", "o"))
+		}, runs: 1},
+		"a burst of requests": {during: func(s *system) {
+			time.Sleep(300 * time.Millisecond)
+			s.burst()
+			s.runner.Balance()
+			time.Sleep(time.Second)
+			s.table.Remote("e", nil)
+		}, want: whole(), runs: 2, resume: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				s := newSystem(c, x.status)
+				if err := s.submit(c, 1); err != nil {
+					t.Fatal(err)
+				}
+				if x.during != nil {
+					x.during(s)
+				}
+				time.Sleep(20 * time.Second)
+				if got := s.listed(t)["i0"]; got != x.want {
+					t.Errorf("listed %q", got)
+				}
+				s.server.mu.Lock()
+				if l := s.server.resume["i0"]; x.runs > 0 && len(l) != x.runs || x.resume > 0 && l[len(l)-1] != x.resume {
+					t.Errorf("runs went on after %v", l)
+				}
+				if s.server.busy > 0 {
+					t.Errorf("%d runs are under way", s.server.busy)
+				}
+				s.server.mu.Unlock()
+				if n := len(s.table.Usages()); n != 0 {
+					t.Errorf("%d servers still have items", n)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func repeat(n, times int) (l []int) {
+	for range times {
+		l = append(l, n)
+	}
+	return l
+}
+
+// burst fills the server with online requests of an entry.
+func (s *system) burst() { s.table.Remote("e", []bulrushlug.Usage{bulrushlug.NewUsage("b", 4, 0)}) }
+
+func TestItemsUseIdleSlotsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := context.WithCancel(t.Context())
+		s := newSystem(c, nil)
+		s.table.Remote("e", []bulrushlug.Usage{bulrushlug.NewUsage("b", 1, 0)})
+		if err := s.submit(c, 12); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.server.mu.Lock()
+		if s.server.busy != 2 {
+			t.Errorf("%d items run beside one request at 4 slots, one of which stays free", s.server.busy)
+		}
+		s.server.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		if n := len(s.listed(t)); n != 12 {
+			t.Errorf("%d items are listed", n)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,182 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memtab"
+)
+
+func put(t *testing.T, m *memtab.Table, k, v string, lease uint64) {
+	t.Helper()
+	if _, err := m.Commit(context.Background(), nil, []bulrushlug.Write{bulrushlug.PutWrite(k, []byte(v), lease)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func remove(t *testing.T, m *memtab.Table, k string) {
+	t.Helper()
+	if _, err := m.Commit(context.Background(), nil, []bulrushlug.Write{bulrushlug.RemoveWrite(k)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// text returns the entries of a mirror.
+func text(l []bulrushlug.Item) string {
+	var s []string
+	for _, i := range l {
+		s = append(s, i.Key()+"="+string(i.Value()))
+	}
+	return strings.Join(s, " ")
+}
+
+func TestMirror(t *testing.T) {
+	for name, x := range map[string]struct {
+		option []option
+		play   func(t *testing.T, m *memtab.Table, r *Mirror)
+		want   string
+	}{
+		"what was there": {play: func(*testing.T, *memtab.Table, *Mirror) {}, want: "p/a=1 p/b=1"},
+		"a change":       {play: func(t *testing.T, m *memtab.Table, _ *Mirror) { put(t, m, "p/a", "2", 0) }, want: "p/a=2 p/b=1"},
+		"a removal":      {play: func(t *testing.T, m *memtab.Table, _ *Mirror) { remove(t, m, "p/a") }, want: "p/b=1"},
+		"another prefix": {play: func(t *testing.T, m *memtab.Table, _ *Mirror) { put(t, m, "q/a", "2", 0) }, want: "p/a=1 p/b=1"},
+		"an outage keeps what is known": {play: func(_ *testing.T, m *memtab.Table, r *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(20 * time.Second)
+			if r.Down() < 15*time.Second {
+				panic(fmt.Sprint("down for ", r.Down()))
+			}
+		}, want: "p/a=1 p/b=1"},
+		"a change in an outage comes after it": {play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(5 * time.Second)
+			m.SetOutage(false)
+			put(t, m, "p/a", "2", 0)
+			m.SetOutage(true)
+			time.Sleep(5 * time.Second)
+			m.SetOutage(false)
+			time.Sleep(1500 * time.Millisecond)
+		}, want: "p/a=2 p/b=1"},
+		"history that was dropped": {play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(2 * time.Second)
+			m.SetOutage(false)
+			put(t, m, "p/a", "2", 0)
+			remove(t, m, "p/b")
+			m.DropHistory()
+			time.Sleep(1500 * time.Millisecond)
+		}, want: "p/a=2"},
+		"entries that lapse in an outage and come back": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(4 * time.Second)
+			m.SetOutage(false)
+			remove(t, m, "p/a")
+			time.Sleep(1900 * time.Millisecond)
+			put(t, m, "p/a", "1", 0)
+			time.Sleep(5 * time.Second)
+		}, want: "p/a=1 p/b=1"},
+		"entries that lapse in an outage are kept for a while": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(4 * time.Second)
+			m.SetOutage(false)
+			remove(t, m, "p/a")
+			time.Sleep(1500 * time.Millisecond)
+		}, want: "p/a=1 p/b=1"},
+		"entries that lapse in an outage for good": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(4 * time.Second)
+			m.SetOutage(false)
+			remove(t, m, "p/a")
+			time.Sleep(5 * time.Second)
+		}, want: "p/b=1"},
+		"a removal in calm acts at once": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			time.Sleep(5 * time.Second)
+			remove(t, m, "p/a")
+			time.Sleep(10 * time.Millisecond)
+		}, want: "p/b=1"},
+		"news of another process in an outage": {play: func(_ *testing.T, m *memtab.Table, r *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(2 * time.Second)
+			r.Offer([]bulrushlug.Item{bulrushlug.NewItem("p/a", []byte("9"), 90)}, 99)
+		}, want: "p/a=9"},
+		"old news of another process": {play: func(_ *testing.T, m *memtab.Table, r *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(2 * time.Second)
+			r.Offer([]bulrushlug.Item{bulrushlug.NewItem("p/a", []byte("0"), 1)}, 1)
+		}, want: "p/a=1 p/b=1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := memtab.New()
+				put(t, m, "p/a", "1", 0)
+				put(t, m, "p/b", "1", 0)
+				c, stop := context.WithCancel(t.Context())
+				got := ""
+				r := New(m, "p/", log.NewNopLogger(), func(l []bulrushlug.Item) { got = text(l) }, x.option...)
+				go func() { _ = r.Run(c) }()
+				time.Sleep(time.Second)
+				x.play(t, m, r)
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+				if got != x.want || text(r.Items()) != x.want {
+					t.Errorf("%q and %q", got, text(r.Items()))
+				}
+				stop()
+				m.SetOutage(true)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// deaf is a service whose watches hear nothing for some time, and are not cut.
+type deaf struct {
+	*memtab.Table
+	until time.Time
+}
+
+func (d *deaf) Watch(c context.Context, p string, n uint64, w time.Duration) ([]bulrushlug.Item, uint64, error) {
+	if time.Now().Before(d.until) {
+		if err := bulrushlug.Wait(c, w); err != nil {
+			return nil, 0, err
+		}
+		return nil, n, nil
+	}
+	return d.Table.Watch(c, p, n, w)
+}
+
+func TestHint(t *testing.T) {
+	for name, hint := range map[string]bool{"another process saw the change": true, "nobody saw it": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &deaf{Table: memtab.New(), until: time.Now().Add(30 * time.Second)}
+				put(t, d.Table, "p/a", "1", 0)
+				c, stop := context.WithCancel(t.Context())
+				r := New(d, "p/", log.NewNopLogger(), func([]bulrushlug.Item) {})
+				go func() { _ = r.Run(c) }()
+				time.Sleep(time.Second)
+				put(t, d.Table, "p/a", "2", 0)
+				if hint {
+					i, err := d.Get(c, "p/a")
+					if err != nil {
+						t.Fatal(err)
+					}
+					r.Hint(i.Revision())
+				}
+				time.Sleep(hintTime + 2*sweepTime)
+				if got := text(r.Items()); (got == "p/a=2") != hint {
+					t.Errorf("%q", got)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
