fix: entries that go late in the time to come back, resends at a replica, processes that learn of each other late

(2) TestPath under the race detector: a lot that came again at a replica before its confirmation replaced the replica's copy by a draft and withdrew it; now that process answers that the lot is elsewhere. (3) TestStartWithoutService: two processes that start together knew each other only after up to 7.5 s; entries are read after 0.2 s, 0.4 s and so on at first.

--- a/lots/accept.go
+++ b/lots/accept.go
@@ -46,10 +46,11 @@
 // await reports whether lot i is accepted and this disk its primary; it waits while another call is accepting it here.
 func (k *Keeper) await(c context.Context, i string) (bool, error) {
 	for {
-		var accepted, own, safe bool
+		var accepted, own, safe, young bool
 		var change chan struct{}
 		if !k.with(i, func(l *lot) {
 			accepted, own, safe, change = l.confirmed, l.primary(k.disk), l.committed > 0, l.change
+			young = time.Since(l.born) < draftTime
 		}) {
 			return false, nil
 		}
@@ -58,6 +59,8 @@
 			return false, bulrushlug.NewFault(bulrushlug.KindMisdirected, "lot %s is run elsewhere", i)
 		case accepted && safe:
 			return true, k.agree(c, i)
+		case !own && young:
+			return false, bulrushlug.NewFault(bulrushlug.KindMisdirected, "lot %s is being accepted elsewhere", i)
 		case !own:
 			return false, nil
 		}
@@ -76,7 +79,7 @@
 		if d != k.disk {
 			return k.sendAll(c, d, u, copyTimeout)
 		}
-		s, err := k.keepStep(u, func(l *lot) bool { return !l.confirmed })
+		s, err := k.keepStep(u, func(l *lot) bool { return follows(l, u) })
 		if err == nil && !s.OK() {
 			err = bulrushlug.NewFault(bulrushlug.KindConflict, "lot %s was accepted meanwhile", u.Lot())
 		}
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -684,3 +684,35 @@
 		})
 	}
 }
+
+// TestResendBeforeConfirmation shows that a lot that comes again before its replica knows that it was accepted costs no copy.
+func TestResendBeforeConfirmation(t *testing.T) {
+	for name, by := range map[string]string{"at the replica": "d1", "at the primary": "d0"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, 2)
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
+				if by == "d0" {
+					if err := k.vms["d0"].keeper.Submit(c, l); err != nil {
+						t.Fatal(err)
+					}
+				}
+				u := bulrushlug.NewLotUpdate("lot", firstEpoch, []string{"disk-0", "disk-1"}, 0, []bulrushlug.LotEntry{bulrushlug.LotHead(l)}, false)
+				if s, err := k.vms["d1"].keeper.Append(u); err != nil || !s.OK() {
+					t.Fatal(s, err)
+				}
+				err := k.vms[by].keeper.Submit(c, l)
+				if by == "d1" && (err == nil || bulrushlug.KindOf(err) != bulrushlug.KindMisdirected) || by == "d0" && err != nil {
+					t.Errorf("%v", err)
+				}
+				if s := k.vms["d1"].keeper.Verify("lot", firstEpoch); !s.OK() || s.Length() != 1 {
+					t.Errorf("the replica has %+v", s)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -38,15 +38,15 @@
 
 	mu       sync.Mutex
 	items    map[string]bulrushlug.Item
-	missing  map[string]time.Time // Entries that are gone from the service, and when to drop them.
-	revision uint64               // Revision up to which items is complete, as far as the watch tells; never falls.
-	newest   uint64               // Revision of the newest change that was seen.
-	hint     uint64               // Revision of the newest change that others saw.
-	hinted   time.Time            // When hint rose above newest.
-	stop     context.CancelFunc   // Ends the present watch.
-	loaded   bool                 // items was read at least once.
-	down     time.Time            // Start of the present outage; zero while the service answers.
-	back     time.Time            // End of the last outage.
+	missing  map[string]bool    // Entries that are gone from the service and kept until their owners had time to come back.
+	revision uint64             // Revision up to which items is complete, as far as the watch tells; never falls.
+	newest   uint64             // Revision of the newest change that was seen.
+	hint     uint64             // Revision of the newest change that others saw.
+	hinted   time.Time          // When hint rose above newest.
+	stop     context.CancelFunc // Ends the present watch.
+	loaded   bool               // items was read at least once.
+	down     time.Time          // Start of the present outage; zero while the service answers.
+	back     time.Time          // End of the last outage.
 }
 
 // option sets one part of a mirror.
@@ -62,7 +62,7 @@
 func New(t bulrushlug.Table, p string, l log.Logger, f func([]bulrushlug.Item), o ...option) *Mirror {
 	m := &Mirror{table: t, prefix: p, logger: log.With(l, "mirror", p), change: f,
 		wait:  func() time.Duration { return defaultWait },
-		items: map[string]bulrushlug.Item{}, missing: map[string]time.Time{}}
+		items: map[string]bulrushlug.Item{}, missing: map[string]bool{}}
 	for _, g := range o {
 		g(m)
 	}
@@ -236,9 +236,7 @@
 		return
 	}
 	m.items[k] = i
-	if _, ok := m.missing[k]; !ok {
-		m.missing[k] = time.Now().Add(returnTime)
-	}
+	m.missing[k] = true
 }
 
 // publish hands all entries on and releases the lock.
@@ -262,18 +260,14 @@
 
 func (m *Mirror) drop() {
 	m.mu.Lock()
-	n := len(m.items)
-	now := time.Now()
-	for k, t := range m.missing {
-		if m.down.IsZero() && now.After(t) {
-			delete(m.items, k)
-			delete(m.missing, k)
-		}
-	}
-	if len(m.items) == n {
+	if len(m.missing) == 0 || m.holds() {
 		m.mu.Unlock()
 		return
 	}
+	for k := range m.missing {
+		delete(m.items, k)
+	}
+	clear(m.missing)
 	m.publish()
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -96,6 +96,14 @@
 			remove(t, m, "p/a")
 			time.Sleep(5 * time.Second)
 		}, want: "p/b=1"},
+		"a removal late in the time to come back": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(4 * time.Second)
+			m.SetOutage(false)
+			time.Sleep(2 * time.Second)
+			remove(t, m, "p/a")
+			time.Sleep(1500 * time.Millisecond)
+		}, want: "p/b=1"},
 		"a removal in calm acts at once": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
 			time.Sleep(5 * time.Second)
 			remove(t, m, "p/a")
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -20,10 +20,12 @@
 const (
 	shardCount = 8
 	// aliveTime is the age of the last report up to which a process counts as alive; reports come every 100 to 500 ms.
-	aliveTime  = 800 * time.Millisecond
-	heardTime  = 350 * time.Millisecond // The same for what others admit: three reports that come every 100 ms.
-	forgetTime = 6 * time.Second        // Age of the last report after which a process without an entry is forgotten.
-	listTime   = 5 * time.Second        // Time between reads of the entries.
+	aliveTime = 800 * time.Millisecond
+	heardTime = 350 * time.Millisecond // The same for what others admit: three reports that come every 100 ms.
+	// forgetTime is the age of the last report after which a process without an entry is forgotten. Until then it
+	// may serve behind a partition, and is told what happens so that it can start again while the service is out.
+	forgetTime = 20 * time.Second
+	listTime   = 5 * time.Second // Time between reads of the entries.
 	firstRetry = 200 * time.Millisecond
 )
 
@@ -92,10 +94,9 @@
 // Run keeps the own entry and reads the others until c ends.
 func (p *Peers) Run(c context.Context) error {
 	go p.keep(c)
-	for c.Err() == nil {
-		d := listTime
-		if err := p.list(c); err != nil {
-			d = firstRetry
+	for d := firstRetry; c.Err() == nil; d = min(2*d, listTime) {
+		if err := p.list(c); err != nil && c.Err() == nil {
+			_ = p.logger.Log("event", "notListed", "err", err)
 		}
 		_ = bulrushlug.Wait(c, d/2+rand.N(d))
 	}
@@ -105,6 +106,7 @@
 // keep writes the own entry under a lease and renews the lease.
 func (p *Peers) keep(c context.Context) {
 	var lease uint64
+	retry := firstRetry
 	for c.Err() == nil {
 		d := p.lease / 3
 		if lease != 0 {
@@ -117,7 +119,10 @@
 			l, err := p.register(c)
 			if err != nil && c.Err() == nil {
 				_ = p.logger.Log("event", "notRegistered", "err", err)
-				d = firstRetry + rand.N(firstRetry)
+				d = retry/2 + rand.N(retry)
+				retry = min(2*retry, p.lease)
+			} else {
+				retry = firstRetry
 			}
 			lease = l
 		}
--- /dev/null
+++ b/site/site_test.go
@@ -0,0 +1,336 @@
+package site
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/tidwall/gjson"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memtab"
+	"bulrushlug.dev/bulrushlug/ports"
+	"bulrushlug.dev/bulrushlug/setup"
+)
+
+const waitTime = 20 * time.Second // Bounds the wait for a condition.
+
+// system is a small system on loopback addresses.
+type system struct {
+	t        *testing.T
+	table    *memtab.Table
+	store    string
+	backends []*backend
+	entries  []*process
+	data     []*process
+	folder   string
+	version  int
+	all      []*process
+}
+
+// process is one process of the system.
+type process struct {
+	settings map[string]string
+	site     *Site
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func newSystem(t *testing.T, entries, data, backends int) *system {
+	s := &system{t: t, table: memtab.New(), folder: t.TempDir()}
+	t.Cleanup(s.end)
+	s.store = serveHTTP(t, "127.0.0.1:0", &service{table: s.table})
+	for i := range backends {
+		b := &backend{id: fmt.Sprint("b", i), ran: map[string]int{}, tenants: map[string]string{}, pieces: 5, pause: 5 * time.Millisecond}
+		b.address = serveHTTP(t, "127.0.0.1:0", b)
+		s.backends = append(s.backends, b)
+		s.register(b, "ready")
+	}
+	s.manifest("k1")
+	for i := range data {
+		s.data = append(s.data, s.start(map[string]string{"vm": fmt.Sprint("d", i), "zone": fmt.Sprint("z", i), "role": "data", "dataFolder": filepath.Join(s.folder, fmt.Sprint("d", i))}))
+	}
+	for i := range entries {
+		s.entries = append(s.entries, s.start(map[string]string{"vm": fmt.Sprint("e", i), "zone": fmt.Sprint("z", i), "role": "entry", "http": free(), "ready": free()}))
+	}
+	for i := range entries {
+		s.until("an entry is ready", func() bool { return s.ready(i) })
+	}
+	return s
+}
+
+var loopback = ports.New()
+
+// free returns a loopback address that nobody uses.
+func free() string {
+	a, err := loopback.Next()
+	if err != nil {
+		panic(err)
+	}
+	return a
+}
+
+func (s *system) put(k, v string) {
+	s.t.Helper()
+	if _, err := s.table.Commit(context.Background(), nil, []bulrushlug.Write{bulrushlug.PutWrite(k, []byte(v), 0)}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) register(b *backend, state string) {
+	s.put("servers/"+b.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"callSeq":1,"born":1}`, b.address, state))
+}
+
+// manifest writes the next version, in which k is the key.
+func (s *system) manifest(k string) {
+	s.version++
+	s.put("op/config", fmt.Sprintf(`{"version":%d,"routes":[
+{"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":5000,"service":"s","maxAttempts":2,"resumable":true},
+{"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":60,"service":"s","maxAttempts":3}],
+"services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"o","apiKeys":[%q]}]}`, s.version, k))
+}
+
+// start starts a process with the given settings.
+func (s *system) start(m map[string]string) *process {
+	s.t.Helper()
+	if m["listen"] == "" {
+		m["listen"] = free()
+	}
+	m["region"], m["store"] = "r", s.store
+	b := "{"
+	for k, v := range m {
+		b += fmt.Sprintf("%q: %q,", k, v)
+	}
+	c, err := setup.Parse("test", []byte(b+`"toleratedDisks": 1, "firstStart": true, "graceSeconds": 4}`))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l := log.NewNopLogger()
+	if os.Getenv("SITE_LOG") != "" {
+		l = log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	}
+	x, err := New(c, l)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{settings: m, site: x, stop: stop, done: make(chan error, 1)}
+	go func() { p.done <- x.Run(ctx) }()
+	s.all = append(s.all, p)
+	return p
+}
+
+// end stops all processes at once and waits for their ends.
+func (s *system) end() {
+	for _, p := range s.all {
+		p.stop()
+	}
+	for _, p := range s.all {
+		p.end()
+	}
+}
+
+// end stops the process and waits for its end.
+func (p *process) end() {
+	p.stop()
+	if err, ok := <-p.done; ok {
+		close(p.done)
+		_ = err
+	}
+}
+
+func (s *system) until(what string, f func() bool) {
+	s.t.Helper()
+	for t := time.Now(); time.Since(t) < waitTime; time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	s.t.Fatalf("%v passed before %s", waitTime, what)
+}
+
+func (s *system) ready(i int) bool {
+	w, err := http.Get("http://" + s.entries[i].settings["ready"] + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = w.Body.Close()
+	return w.StatusCode == 200
+}
+
+// call sends one request to entry i.
+func (s *system) call(i int, method, path, id, key, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+s.entries[i].settings["http"]+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Api-Key", key)
+	r.Header.Set("X-Deadline-Ms", "4000")
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = w.Body.Close() }()
+	b, err := io.ReadAll(w.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return w.StatusCode, string(b)
+}
+
+func lot(id string, n int) string {
+	var l []string
+	for i := range n {
+		l = append(l, fmt.Sprintf(`{"id":"%s-%d","path":"/ask/%d","headers":{},"body":%q,"tokenCount":1}`, id, i, i, base64.StdEncoding.EncodeToString([]byte("body"))))
+	}
+	return `{"items":[` + strings.Join(l, ",") + `]}`
+}
+
+// results returns how many results entry i lists.
+func (s *system) results(i int, id string) int {
+	n, b := s.call(i, "GET", "/lots/"+id+"?after=0", "read", "k1", "")
+	if n != 200 {
+		return -1
+	}
+	return int(gjson.Get(b, "next").Int())
+}
+
+func TestPath(t *testing.T) {
+	s := newSystem(t, 2, 2, 2)
+	n, b := s.call(0, "POST", "/ask/x", "q1", "k1", "question")
+	if want := "id: 1\ndata: piece 1\n\n"; n != 200 || !strings.HasPrefix(b, want) || strings.Count(b, "\n\n") != 5 {
+		t.Errorf("%d %q", n, b)
+	}
+	if n, _ := s.call(0, "POST", "/ask/x", "q2", "k9", ""); n != 401 {
+		t.Errorf("%d for an unknown key", n)
+	}
+	if n, _ := s.call(0, "POST", "/none/x", "q3", "k1", ""); n != 404 {
+		t.Errorf("%d without a route", n)
+	}
+	s.until("a lot is accepted", func() bool { n, _ := s.call(0, "POST", "/in/l", "lot1", "k1", lot("lot1", 6)); return n == 202 })
+	if n, _ := s.call(1, "POST", "/in/l", "lot1", "k1", lot("lot1", 6)); n != 202 {
+		t.Errorf("%d for a lot that comes again elsewhere", n)
+	}
+	for i := range 2 {
+		s.until("all items are listed", func() bool { return s.results(i, "lot1") == 6 })
+	}
+	if n, _ := s.call(0, "GET", "/lots/none", "r", "k1", ""); n != 404 {
+		t.Errorf("%d for a lot that does not exist", n)
+	}
+	for _, x := range s.backends {
+		x.mu.Lock()
+		if x.keys > 0 || x.ran["q2"]+x.ran["q3"] > 0 {
+			t.Errorf("%s saw %d keys and ran %v", x.id, x.keys, x.ran)
+		}
+		for id, o := range x.tenants {
+			if o != "o" {
+				t.Errorf("%s came for %q", id, o)
+			}
+		}
+		x.mu.Unlock()
+	}
+}
+
+func TestManifestInForce(t *testing.T) {
+	s := newSystem(t, 2, 1, 1)
+	if n, _ := s.call(0, "POST", "/ask/x", "q", "k1", ""); n != 200 {
+		t.Fatalf("%d", n)
+	}
+	s.manifest("k2")
+	for i := range 2 {
+		s.until("the old key is refused", func() bool { n, _ := s.call(i, "POST", "/ask/x", "q", "k1", ""); return n == 401 })
+		if n, _ := s.call(i, "POST", "/ask/x", "q", "k2", ""); n != 200 {
+			t.Errorf("%d for the new key", n)
+		}
+	}
+	s.table.SetOutage(true)
+	time.Sleep(time.Second)
+	for i := range 2 {
+		if n, _ := s.call(i, "POST", "/ask/x", "q", "k2", ""); n != 200 {
+			t.Errorf("%d in an outage", n)
+		}
+	}
+	s.table.SetOutage(false)
+}
+
+// TestStartWithoutService shows that a process that the service turns away learns all from another process.
+func TestStartWithoutService(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	s.until("the processes know each other", func() bool {
+		return len(s.data[0].site.peers.Disks()) == 0 && len(s.data[0].site.peers.All()) == 1 && len(s.entries[0].site.peers.Disks()) == 1
+	})
+	s.entries[0].end()
+	s.table.SetOutage(true)
+	d := s.data[0].settings["listen"]
+	p := s.start(map[string]string{"vm": "e0", "zone": "z0", "role": "entry", "http": free(), "ready": free(), "listen": s.entries[0].settings["listen"]})
+	s.entries[0] = p
+	s.until("the entry is ready, told by "+d, func() bool { return s.ready(0) })
+	if n, _ := s.call(0, "POST", "/ask/x", "q", "k1", ""); n != 200 {
+		t.Errorf("%d", n)
+	}
+	s.table.SetOutage(false)
+}
+
+func TestPlannedStop(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	s.backends[0].pieces, s.backends[0].pause = 30, 50*time.Millisecond
+	var w sync.WaitGroup
+	cut := make(chan string, 100)
+	for i := range 5 {
+		w.Go(func() {
+			if n, b := s.call(0, "POST", "/ask/x", fmt.Sprint("q", i), "k1", ""); n != 200 || strings.Count(b, "\n\n") != 30 {
+				cut <- fmt.Sprint(n, " ", b)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.entries[0].stop()
+	s.until("the entry is not ready", func() bool { return !s.ready(0) })
+	if n, _ := s.call(0, "POST", "/ask/x", "late", "k1", ""); n != 200 {
+		t.Errorf("%d right after the request to stop", n)
+	}
+	w.Wait()
+	s.entries[0].end()
+	close(cut)
+	for x := range cut {
+		t.Errorf("cut: %s", x)
+	}
+}
+
+func TestDiskLost(t *testing.T) {
+	s := newSystem(t, 1, 3, 1)
+	s.backends[0].pause = 100 * time.Millisecond
+	s.until("a lot is accepted", func() bool { n, _ := s.call(0, "POST", "/in/l", "lot1", "k1", lot("lot1", 30)); return n == 202 })
+	s.until("some items are listed", func() bool { return s.results(0, "lot1") >= 3 })
+	before := s.results(0, "lot1")
+	var holder *process
+	for _, p := range s.data {
+		if l, _ := filepath.Glob(filepath.Join(p.settings["dataFolder"], "*.lot")); len(l) > 0 {
+			holder = p
+		}
+	}
+	holder.end()
+	if err := os.RemoveAll(holder.settings["dataFolder"]); err != nil {
+		t.Fatal(err)
+	}
+	s.start(holder.settings)
+	s.until("all items are listed", func() bool {
+		n := s.results(0, "lot1")
+		if n >= 0 && n < before {
+			t.Fatalf("%d results after %d were read", n, before)
+		}
+		before = max(n, before)
+		return n == 30
+	})
+}
