feat(lots): replicas know how far items are; two slots stay free for online requests

With every copy the primary tells what its replicas lack of the answers under way, in memory only; a successor goes on with the event after. Ruled out: shipping whole answers each time (bytes between zones).

--- a/codec/lot.go
+++ b/codec/lot.go
@@ -77,7 +77,11 @@
 
 // EncodeLotUpdate returns u as a message.
 func EncodeLotUpdate(u bulrushlug.LotUpdate) *wire.LotAppend {
-	return &wire.LotAppend{Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.From()),
+	var l []*wire.LotProgress
+	for _, p := range u.Progress() {
+		l = append(l, &wire.LotProgress{Item: p.Item(), First: p.First(), Data: p.Data()})
+	}
+	return &wire.LotAppend{Progress: l, Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.From()),
 		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed()}
 }
 
@@ -87,7 +91,11 @@
 	if err != nil {
 		return bulrushlug.LotUpdate{}, err
 	}
-	return bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed), nil
+	var p []bulrushlug.LotProgress
+	for _, x := range w.Progress {
+		p = append(p, bulrushlug.NewLotProgress(x.Item, x.First, x.Data))
+	}
+	return bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed).WithProgress(p), nil
 }
 
 // EncodeLotState returns s as a message.
--- a/items/runner.go
+++ b/items/runner.go
@@ -56,8 +56,7 @@
 
 // item is one item that was started; the lock of its shard guards it.
 type item struct {
-	text    []string // Data of the events that arrived.
-	last    uint64   // Identifier of the last of them.
+	text    []string // Data of the events that arrived, from event 1 on.
 	failed  int      // Runs that the server answered with a failure.
 	pause   time.Duration
 	next    time.Time          // The item isn't started before.
@@ -192,11 +191,12 @@
 func (r *Runner) begin(c context.Context, w work, s *slots.Lease) {
 	k := key{w.lot.ID(), w.item}
 	c, stop := context.WithCancel(c)
+	text := r.keeper.Progress(k.lot, k.item)
 	h := r.shard(k)
 	h.mu.Lock()
 	x, ok := h.items[k]
 	if !ok {
-		x = &item{}
+		x = &item{text: text}
 		h.items[k] = x
 	}
 	x.server, x.started, x.stop, x.yielded = s.Backend().ID(), time.Now(), stop, false
@@ -220,7 +220,7 @@
 	h.mu.Lock()
 	q := bulrushlug.NewRequest(i.ID(), bulrushlug.WithOrganisation(w.lot.Organisation()), bulrushlug.WithBatch(w.lot.ID()),
 		bulrushlug.WithCall("POST", i.Path(), "", i.Body()), bulrushlug.WithFields(w.lot.Host(), i.Fields()),
-		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResume(x.last))
+		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResume(uint64(len(x.text))))
 	h.mu.Unlock()
 	status, err := r.exchange(c, h, x, s, q)
 	if err == nil && status == statusDone {
@@ -299,14 +299,26 @@
 func (h *shard) gather(x *item, id uint64, data []string) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if x.last != 0 && id != x.last+1 {
-		return bulrushlug.NewFault(bulrushlug.KindBroken, "event %d follows event %d", id, x.last)
+	if id != uint64(len(x.text))+1 {
+		return bulrushlug.NewFault(bulrushlug.KindBroken, "event %d follows event %d", id, len(x.text))
 	}
-	x.last = id
-	x.text = append(x.text, data...)
+	x.text = append(x.text, strings.Join(data, "\n"))
 	return nil
 }
 
+// Progress returns the data of the events after event n of an item.
+func (r *Runner) Progress(lot string, n uint32, after uint64) []string {
+	k := key{lot, n}
+	s := r.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.items[k]
+	if !ok || after >= uint64(len(x.text)) {
+		return nil
+	}
+	return slices.Clone(x.text[after:])
+}
+
 // Yield ends up to n runs at the backend server b, the newest first; their items go on later where they stopped.
 func (r *Runner) Yield(b string, n int) {
 	type run struct {
--- a/lot.go
+++ b/lot.go
@@ -204,6 +204,30 @@
 	End(c context.Context, q LotQuery) error
 }
 
+// LotProgress is a part of the answer to an item that is under way; values are immutable.
+type LotProgress struct {
+	item  uint32
+	first uint64   // Identifier of the first event, at least one.
+	data  []string // Data of that event and of those that follow it.
+}
+
+// NewLotProgress returns the events of item n from identifier first on.
+func NewLotProgress(n uint32, first uint64, data []string) LotProgress {
+	return LotProgress{item: n, first: first, data: data}
+}
+
+// Item returns the index of the item in the lot.
+func (p LotProgress) Item() uint32 { return p.item }
+
+// First returns the identifier of the first event.
+func (p LotProgress) First() uint64 { return p.first }
+
+// Data returns the data of the events.
+func (p LotProgress) Data() []string { return p.data }
+
+// Last returns the identifier of the last event.
+func (p LotProgress) Last() uint64 { return p.first + uint64(len(p.data)) - 1 }
+
 // LotUpdate is a step of a lot's log that its primary sends to the replicas; values are immutable.
 type LotUpdate struct {
 	lot       string
@@ -212,8 +236,18 @@
 	from      int      // Position of the first entry; entries after it that the receiver has are replaced.
 	entries   []LotEntry
 	confirmed bool // The record in the key-value service names this epoch and these replicas.
+	progress  []LotProgress
 }
 
+// WithProgress returns a copy that also tells how far items are; replicas keep that in memory only.
+func (u LotUpdate) WithProgress(l []LotProgress) LotUpdate {
+	u.progress = l
+	return u
+}
+
+// Progress returns how far items are.
+func (u LotUpdate) Progress() []LotProgress { return u.progress }
+
 // NewLotUpdate returns the step of lot i in epoch n that puts l at position from.
 func NewLotUpdate(i string, n uint64, replicas []string, from int, l []LotEntry, confirmed bool) LotUpdate {
 	return LotUpdate{lot: i, epoch: n, replicas: replicas, from: from, entries: l, confirmed: confirmed}
--- a/lots/change.go
+++ b/lots/change.go
@@ -175,6 +175,7 @@
 	k.with(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(l.entries[min(max(l.committed, 1), len(l.entries)):]), true)
 	})
+	u = u.WithProgress(k.untold(i))
 	n := u.From() + len(u.Entries())
 	if err := each(u.Replicas()[1:], func(d string) error { return k.copyTo(c, d, u) }); err != nil {
 		return err
@@ -184,6 +185,9 @@
 			l.committed = max(l.committed, min(n, len(l.entries)))
 			l.verified = time.Now()
 			l.recheck = false
+			for _, p := range u.Progress() {
+				l.told[p.Item()] = p.Last()
+			}
 			l.notify()
 		}
 	})
@@ -191,6 +195,27 @@
 	return nil
 }
 
+// untold returns how far the items of lot i are beyond what the replicas know.
+func (k *Keeper) untold(i string) (p []bulrushlug.LotProgress) {
+	told := map[uint32]uint64{}
+	k.with(i, func(l *lot) {
+		if l.head == nil {
+			return
+		}
+		for n := range uint32(len(l.head.Items())) {
+			if !l.done[n] {
+				told[n] = l.told[n]
+			}
+		}
+	})
+	for n, last := range told {
+		if d := k.progress(i, n, last); len(d) > 0 {
+			p = append(p, bulrushlug.NewLotProgress(n, last+1, d))
+		}
+	}
+	return p
+}
+
 // keepPending writes the pending entries of lot i to this disk.
 func (k *Keeper) keepPending(i string) error {
 	var u bulrushlug.LotUpdate
@@ -246,7 +271,7 @@
 	var e []bulrushlug.LotEntry
 	end := u.From() + len(u.Entries())
 	k.with(u.Lot(), func(l *lot) { e = slices.Clone(l.entries[min(n, len(l.entries)):min(end, len(l.entries))]) })
-	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed())
+	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed()).WithProgress(u.Progress())
 }
 
 // claim changes the replicas of lot i: the log goes to the new ones first, then the record is replaced.
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -48,9 +48,11 @@
 	retiring  func(vm string) bool // Reports whether operators want the VM emptied.
 	storeLost func() bool          // Reports whether the key-value service does not answer.
 	logger    log.Logger
-	woken     func() // Called when there may be items to run or to stop.
-	started   time.Time
-	shards    [shardCount]shard
+	// progress returns the events after event n of an item that runs, or nothing.
+	progress func(lot string, item uint32, n uint64) []string
+	woken    func() // Called when there may be items to run or to stop.
+	started  time.Time
+	shards   [shardCount]shard
 }
 
 type shard struct {
@@ -76,10 +78,15 @@
 // WithWake calls f when there may be items to run or to stop.
 func WithWake(f func()) option { return func(k *Keeper) { k.woken = f } }
 
+// WithProgress tells the replicas how far items are, by what f returns: the events of an item after event n.
+func WithProgress(f func(lot string, item uint32, n uint64) []string) option {
+	return func(k *Keeper) { k.progress = f }
+}
+
 // New returns the keeper of the logs in g, whose records are the entries of t under prefix.
 func New(g bulrushlug.LotLog, r bulrushlug.LotCopies, t bulrushlug.Table, prefix string, p *peers.Peers, l log.Logger, o ...option) *Keeper {
 	k := &Keeper{disk: p.Disk(), copies: 1, log: g, remote: r, table: t, prefix: prefix, peers: p, logger: l,
-		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, woken: func() {}, started: time.Now()}
+		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, woken: func() {}, progress: func(string, uint32, uint64) []string { return nil }, started: time.Now()}
 	for i := range k.shards {
 		k.shards[i].lots = map[string]*lot{}
 	}
@@ -191,11 +198,18 @@
 		return bulrushlug.NewLotState(false, u.Epoch(), 0), nil
 	}
 	if err == nil && s.OK() {
+		k.with(u.Lot(), func(l *lot) { l.learn(u.Progress()) })
 		k.woken()
 	}
 	return s, err
 }
 
+// Progress returns the data of the events of an item that an earlier primary had, from the first one on.
+func (k *Keeper) Progress(i string, item uint32) (d []string) {
+	k.with(i, func(l *lot) { d = slices.Clone(l.progress[item]) })
+	return d
+}
+
 // follows reports whether l may take the step u of another primary; a draft does not replace that of another
 // primary which may still be accepting the lot.
 func follows(l *lot, u bulrushlug.LotUpdate) bool {
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -30,12 +30,14 @@
 	read      time.Time             // Last time at which the record named this epoch.
 	verified  time.Time             // Last time at which all replicas followed this epoch.
 	next      time.Time             // Earliest time of the next claim or look at the record.
+	progress  map[uint32][]string   // Data of the events of items without a result, from the first one on, as the primary told.
+	told      map[uint32]uint64     // Last event of each item that all replicas know in this epoch.
 	change    chan struct{}         // Closed at the next change.
 	write     sync.Mutex            // Orders the steps that are written to the log.
 }
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, change: make(chan struct{}), born: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32][]string{}, told: map[uint32]uint64{}, change: make(chan struct{}), born: time.Now()}
 }
 
 // notify wakes all that wait for a change.
@@ -62,6 +64,7 @@
 		l.entries = append(l.entries[:u.From():u.From()], u.Entries()...)
 		l.verified = time.Time{}
 		l.committed = 0
+		clear(l.told)
 		l.moved, l.stale = false, u.From() > 0
 	}
 	if len(l.replicas) > 0 && len(u.Replicas()) > 0 && l.replicas[0] != u.Replicas()[0] {
@@ -72,6 +75,16 @@
 	l.notify()
 }
 
+// learn notes how far items are; parts that don't follow what is known are left out.
+func (l *lot) learn(p []bulrushlug.LotProgress) {
+	for _, x := range p {
+		known := uint64(len(l.progress[x.Item()]))
+		if x.First() <= known+1 && x.Last() > known && !l.done[x.Item()] {
+			l.progress[x.Item()] = append(l.progress[x.Item()], x.Data()[known+1-x.First():]...)
+		}
+	}
+}
+
 // has reports whether the step u changes nothing.
 func (l *lot) has(u bulrushlug.LotUpdate) bool {
 	return l.same(u) && !l.stale && (l.confirmed || !u.Confirmed()) && u.From()+len(u.Entries()) <= len(l.entries)
@@ -88,6 +101,7 @@
 			l.head = e.Lot()
 		case e.Result() != nil:
 			l.done[e.Result().Item()] = true
+			delete(l.progress, e.Result().Item())
 			if i < len(l.entries) {
 				l.listed = append(l.listed, i)
 			}
--- a/memtab/table.go
+++ b/memtab/table.go
@@ -185,6 +185,12 @@
 	return l, t.revision, nil
 }
 
+// ListStale returns the entries under p.
+func (t *Table) ListStale(c context.Context, p string) ([]bulrushlug.Item, error) {
+	l, _, err := t.List(c, p)
+	return l, err
+}
+
 // Watch returns changes under p after revision n.
 func (t *Table) Watch(c context.Context, p string, n uint64, d time.Duration) ([]bulrushlug.Item, uint64, error) {
 	end := time.After(d)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	gatherTime = 100 * time.Millisecond // Time in which changes are gathered before the next watch.
 	// hintTime is the time after which a change that others saw, and the own watch did not bring, is read.
 	hintTime    = 300 * time.Millisecond
 	defaultWait = 10 * time.Second
@@ -106,6 +107,9 @@
 		}
 		m.answered()
 		m.apply(l, n)
+		if err := bulrushlug.Wait(c, gatherTime); err != nil {
+			return err
+		}
 	}
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -154,7 +154,7 @@
 
 // list reads the entries of all processes.
 func (p *Peers) list(c context.Context) error {
-	l, _, err := p.table.List(c, p.prefix)
+	l, err := p.table.ListStale(c, p.prefix)
 	if err != nil {
 		return err
 	}
--- a/slots/table.go
+++ b/slots/table.go
@@ -16,7 +16,7 @@
 	shardCount    = 8
 	remoteTimeout = 1500 * time.Millisecond // Age at which the usage that another process reported no longer counts.
 	queueShare    = 4                       // A server takes one waiting online request for so many slots.
-	batchReserve  = 1                       // Slots of a server that a new batch item leaves free for online requests.
+	batchReserve  = 2                       // Slots of a server that a new batch item leaves free for online requests.
 	startPause    = 100 * time.Millisecond  // Time between starts at a server that another process has first; its reports come as often.
 	jitter        = 0.5                     // Random part of a score, in requests; spreads processes that see the same counts.
 	firstPenalty  = time.Second             // Time for which a server that failed is passed over.
--- a/table.go
+++ b/table.go
@@ -55,6 +55,8 @@
 	Get(c context.Context, k string) (Item, error)
 	// List returns the entries whose keys start with p, in the order of keys, and the revision of the first page.
 	List(c context.Context, p string) ([]Item, uint64, error)
+	// ListStale is List at a tenth of its price; the entries may be seconds old.
+	ListStale(c context.Context, p string) ([]Item, error)
 	// Watch returns the changes of entries under p after revision n, and the revision to go on from.
 	// The revision of a removed entry's Item is that of its removal and its value is nil.
 	// It waits up to d for one, and fails with KindHistoryLost if that history was dropped.
