feat(slots): a tenth of a service's slots stays idle for online requests, wherever they are

Settings are read again on SIGHUP and when their file changes; check explains both kinds of settings.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/urfave/cli/v3"
 
 	"bulrushlug.dev/bulrushlug/conf"
+	"bulrushlug.dev/bulrushlug/setup"
 )
 
 func checkCommand() *cli.Command {
@@ -23,10 +25,27 @@
 	if err != nil {
 		return err
 	}
-	s, err := conf.Load(p)
+	b, err := os.ReadFile(p)
+	if err != nil {
+		return err
+	}
+	if setup.Describes(b) {
+		return checkSite(m, p, b)
+	}
+	s, err := conf.Parse(p, b)
 	if err != nil {
 		return err
 	}
 	_, err = fmt.Fprintf(m.Root().Writer, "%s: settings of the %s %s are valid\n", p, s.Role(), s.Member().Name())
 	return err
 }
+
+// checkSite checks the settings b of a process that serves backend servers directly.
+func checkSite(m *cli.Command, p string, b []byte) error {
+	s, err := setup.Parse(p, b)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(m.Root().Writer, "%s: settings of the %s %s are valid\n", p, s.Member().Role(), s.Member().Name())
+	return err
+}
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"bulrushlug.dev/bulrushlug/logs"
+	"bulrushlug.dev/bulrushlug/reread"
 	"bulrushlug.dev/bulrushlug/setup"
 	"bulrushlug.dev/bulrushlug/site"
 )
@@ -42,13 +43,16 @@
 	}
 	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	go func() {
-		for range reload {
-			_, err := setup.Load(p)
-			_ = l.Log("event", "reload", "err", err)
-		}
-	}()
+	f := reread.New(p, func(b []byte) error { return reload(x, p, b) }, func(err error) { _ = l.Log("event", "notReloaded", "err", err) })
+	go f.Run(c)
 	return x.Run(c)
 }
+
+// reload gives the process x the settings in b, which p names in errors.
+func reload(x *site.Site, p string, b []byte) error {
+	s, err := setup.Parse(p, b)
+	if err != nil {
+		return err
+	}
+	return x.Reload(s)
+}
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tailscale/hujson"
+	"github.com/tidwall/gjson"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"bulrushlug.dev/bulrushlug"
@@ -37,6 +38,12 @@
 	return Parse(p, b)
 }
 
+// Describes reports whether b holds settings of this kind, and not of a process beside a backend server.
+func Describes(b []byte) bool {
+	j, err := hujson.Standardize(bytes.Clone(b))
+	return err == nil && gjson.GetBytes(j, "toleratedDisks").Exists()
+}
+
 // Parse checks the settings in b, which p names in errors; fields that it does not know are left out.
 func Parse(p string, b []byte) (*Settings, error) {
 	j, err := hujson.Standardize(bytes.Clone(b))
--- a/site/data.go
+++ b/site/data.go
@@ -25,7 +25,7 @@
 func newData(s *Site) (*data, error) {
 	d := &data{Site: s}
 	d.keeper = lots.New(s.log, s.client, s.platform.Table(), lotPrefix, s.peers, s.logger,
-		lots.WithCopies(s.settings.Copies()), lots.WithKeep(s.settings.Status()), lots.WithRetiring(s.isRetiring), lots.WithStoreLost(s.storeLost),
+		lots.WithCopies(s.settings.Load().Copies()), lots.WithKeep(s.settings.Load().Status()), lots.WithRetiring(s.isRetiring), lots.WithStoreLost(s.storeLost),
 		lots.WithWake(func() { d.runner.Wake() }),
 		lots.WithProgress(func(i string, n uint32, after uint64) []string { return d.runner.Progress(i, n, after) }))
 	d.runner = items.New(d.keeper, s.table, s.platform.Caller(), s, s.logger)
--- a/site/entry.go
+++ b/site/entry.go
@@ -67,7 +67,7 @@
 
 // run serves callers until c ends; then the balancer takes the process out before its listener closes.
 func (e *entry) run(c context.Context) error {
-	r := &http.Server{Addr: e.settings.Ready(), Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
+	r := &http.Server{Addr: e.settings.Load().Ready(), Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
 	defer func() { _ = r.Close() }()
 	go func() { e.ended("readiness", r.ListenAndServe()) }()
 	select {
@@ -75,9 +75,9 @@
 	case <-c.Done():
 		return nil
 	}
-	l, err := net.Listen("tcp", e.settings.HTTP())
+	l, err := net.Listen("tcp", e.settings.Load().HTTP())
 	if err != nil {
-		return bulrushlug.WrapFault(bulrushlug.KindInternal, e.settings.HTTP(), err)
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, e.settings.Load().HTTP(), err)
 	}
 	f := e.httpServer()
 	go func() { e.ended("front", f.Serve(l)) }()
@@ -121,7 +121,7 @@
 	e.gossip.Leave()
 	_ = e.logger.Log("event", "leave")
 	f.SetKeepAlivesEnabled(false)
-	c, stop := context.WithDeadline(context.Background(), t.Add(e.settings.Grace()-stopMargin))
+	c, stop := context.WithDeadline(context.Background(), t.Add(e.settings.Load().Grace()-stopMargin))
 	defer stop()
 	_ = bulrushlug.Wait(c, leaveTime)
 	if err := f.Shutdown(c); err != nil {
--- a/site/site.go
+++ b/site/site.go
@@ -44,7 +44,7 @@
 
 // Site is one process.
 type Site struct {
-	settings *setup.Settings
+	settings atomic.Pointer[setup.Settings]
 	logger   log.Logger
 	counts   *expvar.Map
 	platform *platform.Platform
@@ -78,8 +78,9 @@
 // New returns the process with the given settings; its log lines go to l.
 func New(s *setup.Settings, l log.Logger) (*Site, error) {
 	p := platform.New(s.Store(), func() {})
-	x := &Site{settings: s, logger: log.With(l, "vm", s.Member().Name()), counts: new(expvar.Map).Init(),
+	x := &Site{logger: log.With(l, "vm", s.Member().Name()), counts: new(expvar.Map).Init(),
 		platform: p, client: lotcli.New(), known: make(chan struct{})}
+	x.settings.Store(s)
 	x.events = newRecorder(x.logger)
 	disk := ""
 	if d := s.DataFolder(); d != "" {
@@ -111,6 +112,17 @@
 	return x, err
 }
 
+// Reload makes c the settings; what names the process and its addresses can't change while it runs.
+func (s *Site) Reload(c *setup.Settings) error {
+	old := s.settings.Load()
+	if c.Member() != old.Member() || c.Store() != old.Store() || c.DataFolder() != old.DataFolder() || c.HTTP() != old.HTTP() || c.Ready() != old.Ready() {
+		return bulrushlug.NewFault(bulrushlug.KindBadRequest, "settings of %s: name, place, role, addresses and folder need a new start", old.Member().Name())
+	}
+	s.settings.Store(c)
+	_ = s.logger.Log("event", "reload")
+	return nil
+}
+
 // Config returns organisations and routes, or nil before the first manifest.
 func (s *Site) Config() *bulrushlug.Config {
 	m := s.manifest.Load()
@@ -212,7 +224,7 @@
 func (s *Site) storeLost() bool { return s.operated.Down() > 0 || s.servers.Down() > 0 }
 
 // admits reports whether this process admits requests of organisations; only the counts of those that do are exchanged.
-func (s *Site) admits() bool { return s.settings.Member().Role() == bulrushlug.RoleEntry }
+func (s *Site) admits() bool { return s.peers.Self().Role() == bulrushlug.RoleEntry }
 
 // message handles a message of another process.
 func (s *Site) message(m bulrushlug.Message) {
@@ -268,13 +280,13 @@
 
 // Run serves until c ends, and then stops gracefully.
 func (s *Site) Run(c context.Context) error {
-	_ = s.logger.Log("event", "start", "role", s.settings.Member().Role(), "pid", os.Getpid(), "disk", s.peers.Disk())
+	_ = s.logger.Log("event", "start", "role", s.peers.Self().Role(), "pid", os.Getpid(), "disk", s.peers.Disk())
 	defer func() { _ = s.logger.Log("event", "stop") }()
 	bg, stop := context.WithCancelCause(context.WithoutCancel(c))
 	defer stop(nil)
-	l, err := net.Listen("tcp", s.settings.Member().Address())
+	l, err := net.Listen("tcp", s.peers.Self().Address())
 	if err != nil {
-		return bulrushlug.WrapFault(bulrushlug.KindInternal, s.settings.Member().Address(), err)
+		return bulrushlug.WrapFault(bulrushlug.KindInternal, s.peers.Self().Address(), err)
 	}
 	var w sync.WaitGroup
 	run := func(f func(c context.Context) error) {
@@ -306,7 +318,7 @@
 
 // serveMetrics serves counters and histograms, if the settings name an address.
 func (s *Site) serveMetrics(c context.Context) {
-	if s.settings.Metrics() == "" {
+	if s.settings.Load().Metrics() == "" {
 		return
 	}
 	m := http.NewServeMux()
@@ -315,7 +327,7 @@
 		s.counts.Set("storeCalls", number(s.platform.Calls()))
 		_, _ = w.Write([]byte(s.counts.String() + "\n" + s.events.histograms()))
 	})
-	h := &http.Server{Addr: s.settings.Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
+	h := &http.Server{Addr: s.settings.Load().Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
 	context.AfterFunc(c, func() { _ = h.Close() })
 	go func() {
 		if err := h.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/slots/table.go
+++ b/slots/table.go
@@ -10,18 +10,21 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/rank"
 )
 
 const (
 	shardCount    = 8
 	remoteTimeout = 1500 * time.Millisecond // Age at which the usage that another process reported no longer counts.
 	queueShare    = 4                       // A server takes one waiting online request for so many slots.
-	batchReserve  = 2                       // Slots of a server that a new batch item leaves free for online requests.
-	startPause    = 100 * time.Millisecond  // Time between starts at a server that another process has first; its reports come as often.
-	jitter        = 0.5                     // Random part of a score, in requests; spreads processes that see the same counts.
-	firstPenalty  = time.Second             // Time for which a server that failed is passed over.
-	maxPenalty    = 8 * time.Second
-	paceWeight    = 0.1 // Weight of one answer in the smoothed pace.
+	// batchReserve is the share of a service's slots that new batch items leave idle: online requests that come
+	// before the next reports find them there.
+	batchReserve = 0.1
+	startPause   = 100 * time.Millisecond // Time between starts at a server that another process has first; its reports come as often.
+	jitter       = 0.5                    // Random part of a score, in requests; spreads processes that see the same counts.
+	firstPenalty = time.Second            // Time for which a server that failed is passed over.
+	maxPenalty   = 8 * time.Second
+	paceWeight   = 0.1 // Weight of one answer in the smoothed pace.
 )
 
 // Table knows the backend servers and what is under way at each of them.
@@ -259,19 +262,21 @@
 
 // order tells which process comes first with its batch items at each server.
 type order struct {
-	self   string
-	rivals []string
+	self string
+	all  []string // All processes that run batch items.
 }
 
-func (t *Table) order() order { return order{self: t.self, rivals: t.rivals()} }
-
-// precedence is the weight of process vm at server id; the highest comes first.
-func precedence(vm, id string) uint64 { return xxhash.Sum64String(vm + " " + id) }
+func (t *Table) order() order { return order{self: t.self, all: append(t.rivals(), t.self)} }
 
 // first reports whether this process comes before all others at server id.
 func (o order) first(id string) bool {
-	w := precedence(o.self, id)
-	return !slices.ContainsFunc(o.rivals, func(vm string) bool { return precedence(vm, id) > w })
+	return rank.First(id, o.all, func(string) bool { return true }) == o.self
+}
+
+// before returns the processes that come before this one at server id.
+func (o order) before(id string) []string {
+	l := rank.Order(id, o.all)
+	return l[:slices.Index(l, o.self)]
 }
 
 // Batch picks a server of service v with a slot that online requests leave idle, or returns nil.
@@ -281,18 +286,23 @@
 	now := time.Now()
 	o := t.order()
 	var best choice
+	free, all := 0, 0
 	for i := range t.shards {
-		if c, ok := t.shards[i].idle(v, o, now); ok && c.better(best) {
+		c, ok, f, n := t.shards[i].idle(v, o, now)
+		free += f
+		all += n
+		if ok && c.better(best) {
 			best = c
 		}
 	}
-	if best.shard == nil {
+	if best.shard == nil || float64(free-1) < batchReserve*float64(all) {
 		return nil
 	}
 	return best.shard.take(best.id, true)
 }
 
-func (s *shard) idle(v string, o order, now time.Time) (best choice, ok bool) {
+// idle returns the best server of the shard, how many slots of service v are idle in it, and how many there are.
+func (s *shard) idle(v string, o order, now time.Time) (best choice, ok bool, free, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
@@ -300,17 +310,19 @@
 			continue
 		}
 		online, batch := s.load(e, now)
-		free := int(e.backend.Slots()) - batchReserve - online - batch
+		n := max(0, int(e.backend.Slots())-online-batch)
+		all += int(e.backend.Slots())
+		free += n
 		first := o.first(id)
-		if free <= 0 || !first && now.Sub(e.started) < startPause {
+		if n == 0 || !first && now.Sub(e.started) < startPause {
 			continue
 		}
-		c := choice{shard: s, id: id, full: !first, score: -float64(free) - jitter*rand.Float64()}
+		c := choice{shard: s, id: id, full: !first, score: -float64(n) - jitter*rand.Float64()}
 		if c.better(best) {
 			best, ok = c, true
 		}
 	}
-	return best, ok
+	return best, ok, free, all
 }
 
 // Excess returns how many own batch items at each server have to make room for online requests.
@@ -343,9 +355,8 @@
 
 // before returns the batch items at server id of the processes that come before this one.
 func (s *shard) before(o order, id string, now time.Time) (n int) {
-	w := precedence(o.self, id)
-	for vm, m := range s.remote {
-		if r, ok := m[id]; ok && now.Sub(r.at) < remoteTimeout && precedence(vm, id) > w {
+	for _, vm := range o.before(id) {
+		if r, ok := s.remote[vm][id]; ok && now.Sub(r.at) < remoteTimeout {
 			n += r.batch
 		}
 	}
