fix(items): a primary keeps how far its items are while it changes a replica

While a replica was silent for over 1 s the primary ended its items and forgot their progress; the next run began with the first event. Ruled out: takeovers alone (their progress is copied). Items go on for 2 s without the replicas' agreement, and their progress is kept while the lot is open here.

--- a/items/runner.go
+++ b/items/runner.go
@@ -129,10 +129,8 @@
 // ready returns the items that may be started, gives up those that can't be done any more and stops those whose lot is over.
 func (r *Runner) ready(c context.Context) (l []work) {
 	now := time.Now()
-	open := map[string]bool{}
 	f := r.source.Config()
 	r.keeper.Open(func(x bulrushlug.Lot, left []uint32) {
-		open[x.ID()] = true
 		if f == nil {
 			return
 		}
@@ -148,7 +146,7 @@
 		}
 	})
 	for i := range r.shards {
-		r.shards[i].sweep(open)
+		r.shards[i].sweep(r.keeper)
 	}
 	return l
 }
@@ -162,19 +160,18 @@
 	return !ok || x.server == "" && !now.Before(x.next)
 }
 
-// sweep stops and forgets the items of lots that are not open.
-func (s *shard) sweep(open map[string]bool) {
+// sweep stops the items of lots that are over or unsure, and forgets those of lots that are over here.
+func (s *shard) sweep(h *lots.Keeper) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, x := range s.items {
-		if open[k.lot] {
-			continue
-		}
-		if x.server != "" {
+		run, keep := h.Holds(k.lot)
+		switch {
+		case x.server != "" && !run:
 			x.stop()
-			continue
+		case x.server == "" && !keep:
+			delete(s.items, k)
 		}
-		delete(s.items, k)
 	}
 }
 
--- a/lots/answer.go
+++ b/lots/answer.go
@@ -43,6 +43,15 @@
 	return all
 }
 
+// Holds reports whether items of lot i that run may go on, and whether their progress is still of use here.
+func (k *Keeper) Holds(i string) (run, keep bool) {
+	k.with(i, func(l *lot) {
+		keep = !l.finished()
+		run = keep && l.serving(k.disk) && time.Since(l.verified) < staleTime
+	})
+	return run, keep
+}
+
 // Finish lists the result r of lot i, unless the item has one or the lot has moved or ended.
 func (k *Keeper) Finish(c context.Context, i string, r bulrushlug.LotResult) {
 	k.with(i, func(l *lot) {
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -716,3 +716,34 @@
 		})
 	}
 }
+
+// TestHolds shows how long items of a lot may go on at a primary that does not hear its replica, and how long their progress is kept.
+func TestHolds(t *testing.T) {
+	for name, x := range map[string]struct {
+		after     time.Duration
+		run, keep bool
+	}{
+		"a short silence":  {after: 1300 * time.Millisecond, run: true, keep: true},
+		"a longer silence": {after: 3 * time.Second, keep: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, 4)
+				k.submit("lot", 100)
+				time.Sleep(time.Second)
+				p := k.primary("lot")
+				k.mu.Lock()
+				k.cut[p] = true
+				k.mu.Unlock()
+				time.Sleep(x.after)
+				if run, keep := k.vms[p].keeper.Holds("lot"); run != x.run || keep != x.keep {
+					t.Errorf("run %v, keep %v", run, keep)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -28,7 +28,10 @@
 	retryTime   = 300 * time.Millisecond // Time between tries to change the replicas of one lot.
 	startTime   = 1500 * time.Millisecond
 	// freshTime is the age up to which the agreement of the replicas allows to start items.
-	freshTime  = time.Second
+	freshTime = time.Second
+	// staleTime is the age of the agreement of the replicas at which items that run are ended: longer than a
+	// change of the replicas takes, and shorter than the time after which nothing of an ended lot may run.
+	staleTime  = 2 * time.Second
 	draftTime  = 2 * time.Second  // Age at which the record of a lot that was not confirmed is read.
 	doubtTime  = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
 	expireTime = 30 * time.Second // Time beyond the last read after which a lot is dropped.
