feat(site): two processes watch the key-value service, the others ask them

The first two by rank of those that reach the service watch; a report that names a change makes the others ask its sender; who hears nobody watches for itself, and a change that asking did not bring is read after 300 ms.

--- a/lotcli/client.go
+++ b/lotcli/client.go
@@ -141,8 +141,9 @@
 // snapshotTimeout bounds a question for what another process has read.
 const snapshotTimeout = 700 * time.Millisecond
 
-// Snapshot returns what the process at a has read of the key-value service: entries and the revisions of manifest and servers.
-func (k *Client) Snapshot(c context.Context, a string) (l []bulrushlug.Item, manifest, backends uint64, err error) {
+// Snapshot returns what the process at a has read of the key-value service beyond the changes operated and servers:
+// entries and the revisions of manifest and servers, of which those that are not newer are zero.
+func (k *Client) Snapshot(c context.Context, a string, operated, servers uint64) (l []bulrushlug.Item, manifest, backends uint64, err error) {
 	c, stop := context.WithTimeout(c, snapshotTimeout)
 	defer stop()
 	n, err := connect(c, a)
@@ -150,7 +151,7 @@
 		return nil, 0, 0, err
 	}
 	defer func() { _ = n.Close() }()
-	x, err := wire.NewDRPCSiteClient(n).Snapshot(c, &wire.KnownRequest{})
+	x, err := wire.NewDRPCSiteClient(n).Snapshot(c, &wire.KnownRequest{Operated: operated, Servers: servers})
 	if err != nil {
 		return nil, 0, 0, bulrushlug.WrapFault(bulrushlug.KindUncertain, a, err)
 	}
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -18,11 +18,11 @@
 // Server serves lots and what the process has read of the key-value service.
 type Server struct {
 	keeper   *lots.Keeper // Nil for a process without a disk.
-	snapshot func() (l []bulrushlug.Item, manifest, backends uint64)
+	snapshot func(operated, servers uint64) (l []bulrushlug.Item, manifest, backends uint64)
 }
 
-// New returns a server of the lots in k, which may be nil, and of the entries that f returns.
-func New(k *lots.Keeper, f func() (l []bulrushlug.Item, manifest, backends uint64)) *Server {
+// New returns a server of the lots in k, which may be nil, and of the entries that f returns beyond two changes.
+func New(k *lots.Keeper, f func(operated, servers uint64) (l []bulrushlug.Item, manifest, backends uint64)) *Server {
 	return &Server{keeper: k, snapshot: f}
 }
 
@@ -41,8 +41,8 @@
 }
 
 // Snapshot returns what the process has read of the key-value service.
-func (s *Server) Snapshot(context.Context, *wire.KnownRequest) (*wire.Known, error) {
-	l, m, b := s.snapshot()
+func (s *Server) Snapshot(_ context.Context, q *wire.KnownRequest) (*wire.Known, error) {
+	l, m, b := s.snapshot(q.Operated, q.Servers)
 	w := &wire.Known{ManifestRevision: m, BackendRevision: b}
 	for _, i := range l {
 		w.Items = append(w.Items, &wire.KnownItem{Key: i.Key(), Value: i.Value(), Revision: i.Revision()})
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,7 +21,8 @@
 	hintTime    = 300 * time.Millisecond
 	defaultWait = 10 * time.Second
 	firstRetry  = 100 * time.Millisecond
-	maxRetry    = time.Second
+	maxRetry    = time.Second     // Time between calls in an outage.
+	restRetry   = 4 * time.Second // The same for processes that rely on others.
 	// returnTime is the time for which entries that went missing are kept after an outage: owners of
 	// entries with leases are back within two seconds of its end.
 	returnTime = 2500 * time.Millisecond
@@ -53,7 +54,8 @@
 // option sets one part of a mirror.
 type option func(m *Mirror)
 
-// WithWait makes watches as long as f says; a call is paid for each.
+// WithWait makes watches as long as f says; a call is paid for each. While f returns zero the mirror makes none
+// and relies on Offer and Hint.
 func WithWait(f func() time.Duration) option { return func(m *Mirror) { m.wait = f } }
 
 // WithReturn keeps entries that go missing around an outage until their owners had time to come back.
@@ -88,6 +90,9 @@
 		d := retry/2 + rand.N(retry)
 		_ = bulrushlug.Wait(c, d)
 		retry = min(2*retry, maxRetry)
+		if m.wait() == 0 {
+			retry = restRetry
+		}
 	}
 	return nil
 }
@@ -101,6 +106,9 @@
 	m.answered()
 	m.replace(l, n)
 	for {
+		if m.wait() == 0 {
+			return m.rest(c)
+		}
 		l, n, err := m.watch(c)
 		if err != nil {
 			return err
@@ -113,6 +121,19 @@
 	}
 }
 
+// rest waits while others watch and offer what they read; it ends once a watch is wanted or a change was missed.
+func (m *Mirror) rest(c context.Context) error {
+	x, stop := context.WithCancel(c)
+	defer stop()
+	m.mu.Lock()
+	m.stop = stop
+	m.mu.Unlock()
+	for m.wait() == 0 && bulrushlug.Wait(x, sweepTime) == nil {
+		continue
+	}
+	return bulrushlug.NewFault(bulrushlug.KindHistoryLost, "the entries under %s have to be read again", m.prefix)
+}
+
 // watch waits for changes; a watch that was cut is made once more at once.
 func (m *Mirror) watch(c context.Context) ([]bulrushlug.Item, uint64, error) {
 	x, stop := context.WithCancel(c)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,7 @@
 	table  bulrushlug.Table
 	logger log.Logger
 	shards [shardCount]shard
+	lost   atomic.Bool // The last call for the own entry was not answered.
 }
 
 type shard struct {
@@ -111,12 +113,14 @@
 		d := p.lease / 3
 		if lease != 0 {
 			err := p.table.Renew(c, lease)
+			p.answered(err)
 			if bulrushlug.KindOf(err) == bulrushlug.KindNotFound && err != nil {
 				lease = 0
 			}
 		}
 		if lease == 0 {
 			l, err := p.register(c)
+			p.answered(err)
 			if err != nil && c.Err() == nil {
 				_ = p.logger.Log("event", "notRegistered", "err", err)
 				d = retry/2 + rand.N(retry)
@@ -138,6 +142,15 @@
 	}
 }
 
+// answered notes whether the service answered a call.
+func (p *Peers) answered(err error) {
+	k := bulrushlug.KindOf(err)
+	p.lost.Store(err != nil && (k == bulrushlug.KindStoreDown || k == bulrushlug.KindUncertain || k == bulrushlug.KindRateLimited))
+}
+
+// StoreLost reports whether the service did not answer the last call for the own entry; one is made every third of the lease.
+func (p *Peers) StoreLost() bool { return p.lost.Load() }
+
 func (p *Peers) register(c context.Context) (uint64, error) {
 	l, err := p.table.Grant(c, p.lease)
 	if err != nil {
--- a/site/site.go
+++ b/site/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,11 +36,8 @@
 	memberPrefix = "bulrushlug/vm/"
 	lotPrefix    = "bulrushlug/lot/"
 	leaseTime    = 3 * time.Second // Lease of the entry of a process; renewed every third of it.
-	askTime      = 250 * time.Millisecond
-	lookouts     = 2                      // Processes that watch in short calls and tell the others of changes that their watches miss.
-	shortWatch   = 2 * time.Second        // Less than the time after trouble in the service at which its bounds count again.
-	longWatch    = 10 * time.Second       // A call is paid for each watch.
-	lostTime     = 400 * time.Millisecond // Time without the key-value service after which other processes are asked.
+	lookouts     = 2               // Processes that watch the key-value service; the others ask them once a report names a change.
+	lookoutWatch = 2 * time.Second // Less than the time after trouble in the service at which its bounds count again.
 )
 
 // Site is one process.
@@ -58,7 +56,8 @@
 	events   *recorder
 	manifest atomic.Pointer[bulrushlug.Manifest] // Nil before the first one; its version never falls.
 	retiring atomic.Pointer[map[string]bool]
-	known    chan struct{} // Closed once there is a manifest.
+	known    chan struct{}          // Closed once there is a manifest.
+	news     chan bulrushlug.Member // A process that saw a change which this one did not see.
 	once     sync.Once
 	operated *mirror.Mirror
 	servers  *mirror.Mirror
@@ -79,7 +78,7 @@
 func New(s *setup.Settings, l log.Logger) (*Site, error) {
 	p := platform.New(s.Store(), func() {})
 	x := &Site{logger: log.With(l, "vm", s.Member().Name()), counts: new(expvar.Map).Init(),
-		platform: p, client: lotcli.New(), known: make(chan struct{})}
+		platform: p, client: lotcli.New(), known: make(chan struct{}), news: make(chan bulrushlug.Member, 1)}
 	x.settings.Store(s)
 	x.events = newRecorder(x.logger)
 	disk := ""
@@ -153,18 +152,34 @@
 	return l
 }
 
-// watchTime returns the length of a watch of the key-value service.
+// watchTime returns the length of a watch of the key-value service; zero for a process that relies on the lookouts.
+//
+// The lookouts are the first by rank of the processes that this one hears and that reach the service, so that a
+// process which hears no other is its own.
 func (s *Site) watchTime() time.Duration {
-	l := []string{s.peers.Self().Name()}
+	self := s.peers.Self().Name()
+	var l, lost []string
 	for _, p := range s.peers.All() {
-		if p.Alive() && !p.Member().Leaving() {
+		switch {
+		case !p.Alive() || p.Member().Leaving():
+		case p.StoreLost():
+			lost = append(lost, p.Member().Name())
+		default:
 			l = append(l, p.Member().Name())
 		}
 	}
-	if slices.Index(rank.Order("lookout", l), s.peers.Self().Name()) < lookouts {
-		return shortWatch
+	if s.storeLost() {
+		lost = append(lost, self)
+	} else {
+		l = append(l, self)
 	}
-	return longWatch
+	if len(l) == 0 {
+		l = lost
+	}
+	if i := slices.Index(rank.Order("lookout", l), self); i >= 0 && i < lookouts {
+		return lookoutWatch
+	}
+	return 0
 }
 
 // isRetiring reports whether operators want the VM v emptied.
@@ -221,7 +236,9 @@
 }
 
 // storeLost reports whether the key-value service does not answer this process.
-func (s *Site) storeLost() bool { return s.operated.Down() > 0 || s.servers.Down() > 0 }
+func (s *Site) storeLost() bool {
+	return s.operated.Down() > 0 || s.servers.Down() > 0 || s.peers.StoreLost()
+}
 
 // admits reports whether this process admits requests of organisations; only the counts of those that do are exchanged.
 func (s *Site) admits() bool { return s.peers.Self().Role() == bulrushlug.RoleEntry }
@@ -236,46 +253,67 @@
 	if s.admits() && r.Member().Role() == bulrushlug.RoleEntry {
 		s.meter.Reported(*r)
 	}
-	operated, servers := r.Seen()
-	s.operated.Hint(operated)
-	s.servers.Hint(servers)
+	s.hear(*r)
 	s.role.heard(*r)
 }
 
-// snapshot returns what the process has read of the key-value service.
-func (s *Site) snapshot() (l []bulrushlug.Item, manifest, backends uint64) {
-	return append(s.operated.Items(), s.servers.Items()...), s.operated.Revision(), s.servers.Revision()
+// snapshot returns what the process has read of the key-value service beyond the changes operated and servers.
+func (s *Site) snapshot(operated, servers uint64) (l []bulrushlug.Item, manifest, backends uint64) {
+	if s.operated.Newest() > operated {
+		l, manifest = s.operated.Items(), s.operated.Revision()
+	}
+	if s.servers.Newest() > servers {
+		l, backends = append(l, s.servers.Items()...), s.servers.Revision()
+	}
+	return l, manifest, backends
 }
 
-// ask reads from another process what the key-value service doesn't tell.
+// ask reads from other processes what this one has not seen.
 func (s *Site) ask(c context.Context) error {
-	for bulrushlug.Wait(c, askTime) == nil {
-		for _, p := range s.peers.All() {
-			if p.Alive() && (p.Manifest() > s.version() || s.operated.Down() > lostTime && p.Manifest() > 0) {
-				s.askOne(c, p)
-				break
-			}
+	for c.Err() == nil {
+		select {
+		case p := <-s.news:
+			s.askOne(c, p)
+		case <-c.Done():
 		}
 	}
 	return nil
 }
 
-func (s *Site) askOne(c context.Context, p peers.Peer) {
-	l, m, b, err := s.client.Snapshot(c, p.Member().Address())
+// hear notes which changes the process of r saw, and asks it for those that this one has not seen.
+func (s *Site) hear(r bulrushlug.Report) {
+	operated, servers := r.Seen()
+	s.operated.Hint(operated)
+	s.servers.Hint(servers)
+	if operated <= s.operated.Newest() && servers <= s.servers.Newest() || s.watchTime() > 0 && !s.storeLost() {
+		return
+	}
+	select {
+	case s.news <- r.Member():
+	default:
+	}
+}
+
+func (s *Site) askOne(c context.Context, p bulrushlug.Member) {
+	l, m, b, err := s.client.Snapshot(c, p.Address(), s.operated.Newest(), s.servers.Newest())
 	if err != nil {
-		_ = s.logger.Log("event", "notAsked", "peer", p.Member().Name(), "err", err)
+		_ = s.logger.Log("event", "notAsked", "peer", p.Name(), "err", err)
 		return
 	}
 	var operated, servers []bulrushlug.Item
 	for _, i := range l {
-		if len(i.Key()) > len(platform.BackendPrefix) && i.Key()[:len(platform.BackendPrefix)] == platform.BackendPrefix {
+		if strings.HasPrefix(i.Key(), platform.BackendPrefix) {
 			servers = append(servers, i)
 		} else {
 			operated = append(operated, i)
 		}
 	}
-	s.operated.Offer(operated, m)
-	s.servers.Offer(servers, b)
+	if m > 0 {
+		s.operated.Offer(operated, m)
+	}
+	if b > 0 {
+		s.servers.Offer(servers, b)
+	}
 }
 
 // Run serves until c ends, and then stops gracefully.
