--- a/direct/stage.go
+++ b/direct/stage.go
@@ -19,6 +19,11 @@
 	retryWait = 300 * time.Millisecond // Time after which a full service is worth another try: a short answer's length.
 	maxWhole  = 8 << 20                // Bytes of an answer that is held until it is whole.
 	readSize  = 16 << 10
+	// suspectTime is the time without an answer after which a server is passed over: three times the 99th
+	// percentile of first events at a crest.
+	suspectTime = 600 * time.Millisecond
+	// silenceTime is the time without an answer after which a request is tried at another server.
+	silenceTime = 1200 * time.Millisecond
 
 	statusOK    = 200
 	statusFail  = 500                 // Lowest status of a failure of the server.
@@ -111,7 +116,7 @@
 		a.yield(l.Backend().ID())
 	}
 	t := time.Now()
-	p, err := a.caller.Call(c, l.Backend(), a.request)
+	p, err := a.call(c, l)
 	if err != nil {
 		return a.failed(c, l, err)
 	}
@@ -138,6 +143,27 @@
 	return a.mayRepeat() && a.resumes(), err
 }
 
+// call sends the request to the server of l. While that is silent it is passed over by others, and after a longer
+// silence a request that may run once more is given up there.
+func (a *attempt) call(c context.Context, l *slots.Lease) (bulrushlug.Reply, error) {
+	t := time.AfterFunc(suspectTime, l.Failed)
+	defer t.Stop()
+	if !a.mayRepeat() || a.request.Target().Attempts() == a.ran+1 {
+		return a.caller.Call(c, l.Backend(), a.request)
+	}
+	x, stop := context.WithCancelCause(c)
+	g := time.AfterFunc(silenceTime, func() { stop(errSilent) })
+	defer g.Stop()
+	p, err := a.caller.Call(x, l.Backend(), a.request)
+	if err != nil && c.Err() == nil && x.Err() != nil {
+		err = errSilent
+	}
+	return p, err
+}
+
+// errSilent ends a request at a server that does not answer; it may have run.
+var errSilent = bulrushlug.NewFault(bulrushlug.KindUncertain, "the server is silent")
+
 // pace returns the seconds per event of an answer of n events that began at t.
 func pace(t time.Time, n int) float64 {
 	if n < 2 {
--- a/direct/stage_test.go
+++ b/direct/stage_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -235,3 +236,54 @@
 		})
 	}
 }
+
+// silent is a server that never answers, beside sound ones.
+type silent struct {
+	*servers
+	id string
+}
+
+func (v *silent) Call(c context.Context, b bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+	if b.ID() != v.id {
+		return v.servers.Call(c, b, r)
+	}
+	<-c.Done()
+	return nil, c.Err()
+}
+
+func TestSilentServer(t *testing.T) {
+	for name, x := range map[string]struct {
+		resumable bool
+		ok        bool
+		within    time.Duration
+	}{
+		"goes to another server": {resumable: true, ok: true, within: silenceTime + 100*time.Millisecond},
+		"may not be repeated":    {within: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := slots.New("e", func() []string { return nil })
+				b.Update([]bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendPlace("z", 8))})
+				g := New(b, &silent{&servers{steps: []step{steps["ok"]}}, "a"}, noRecorder{}, func(string) {})
+				route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
+					bulrushlug.RouteTraffic(bulrushlug.TrafficStream, false, x.resumable), bulrushlug.RouteLimits(2, 0, time.Second))
+				r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(3*time.Second)))
+				t0 := time.Now()
+				done := make(chan error, 1)
+				go func() { done <- g.Run(t.Context(), r, &caller{}) }()
+				time.Sleep(time.Millisecond)
+				b.Update([]bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendPlace("z", 8)), bulrushlug.NewBackend("b", "s", "h:2", bulrushlug.BackendPlace("z", 8))})
+				time.Sleep(suspectTime + time.Millisecond)
+				for range 5 {
+					if l, _ := b.Online("s", nil); l.Backend().ID() == "a" {
+						t.Error("a silent server is still picked")
+					}
+				}
+				err := <-done
+				if (err == nil) != x.ok || time.Since(t0) > x.within || err != nil && !bulrushlug.KindOf(err).Answer().Ran() {
+					t.Errorf("%v after %v", err, time.Since(t0))
+				}
+			})
+		})
+	}
+}
--- a/slots/table.go
+++ b/slots/table.go
@@ -422,6 +422,7 @@
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
 	l.entry.penalty = 0
+	l.entry.until = time.Time{}
 	switch {
 	case pace <= 0:
 	case l.entry.pace == 0:
--- a/slots/table_test.go
+++ b/slots/table_test.go
@@ -225,7 +225,13 @@
 				t.Error("a server that failed was picked")
 			}
 		}
-		time.Sleep(firstPenalty)
+		l.Failed()
+		l.Answered(0)
+		if x, _ := b.Online("s", map[string]bool{"b": true}); x == nil || x.Backend().ID() != "a" {
+			t.Error("a server that answered is passed over")
+		}
+		l.Failed()
+		time.Sleep(2 * firstPenalty)
 		if x, _ := b.Online("s", map[string]bool{"b": true}); x == nil {
 			t.Error("a server that failed is never picked again")
 		}
