--- a/conns/pool.go
+++ b/conns/pool.go
@@ -51,7 +51,6 @@
 	net.Conn
 	in    *bufio.Reader
 	until time.Time // The connection is not used after this time.
-	used  bool      // It carried a request before.
 }
 
 // New returns a pool; the header h of an answer names its request. The function f is called for each new connection.
@@ -129,18 +128,6 @@
 	s.idle[a] = append(s.idle[a], c)
 }
 
-// Drop closes the idle connections to a.
-func (p *Pool) Drop(a string) {
-	s := p.shard(a)
-	s.mu.Lock()
-	l := s.idle[a]
-	delete(s.idle, a)
-	s.mu.Unlock()
-	for _, c := range l {
-		_ = c.Close()
-	}
-}
-
 // Send sends r, whose body is b, to address a and returns the head of the answer.
 //
 // KindUnplaceable means that no connection could be made, so nothing was sent; after KindUncertain the request
@@ -244,7 +231,6 @@
 		d = idleTime
 	}
 	c.until = time.Now().Add(d - idleMargin)
-	c.used = true
 	return c.SetDeadline(time.Time{}) == nil
 }
 
--- a/items/runner.go
+++ b/items/runner.go
@@ -43,29 +43,6 @@
 	shards [shardCount]shard
 }
 
-// shard holds items by lot and number.
-type shard struct {
-	mu    sync.Mutex
-	items map[key]*item
-}
-
-type key struct {
-	lot  string
-	item uint32
-}
-
-// item is one item that was started; the lock of its shard guards it.
-type item struct {
-	text    []string // Data of the events that arrived, from event 1 on.
-	failed  int      // Runs that the server answered with a failure.
-	pause   time.Duration
-	next    time.Time          // The item isn't started before.
-	server  string             // Backend server that runs it; empty while none does.
-	started time.Time          // Start of the present run.
-	stop    context.CancelFunc // Ends the present run.
-	yielded bool               // The present run was ended to make room.
-}
-
 // New returns a runner of the lots in k on the servers in t, by the routes in f.
 func New(k *lots.Keeper, t *slots.Table, c bulrushlug.Caller, f bulrushlug.Source, l log.Logger) *Runner {
 	r := &Runner{keeper: k, table: t, caller: c, source: f, logger: l, wake: make(chan struct{}, 1)}
@@ -160,21 +137,6 @@
 	return !ok || x.server == "" && !now.Before(x.next)
 }
 
-// sweep stops the items of lots that are over or unsure, and forgets those of lots that are over here.
-func (s *shard) sweep(h *lots.Keeper) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for k, x := range s.items {
-		run, keep := h.Holds(k.lot)
-		switch {
-		case x.server != "" && !run:
-			x.stop()
-		case x.server == "" && !keep:
-			delete(s.items, k)
-		}
-	}
-}
-
 // service returns the service of t with the largest share.
 func service(t bulrushlug.Route) string {
 	l := t.Shares()
@@ -292,17 +254,6 @@
 	}
 }
 
-// gather adds the event id to x, which must follow the events before.
-func (h *shard) gather(x *item, id uint64, data []string) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if id != uint64(len(x.text))+1 {
-		return bulrushlug.NewFault(bulrushlug.KindBroken, "event %d follows event %d", id, len(x.text))
-	}
-	x.text = append(x.text, strings.Join(data, "\n"))
-	return nil
-}
-
 // Progress returns the data of the events after event n of an item.
 func (r *Runner) Progress(lot string, n uint32, after uint64) []string {
 	k := key{lot, n}
--- a/manifest.go
+++ b/manifest.go
@@ -32,12 +32,11 @@
 	version uint64 // Rises with each change.
 	config  *Config
 	bounds  Bounds
-	caps    map[string]int // Connections that a backend server of each service accepts from all callers.
 }
 
 // NewManifest returns version n.
-func NewManifest(n uint64, f *Config, b Bounds, caps map[string]int) *Manifest {
-	return &Manifest{version: n, config: f, bounds: b, caps: caps}
+func NewManifest(n uint64, f *Config, b Bounds) *Manifest {
+	return &Manifest{version: n, config: f, bounds: b}
 }
 
 // Version returns the version.
@@ -48,6 +47,3 @@
 
 // Bounds returns the limits for callers.
 func (m *Manifest) Bounds() Bounds { return m.bounds }
-
-// Connections returns how many connections a backend server of service s accepts; zero if unknown.
-func (m *Manifest) Connections(s string) int { return m.caps[s] }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -48,36 +48,6 @@
 	peers map[string]*Peer // By VM.
 }
 
-// Peer is one other process; values are immutable.
-type Peer struct {
-	member   bulrushlug.Member
-	boot     uint64
-	disk     string // Identity of the disk; empty where there is none.
-	manifest uint64 // Newest version that it reported.
-	sequence uint64 // Number of the last report.
-	listed   bool   // It has an entry.
-	lost     bool   // It can't reach the key-value service.
-	heard    time.Time
-}
-
-// Member returns the process.
-func (p Peer) Member() bulrushlug.Member { return p.member }
-
-// Disk returns the identity of its disk.
-func (p Peer) Disk() string { return p.disk }
-
-// Manifest returns the newest version that it reported.
-func (p Peer) Manifest() uint64 { return p.manifest }
-
-// StoreLost reports whether it can't reach the key-value service.
-func (p Peer) StoreLost() bool { return p.lost }
-
-// Alive reports whether it was heard lately.
-func (p Peer) Alive() bool { return time.Since(p.heard) < aliveTime }
-
-// Silent returns for how long it was not heard.
-func (p Peer) Silent() time.Duration { return time.Since(p.heard) }
-
 // New returns the processes with entries of t under p; self has an entry of its own while its lease of length d lasts.
 func New(self bulrushlug.Member, boot uint64, disk string, t bulrushlug.Table, p string, d time.Duration, l log.Logger) *Peers {
 	x := &Peers{self: self, boot: boot, disk: disk, prefix: p, lease: d, table: t, logger: l}
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -90,7 +90,7 @@
 	if s.w.ToleratedDisks > maxTolerated {
 		wrong("toleratedDisks", "is %d, not from 0 to %d", s.w.ToleratedDisks, maxTolerated)
 	}
-	for n, v := range map[string]float64{"graceSeconds": s.w.GraceSeconds, "statusSeconds": s.w.StatusSeconds, "drainMs": s.w.DrainMs,
+	for n, v := range map[string]float64{"graceSeconds": s.w.GraceSeconds, "statusSeconds": s.w.StatusSeconds,
 		"rateWindowSeconds": s.w.RateWindowSeconds, "rateOverrun": s.w.RateOverrun, "rateSlack": s.w.RateSlack} {
 		if v < 0 {
 			wrong(n, "is below zero")
--- /dev/null
+++ b/site/news.go
@@ -0,0 +1,101 @@
+package site
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/platform"
+	"bulrushlug.dev/bulrushlug/rank"
+)
+
+// watchTime returns the length of a watch of the key-value service; zero for a process that relies on the lookouts.
+//
+// The lookouts are the first by rank of the processes that this one hears and that reach the service, so that a
+// process which hears no other is its own.
+func (s *Site) watchTime() time.Duration {
+	self := s.peers.Self().Name()
+	var l, lost []string
+	for _, p := range s.peers.All() {
+		switch {
+		case !p.Alive() || p.Member().Leaving():
+		case p.StoreLost():
+			lost = append(lost, p.Member().Name())
+		default:
+			l = append(l, p.Member().Name())
+		}
+	}
+	if s.storeLost() {
+		lost = append(lost, self)
+	} else {
+		l = append(l, self)
+	}
+	if len(l) == 0 {
+		l = lost
+	}
+	if i := slices.Index(rank.Order("lookout", l), self); i >= 0 && i < lookouts {
+		return lookoutWatch
+	}
+	return 0
+}
+
+// snapshot returns what the process has read of the key-value service beyond the changes operated and servers.
+func (s *Site) snapshot(operated, servers uint64) (l []bulrushlug.Item, manifest, backends uint64) {
+	if s.operated.Newest() > operated {
+		l, manifest = s.operated.Items(), s.operated.Revision()
+	}
+	if s.servers.Newest() > servers {
+		l, backends = append(l, s.servers.Items()...), s.servers.Revision()
+	}
+	return l, manifest, backends
+}
+
+// ask reads from other processes what this one has not seen.
+func (s *Site) ask(c context.Context) error {
+	for c.Err() == nil {
+		select {
+		case p := <-s.news:
+			s.askOne(c, p)
+		case <-c.Done():
+		}
+	}
+	return nil
+}
+
+// hear notes which changes the process of r saw, and asks it for those that this one has not seen.
+func (s *Site) hear(r bulrushlug.Report) {
+	operated, servers := r.Seen()
+	s.operated.Hint(operated)
+	s.servers.Hint(servers)
+	if operated <= s.operated.Newest() && servers <= s.servers.Newest() || s.watchTime() > 0 && !s.storeLost() {
+		return
+	}
+	select {
+	case s.news <- r.Member():
+	default:
+	}
+}
+
+func (s *Site) askOne(c context.Context, p bulrushlug.Member) {
+	l, m, b, err := s.client.Snapshot(c, p.Address(), s.operated.Newest(), s.servers.Newest())
+	if err != nil {
+		_ = s.logger.Log("event", "notAsked", "peer", p.Name(), "err", err)
+		return
+	}
+	var operated, servers []bulrushlug.Item
+	for _, i := range l {
+		if strings.HasPrefix(i.Key(), platform.BackendPrefix) {
+			servers = append(servers, i)
+		} else {
+			operated = append(operated, i)
+		}
+	}
+	if m > 0 {
+		s.operated.Offer(operated, m)
+	}
+	if b > 0 {
+		s.servers.Offer(servers, b)
+	}
+}
--- a/slots/table.go
+++ b/slots/table.go
@@ -3,14 +3,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushlug.dev/bulrushlug"
-	"bulrushlug.dev/bulrushlug/rank"
 )
 
 const (
@@ -48,7 +46,6 @@
 	until   time.Time     // The server is passed over before this time.
 	penalty time.Duration // Length of the next pause; zero after a success.
 	pace    float64       // Smoothed time between events in seconds; zero before the first.
-	fence   chan struct{} // Closed once this start of the server is gone.
 	started time.Time     // Last start of an own batch item.
 }
 
@@ -90,7 +87,6 @@
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
 		if b, ok := m[id]; !ok || !b.Same(e.backend) {
-			close(e.fence)
 			delete(s.entries, id)
 		}
 	}
@@ -103,7 +99,7 @@
 		e.backend = b
 		return
 	}
-	s.entries[b.ID()] = &entry{backend: b, fence: make(chan struct{})}
+	s.entries[b.ID()] = &entry{backend: b}
 }
 
 // Remote notes what the process vm has under way.
@@ -260,109 +256,6 @@
 	return e.pace
 }
 
-// order tells which process comes first with its batch items at each server.
-type order struct {
-	self string
-	all  []string // All processes that run batch items.
-}
-
-func (t *Table) order() order { return order{self: t.self, all: append(t.rivals(), t.self)} }
-
-// first reports whether this process comes before all others at server id.
-func (o order) first(id string) bool {
-	return rank.First(id, o.all, func(string) bool { return true }) == o.self
-}
-
-// before returns the processes that come before this one at server id.
-func (o order) before(id string) []string {
-	l := rank.Order(id, o.all)
-	return l[:slices.Index(l, o.self)]
-}
-
-// Batch picks a server of service v with a slot that online requests leave idle, or returns nil.
-//
-// At each server one process comes first, so that processes rarely start items for the same slot.
-func (t *Table) Batch(v string) *Lease {
-	now := time.Now()
-	o := t.order()
-	var best choice
-	free, all := 0, 0
-	for i := range t.shards {
-		c, ok, f, n := t.shards[i].idle(v, o, now)
-		free += f
-		all += n
-		if ok && c.better(best) {
-			best = c
-		}
-	}
-	if best.shard == nil || float64(free-1) < batchReserve*float64(all) {
-		return nil
-	}
-	return best.shard.take(best.id, true)
-}
-
-// idle returns the best server of the shard, how many slots of service v are idle in it, and how many there are.
-func (s *shard) idle(v string, o order, now time.Time) (best choice, ok bool, free, all int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, e := range s.entries {
-		if !e.usable(v, nil, now, true) {
-			continue
-		}
-		online, batch := s.load(e, now)
-		n := max(0, int(e.backend.Slots())-online-batch)
-		all += int(e.backend.Slots())
-		free += n
-		first := o.first(id)
-		if n == 0 || !first && now.Sub(e.started) < startPause {
-			continue
-		}
-		c := choice{shard: s, id: id, full: !first, score: -float64(n) - jitter*rand.Float64()}
-		if c.better(best) {
-			best, ok = c, true
-		}
-	}
-	return best, ok, free, all
-}
-
-// Excess returns how many own batch items at each server have to make room for online requests.
-//
-// Processes make room in an order that all of them know, so that no two end items for the same request.
-func (t *Table) Excess() map[string]int {
-	m := map[string]int{}
-	o := t.order()
-	for i := range t.shards {
-		t.shards[i].excess(o, m)
-	}
-	return m
-}
-
-func (s *shard) excess(o order, m map[string]int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	for id, e := range s.entries {
-		if e.batch == 0 {
-			continue
-		}
-		online, _ := s.load(e, now)
-		room := int(e.backend.Slots()) - online - s.before(o, id, now)
-		if n := e.batch - max(0, room); n > 0 {
-			m[id] = n
-		}
-	}
-}
-
-// before returns the batch items at server id of the processes that come before this one.
-func (s *shard) before(o order, id string, now time.Time) (n int) {
-	for _, vm := range o.before(id) {
-		if r, ok := s.remote[vm][id]; ok && now.Sub(r.at) < remoteTimeout {
-			n += r.batch
-		}
-	}
-	return n
-}
-
 // take counts one more request at server id.
 func (s *shard) take(id string, batch bool) *Lease {
 	s.mu.Lock()
@@ -379,55 +272,3 @@
 	}
 	return &Lease{shard: s, entry: e, backend: e.backend, batch: batch}
 }
-
-// Lease is the right to one request at a backend server, until Release.
-type Lease struct {
-	shard   *shard
-	entry   *entry
-	backend bulrushlug.Backend
-	batch   bool
-	once    sync.Once
-}
-
-// Backend returns the server.
-func (l *Lease) Backend() bulrushlug.Backend { return l.backend }
-
-// Gone is closed once this start of the server has left the list.
-func (l *Lease) Gone() <-chan struct{} { return l.entry.fence }
-
-// Release ends the request.
-func (l *Lease) Release() {
-	l.once.Do(func() {
-		l.shard.mu.Lock()
-		defer l.shard.mu.Unlock()
-		if l.batch {
-			l.entry.batch--
-		} else {
-			l.entry.online--
-		}
-	})
-}
-
-// Failed passes the server over for a while, twice as long after each failure.
-func (l *Lease) Failed() {
-	l.shard.mu.Lock()
-	defer l.shard.mu.Unlock()
-	e := l.entry
-	e.penalty = min(max(firstPenalty, 2*e.penalty), maxPenalty)
-	e.until = time.Now().Add(e.penalty)
-}
-
-// Answered notes an answer with so many seconds between its events; zero if they are unknown.
-func (l *Lease) Answered(pace float64) {
-	l.shard.mu.Lock()
-	defer l.shard.mu.Unlock()
-	l.entry.penalty = 0
-	l.entry.until = time.Time{}
-	switch {
-	case pace <= 0:
-	case l.entry.pace == 0:
-		l.entry.pace = pace
-	default:
-		l.entry.pace += paceWeight * (pace - l.entry.pace)
-	}
-}
