--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memtab"
+)
+
+const lease = 3 * time.Second
+
+func process(n int, m *memtab.Table) *Peers {
+	v := fmt.Sprint("e", n)
+	return New(bulrushlug.NewMember(v, v+":1", "r", "z", bulrushlug.RoleEntry), uint64(n), "", m, "vm/", lease, log.NewNopLogger())
+}
+
+func report(vm string, boot, n uint64, o ...bulrushlug.ReportOption) bulrushlug.Report {
+	return bulrushlug.NewReport(bulrushlug.NewMember(vm, vm+":1", "r", "z", bulrushlug.RoleEntry), boot, n, o...)
+}
+
+func TestReported(t *testing.T) {
+	for name, x := range map[string]struct {
+		reports []bulrushlug.Report
+		want    bool // Whether the last one counts.
+	}{
+		"the first":           {reports: []bulrushlug.Report{report("a", 1, 1)}, want: true},
+		"the next":            {reports: []bulrushlug.Report{report("a", 1, 1), report("a", 1, 2)}, want: true},
+		"one that came twice": {reports: []bulrushlug.Report{report("a", 1, 2), report("a", 1, 2)}},
+		"one out of order":    {reports: []bulrushlug.Report{report("a", 1, 2), report("a", 1, 1)}},
+		"a new start":         {reports: []bulrushlug.Report{report("a", 1, 9), report("a", 2, 1)}, want: true},
+		"an old start":        {reports: []bulrushlug.Report{report("a", 2, 1), report("a", 1, 9)}},
+		"the own one":         {reports: []bulrushlug.Report{report("e0", 1, 1)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := process(0, memtab.New())
+			got := false
+			for _, r := range x.reports {
+				got = p.Reported(r)
+			}
+			if got != x.want {
+				t.Errorf("counts: %v", got)
+			}
+		})
+	}
+}
+
+func TestHeard(t *testing.T) {
+	for name, x := range map[string]struct {
+		silent     map[string]bool
+		leaving    map[string]bool
+		heard, all int
+	}{
+		"all are heard":   {heard: 4, all: 4},
+		"one is silent":   {silent: map[string]bool{"a": true}, heard: 3, all: 4},
+		"one is leaving":  {leaving: map[string]bool{"a": true}, heard: 3, all: 3},
+		"none but itself": {silent: map[string]bool{"a": true, "b": true, "c": true}, heard: 1, all: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := process(0, memtab.New())
+				for n := range uint64(3) {
+					for _, v := range []string{"a", "b", "c"} {
+						if n > 0 && x.silent[v] {
+							continue
+						}
+						m := bulrushlug.NewMember(v, v, "r", "z", bulrushlug.RoleEntry).WithLeaving(x.leaving[v])
+						p.Reported(bulrushlug.NewReport(m, 1, n+1))
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				if heard, all := p.Heard(); heard != x.heard || all != x.all {
+					t.Errorf("%d of %d are heard", heard, all)
+				}
+			})
+		})
+	}
+}
+
+func TestEntries(t *testing.T) {
+	for name, x := range map[string]struct {
+		play func(m *memtab.Table, second context.CancelFunc)
+		want int // Processes that the first one knows, besides itself.
+		lost bool
+	}{
+		"both start":         {play: func(*memtab.Table, context.CancelFunc) {}, want: 1},
+		"the service is out": {play: func(m *memtab.Table, _ context.CancelFunc) { m.SetOutage(true); time.Sleep(time.Minute) }, want: 1, lost: true},
+		"it is back": {play: func(m *memtab.Table, _ context.CancelFunc) {
+			m.SetOutage(true)
+			time.Sleep(time.Minute)
+			m.SetOutage(false)
+			time.Sleep(10 * time.Second)
+		}, want: 1},
+		"the second is gone":   {play: func(_ *memtab.Table, stop context.CancelFunc) { stop(); time.Sleep(forgetTime + 2*listTime) }},
+		"the history was lost": {play: func(m *memtab.Table, _ context.CancelFunc) { m.DropHistory(); time.Sleep(10 * time.Second) }, want: 1},
+		"an answer was lost":   {play: func(m *memtab.Table, _ context.CancelFunc) { m.LoseAnswers(1); time.Sleep(10 * time.Second) }, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := memtab.New()
+				c, stop := context.WithCancel(t.Context())
+				d, second := context.WithCancel(c)
+				p, q := process(0, m), process(1, m)
+				go func() { _ = p.Run(c) }()
+				go func() { _ = q.Run(d) }()
+				time.Sleep(2 * time.Second)
+				x.play(m, second)
+				if n := len(p.All()); n != x.want || p.StoreLost() != x.lost {
+					t.Errorf("%d others are known, the service is lost: %v", n, p.StoreLost())
+				}
+				stop()
+				second()
+				synctest.Wait()
+			})
+		})
+	}
+}
