fix(mirror): entries count as missing only where nobody reaches the key-value service

Ruled out: late watches of the others. What a process that reaches the service offers replaces everything; nothing is kept if such a process was heard within 1 s; removals that a watch brings act at once; only what the service answers is asked from others.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -25,8 +25,10 @@
 	restRetry   = 4 * time.Second // The same for processes that rely on others.
 	// returnTime is the time for which entries that went missing are kept after an outage: owners of
 	// entries with leases are back within two seconds of its end.
-	returnTime = 2500 * time.Millisecond
-	sweepTime  = 250 * time.Millisecond
+	returnTime = 2 * time.Second
+	// newsTime is the age up to which a process that reaches the service counts as heard: what it did not tell is not missing.
+	newsTime  = time.Second
+	sweepTime = 250 * time.Millisecond
 )
 
 // Mirror follows the entries under one prefix.
@@ -49,6 +51,7 @@
 	loaded   bool               // items was read at least once.
 	down     time.Time          // Start of the present outage; zero while the service answers.
 	back     time.Time          // End of the last outage.
+	heard    time.Time          // Last time at which a process that reaches the service was heard.
 }
 
 // option sets one part of a mirror.
@@ -104,7 +107,7 @@
 		return err
 	}
 	m.answered()
-	m.replace(l, n)
+	m.replace(l, n, true)
 	for {
 		if m.wait() == 0 {
 			return m.rest(c)
@@ -151,10 +154,11 @@
 	return l, n, err
 }
 
-// Hint says that another process saw a change at revision n.
+// Hint says that another process, which reaches the service, saw a change at revision n.
 func (m *Mirror) Hint(n uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.heard = time.Now()
 	if n > m.newest && m.hint <= m.newest {
 		m.hinted = time.Now()
 	}
@@ -202,8 +206,9 @@
 	m.down, m.back = time.Time{}, time.Now()
 }
 
-// replace makes l, read at revision n, the entries.
-func (m *Mirror) replace(l []bulrushlug.Item, n uint64) {
+// replace makes l, read at revision n, the entries; own says that this process read them, and not another one that
+// reaches the service and keeps what may come back by itself.
+func (m *Mirror) replace(l []bulrushlug.Item, n uint64, own bool) {
 	m.mu.Lock()
 	if m.loaded && n < m.revision {
 		m.mu.Unlock()
@@ -211,13 +216,16 @@
 	}
 	old := m.items
 	m.items = map[string]bulrushlug.Item{}
+	if !own {
+		clear(m.missing)
+	}
 	for _, i := range l {
 		m.items[i.Key()] = i
 		m.newest = max(m.newest, i.Revision())
 		delete(m.missing, i.Key())
 	}
 	for k, i := range old {
-		if _, ok := m.items[k]; !ok && m.holds() {
+		if _, ok := m.items[k]; !ok && own && m.holds() && time.Since(m.heard) > newsTime {
 			m.hold(k, i)
 		}
 	}
@@ -231,16 +239,12 @@
 	m.mu.Lock()
 	for _, i := range l {
 		m.newest = max(m.newest, i.Revision())
-		switch {
-		case i.Value() != nil:
-			m.items[i.Key()] = i
-			delete(m.missing, i.Key())
-		case m.holds():
-			m.hold(i.Key(), m.items[i.Key()])
-		default:
+		delete(m.missing, i.Key())
+		if i.Value() == nil {
 			delete(m.items, i.Key())
-			delete(m.missing, i.Key())
+			continue
 		}
+		m.items[i.Key()] = i
 	}
 	m.revision = max(m.revision, n)
 	if len(l) == 0 {
@@ -250,9 +254,9 @@
 	m.publish()
 }
 
-// holds reports whether entries that go missing now may come back; the caller holds the lock.
+// holds reports whether entries that went missing in an outage may still come back; the caller holds the lock.
 func (m *Mirror) holds() bool {
-	return m.keep && (!m.down.IsZero() || time.Since(m.back) < returnTime)
+	return m.keep && time.Since(m.back) < returnTime
 }
 
 // hold keeps entry i although it is gone from the service; the caller holds the lock.
@@ -296,13 +300,13 @@
 	m.publish()
 }
 
-// Offer takes over entries that another process read at revision n, if they are newer.
+// Offer takes over entries that another process, which reaches the service, read at revision n, if they are newer.
 func (m *Mirror) Offer(l []bulrushlug.Item, n uint64) {
 	m.mu.Lock()
 	newer := !m.loaded || n > m.revision
 	m.mu.Unlock()
 	if newer {
-		m.replace(l, n)
+		m.replace(l, n, false)
 	}
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -104,6 +104,16 @@
 			remove(t, m, "p/a")
 			time.Sleep(1500 * time.Millisecond)
 		}, want: "p/b=1"},
+		"a removal after an outage in which others told of all": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, r *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(4 * time.Second)
+			m.SetOutage(false)
+			remove(t, m, "p/a")
+			for range 16 {
+				r.Hint(1)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}, want: "p/b=1"},
 		"a removal in calm acts at once": {option: []option{WithReturn()}, play: func(t *testing.T, m *memtab.Table, _ *Mirror) {
 			time.Sleep(5 * time.Second)
 			remove(t, m, "p/a")
@@ -114,6 +124,11 @@
 			time.Sleep(2 * time.Second)
 			r.Offer([]bulrushlug.Item{bulrushlug.NewItem("p/a", []byte("9"), 90)}, 99)
 		}, want: "p/a=9"},
+		"news of another process are not mixed with what is kept": {option: []option{WithReturn()}, play: func(_ *testing.T, m *memtab.Table, r *Mirror) {
+			m.SetOutage(true)
+			time.Sleep(2 * time.Second)
+			r.Offer([]bulrushlug.Item{bulrushlug.NewItem("p/a", []byte("9"), 90)}, 99)
+		}, want: "p/a=9"},
 		"old news of another process": {play: func(_ *testing.T, m *memtab.Table, r *Mirror) {
 			m.SetOutage(true)
 			time.Sleep(2 * time.Second)
--- a/site/news.go
+++ b/site/news.go
@@ -64,14 +64,20 @@
 	return nil
 }
 
-// hear notes which changes the process of r saw, and asks it for those that this one has not seen.
+// hear notes which changes the process of r saw, and asks it for those that this one has not seen. A process that the
+// service does not answer keeps entries that may be gone; only one that knows nothing at all asks it.
 func (s *Site) hear(r bulrushlug.Report) {
 	operated, servers := r.Seen()
-	s.operated.Hint(operated)
-	s.servers.Hint(servers)
+	if !r.StoreLost() {
+		s.operated.Hint(operated)
+		s.servers.Hint(servers)
+	}
 	if operated <= s.operated.Newest() && servers <= s.servers.Newest() || s.watchTime() > 0 && !s.storeLost() {
 		return
 	}
+	if r.StoreLost() && s.operated.Newest() > 0 && s.servers.Newest() > 0 {
+		return
+	}
 	select {
 	case s.news <- r.Member():
 	default:
