fix(run): SIGHUP does not end a process

Shown by six runs of the script, started a second apart from a shell that ended after 9.5 s: the four that had an agent stopped failed the same way. Ruled out: the signals of the script, load.

--- a/cmds/run.go
+++ b/cmds/run.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGHUP) // The settings are read at the start only; a lost terminal ends no process.
 	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return n.Run(c)
--- a/script_test.go
+++ b/script_test.go
@@ -230,7 +230,7 @@
 func signal(ts *testscript.TestScript, _ bool, a []string) {
 	n, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(a[1])))
 	ts.Check(err)
-	x := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL}
+	x := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "HUP": syscall.SIGHUP}
 	ts.Check(syscall.Kill(n, x[a[0]]))
 }
 
