refactor: a kind of error that nobody used is gone, two comments say what they describe

Run: vet of the packages touched and of the processes, tests of kinds, replaced primaries and the order of offers.

--- a/kind.go
+++ b/kind.go
@@ -29,7 +29,6 @@
 	KindRepeated
 	KindHistoryLost
 	KindMisdirected
-	KindHeaderTooLarge
 	kindCount
 )
 
@@ -59,7 +58,6 @@
 	KindRepeated:        {name: "repeated", status: 409, ran: true},
 	KindHistoryLost:     {name: "historyLost", status: 410},
 	KindMisdirected:     {name: "misdirected", status: 503, retryable: true},
-	KindHeaderTooLarge:  {name: "headerTooLarge", status: 431},
 }
 
 // Answer returns how k is reported to a caller.
--- a/locate/lots.go
+++ b/locate/lots.go
@@ -28,7 +28,7 @@
 	retryWait     = 400 * time.Millisecond  // Time after which a refused call is worth another try.
 )
 
-// Remote reaches the processes with disks.
+// remote reaches the processes with disks.
 type remote interface {
 	Submit(c context.Context, a string, l bulrushlug.Lot) error
 	Read(c context.Context, a string, q bulrushlug.LotQuery) (bulrushlug.LotPage, error)
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -22,11 +22,11 @@
 
 const (
 	shardCount  = 16
-	copyTimeout = 700 * time.Millisecond // Longest wait for one replica; a slow one holds up an acceptance no longer.
-	bulkTimeout = 3 * time.Second        // Longest wait for a replica that takes a whole log.
-	lookTime    = 150 * time.Millisecond // Time between looks at what should change.
-	retryTime   = 300 * time.Millisecond // Time between tries to change the replicas of one lot.
-	startTime   = 1500 * time.Millisecond
+	copyTimeout = 700 * time.Millisecond  // Longest wait for one replica; a slow one holds up an acceptance no longer.
+	bulkTimeout = 3 * time.Second         // Longest wait for a replica that takes a whole log.
+	lookTime    = 150 * time.Millisecond  // Time between looks at what should change.
+	retryTime   = 300 * time.Millisecond  // Time between tries to change the replicas of one lot.
+	startTime   = 1500 * time.Millisecond // Time after the start in which nobody counts as silent, as reports are still to come.
 	// freshTime is the age up to which the agreement of the replicas allows to start items.
 	freshTime = time.Second
 	// staleTime is the age of the agreement of the replicas at which items that run are ended: longer than a
