fix(lots): a claim confirms only its own epoch, and an epoch is promised to one claim

Its last line says that a replica confirmed an epoch in which it is not the primary. With three copies two survivors claim at the same time. While one wrote its record (250 ms in a slow service) it promised the other's later epoch, and then confirmed that one: what it confirmed was read from the lot after the write. The other adopted the record. Each took the other for the primary, both were alive, so nobody changed anything, and no line said so. Ruled out: a torn or removed log (no lotDropped line on any disk), a call that hangs (the state outlived a restart). Change: the record is written for one step and refused if the disk follows another one by then; only that step is confirmed; a disk gives up its own failed claim for the record, but no promise to another; claims of the same epoch no longer replace each other; times between tries are random; a replica that callers take for the primary reads the record. Lines lotClaim and lotConfirmed name the disks. Tests: clusters of three copies, a slow service, slow failures, a lost disk beside a cut.

--- a/lots/accept.go
+++ b/lots/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,7 +34,7 @@
 		k.withdraw(c, x.ID(), r)
 		return bulrushlug.WrapFault(bulrushlug.KindMisdirected, "lot "+x.ID(), err)
 	}
-	if err := k.settle(c, x.ID()); err != nil {
+	if err := k.settle(c, x.ID(), u); err != nil {
 		return err
 	}
 	if known, err := k.await(c, x.ID()); known || err != nil {
@@ -174,15 +175,15 @@
 	return l
 }
 
-// settle makes the record of a lot whose copies are in place.
-func (k *Keeper) settle(c context.Context, i string) error {
+// settle makes the record of a lot whose copies are in place by the step u.
+func (k *Keeper) settle(c context.Context, i string, u bulrushlug.LotUpdate) error {
 	for {
-		err := k.record(c, i, 0)
+		r, err := k.record(c, i, 0, u)
 		switch kind := bulrushlug.KindOf(err); {
 		case err == nil:
-			return k.accepted(i)
+			return k.accepted(i, r)
 		case kind == bulrushlug.KindConflict:
-			return k.adopt(c, i, true)
+			return k.adopt(c, i, u)
 		case kind == bulrushlug.KindStoreDown || kind == bulrushlug.KindRateLimited:
 			if e := bulrushlug.Wait(c, retryTime); e != nil {
 				return k.giveUp(c, i, err)
@@ -208,29 +209,36 @@
 	return bulrushlug.WrapFault(bulrushlug.KindStoreDown, "lot "+i, err)
 }
 
-// record writes the record of lot i by what this disk has, if its revision is n.
-func (k *Keeper) record(c context.Context, i string, n uint64) error {
+// record writes the record of lot i for the step u, if its revision is n, and returns it.
+//
+// It fails with KindConflict on a disk that does not follow u any more: only the claim that placed its copies may
+// make them the record.
+func (k *Keeper) record(c context.Context, i string, n uint64, u bulrushlug.LotUpdate) (bulrushlug.LotRecord, error) {
 	var r bulrushlug.LotRecord
-	if !k.with(i, func(l *lot) { r = k.recordOf(l) }) {
-		return bulrushlug.NewFault(bulrushlug.KindUnplaceable, "lot %s was dropped", i)
+	follows := false
+	k.with(i, func(l *lot) {
+		if follows = l.same(u); follows {
+			r = bulrushlug.NewLotRecord(l.epoch, l.replicas, l.head.Organisation(), l.head.Sent().Add(k.keep+expireTime))
+		}
+	})
+	if !follows {
+		return r, bulrushlug.NewFault(bulrushlug.KindConflict, "lot %s does not follow epoch %d any more", i, u.Epoch())
 	}
 	b, err := codec.EncodeLotRecord(r)
 	if err != nil {
-		return err
+		return r, err
 	}
 	_, err = k.table.Commit(c, []bulrushlug.Condition{bulrushlug.NewCondition(k.prefix+i, n)}, []bulrushlug.Write{bulrushlug.PutWrite(k.prefix+i, b, 0)})
-	return err
-}
-
-func (k *Keeper) recordOf(l *lot) bulrushlug.LotRecord {
-	return bulrushlug.NewLotRecord(l.epoch, l.replicas, l.head.Organisation(), l.head.Sent().Add(k.keep+expireTime))
+	return r, err
 }
 
-// accepted notes that the record names what this disk has, and tells the other replicas.
-func (k *Keeper) accepted(i string) error {
+// accepted notes that r, which this disk had when it was written, is the record, and tells the other replicas.
+//
+// A disk that promised a later epoch while r was written does not follow r any more; it reads the record again.
+func (k *Keeper) accepted(i string, r bulrushlug.LotRecord) error {
 	var u bulrushlug.LotUpdate
 	if !k.with(i, func(l *lot) {
-		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, true)
+		u = bulrushlug.NewLotUpdate(i, r.Epoch(), r.Replicas(), len(l.entries), nil, true)
 	}) {
 		return bulrushlug.NewFault(bulrushlug.KindUncertain, "lot %s was dropped", i)
 	}
@@ -243,7 +251,7 @@
 		l.verified = time.Now()
 		l.notify()
 	})
-	_ = k.logger.Log("event", "lotConfirmed", "lot", i, "epoch", u.Epoch(), "entries", u.From())
+	_ = k.logger.Log("event", "lotConfirmed", "lot", i, "epoch", u.Epoch(), "entries", u.From(), "disks", strings.Join(u.Replicas(), ","))
 	for _, d := range u.Replicas()[1:] {
 		go func() {
 			if _, err := k.send(context.Background(), d, u, copyTimeout); err != nil {
@@ -265,8 +273,9 @@
 	return r, x.Revision(), err
 }
 
-// adopt makes this disk follow the record of lot i; placed says that all replicas in it were just given all entries.
-func (k *Keeper) adopt(c context.Context, i string, placed bool) error {
+// adopt makes this disk follow the record of lot i; placed is a step of its own whose copies are in place, if there
+// is one. The disk gives up that step for the record, but no later one: another disk relies on it.
+func (k *Keeper) adopt(c context.Context, i string, placed bulrushlug.LotUpdate) error {
 	r, n, err := k.read(c, i)
 	if err != nil {
 		return err
@@ -278,18 +287,18 @@
 		k.drop(i, "another epoch has other replicas")
 		return nil
 	}
-	var same bool
-	var u bulrushlug.LotUpdate
-	k.with(i, func(l *lot) {
-		same = l.epoch == r.Epoch() && slices.Equal(l.replicas, r.Replicas())
-		u = bulrushlug.NewLotUpdate(i, r.Epoch(), r.Replicas(), len(l.entries), nil, true)
-	})
-	if same && placed {
-		return k.accepted(i)
+	if placed.Epoch() == r.Epoch() && slices.Equal(placed.Replicas(), r.Replicas()) {
+		return k.accepted(i, r)
 	}
-	if _, err := k.keepStep(u, func(l *lot) bool { return l.epoch <= u.Epoch() || !l.confirmed }); err != nil {
+	var u bulrushlug.LotUpdate
+	k.with(i, func(l *lot) { u = bulrushlug.NewLotUpdate(i, r.Epoch(), r.Replicas(), len(l.entries), nil, true) })
+	s, err := k.keepStep(u, func(l *lot) bool { return l.epoch <= u.Epoch() || !l.confirmed && l.same(placed) })
+	if err != nil {
 		return err
 	}
+	if !s.OK() {
+		return bulrushlug.NewFault(bulrushlug.KindConflict, "lot %s: epoch %d is promised, and the record names epoch %d", i, s.Epoch(), r.Epoch())
+	}
 	k.with(i, func(l *lot) { l.moved, l.recheck, l.read = false, true, time.Now() })
 	return nil
 }
--- a/lots/answer.go
+++ b/lots/answer.go
@@ -69,6 +69,7 @@
 	k.with(q.ID(), func(l *lot) {
 		switch {
 		case !l.serving(k.disk):
+			l.moved = l.moved || !l.primary(k.disk) && time.Since(l.read) > misledTime
 			err = bulrushlug.NewFault(bulrushlug.KindMisdirected, "lot %s is run elsewhere", q.ID())
 		case l.head.Organisation() != q.Organisation():
 			err = bulrushlug.NewFault(bulrushlug.KindNotFound, "lot %s belongs to another organisation", q.ID())
--- a/lots/change.go
+++ b/lots/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -45,7 +46,7 @@
 		done := true
 		k.with(i, func(l *lot) {
 			if err != nil {
-				l.next = time.Now().Add(retryTime)
+				l.next = time.Now().Add(retryTime/2 + rand.N(retryTime))
 			}
 			t = k.needs(l)
 			if done = err != nil || t == taskNone; done {
@@ -157,7 +158,7 @@
 	later := false
 	k.with(i, func(l *lot) { later = l.epoch > r.Epoch() && !l.confirmed })
 	if !later {
-		return k.adopt(c, i, false)
+		return k.adopt(c, i, bulrushlug.LotUpdate{})
 	}
 	if !slices.Contains(r.Replicas(), k.disk) {
 		k.drop(i, "a claim was not settled and the record has other replicas")
--- a/lots/claim.go
+++ b/lots/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 
 	"bulrushlug.dev/bulrushlug"
 )
@@ -17,7 +18,7 @@
 		return k.reread(c, i)
 	}
 	if k.superseded(i, r) {
-		return k.adopt(c, i, false)
+		return k.adopt(c, i, bulrushlug.LotUpdate{})
 	}
 	to := k.successors(r)
 	if len(to) < k.copies {
@@ -32,6 +33,7 @@
 		return bulrushlug.NewFault(bulrushlug.KindConflict, "lot %s: epoch %d can't be promised: %v", i, u.Epoch(), err)
 	}
 	k.with(i, func(l *lot) { l.stale = false })
+	_ = k.logger.Log("event", "lotClaim", "lot", i, "epoch", u.Epoch(), "entries", u.From(), "disks", strings.Join(to, ","), "after", strings.Join(r.Replicas(), ","))
 	err = each(to, func(d string) error {
 		if d == k.disk {
 			return nil
@@ -41,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	return k.replace(c, i, n, r)
+	return k.replace(c, u, n, r)
 }
 
 // superseded reports whether the record r has an epoch that this disk does not know.
@@ -66,49 +68,39 @@
 	return k.choose(l[:min(len(l), k.copies)])
 }
 
-// replace writes the record of a claim whose copies are in place; r is the record before.
-func (k *Keeper) replace(c context.Context, i string, n uint64, r bulrushlug.LotRecord) error {
-	err := k.record(c, i, n)
-	switch bulrushlug.KindOf(err) {
-	case bulrushlug.KindConflict:
-		if err != nil {
-			return k.adopt(c, i, true)
+// replace writes the record of the claim u, whose copies are in place; r is the record before, of revision n.
+func (k *Keeper) replace(c context.Context, u bulrushlug.LotUpdate, n uint64, r bulrushlug.LotRecord) error {
+	for {
+		now, err := k.record(c, u.Lot(), n, u)
+		switch kind := bulrushlug.KindOf(err); {
+		case err == nil:
+			return k.replaced(c, u.Lot(), r, now)
+		case kind == bulrushlug.KindConflict:
+			return k.adopt(c, u.Lot(), u)
+		case kind != bulrushlug.KindUncertain:
+			return err
 		}
-	case bulrushlug.KindUncertain:
 		if e := bulrushlug.Wait(c, retryTime/3); e != nil {
 			return err
 		}
-		return k.replace(c, i, n, r)
-	}
-	if err != nil {
-		return err
 	}
-	return k.replaced(c, i, r)
 }
 
-// replaced ends a claim: the new replicas are told, and those that are left out forget the lot.
-func (k *Keeper) replaced(c context.Context, i string, old bulrushlug.LotRecord) error {
-	var now []string
-	var epoch uint64
-	k.with(i, func(l *lot) { now, epoch = slices.Clone(l.replicas), l.epoch })
-	err := k.accepted(i)
-	if !slices.Contains(now, k.disk) {
-		err = each(now, func(d string) error { return k.sendConfirmation(c, d, i) })
+// replaced ends a claim that made the record now: the new replicas are told, and those that are left out forget the lot.
+func (k *Keeper) replaced(c context.Context, i string, old, now bulrushlug.LotRecord) error {
+	err := k.accepted(i, now)
+	if !slices.Contains(now.Replicas(), k.disk) {
+		u := bulrushlug.NewLotUpdate(i, now.Epoch(), now.Replicas(), 0, nil, true)
+		k.with(i, func(l *lot) { u = bulrushlug.NewLotUpdate(i, now.Epoch(), now.Replicas(), len(l.entries), nil, true) })
+		err = each(now.Replicas(), func(d string) error { return k.sendAll(c, d, u, copyTimeout) })
 		k.drop(i, "it was handed over")
 	}
 	var out []string
 	for _, d := range old.Replicas() {
-		if !slices.Contains(now, d) {
+		if !slices.Contains(now.Replicas(), d) {
 			out = append(out, d)
 		}
 	}
-	k.forget(c, i, epoch-1, out)
+	k.forget(c, i, now.Epoch()-1, out)
 	return err
 }
-
-// sendConfirmation tells the replica on disk d that the record names its epoch.
-func (k *Keeper) sendConfirmation(c context.Context, d, i string) error {
-	var u bulrushlug.LotUpdate
-	k.with(i, func(l *lot) { u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, true) })
-	return k.sendAll(c, d, u, copyTimeout)
-}
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	copies    = 2
 	callDelay = time.Millisecond
+	cutDelay  = 400 * time.Millisecond // Time after which a call to a VM that is cut off fails.
+	slowDelay = 250 * time.Millisecond // Time that the key-value service takes for an answer while it is slow.
 	tellEvery = 100 * time.Millisecond
 	itemTime  = 200 * time.Millisecond
 	keepTime  = 5 * time.Minute
@@ -98,13 +99,15 @@
 	offered  map[string]int            // Items of each lot.
 	ended    map[string]bool
 	boots    uint64
+	copies   int  // Disks that hold what is accepted.
+	slow     bool // The key-value service is slow.
 	out      log.Logger
 }
 
 var errCut = errors.New("cut off")
 
-func newCluster(t *testing.T, c context.Context, n int) *cluster {
-	k := &cluster{t: t, c: c, table: memtab.New(), vms: map[string]*vm{}, cut: map[string]bool{}, apart: map[string]bool{}, retiring: map[string]bool{},
+func newCluster(t *testing.T, c context.Context, n, copies int) *cluster {
+	k := &cluster{t: t, c: c, copies: copies, table: memtab.New(), vms: map[string]*vm{}, cut: map[string]bool{}, apart: map[string]bool{}, retiring: map[string]bool{},
 		seen: map[string]map[int]string{}, items: map[string]int{}, offered: map[string]int{}, ended: map[string]bool{}, out: log.NewNopLogger()}
 	if os.Getenv("LOTS_LOG") != "" {
 		k.out = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
@@ -133,7 +136,20 @@
 	vm      string
 }
 
+// wait takes as long as a call on its way to the service, or back.
+func (t tableOf) wait(c context.Context) {
+	t.cluster.mu.Lock()
+	d := callDelay
+	if t.cluster.slow {
+		d = slowDelay / 2
+	}
+	t.cluster.mu.Unlock()
+	_ = bulrushlug.Wait(c, d)
+}
+
 func (t tableOf) Get(c context.Context, k string) (bulrushlug.Item, error) {
+	t.wait(c)
+	defer t.wait(c)
 	if t.cluster.isCut(t.vm) {
 		return bulrushlug.Item{}, bulrushlug.NewFault(bulrushlug.KindStoreDown, "cut off")
 	}
@@ -141,6 +157,8 @@
 }
 
 func (t tableOf) Commit(c context.Context, on []bulrushlug.Condition, w []bulrushlug.Write) (uint64, error) {
+	t.wait(c)
+	defer t.wait(c)
 	if t.cluster.isCut(t.vm) {
 		return 0, bulrushlug.NewFault(bulrushlug.KindStoreDown, "cut off")
 	}
@@ -163,7 +181,7 @@
 	t := tableOf{k.table, k, n}
 	l := log.With(k.out, "vm", n)
 	v.peers = peers.New(v.member, v.boot, d.name, t, "vm/", time.Second, l)
-	v.keeper = New(d, network{k, n}, t, "lot/", v.peers, l, WithCopies(copies), WithKeep(keepTime), WithRetiring(func(x string) bool {
+	v.keeper = New(d, network{k, n}, t, "lot/", v.peers, l, WithCopies(k.copies), WithKeep(keepTime), WithRetiring(func(x string) bool {
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		return k.retiring[x]
@@ -235,9 +253,13 @@
 		return nil, err
 	}
 	n.cluster.mu.Lock()
-	defer n.cluster.mu.Unlock()
 	v := n.cluster.vms[a]
-	if v == nil || !v.alive || !n.cluster.reaches(n.from, a) {
+	down, apart := v == nil || !v.alive, !n.cluster.reaches(n.from, a)
+	n.cluster.mu.Unlock()
+	if apart {
+		_ = bulrushlug.Wait(c, cutDelay)
+	}
+	if down || apart {
 		return nil, bulrushlug.WrapFault(bulrushlug.KindUncertain, a, errCut)
 	}
 	return v.keeper, nil
@@ -495,6 +517,37 @@
 		delete(k.cut, n)
 		k.mu.Unlock()
 	},
+	"lose a disk while one is cut off": func(k *cluster, r *rand.Rand) {
+		if k.copies < 3 {
+			return
+		}
+		time.Sleep(5 * time.Second) // No more disks at once than are tolerated.
+		n, x := anyVM(k, r), anyVM(k, r)
+		k.kill(n)
+		k.mu.Lock()
+		k.cut[x] = x != n
+		k.mu.Unlock()
+		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		k.start(n, newDisk(fmt.Sprint("disk-new-", k.boots)))
+		pause(r)
+		k.mu.Lock()
+		delete(k.cut, x)
+		k.mu.Unlock()
+		time.Sleep(5 * time.Second)
+	},
+	"slow service and kill": func(k *cluster, r *rand.Rand) {
+		k.mu.Lock()
+		k.slow = true
+		k.mu.Unlock()
+		n := anyVM(k, r)
+		d := k.kill(n)
+		pause(r)
+		k.start(n, d)
+		pause(r)
+		k.mu.Lock()
+		k.slow = false
+		k.mu.Unlock()
+	},
 	"cut from the others": func(k *cluster, r *rand.Rand) {
 		n := anyVM(k, r)
 		k.mu.Lock()
@@ -570,12 +623,24 @@
 	},
 }
 
-// play runs the given faults while lots come in and are read.
+// sizes are the clusters on which faults are played.
+var sizes = map[string]struct{ vms, copies int }{
+	"two copies":   {vms: 4, copies: 2},
+	"three copies": {vms: 6, copies: 3},
+}
+
+// play runs the given faults while lots come in and are read, on clusters of all sizes.
 func play(t *testing.T, seed uint64, names []string) {
+	for name, x := range sizes {
+		t.Run(name, func(t *testing.T) { playOn(t, seed, names, x.vms, x.copies) })
+	}
+}
+
+func playOn(t *testing.T, seed uint64, names []string, vms, copies int) {
 	synctest.Test(t, func(t *testing.T) {
 		c, stop := context.WithCancel(t.Context())
 		r := rand.New(rand.NewPCG(seed, seed))
-		k := newCluster(t, c, 4)
+		k := newCluster(t, c, vms, copies)
 		var w sync.WaitGroup
 		reading, quiet := context.WithCancel(c)
 		w.Go(func() { k.readers(reading, rand.New(rand.NewPCG(seed, 1))) })
@@ -602,7 +667,7 @@
 	for name := range faults {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(4) {
-				play(t, seed, []string{name})
+				t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed, []string{name}) })
 			}
 		})
 	}
@@ -658,7 +723,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, stop := context.WithCancel(t.Context())
 				defer stop()
-				k := newCluster(t, c, 4)
+				k := newCluster(t, c, 4, 2)
 				k.submit("lot", 100)
 				time.Sleep(time.Second)
 				p := k.primary("lot")
@@ -692,7 +757,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, stop := context.WithCancel(t.Context())
 				defer stop()
-				k := newCluster(t, c, 2)
+				k := newCluster(t, c, 2, 2)
 				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
 				if by == "d0" {
 					if err := k.vms["d0"].keeper.Submit(c, l); err != nil {
@@ -730,7 +795,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, stop := context.WithCancel(t.Context())
 				defer stop()
-				k := newCluster(t, c, 4)
+				k := newCluster(t, c, 4, 2)
 				k.submit("lot", 100)
 				time.Sleep(time.Second)
 				p := k.primary("lot")
@@ -747,3 +812,50 @@
 		})
 	}
 }
+
+// TestPromiseWhileTheRecordIsWritten shows that a claim whose disk promised a later epoch meanwhile confirms only its
+// own epoch, and that the lot is read again afterwards.
+func TestPromiseWhileTheRecordIsWritten(t *testing.T) {
+	for name, at := range map[string]time.Duration{
+		"while the copies are placed":     slowDelay + callDelay,
+		"while the record is on its way":  slowDelay + slowDelay/4,
+		"while the answer is on its way":  slowDelay + slowDelay*3/4,
+		"just before the answer is there": 2*slowDelay + 2*callDelay - time.Microsecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, 6, 3)
+				k.submit("lot", 10)
+				time.Sleep(5 * time.Second)
+				p := k.primary("lot")
+				var l []string
+				var e []bulrushlug.LotEntry
+				k.vms[p].keeper.with("lot", func(x *lot) { l, e = slices.Clone(x.replicas), slices.Clone(x.entries) })
+				claimer := k.vms["d"+strings.TrimPrefix(l[1], "disk-")].keeper
+				k.mu.Lock()
+				k.slow = true
+				k.mu.Unlock()
+				var w sync.WaitGroup
+				w.Go(func() { _ = claimer.claim(c, "lot") })
+				time.Sleep(at)
+				other := bulrushlug.NewLotUpdate("lot", 3, []string{l[2], l[1], l[0]}, 0, e, false)
+				s, err := claimer.Append(other)
+				if err != nil || !s.OK() {
+					t.Fatal(s, err)
+				}
+				w.Wait()
+				claimer.with("lot", func(x *lot) {
+					if x.epoch == 3 && x.confirmed {
+						t.Error("an epoch is confirmed that the record does not name")
+					}
+				})
+				time.Sleep(recovery)
+				k.whole()
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -25,7 +25,8 @@
 	copyTimeout = 700 * time.Millisecond  // Longest wait for one replica; a slow one holds up an acceptance no longer.
 	bulkTimeout = 3 * time.Second         // Longest wait for a replica that takes a whole log.
 	lookTime    = 150 * time.Millisecond  // Time between looks at what should change.
-	retryTime   = 300 * time.Millisecond  // Time between tries to change the replicas of one lot.
+	retryTime   = 300 * time.Millisecond  // Mean time between tries to change the replicas of one lot; random, as two claims may collide.
+	misledTime  = 2 * time.Second         // Least time between looks at the record by a replica that callers take for the primary.
 	startTime   = 1500 * time.Millisecond // Time after the start in which nobody counts as silent, as reports are still to come.
 	// freshTime is the age up to which the agreement of the replicas allows to start items.
 	freshTime = time.Second
@@ -213,15 +214,15 @@
 	return d
 }
 
-// follows reports whether l may take the step u of another primary; a draft does not replace that of another
-// primary which may still be accepting the lot.
+// follows reports whether l may take the step u of another primary; an epoch is promised to one claim only, and a
+// draft does not replace that of another primary which may still be accepting the lot.
 func follows(l *lot, u bulrushlug.LotUpdate) bool {
 	switch {
 	case u.Epoch() != l.epoch:
 		return u.Epoch() > l.epoch
 	case u.Confirmed() || slices.Equal(u.Replicas(), l.replicas):
 		return true
-	case l.confirmed:
+	case l.confirmed, l.epoch > firstEpoch:
 		return false
 	}
 	return l.primary(u.Replicas()[0]) || time.Since(l.born) > draftTime
