feat(slots): online requests go where fewest online requests are; whoever runs batch items there hears of each

A trial that logged what an entry knew when it picked a server whose first event took over 250 ms showed seven entries that picked the same server within 100 ms: idle slots went before slots that batch items hold, at a crest few servers have an idle one, and all processes pick these. Change: a slot that a batch item has to free counts one request more than an idle one. The processes with batch items at the picked server get a report at once, in place of a broadcast that asked for one slot; the kind of message for that is gone. Reports name lots whose primary a process became, so that entries need no look-up in the service.

--- a/codec/report.go
+++ b/codec/report.go
@@ -27,9 +27,7 @@
 	for _, s := range r.Spendings() {
 		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
 	}
-	for _, y := range r.Yields() {
-		w.Yields = append(w.Yields, &wire.Yield{Backend: y.Backend(), Count: y.Count()})
-	}
+	w.Lots = r.Lots()
 	return w
 }
 
@@ -44,10 +42,6 @@
 	for _, x := range w.Spendings {
 		s = append(s, bulrushlug.NewSpending(x.Organisation, x.Admitted, x.Level))
 	}
-	var y []bulrushlug.Yield
-	for _, x := range w.Yields {
-		y = append(y, bulrushlug.NewYield(x.Backend, x.Count))
-	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeen(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
-		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportYields(y...))
+		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportLots(w.Lots))
 }
--- a/direct/stage.go
+++ b/direct/stage.go
@@ -35,12 +35,13 @@
 	table    *slots.Table
 	caller   bulrushlug.Caller
 	recorder bulrushlug.Recorder
-	yield    func(b string) // Asks others to free a slot.
+	placed   func(vms []string) // Tells processes whose batch items share a server with a new request.
 }
 
-// New returns a stage over the servers in t; y asks for a slot that batch items hold.
-func New(t *slots.Table, c bulrushlug.Caller, e bulrushlug.Recorder, y func(b string)) *Stage {
-	return &Stage{table: t, caller: c, recorder: e, yield: y}
+// New returns a stage over the servers in t; f tells the given processes, whose batch items share a server with a new
+// request.
+func New(t *slots.Table, c bulrushlug.Caller, e bulrushlug.Recorder, f func(vms []string)) *Stage {
+	return &Stage{table: t, caller: c, recorder: e, placed: f}
 }
 
 // attempt is one request on its way through the servers.
@@ -107,13 +108,13 @@
 
 // send offers the request to one server; it reports whether another one may be tried after the error.
 func (a *attempt) send(c context.Context) (bool, error) {
-	l, yield := a.table.Online(a.service, a.skip)
+	l, holders := a.table.Online(a.service, a.skip)
 	if l == nil {
 		return false, bulrushlug.NewFault(bulrushlug.KindOverloaded, "no server of %s has room: %d known, %d tried", a.service, a.table.Known(a.service), len(a.skip)).WithWait(retryWait)
 	}
 	defer l.Release()
-	if yield {
-		a.yield(l.Backend().ID())
+	if len(holders) > 0 {
+		a.placed(holders)
 	}
 	t := time.Now()
 	p, err := a.call(c, l)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -47,16 +47,31 @@
 }
 
 // Tell reports at once and returns the number of processes told.
-func (g *Gossip) Tell(o ...bulrushlug.ReportOption) int {
+func (g *Gossip) Tell() int {
 	l := g.peers.All()
-	m := bulrushlug.MessageReport(g.report(o))
+	g.send(l)
+	return len(l)
+}
+
+// TellTo reports at once to the processes on the given VMs.
+func (g *Gossip) TellTo(vms []string) {
+	var l []peers.Peer
+	for _, v := range vms {
+		if p, ok := g.peers.On(v); ok {
+			l = append(l, p)
+		}
+	}
+	g.send(l)
+}
+
+func (g *Gossip) send(l []peers.Peer) {
+	m := bulrushlug.MessageReport(g.report())
 	for _, p := range l {
 		g.mesh.Send(p.Member().Address(), bulrushlug.NewMessage(m))
 	}
-	return len(l)
 }
 
-func (g *Gossip) report(o []bulrushlug.ReportOption) bulrushlug.Report {
+func (g *Gossip) report() bulrushlug.Report {
 	s := g.peers.Self().WithLeaving(g.leaving.Load())
-	return bulrushlug.NewReport(s, g.boot, g.sequence.Add(1), append(g.options(), o...)...)
+	return bulrushlug.NewReport(s, g.boot, g.sequence.Add(1), g.options()...)
 }
--- a/locate/lots.go
+++ b/locate/lots.go
@@ -71,6 +71,13 @@
 	s.places[i] = disk
 }
 
+// Learn notes that the process with the given disk became the primary of the lots in ids.
+func (l *Lots) Learn(disk string, ids []string) {
+	for _, i := range ids {
+		l.remember(i, disk)
+	}
+}
+
 func (l *Lots) forget(i string) {
 	s := l.shard(i)
 	s.mu.Lock()
--- a/lots/accept.go
+++ b/lots/accept.go
@@ -252,6 +252,9 @@
 		l.notify()
 	})
 	_ = k.logger.Log("event", "lotConfirmed", "lot", i, "epoch", u.Epoch(), "entries", u.From(), "disks", strings.Join(u.Replicas(), ","))
+	if u.Replicas()[0] == k.disk {
+		k.became(i)
+	}
 	for _, d := range u.Replicas()[1:] {
 		go func() {
 			if _, err := k.send(context.Background(), d, u, copyTimeout); err != nil {
--- a/lots/keeper.go
+++ b/lots/keeper.go
@@ -36,7 +36,9 @@
 	draftTime  = 2 * time.Second  // Age at which the record of a lot that was not confirmed is read.
 	doubtTime  = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
 	expireTime = 30 * time.Second // Time beyond the last read after which a lot is dropped.
-	pageBytes  = 900 << 10        // Text of one page; an answer has at most 1 MB.
+	// recentTime is the time for which others are told of a lot whose primary this disk became: a few reports.
+	recentTime = time.Second
+	pageBytes  = 900 << 10 // Text of one page; an answer has at most 1 MB.
 )
 
 // Keeper keeps the lots of one disk.
@@ -57,6 +59,8 @@
 	woken    func() // Called when there may be items to run or to stop.
 	started  time.Time
 	shards   [shardCount]shard
+	mu       sync.Mutex
+	recent   map[string]time.Time // When this disk became the primary of a lot, for recentTime.
 }
 
 type shard struct {
@@ -90,7 +94,7 @@
 // New returns the keeper of the logs in g, whose records are the entries of t under prefix.
 func New(g bulrushlug.LotLog, r bulrushlug.LotCopies, t bulrushlug.Table, prefix string, p *peers.Peers, l log.Logger, o ...option) *Keeper {
 	k := &Keeper{disk: p.Disk(), copies: 1, log: g, remote: r, table: t, prefix: prefix, peers: p, logger: l,
-		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, woken: func() {}, progress: func(string, uint32, uint64) []string { return nil }, started: time.Now()}
+		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, woken: func() {}, progress: func(string, uint32, uint64) []string { return nil }, started: time.Now(), recent: map[string]time.Time{}}
 	for i := range k.shards {
 		k.shards[i].lots = map[string]*lot{}
 	}
@@ -272,5 +276,26 @@
 	k.woken()
 }
 
+// became notes that this disk is the primary of lot i now.
+func (k *Keeper) became(i string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.recent[i] = time.Now()
+}
+
+// Recent returns the lots whose primary this disk lately became.
+func (k *Keeper) Recent() (l []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, t := range k.recent {
+		if time.Since(t) > recentTime {
+			delete(k.recent, i)
+			continue
+		}
+		l = append(l, i)
+	}
+	return l
+}
+
 // Count returns the number of lots on this disk.
 func (k *Keeper) Count() int { return len(k.all()) }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -244,6 +244,18 @@
 	return l
 }
 
+// On returns the process on VM vm.
+func (p *Peers) On(vm string) (Peer, bool) {
+	s := p.shard(vm)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.peers[vm]
+	if !ok {
+		return Peer{}, false
+	}
+	return *x, true
+}
+
 // ByDisk returns the process with disk d.
 func (p *Peers) ByDisk(d string) (Peer, bool) {
 	for _, x := range p.All() {
--- a/report.go
+++ b/report.go
@@ -42,21 +42,6 @@
 // Level returns the admissions left by the process's own count.
 func (s Spending) Level() float64 { return s.level }
 
-// Yield asks whoever runs batch items at a backend server to free slots for online requests.
-type Yield struct {
-	backend string
-	count   uint32
-}
-
-// NewYield asks for n slots of backend server b.
-func NewYield(b string, n uint32) Yield { return Yield{backend: b, count: n} }
-
-// Backend returns the identifier of the backend server.
-func (y Yield) Backend() string { return y.backend }
-
-// Count returns the number of slots.
-func (y Yield) Count() uint32 { return y.count }
-
 // Report tells other processes what one process has under way; values are immutable.
 type Report struct {
 	member    Member
@@ -69,7 +54,7 @@
 	storeLost bool   // The process can't reach the key-value service.
 	usages    []Usage
 	spendings []Spending
-	yields    []Yield
+	lots      []string // Lots whose primary the process lately became.
 }
 
 // ReportOption sets some fields of a report.
@@ -103,8 +88,8 @@
 // ReportSpendings sets what the process admitted.
 func ReportSpendings(l []Spending) ReportOption { return func(r *Report) { r.spendings = l } }
 
-// ReportYields asks for slots.
-func ReportYields(l ...Yield) ReportOption { return func(r *Report) { r.yields = l } }
+// ReportLots sets the lots whose primary the process lately became.
+func ReportLots(l []string) ReportOption { return func(r *Report) { r.lots = l } }
 
 // Member returns the process.
 func (r Report) Member() Member { return r.member }
@@ -133,5 +118,5 @@
 // Spendings returns what the process admitted.
 func (r Report) Spendings() []Spending { return r.spendings }
 
-// Yields returns the slots that the process asks for.
-func (r Report) Yields() []Yield { return r.yields }
+// Lots returns the lots whose primary the process lately became.
+func (r Report) Lots() []string { return r.lots }
--- a/site/data.go
+++ b/site/data.go
@@ -37,14 +37,14 @@
 
 func (d *data) server() *lotsrv.Server { return lotsrv.New(d.keeper, d.snapshot) }
 
-// heard makes room for online requests.
-func (d *data) heard(r bulrushlug.Report) {
-	for _, y := range r.Yields() {
-		d.runner.Yield(y.Backend(), int(y.Count()))
-	}
-	d.runner.Balance()
+// parts returns the lots that callers should look for here.
+func (d *data) parts() []bulrushlug.ReportOption {
+	return []bulrushlug.ReportOption{bulrushlug.ReportLots(d.keeper.Recent())}
 }
 
+// heard makes room for online requests.
+func (d *data) heard(bulrushlug.Report) { d.runner.Balance() }
+
 // run keeps lots until c ends, and then lets the other replicas take them over.
 func (d *data) run(c context.Context) error {
 	k, stop := context.WithCancel(context.WithoutCancel(c))
--- a/site/entry.go
+++ b/site/entry.go
@@ -36,7 +36,7 @@
 
 func newEntry(s *Site) *entry {
 	e := &entry{Site: s, lots: locate.New(s.client, s.platform.Table(), lotPrefix, s.peers)}
-	d := direct.New(s.table, s.platform.Caller(), s.events, e.yield)
+	d := direct.New(s.table, s.platform.Caller(), s.events, s.gossip.TellTo)
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counts, s.events), timer{s.events}, a, limit.New(s.meter))
 	e.front = s.platform.Front(s.manifest.Load, p, a, e.lots)
@@ -58,12 +58,20 @@
 	return err
 }
 
-// yield asks whoever runs batch items at backend server b for a slot.
-func (e *entry) yield(b string) { e.gossip.Tell(bulrushlug.ReportYields(bulrushlug.NewYield(b, 1))) }
-
 func (e *entry) server() *lotsrv.Server { return lotsrv.New(nil, e.snapshot) }
 
-func (e *entry) heard(bulrushlug.Report) {}
+// parts returns what the process admitted.
+func (e *entry) parts() []bulrushlug.ReportOption {
+	return []bulrushlug.ReportOption{bulrushlug.ReportSpendings(e.meter.Spendings())}
+}
+
+// heard takes over what other entries admitted and where lots are.
+func (e *entry) heard(r bulrushlug.Report) {
+	if r.Member().Role() == bulrushlug.RoleEntry {
+		e.meter.Reported(r)
+	}
+	e.lots.Learn(r.Disk(), r.Lots())
+}
 
 // run serves callers until c ends; then the balancer takes the process out before its listener closes.
 func (e *entry) run(c context.Context) error {
--- a/site/site.go
+++ b/site/site.go
@@ -67,6 +67,8 @@
 	server() *lotsrv.Server
 	// heard handles a report of another process.
 	heard(r bulrushlug.Report)
+	// parts returns what the role adds to the reports of the process.
+	parts() []bulrushlug.ReportOption
 }
 
 // New returns the process with the given settings; its log lines go to l.
@@ -194,10 +196,7 @@
 		bulrushlug.ReportUsages(s.table.Usages()),
 		bulrushlug.ReportStoreLost(s.storeLost()),
 	}
-	if s.admits() {
-		o = append(o, bulrushlug.ReportSpendings(s.meter.Spendings()))
-	}
-	return o
+	return append(o, s.role.parts()...)
 }
 
 // storeLost reports whether the key-value service does not answer this process.
@@ -205,9 +204,6 @@
 	return s.operated.Down() > 0 || s.servers.Down() > 0 || s.peers.StoreLost()
 }
 
-// admits reports whether this process admits requests of organisations; only the counts of those that do are exchanged.
-func (s *Site) admits() bool { return s.peers.Self().Role() == bulrushlug.RoleEntry }
-
 // message handles a message of another process.
 func (s *Site) message(m bulrushlug.Message) {
 	r := m.Report()
@@ -215,9 +211,6 @@
 		return
 	}
 	s.table.Remote(r.Member().Name(), r.Usages())
-	if s.admits() && r.Member().Role() == bulrushlug.RoleEntry {
-		s.meter.Reported(*r)
-	}
 	s.hear(*r)
 	s.role.heard(*r)
 }
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -65,7 +65,7 @@
 		if n == 0 || !first && now.Sub(e.started) < startPause {
 			continue
 		}
-		c := choice{shard: s, id: id, full: !first, score: -float64(n) - jitter*rand.Float64()}
+		c := choice{shard: s, id: id, later: !first, score: -float64(n) - jitter*rand.Float64()}
 		if c.better(best) {
 			best, ok = c, true
 		}
--- a/slots/table.go
+++ b/slots/table.go
@@ -19,8 +19,11 @@
 	// before the next reports find them there.
 	batchReserve = 0.1
 	startPause   = 100 * time.Millisecond // Time between starts at a server that another process has first; its reports come as often.
-	jitter       = 0.5                    // Random part of a score, in requests; spreads processes that see the same counts.
-	firstPenalty = time.Second            // Time for which a server that failed is passed over.
+	jitter       = 2                      // Random part of a score, in requests; spreads processes that see the same counts.
+	// yieldCost is what a slot that a batch item has to free first counts more than an idle one, in requests. If idle
+	// slots went first at any load, all processes would pick the few servers that have some.
+	yieldCost    = 1
+	firstPenalty = time.Second // Time for which a server that failed is passed over.
 	maxPenalty   = 8 * time.Second
 	paceWeight   = 0.1 // Weight of one answer in the smoothed pace.
 )
@@ -184,22 +187,21 @@
 	shard *shard
 	id    string
 	score float64 // The lowest is picked.
-	full  bool    // All slots are taken.
-	batch int     // Batch items that hold slots.
+	later bool    // The server is picked only if no other can be.
 }
 
 // better reports whether c is to be picked before d.
 func (c choice) better(d choice) bool {
-	if d.shard == nil || c.full != d.full {
-		return d.shard == nil || d.full
+	if d.shard == nil || c.later != d.later {
+		return d.shard == nil || d.later
 	}
 	return c.score < d.score
 }
 
-// Online picks a server of service v for an online request, and says whether batch items should make room there.
+// Online picks a server of service v for an online request, and returns the processes that run batch items there.
 //
 // Servers in skip are left out. Without room at any server the result is nil.
-func (t *Table) Online(v string, skip map[string]bool) (l *Lease, yield bool) {
+func (t *Table) Online(v string, skip map[string]bool) (l *Lease, holders []string) {
 	now := time.Now()
 	var best choice
 	for _, avoid := range []bool{true, false} {
@@ -213,9 +215,21 @@
 		}
 	}
 	if best.shard == nil {
-		return nil, false
+		return nil, nil
 	}
-	return best.shard.take(best.id, false), best.full && best.batch > 0
+	return best.shard.take(best.id, false), best.shard.holders(best.id, now)
+}
+
+// holders returns the processes that run batch items at server id.
+func (s *shard) holders(id string, now time.Time) (l []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, m := range s.remote {
+		if r, ok := m[id]; ok && r.batch > 0 && now.Sub(r.at) < remoteTimeout {
+			l = append(l, vm)
+		}
+	}
+	return l
 }
 
 // online returns the best server of the shard; avoid leaves out those that failed lately.
@@ -231,11 +245,11 @@
 		if online >= slots+slots/queueShare {
 			continue
 		}
-		c := choice{shard: s, id: id, batch: batch, full: online+batch >= slots}
-		c.score = (float64(online+batch) + 1 + jitter*rand.Float64()) / float64(slots) * e.slowness()
-		if c.full {
-			c.score = (float64(online) + jitter*rand.Float64()) / float64(slots)
+		n := float64(online) + 1 + jitter*rand.Float64()
+		if online+batch >= slots {
+			n += yieldCost
 		}
+		c := choice{shard: s, id: id, score: n / float64(slots) * e.slowness()}
 		if c.better(best) {
 			best, ok = c, true
 		}
