--- a/meter/meter.go
+++ b/meter/meter.go
@@ -16,6 +16,12 @@
 	// startShare is the part of what is tolerated beyond a rate that all processes together may give out when they
 	// start again; a second start within the same window still stays inside it.
 	startShare = 0.25
+	// recentTime is the age of its last admission up to which an organisation is in every report; by then a few reports
+	// told of it, so that some may be lost.
+	recentTime = 2 * time.Second
+	// turnTime is the time for which the other organisations of one shard are in all reports; longer than the time
+	// between two reports.
+	turnTime = 600 * time.Millisecond
 )
 
 // Meter admits requests within rate and burst of their organisation.
@@ -45,6 +51,7 @@
 	level    float64 // Admissions left; below zero after reports of others.
 	at       time.Time
 	admitted uint64            // Own admissions since the start; never falls.
+	last     time.Time         // Last own admission.
 	seen     map[string]uint64 // Admissions that other processes reported.
 	started  bool              // The level was set.
 	joined   bool              // The level includes what the others had admitted before the start.
@@ -83,6 +90,7 @@
 	defer s.mu.Unlock()
 	b := s.bucket(o)
 	b.admitted++
+	b.last = time.Now()
 	if g.Rate() <= 0 {
 		return nil
 	}
@@ -182,20 +190,25 @@
 	b.level = min(b.level, x.Level())
 }
 
-// Spendings returns what this process admitted.
+// Spendings returns what this process admitted of organisations that it admitted lately, and by turns of the others.
 func (m *Meter) Spendings() []bulrushlug.Spending {
+	now := time.Now()
+	turn := int(now.UnixMilli()/turnTime.Milliseconds()) % shardCount
 	var l []bulrushlug.Spending
 	for i := range m.shards {
-		l = append(l, m.shards[i].spendings()...)
+		l = append(l, m.shards[i].spendings(now, i == turn)...)
 	}
 	return l
 }
 
-func (s *shard) spendings() (l []bulrushlug.Spending) {
+// spendings returns what was admitted; all includes organisations without a late admission.
+func (s *shard) spendings(now time.Time, all bool) (l []bulrushlug.Spending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for o, b := range s.buckets {
-		l = append(l, bulrushlug.NewSpending(o, b.admitted, b.level))
+		if all || now.Sub(b.last) < recentTime {
+			l = append(l, bulrushlug.NewSpending(o, b.admitted, b.level))
+		}
 	}
 	return l
 }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -209,3 +209,37 @@
 		})
 	}
 }
+
+// TestSpendingsByTurns shows how often an organisation is in the reports.
+func TestSpendingsByTurns(t *testing.T) {
+	for name, x := range map[string]struct {
+		idle time.Duration // Time since the last admission at the start.
+		all  bool          // All reports have to have it; else one in each round of turns.
+	}{
+		"just admitted":        {all: true},
+		"admitted a while ago": {idle: recentTime - shardCount*turnTime/8 - time.Millisecond, all: true},
+		"idle":                 {idle: 2 * recentTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newGroup(1, true).meters[0]
+				if err := m.Take(t.Context(), "o"); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(x.idle)
+				d := shardCount * turnTime
+				if x.all {
+					d = recentTime - x.idle
+				}
+				with, n := 0, 0
+				for b := time.Now(); time.Since(b) < d; time.Sleep(tellEvery) {
+					n++
+					with += len(m.Spendings())
+				}
+				if with == 0 || x.all && with != n {
+					t.Errorf("%d of %d reports have the organisation", with, n)
+				}
+			})
+		})
+	}
+}
