feat(gossip): reports of entries that are cut off from disks are passed on; no disk heard is refused at once

Lots waited 2 s at such an entry, though another one would have taken them. Change: an entry that does not hear a listed disk process has its report passed on by the entries that it hears, by turns; only usage is taken from such a report, nobody counts as heard by it. Where no disk is heard a lot is refused at once, to come back after 1 s. Tests: gossip.TestForward, locate.TestNoDisk (the row 'silent' took 2 s before).

--- a/codec/report.go
+++ b/codec/report.go
@@ -27,7 +27,7 @@
 	for _, s := range r.Spendings() {
 		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
 	}
-	w.Lots = r.Lots()
+	w.Lots, w.Forward, w.Relayed = r.Lots(), r.Forward(), r.Relayed()
 	return w
 }
 
@@ -43,5 +43,5 @@
 		s = append(s, bulrushlug.NewSpending(x.Organisation, x.Admitted, x.Level))
 	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeen(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
-		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportLots(w.Lots))
+		bulrushlug.ReportUsages(u), bulrushlug.ReportSpendings(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForward(w.Forward), bulrushlug.ReportRelayed(w.Relayed))
 }
--- a/direct/stage.go
+++ b/direct/stage.go
@@ -113,9 +113,7 @@
 		return false, bulrushlug.NewFault(bulrushlug.KindOverloaded, "no server of %s has room: %d known, %d tried", a.service, a.table.Known(a.service), len(a.skip)).WithWait(retryWait)
 	}
 	defer l.Release()
-	if len(holders) > 0 {
-		a.placed(holders)
-	}
+	a.placed(holders)
 	t := time.Now()
 	p, err := a.call(c, l)
 	if err != nil {
--- a/direct/stage_test.go
+++ b/direct/stage_test.go
@@ -207,6 +207,9 @@
 			route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)))
 			v := &servers{steps: []step{steps["ok"]}}
 			err := New(b, v, noRecorder{}, func(vms []string) {
+				if len(vms) == 0 {
+					return
+				}
 				if !slices.Equal(vms, []string{"d"}) {
 					t.Errorf("told %v", vms)
 				}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -49,11 +49,12 @@
 // Tell reports at once and returns the number of processes told.
 func (g *Gossip) Tell() int {
 	l := g.peers.All()
-	g.send(l)
+	g.send(l, unheard(l))
 	return len(l)
 }
 
-// TellTo reports at once to the processes on the given VMs.
+// TellTo reports at once to the processes on the given VMs, and to those with disks that are not heard: what they run
+// is not known.
 func (g *Gossip) TellTo(vms []string) {
 	var l []peers.Peer
 	for _, v := range vms {
@@ -61,13 +62,50 @@
 			l = append(l, p)
 		}
 	}
-	g.send(l)
+	f := unheard(g.peers.All())
+	if len(l)+len(f) > 0 {
+		g.send(l, f)
+	}
 }
 
-func (g *Gossip) send(l []peers.Peer) {
-	m := bulrushlug.MessageReport(g.report())
+// unheard returns the addresses of the processes of l that have disks and entries, and are not heard.
+func unheard(l []peers.Peer) (a []string) {
 	for _, p := range l {
-		g.mesh.Send(p.Member().Address(), bulrushlug.NewMessage(m))
+		if p.Listed() && p.Disk() != "" && !p.Alive() {
+			a = append(a, p.Member().Address())
+		}
+	}
+	return a
+}
+
+// send reports to the processes in l; an entry has another entry that it hears, each in turn as that may be cut off
+// too, pass the report on to the addresses in f.
+func (g *Gossip) send(l []peers.Peer, f []string) {
+	r := g.report()
+	for _, p := range l {
+		g.mesh.Send(p.Member().Address(), bulrushlug.NewMessage(bulrushlug.MessageReport(r)))
+	}
+	if len(f) == 0 || g.peers.Self().Role() != bulrushlug.RoleEntry {
+		return
+	}
+	var via []peers.Peer
+	for _, p := range g.peers.All() {
+		if p.Alive() && p.Member().Role() == bulrushlug.RoleEntry && !p.Member().Leaving() {
+			via = append(via, p)
+		}
+	}
+	if len(via) == 0 {
+		return
+	}
+	p := via[r.Sequence()%uint64(len(via))]
+	g.mesh.Send(p.Member().Address(), bulrushlug.NewMessage(bulrushlug.MessageReport(r.With(bulrushlug.ReportForward(f)))))
+}
+
+// Relay passes the report r on to the processes that its sender does not hear.
+func (g *Gossip) Relay(r bulrushlug.Report) {
+	m := bulrushlug.MessageReport(r.With(bulrushlug.ReportForward(nil), bulrushlug.ReportRelayed(true)))
+	for _, a := range r.Forward() {
+		g.mesh.Send(a, bulrushlug.NewMessage(m))
 	}
 }
 
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,87 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memtab"
+	"bulrushlug.dev/bulrushlug/peers"
+)
+
+// sent notes to whom reports go, those to pass on as "address>addresses".
+type sent struct{ to []string }
+
+func (s *sent) Send(a string, m bulrushlug.Message) {
+	if f := m.Report().Forward(); len(f) > 0 {
+		a = fmt.Sprint(a, ">", f)
+	}
+	if m.Report().Relayed() {
+		a += " relayed"
+	}
+	s.to = append(s.to, a)
+}
+
+// TestForward shows whose reports another process passes on, and to whom.
+func TestForward(t *testing.T) {
+	for name, x := range map[string]struct {
+		self  string
+		heard []string
+		do    func(g *Gossip)
+		want  []string
+	}{
+		"all are heard":                {self: "e1", heard: []string{"e2", "e3", "d1"}, want: []string{"d1", "e2", "e3"}},
+		"a disk is not heard":          {self: "e1", heard: []string{"e2", "e3"}, want: []string{"d1", "e2", "e2>[d1]", "e3"}},
+		"nobody is heard":              {self: "e1", want: []string{"d1", "e2", "e3"}},
+		"an entry is not heard":        {self: "e1", heard: []string{"e2", "d1"}, want: []string{"d1", "e2", "e3"}},
+		"an entry behind the same cut": {self: "e1", heard: []string{"e3"}, want: []string{"d1", "e2", "e3", "e3>[d1]"}},
+		"disks have none pass on":      {self: "d1", heard: []string{"e2"}, want: []string{"e1", "e2", "e3"}},
+		"a request beside no known items": {self: "e1", heard: []string{"e2", "e3"}, do: func(g *Gossip) { g.TellTo(nil) },
+			want: []string{"e2>[d1]"}},
+		"a request beside items": {self: "e1", heard: []string{"e2", "e3", "d1"}, do: func(g *Gossip) { g.TellTo([]string{"d1"}) }, want: []string{"d1"}},
+		"passed on": {self: "e1", heard: []string{"e2", "e3", "d1"}, want: []string{"d1 relayed"}, do: func(g *Gossip) {
+			g.Relay(bulrushlug.NewReport(bulrushlug.NewMember("e2", "e2", "r", "z", bulrushlug.RoleEntry), 1, 9, bulrushlug.ReportForward([]string{"d1"})))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				k := memtab.New()
+				all := map[string]*peers.Peers{}
+				for _, vm := range []string{"e1", "e2", "e3", "d1"} {
+					role, disk := bulrushlug.RoleEntry, ""
+					if vm == "d1" {
+						role, disk = "data", "disk"
+					}
+					all[vm] = peers.New(bulrushlug.NewMember(vm, vm, "r", "z", role), 1, disk, k, "vm/", 3*time.Second, log.NewNopLogger())
+					go func() { _ = all[vm].Run(c) }()
+				}
+				time.Sleep(15 * time.Second)
+				p := all[x.self]
+				for _, vm := range x.heard {
+					y := all[vm]
+					p.Reported(bulrushlug.NewReport(y.Self(), 1, 1, bulrushlug.ReportState(y.Disk(), 1)))
+				}
+				s := &sent{}
+				g := New(p, s, 1, func() []bulrushlug.ReportOption { return nil })
+				g.sequence.Store(1)
+				if x.do == nil {
+					x.do = func(g *Gossip) { g.Tell() }
+				}
+				x.do(g)
+				slices.Sort(s.to)
+				if !slices.Equal(s.to, x.want) {
+					t.Errorf("sent %q, want %q", s.to, x.want)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/locate/lots.go
+++ b/locate/lots.go
@@ -24,8 +24,11 @@
 	readExtra     = 800 * time.Millisecond  // Time beyond the caller's own wait for one process.
 	readTries     = 3                       // Processes that are asked for one lot.
 	pause         = 150 * time.Millisecond  // Time between tries; a change of replicas takes about as long.
-	maxPlaces     = 20000                   // Lots of one shard whose place is remembered; all are forgotten beyond it.
-	retryWait     = 400 * time.Millisecond  // Time after which a refused call is worth another try.
+	// diskWait is the time after which a lot is worth another try where no process with a disk is heard: another entry
+	// may hear some at once, and processes that were killed are back by then.
+	diskWait  = time.Second
+	maxPlaces = 20000                  // Lots of one shard whose place is remembered; all are forgotten beyond it.
+	retryWait = 400 * time.Millisecond // Time after which a refused call is worth another try.
 )
 
 // remote reaches the processes with disks.
@@ -92,7 +95,8 @@
 	return s.places[i]
 }
 
-// Submit offers x to processes with disks until one accepts it or the caller's time is over.
+// Submit offers x to processes with disks until one accepts it or the caller's time is over; it fails at once where
+// none is heard.
 func (l *Lots) Submit(c context.Context, x bulrushlug.Lot) error {
 	doubt := false
 	for {
@@ -100,6 +104,9 @@
 		if err == nil {
 			return nil
 		}
+		if !doubt && len(l.peers.Disks()) == 0 {
+			return bulrushlug.WrapFault(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithWait(diskWait)
+		}
 		if e := bulrushlug.Wait(c, roundPause); e == nil {
 			continue
 		}
--- a/locate/lots_test.go
+++ b/locate/lots_test.go
@@ -122,3 +122,32 @@
 		})
 	}
 }
+
+// TestNoDisk shows that a lot is refused at once where no process with a disk is heard, and when to come back.
+func TestNoDisk(t *testing.T) {
+	for name, x := range map[string]struct {
+		silent time.Duration // Time since the disks were heard.
+		ok     bool
+	}{
+		"heard just now": {silent: 100 * time.Millisecond, ok: true},
+		"silent":         {silent: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &disks{}
+				l, _ := system(t, d, nil)
+				time.Sleep(x.silent)
+				b := time.Now()
+				c, stop := context.WithTimeout(t.Context(), 2*time.Second)
+				defer stop()
+				err := l.Submit(c, bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), nil))
+				if (err == nil) != x.ok || time.Since(b) > 0 {
+					t.Errorf("%v after %v", err, time.Since(b))
+				}
+				if err != nil && (bulrushlug.KindOf(err).Answer().Ran() || bulrushlug.WaitOf(err) != diskWait || len(d.offered) > 0) {
+					t.Errorf("%v, come back after %v, offered to %v", err, bulrushlug.WaitOf(err), d.offered)
+				}
+			})
+		})
+	}
+}
--- a/peers/peer.go
+++ b/peers/peer.go
@@ -30,6 +30,9 @@
 // StoreLost reports whether it can't reach the key-value service.
 func (p Peer) StoreLost() bool { return p.lost }
 
+// Listed reports whether it has an entry.
+func (p Peer) Listed() bool { return p.listed }
+
 // Alive reports whether it was heard lately.
 func (p Peer) Alive() bool { return time.Since(p.heard) < aliveTime }
 
--- a/report.go
+++ b/report.go
@@ -55,6 +55,8 @@
 	usages    []Usage
 	spendings []Spending
 	lots      []string // Lots whose primary the process lately became.
+	forward   []string // Addresses of processes that the reporting one does not hear; the receiver passes the report on.
+	relayed   bool     // Another process than the reporting one sent it.
 }
 
 // ReportOption sets some fields of a report.
@@ -91,6 +93,26 @@
 // ReportLots sets the lots whose primary the process lately became.
 func ReportLots(l []string) ReportOption { return func(r *Report) { r.lots = l } }
 
+// ReportForward sets the addresses to which the receiver passes the report on.
+func ReportForward(l []string) ReportOption { return func(r *Report) { r.forward = l } }
+
+// ReportRelayed says whether another process than the reporting one sends the report.
+func ReportRelayed(v bool) ReportOption { return func(r *Report) { r.relayed = v } }
+
+// With returns a copy of r with other options.
+func (r Report) With(o ...ReportOption) Report {
+	for _, f := range o {
+		f(&r)
+	}
+	return r
+}
+
+// Forward returns the addresses to which the receiver passes the report on.
+func (r Report) Forward() []string { return r.forward }
+
+// Relayed reports whether another process than the reporting one sent the report.
+func (r Report) Relayed() bool { return r.relayed }
+
 // Member returns the process.
 func (r Report) Member() Member { return r.member }
 
--- a/site/site.go
+++ b/site/site.go
@@ -204,10 +204,28 @@
 	return s.operated.Down() > 0 || s.servers.Down() > 0 || s.peers.StoreLost()
 }
 
+// relayed takes over what an entry that is not heard has under way; nothing else follows from a relayed report.
+func (s *Site) relayed(r bulrushlug.Report) {
+	if p, ok := s.peers.On(r.Member().Name()); ok && p.Alive() {
+		return
+	}
+	s.table.Remote(r.Member().Name(), r.Usages())
+	s.role.heard(r)
+}
+
 // message handles a message of another process.
 func (s *Site) message(m bulrushlug.Message) {
 	r := m.Report()
-	if r == nil || !s.peers.Reported(*r) {
+	switch {
+	case r == nil:
+		return
+	case r.Relayed():
+		s.relayed(*r)
+		return
+	case len(r.Forward()) > 0:
+		s.gossip.Relay(*r)
+		return
+	case !s.peers.Reported(*r):
 		return
 	}
 	s.table.Remote(r.Member().Name(), r.Usages())
