fix(lotlog): a tail of zeros is no record

Cause: after a power loss the tail of a file may be zeros. A header of zeros names an empty record whose checksum is zero, so it passed; what was kept after a tail whose length is no multiple of a header was cut at the next start. Ruled out: torn tails with other bytes (TestEveryTornTail covers each length). Found by reading; rows of TestZeroTail longer than a header failed before the change, the two others passed.

--- a/lotlog/log.go
+++ b/lotlog/log.go
@@ -183,7 +183,7 @@
 	for len(b)-n > headerSize {
 		size := int(binary.BigEndian.Uint32(b[n:]))
 		sum := binary.BigEndian.Uint32(b[n+4:])
-		if size > len(b)-n-headerSize {
+		if size == 0 || size > len(b)-n-headerSize {
 			break
 		}
 		r := b[n+headerSize : n+headerSize+size]
--- a/lotlog/log_test.go
+++ b/lotlog/log_test.go
@@ -148,3 +148,40 @@
 		t.Errorf("%q after a new start", a)
 	}
 }
+
+// TestZeroTail shows that a tail of zeros, as a power loss can leave it, is no record, and that what is kept after it is read.
+func TestZeroTail(t *testing.T) {
+	for name, n := range map[string]int{"less than a header": 5, "a header": headerSize, "a header and some": headerSize + 1, "a page": 4096, "a page and some": 4099} {
+		t.Run(name, func(t *testing.T) {
+			d := t.TempDir()
+			l := open(t, d)
+			if err := l.Append(step("lot", 1, 0, "a")); err != nil {
+				t.Fatal(err)
+			}
+			f, err := os.OpenFile(l.path("lot"), os.O_APPEND|os.O_WRONLY, fileMode)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := f.Write(make([]byte, n)); err != nil {
+				t.Fatal(err)
+			}
+			if err := f.Close(); err != nil {
+				t.Fatal(err)
+			}
+			l = open(t, d)
+			if err := l.Load(func(u bulrushlug.LotUpdate) {
+				if u.Lot() != "lot" {
+					t.Errorf("a step of lot %q was read", u.Lot())
+				}
+			}); err != nil {
+				t.Fatal(err)
+			}
+			if err := l.Append(step("lot", 1, 1, "b")); err != nil {
+				t.Fatal(err)
+			}
+			if s := texts(t, open(t, d), "lot"); s != "ab" {
+				t.Errorf("%q is left", s)
+			}
+		})
+	}
+}
