--- a/locate/lots.go
+++ b/locate/lots.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
@@ -45,6 +46,7 @@
 	table  bulrushlug.Table
 	prefix string // Prefix of the records of lots.
 	peers  *peers.Peers
+	logger log.Logger
 	shards [shardCount]shard
 }
 
@@ -53,9 +55,9 @@
 	places map[string]string // Disk of the primary, by lot.
 }
 
-// New returns a front to the lots whose records are the entries of t under prefix.
-func New(r remote, t bulrushlug.Table, prefix string, p *peers.Peers) *Lots {
-	l := &Lots{remote: r, table: t, prefix: prefix, peers: p}
+// New returns a front to the lots whose records are the entries of t under prefix; calls that fail go to the log g.
+func New(r remote, t bulrushlug.Table, prefix string, p *peers.Peers, g log.Logger) *Lots {
+	l := &Lots{remote: r, table: t, prefix: prefix, peers: p, logger: g}
 	for i := range l.shards {
 		l.shards[i].places = map[string]string{}
 	}
@@ -95,9 +97,22 @@
 	return s.places[i]
 }
 
+// noted logs a call that failed, with what was known of the processes with disks, and returns its error.
+func (l *Lots) noted(call, i string, err error) error {
+	if err != nil {
+		_ = l.logger.Log("event", "lotCallFailed", "call", call, "lot", i, "place", l.place(i), "disksHeard", len(l.peers.Disks()),
+			"kind", bulrushlug.KindOf(err), "err", err)
+	}
+	return err
+}
+
 // Submit offers x to processes with disks until one accepts it or the caller's time is over; it fails at once where
 // none is heard.
 func (l *Lots) Submit(c context.Context, x bulrushlug.Lot) error {
+	return l.noted("submit", x.ID(), l.submit(c, x))
+}
+
+func (l *Lots) submit(c context.Context, x bulrushlug.Lot) error {
 	doubt := false
 	for {
 		err := l.round(c, x, &doubt)
@@ -240,7 +255,7 @@
 		p, err = l.remote.Read(c, a, q)
 		return err
 	})
-	return p, err
+	return p, l.noted("read", q.ID(), err)
 }
 
 // Body returns the body of an item.
@@ -249,10 +264,10 @@
 		b, err = l.remote.Body(c, a, q)
 		return err
 	})
-	return b, err
+	return b, l.noted("body", q.ID(), err)
 }
 
 // End ends a lot.
 func (l *Lots) End(c context.Context, q bulrushlug.LotQuery) error {
-	return l.at(c, q, func(c context.Context, a string) error { return l.remote.End(c, a, q) })
+	return l.noted("end", q.ID(), l.at(c, q, func(c context.Context, a string) error { return l.remote.End(c, a, q) }))
 }
--- a/locate/lots_test.go
+++ b/locate/lots_test.go
@@ -49,7 +49,7 @@
 		p.Reported(bulrushlug.NewReport(bulrushlug.NewMember(n, n, "r", z, "data").WithData(true), 1, 1,
 			bulrushlug.ReportState("disk-"+n, 1), bulrushlug.ReportStoreLost(lost[n])))
 	}
-	return New(d, m, "lot/", p), m
+	return New(d, m, "lot/", p, log.NewNopLogger()), m
 }
 
 func TestSubmitOrder(t *testing.T) {
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -353,7 +353,7 @@
 func (k *cluster) newFront(n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.fronts[n] = locate.New(network{k, "front"}, k.table, "lot/", k.heard[n])
+	k.fronts[n] = locate.New(network{k, "front"}, k.table, "lot/", k.heard[n], k.out)
 }
 
 // submit hands in a lot of n items; a caller tries again after a while without an answer.
--- a/site/entry.go
+++ b/site/entry.go
@@ -35,7 +35,7 @@
 }
 
 func newEntry(s *Site) *entry {
-	e := &entry{Site: s, lots: locate.New(s.client, s.platform.Table(), lotPrefix, s.peers)}
+	e := &entry{Site: s, lots: locate.New(s.client, s.platform.Table(), lotPrefix, s.peers, s.logger)}
 	d := direct.New(s.table, s.platform.Caller(), s.events, s.gossip.TellTo)
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counts, s.events), timer{s.events}, a, limit.New(s.meter))
