--- a/site/soak_test.go
+++ b/site/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -84,98 +83,6 @@
 	}
 }
 
-// gate forwards connections and can hold them up.
-type gate struct {
-	to    string
-	mu    sync.Mutex
-	mode  string // What happens to bytes: "" (pass), delay, silence, deaf (nothing comes back) or reset.
-	conns map[net.Conn]bool
-}
-
-// newGate returns a gate to address a and the address at which it listens.
-func newGate(t *testing.T, a string) (*gate, string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := &gate{to: a, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() { _ = l.Close(); g.set("reset") })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go g.serve(c)
-		}
-	}()
-	return g, l.Addr().String()
-}
-
-func (g *gate) state() string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.mode
-}
-
-// set changes what happens to bytes from now on.
-func (g *gate) set(m string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.mode = m
-	if m == "reset" {
-		for c := range g.conns {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}
-}
-
-func (g *gate) keep(c net.Conn, v bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if v {
-		g.conns[c] = true
-		return
-	}
-	delete(g.conns, c)
-}
-
-func (g *gate) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	x, err := net.Dial("tcp", g.to)
-	if err != nil || g.state() == "reset" {
-		return
-	}
-	defer func() { _ = x.Close() }()
-	g.keep(c, true)
-	defer g.keep(c, false)
-	go func() { g.copy(c, x, "deaf"); _ = c.Close() }()
-	g.copy(x, c, "")
-}
-
-// copy forwards bytes from b to a; the mode one holds up only this direction.
-func (g *gate) copy(a, b net.Conn, one string) {
-	p := make([]byte, 16<<10)
-	for {
-		n, err := b.Read(p)
-		for m := g.state(); m == "silence" || one != "" && m == one; m = g.state() {
-			time.Sleep(20 * time.Millisecond)
-		}
-		if g.state() == "delay" {
-			time.Sleep(300 * time.Millisecond)
-		}
-		if n > 0 {
-			if _, e := a.Write(p[:n]); e != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
 // start starts p, if it is down.
 func (s *soak) start(p *program) {
 	p.mu.Lock()
@@ -351,74 +258,6 @@
 	}
 }
 
-// soakFaults are what happens to a process or to the ways between; each returns once it is over.
-var soakFaults = map[string]func(s *soak, p *program, d time.Duration, n int){
-	"kill": func(s *soak, p *program, d time.Duration, _ int) {
-		p.signal(syscall.SIGKILL)
-		p.down(0)
-		time.Sleep(d / 2)
-		s.start(p)
-	},
-	"freeze": func(_ *soak, p *program, d time.Duration, _ int) {
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(d)
-		p.signal(syscall.SIGCONT)
-	},
-	"stop": func(s *soak, p *program, d time.Duration, _ int) {
-		p.signal(syscall.SIGTERM)
-		p.down(8 * time.Second)
-		s.start(p)
-	},
-	"reload": func(_ *soak, p *program, _ time.Duration, _ int) { p.signal(syscall.SIGHUP) },
-	"service": func(_ *soak, p *program, d time.Duration, n int) {
-		p.store.set([]string{"delay", "silence", "deaf", "reset"}[n%4])
-		time.Sleep(d)
-		p.store.set("")
-	},
-	"whole service": func(s *soak, _ *program, d time.Duration, n int) {
-		for _, x := range s.programs {
-			x.store.set([]string{"delay", "silence", "deaf", "reset"}[n%4])
-		}
-		time.Sleep(d)
-		for _, x := range s.programs {
-			x.store.set("")
-		}
-	},
-	"server": func(s *soak, _ *program, d time.Duration, n int) {
-		g := s.servers[n%len(s.servers)]
-		g.set([]string{"delay", "silence", "deaf", "reset"}[n/4%4])
-		time.Sleep(d)
-		g.set("")
-	},
-	"kill all": func(s *soak, _ *program, d time.Duration, _ int) {
-		for _, x := range s.programs {
-			x.signal(syscall.SIGKILL)
-		}
-		for _, x := range s.programs {
-			x.down(0)
-		}
-		time.Sleep(d / 4)
-		for _, x := range s.programs {
-			s.start(x)
-		}
-	},
-	"lose a disk": func(s *soak, p *program, d time.Duration, _ int) {
-		if p.folder == "" || time.Since(s.lost) < diskTime {
-			return
-		}
-		s.lost = time.Now()
-		p.signal(syscall.SIGKILL)
-		p.down(0)
-		if err := os.RemoveAll(p.folder); err != nil {
-			s.t.Error(err)
-		}
-		time.Sleep(d / 4)
-		s.start(p)
-		time.Sleep(diskTime)
-		s.lost = time.Now()
-	},
-}
-
 // trouble plays faults for d, one series of them, in the order of the seed.
 func (s *soak) trouble(d time.Duration) {
 	var names []string
