fix(items): an item that has its result is not run once more

Cause: Runner.collect lists the items without a result, then picks the idle ones. A run that ends in between records its result and then counts as no longer running, so the item was idle in the second look and without a result in the first. Now the result is looked up after the item was seen idle; a run records its result before that.

Ruled out: a mark in the item itself, since RecordResult drops the result of a lot that this process no longer serves, and such an item has to run again.

test(bcast): TestForward read a map that its loop still wrote.

--- a/bcast/bcast_test.go
+++ b/bcast/bcast_test.go
@@ -59,8 +59,9 @@
 					if vm == "d1" {
 						role, disk = "data", "disk"
 					}
-					all[vm] = peers.New(bulrushlug.NewMember(vm, vm, "r", "z", role), 1, disk, k, "vm/", 3*time.Second, log.NewNopLogger())
-					go func() { _ = all[vm].Run(c) }()
+					p := peers.New(bulrushlug.NewMember(vm, vm, "r", "z", role), 1, disk, k, "vm/", 3*time.Second, log.NewNopLogger())
+					all[vm] = p
+					go func() { _ = p.Run(c) }()
 				}
 				time.Sleep(15 * time.Second)
 				p := all[x.self]
--- a/items/runner.go
+++ b/items/runner.go
@@ -129,8 +129,15 @@
 	return l
 }
 
-// startable reports whether an item is neither running nor in back-off.
+// startable reports whether an item without a result is neither running nor in back-off.
+//
+// The result is looked up last: a run records its result before the item counts as no longer running.
 func (r *Runner) startable(k key, now time.Time) bool {
+	return r.idle(k, now) && !r.manager.HasResult(k.lot, k.item)
+}
+
+// idle reports whether an item is neither running nor in back-off.
+func (r *Runner) idle(k key, now time.Time) bool {
 	s := r.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -227,6 +227,36 @@
 	}
 }
 
+// TestResultBetweenLookups has a run end after the item was listed as one without a result.
+func TestResultBetweenLookups(t *testing.T) {
+	for name, x := range map[string]struct {
+		status map[string][]int // Status of each run of an item.
+		after  time.Duration    // Time from the submission at which the first run has ended.
+		want   bool             // The item may be started.
+	}{
+		"the run completes":  {after: (eventCount + 1) * eventInterval},
+		"the run is refused": {status: map[string][]int{"i0": {422}}, after: eventInterval},
+		"the run breaks off": {status: map[string][]int{"i0": {0}}, after: 4 * eventInterval, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				s := newSystem(c, x.status)
+				if err := s.submit(c, 1); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(x.after)
+				synctest.Wait()
+				if got := s.runner.startable(key{"lot", 0}, time.Now().Add(maxBackoff)); got != x.want {
+					t.Errorf("the item may be started: %v", got)
+				}
+			})
+		})
+	}
+}
+
 func repeat(n, times int) (l []int) {
 	for range times {
 		l = append(l, n)
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -53,6 +53,13 @@
 	return run, keep
 }
 
+// HasResult reports whether item n of lot i needs no run: it has a result, or the lot is not on this disk.
+func (k *ReplicaManager) HasResult(i string, n uint32) bool {
+	has := true
+	k.withLot(i, func(l *lot) { has = l.done[n] })
+	return has
+}
+
 // RecordResult queues the result r of lot i for replication, unless the item already has one or this disk no
 // longer serves the lot.
 func (k *ReplicaManager) RecordResult(c context.Context, i string, r bulrushlug.LotResult) {
