fix(drain): a request that was read as its entry stops gets its answer

Cause: on SIGTERM the entry called SetKeepAlivesEnabled(false), and later Shutdown. Both close each connection in state idle, and net/http takes a connection for idle until after its next request was read. Such a request reached a backend server with its context cancelled and got no response. The log of the entry says leave, callFailed (context canceled), requestEnd cancelled after 1ms.

Change: drain.Server. After Leave each response closes its connection; Shutdown closes the listener once its queue is empty and ends a connection only where the read of its next request returned nothing. Both front ends use it.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -93,15 +93,15 @@
 		c := l[len(l)-1]
 		s.idle[a] = l[:len(l)-1]
 		s.mu.Unlock()
-		if time.Now().Before(c.expires) && c.in.Buffered() == 0 && isQuiet(c.Conn) {
+		if time.Now().Before(c.expires) && c.in.Buffered() == 0 && IsQuiet(c.Conn) {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
-// isQuiet reports whether n is open with no bytes to read; bytes on an idle connection are a stale response.
-func isQuiet(n net.Conn) bool {
+// IsQuiet reports whether n is open with no bytes to read; bytes on an idle connection are a stale response.
+func IsQuiet(n net.Conn) bool {
 	s, ok := n.(syscall.Conn)
 	if !ok {
 		return true
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -10,6 +10,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/authn"
+	"bulrushlug.dev/bulrushlug/drain"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/locate"
 	"bulrushlug.dev/bulrushlug/lotsrv"
@@ -87,7 +88,7 @@
 	if err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.Load().HTTP(), err)
 	}
-	f := e.httpServer()
+	f := drain.New(e.httpServer())
 	go func() { e.logListenerEnd("front", f.Serve(l)) }()
 	<-c.Done()
 	return e.drain(f)
@@ -124,12 +125,12 @@
 
 // drain shuts f down gracefully: it fails the readiness probe, waits until the load balancer has noticed, and then waits
 // for open requests.
-func (e *entry) drain(f *http.Server) error {
+func (e *entry) drain(f *drain.Server) error {
 	t := time.Now()
 	e.leaving.Store(true)
 	e.broadcaster.Leave()
 	_ = e.logger.Log("event", "leave")
-	f.SetKeepAlivesEnabled(false)
+	f.Leave()
 	c, stop := context.WithDeadline(context.Background(), t.Add(e.settings.Load().Grace()-shutdownMargin))
 	defer stop()
 	_ = bulrushlug.Sleep(c, readinessGrace)
--- /dev/null
+++ b/drain/drain.go
@@ -0,0 +1,173 @@
+// Package drain stops an HTTP server without cutting a request that was read.
+//
+// Server.Shutdown and Server.SetKeepAlivesEnabled of net/http close every connection that counts as idle, and one counts
+// as idle until after its next request was read: that request would reach a backend server and get no response. Here a
+// connection ends only if a read of its next request returned nothing.
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	shardCount    = 8
+	checkInterval = 20 * time.Millisecond // Time between two looks at the open connections.
+	queueInterval = time.Millisecond      // Time between two looks at the accept queue.
+	// firstRequestTimeout is how long a new connection may take to send its first request during a shutdown.
+	firstRequestTimeout = time.Second
+)
+
+// Server serves HTTP until it is drained.
+type Server struct {
+	http    *http.Server
+	leaving atomic.Bool // Each response closes its connection.
+	closing atomic.Bool // The listener is closed or about to be.
+	mu      sync.Mutex
+	open    *listener // Nil before Serve.
+	shards  [shardCount]shard
+}
+
+// shard holds a part of the connections, by remote address.
+type shard struct {
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+// New returns a server that serves h; it takes over the handler and the hook ConnState of h.
+func New(h *http.Server) *Server {
+	s := &Server{http: h}
+	for i := range s.shards {
+		s.shards[i].conns = map[*conn]bool{}
+	}
+	f := h.Handler
+	h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		f.ServeHTTP(w, r)
+	})
+	h.ConnState = s.observe
+	return s
+}
+
+// Serve serves connections from l until Shutdown or Close; it then returns http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	o := &listener{Listener: l, server: s}
+	s.mu.Lock()
+	s.open = o
+	s.mu.Unlock()
+	return s.http.Serve(o)
+}
+
+// Leave has each further response close its connection; connections are still accepted.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Shutdown closes the listener once the queued connections are accepted, then each connection without a request, and
+// waits for open requests. When c ends it cuts them and returns the error of c.
+func (s *Server) Shutdown(c context.Context) error {
+	s.Leave()
+	if err := s.closeListener(c); err != nil {
+		return err
+	}
+	for s.endIdle() > 0 {
+		if err := bulrushlug.Sleep(c, checkInterval); err != nil {
+			_ = s.http.Close()
+			return err
+		}
+	}
+	return s.http.Close()
+}
+
+// Close closes the listener and cuts all connections.
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	return s.http.Close()
+}
+
+// closeListener closes the listener once no connection waits to be accepted, or when c ends.
+func (s *Server) closeListener(c context.Context) error {
+	s.mu.Lock()
+	l := s.open
+	s.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	for hasQueued(l.Listener) && bulrushlug.Sleep(c, queueInterval) == nil {
+	}
+	s.closing.Store(true)
+	return l.Close()
+}
+
+// endIdle ends the connections that wait for a request, and returns the number of open connections.
+func (s *Server) endIdle() (n int) {
+	for i := range s.shards {
+		h := &s.shards[i]
+		h.mu.Lock()
+		n += len(h.conns)
+		for c := range h.conns {
+			c.endIdle()
+		}
+		h.mu.Unlock()
+	}
+	return n
+}
+
+func (s *Server) shard(c *conn) *shard {
+	return &s.shards[xxhash.Sum64String(c.RemoteAddr().String())%shardCount]
+}
+
+// observe keeps track of the connections and of those between two requests.
+func (s *Server) observe(n net.Conn, state http.ConnState) {
+	c, ok := n.(*conn)
+	if !ok {
+		return
+	}
+	h := s.shard(c)
+	switch state {
+	case http.StateNew:
+		h.mu.Lock()
+		h.conns[c] = true
+		h.mu.Unlock()
+	case http.StateClosed, http.StateHijacked:
+		h.mu.Lock()
+		delete(h.conns, c)
+		h.mu.Unlock()
+	default:
+		c.setIdle(state == http.StateIdle)
+	}
+}
+
+// listener wraps the connections that it accepts.
+type listener struct {
+	net.Listener
+	server *Server
+	once   sync.Once
+	err    error // Result of the first Close.
+}
+
+// Close closes the listener; later calls return the result of the first one.
+func (l *listener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	switch {
+	case err == nil:
+		return &conn{Conn: c, acceptedAt: time.Now(), idle: true, isNew: true}, nil
+	case l.server.closing.Load():
+		return nil, http.ErrServerClosed
+	}
+	return nil, err
+}
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,255 @@
+package drain
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// hookListener calls afterRead with the number of reads of its connections that returned bytes, before the server sees
+// the bytes.
+type hookListener struct {
+	*net.TCPListener
+	acceptDelay time.Duration
+	afterRead   func(n int)
+}
+
+func (l *hookListener) Accept() (net.Conn, error) {
+	time.Sleep(l.acceptDelay)
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &hookConn{TCPConn: c, afterRead: l.afterRead}, nil
+}
+
+type hookConn struct {
+	*net.TCPConn
+	reads     int
+	afterRead func(n int)
+}
+
+func (c *hookConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.reads++
+		c.afterRead(c.reads)
+	}
+	return n, err
+}
+
+// caller sends requests on one connection.
+type caller struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, a string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return &caller{c, bufio.NewReader(c)}
+}
+
+func (c *caller) send(s string) { _, _ = io.WriteString(c, s) }
+
+// response reads one response, and returns its body and whether it closes the connection.
+func (c *caller) response() (string, bool, error) {
+	w, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return "", false, err
+	}
+	b, err := io.ReadAll(w.Body)
+	return string(b), w.Close, err
+}
+
+const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func TestShutdown(t *testing.T) {
+	for name, x := range map[string]struct {
+		acceptDelay time.Duration
+		stopAt      int // The server stops as this read of the connection has returned; zero if run stops it.
+		run         func(t *testing.T, c *caller, stop func()) (string, bool, error)
+		want        string // Body of the last response; empty if the connection closes without one.
+		keeps       bool   // The response, whose handler began before the stop, does not announce the close.
+	}{
+		"the request is read as the server stops": {stopAt: 2, want: "ok", run: func(_ *testing.T, c *caller, _ func()) (string, bool, error) {
+			c.send(request)
+			_, _, _ = c.response()
+			time.Sleep(50 * time.Millisecond)
+			c.send(request)
+			return c.response()
+		}},
+		"the first request is read as the server stops": {stopAt: 1, want: "ok", run: func(_ *testing.T, c *caller, _ func()) (string, bool, error) {
+			c.send(request)
+			return c.response()
+		}},
+		"a new connection": {want: "ok", run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			time.Sleep(50 * time.Millisecond)
+			stop()
+			c.send(request)
+			return c.response()
+		}},
+		"a connection in the accept queue": {acceptDelay: 200 * time.Millisecond, want: "ok", run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			c.send(request)
+			stop()
+			return c.response()
+		}},
+		"half a request": {want: "ok", run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			c.send(request)
+			_, _, _ = c.response()
+			c.send(request[:20])
+			time.Sleep(50 * time.Millisecond)
+			stop()
+			c.send(request[20:])
+			return c.response()
+		}},
+		"a request in progress": {want: "slow", keeps: true, run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			c.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+			time.Sleep(50 * time.Millisecond)
+			stop()
+			return c.response()
+		}},
+		"an idle connection": {run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			c.send(request)
+			_, _, _ = c.response()
+			time.Sleep(50 * time.Millisecond)
+			stop()
+			return c.response()
+		}},
+		"a connection without a request": {run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			stop()
+			return c.response()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := http.NewServeMux()
+			m.HandleFunc("/x", func(w http.ResponseWriter, r *http.Request) {
+				if r.Context().Err() == nil {
+					_, _ = io.WriteString(w, "ok")
+				}
+			})
+			m.HandleFunc("/slow", func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(300 * time.Millisecond):
+					_, _ = io.WriteString(w, "slow")
+				case <-r.Context().Done():
+				}
+			})
+			s := New(&http.Server{Handler: m, IdleTimeout: 10 * time.Second})
+			ended := make(chan error, 2)
+			stop := func() {
+				go func() { ended <- s.Shutdown(t.Context()) }()
+				time.Sleep(50 * time.Millisecond)
+			}
+			h := &hookListener{TCPListener: l.(*net.TCPListener), acceptDelay: x.acceptDelay, afterRead: func(n int) {
+				if n == x.stopAt {
+					stop()
+				}
+			}}
+			go func() { ended <- s.Serve(h) }()
+			c := dial(t, l.Addr().String())
+			got, closes, err := x.run(t, c, stop)
+			if got != x.want || x.want != "" && closes == x.keeps || x.want == "" && !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("response %q, closes %v, error %v", got, closes, err)
+			}
+			for range 2 {
+				select {
+				case err := <-ended:
+					if err != nil && !errors.Is(err, http.ErrServerClosed) {
+						t.Errorf("the server ended with %v", err)
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatal("the server does not end")
+				}
+			}
+		})
+	}
+}
+
+// TestShutdownTimeout has a request that does not end.
+func TestShutdownTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })})
+	go func() { _ = s.Serve(l) }()
+	c := dial(t, l.Addr().String())
+	c.send(request)
+	x, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	if err := s.Shutdown(x); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("Shutdown returned %v", err)
+	}
+	if _, _, err := c.response(); err == nil {
+		t.Error("the open request got a response")
+	}
+}
+
+// TestStopsUnderLoad stops a server many times while callers send requests on kept connections: each request that the
+// handler saw gets its response.
+func TestStopsUnderLoad(t *testing.T) {
+	const stops, callers = 300, 8
+	for range stops {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var seen, answered sync.Map
+		s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen.Store(r.URL.Path, true)
+			_, _ = io.WriteString(w, r.URL.Path)
+		})})
+		go func() { _ = s.Serve(l) }()
+		var w sync.WaitGroup
+		for i := range callers {
+			c := dial(t, l.Addr().String())
+			w.Go(func() {
+				for n := 0; ; n++ {
+					id := fmt.Sprintf("/%d-%d", i, n)
+					c.send("GET " + id + " HTTP/1.1\r\nHost: h\r\n\r\n")
+					got, closes, err := c.response()
+					if err != nil {
+						return
+					}
+					if got != id {
+						t.Errorf("response %q to %q", got, id)
+					}
+					answered.Store(id, true)
+					if closes {
+						return
+					}
+					time.Sleep(rand.N(500 * time.Microsecond))
+				}
+			})
+		}
+		time.Sleep(rand.N(4 * time.Millisecond))
+		if err := s.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		w.Wait()
+		seen.Range(func(id, _ any) bool {
+			if _, ok := answered.Load(id); !ok {
+				t.Errorf("request %s reached the handler and got no response", id)
+			}
+			return true
+		})
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 	"bulrushlug.dev/bulrushlug/authn"
 	"bulrushlug.dev/bulrushlug/choose"
 	"bulrushlug.dev/bulrushlug/dedup"
+	"bulrushlug.dev/bulrushlug/drain"
 	"bulrushlug.dev/bulrushlug/front"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/pipe"
@@ -27,13 +29,13 @@
 	*Node
 	revoke *revoke.Filter
 	dedup  *dedup.Filter
-	http   *http.Server
+	http   *drain.Server
 }
 
 func newEntry(n *Node) *entry {
 	e := &entry{Node: n, revoke: revoke.New(n.control.State()), dedup: dedup.New(n.store)}
 	n.control.State().OnChange(func(*bulrushlug.Config) { go e.revoke.CancelUnauthorised() })
-	e.http = &http.Server{Addr: n.settings.HTTP(), Handler: e.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	e.http = drain.New(&http.Server{Handler: e.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	return e
 }
 
@@ -74,7 +76,11 @@
 	g.run(c, e.revoke.Run)
 	g.run(c, e.dedup.Run)
 	g.run(c, func(context.Context) error {
-		if err := e.http.ListenAndServe(); err != http.ErrServerClosed {
+		l, err := net.Listen("tcp", e.settings.HTTP())
+		if err == nil {
+			err = e.http.Serve(l)
+		}
+		if err != http.ErrServerClosed {
 			return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.HTTP(), err)
 		}
 		return nil
@@ -86,11 +92,10 @@
 // HTTP server down once open requests have ended.
 func (e *entry) drain(c context.Context) {
 	t := time.Now()
+	e.http.Leave()
 	if err := e.control.LeaveRing(c); err == nil {
 		_ = bulrushlug.Sleep(c, takeoverWait)
 	}
 	_ = bulrushlug.Sleep(c, lameDuckTime-time.Since(t))
-	if e.http.Shutdown(c) != nil {
-		_ = e.http.Close()
-	}
+	_ = e.http.Shutdown(c)
 }
