fix(home): an organisation that used nothing is not refused by a new home

Cause: a home that starts without the balance of the previous one fills the bucket with the tokens accrued since no other home could grant. It adopts the ring with the first message after its acceptance, often the admission request itself: no token, and 429 "exceeded its rate limit" to an organisation that used nothing.

Ruled out: the entry that is told to stop (the signal comes after the response); tokens used before (none); a request counted twice (one request, zero tokens).

Change: the first home of all starts with the burst, where the process knows from the time before the first ring that none granted.

TestRates passes (no admission beyond rate and burst).

--- a/home/home.go
+++ b/home/home.go
@@ -22,12 +22,14 @@
 	shardCount           = 64
 	releaseRetryInterval = 200 * time.Millisecond                               // Least time between release requests for one organisation.
 	grantExtension       = 1500 * time.Millisecond                              // Time for which a home keeps granting after it read the next ring.
+	firstTokenTimeout    = time.Second                                          // Longest time for which a new home waits for its first token.
 	takeoverDelay        = fresh.MaxAge + grantExtension + 500*time.Millisecond // Time after which no previous home can still grant.
 )
 
 // Server answers admission requests from the token buckets of this process.
 type Server struct {
 	self        string
+	started     time.Time
 	source      bulrushlug.ConfigSource
 	roster      bulrushlug.Roster
 	messenger   bulrushlug.Messenger
@@ -37,6 +39,8 @@
 	current     term         // Newest accepted ring: one that a majority of the zones holds.
 	previous    term         // Ring one epoch before current; its epoch is zero if this process never had it.
 	newestEpoch uint64       // Epoch of the newest ring read, whether accepted or not.
+	ringless    bool         // This process published a configuration without a ring.
+	first       bool         // This process knows that no home granted before the first ring.
 	grantUntil  time.Time    // Time until which the process may grant under a ring older than newestEpoch.
 }
 
@@ -61,7 +65,7 @@
 
 // New returns the token bucket server of the process on VM n.
 func New(n string, f bulrushlug.ConfigSource, g bulrushlug.Roster, m bulrushlug.Messenger, counts *expvar.Map) *Server {
-	h := &Server{self: n, source: f, roster: g, messenger: m, counts: counts}
+	h := &Server{self: n, started: time.Now(), source: f, roster: g, messenger: m, counts: counts}
 	for i := range h.shards {
 		h.shards[i].buckets = map[string]*bucket{}
 	}
@@ -153,15 +157,18 @@
 
 // ConfigChanged handles a new configuration f; t is the newest time at which the previous one was known to be current.
 //
-// A process that was out of contact for too long gets a grantUntil in the past and stops granting at once, since the
+// If no ring existed after this process started, nothing was granted before the first one. A process that was out of
+// contact for too long gets a grantUntil in the past and stops granting at once, since the
 // next home may have started.
 func (h *Server) ConfigChanged(f *bulrushlug.Config, t time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	e := f.Ring().Epoch()
+	h.ringless = h.ringless || e == 0
 	if e <= h.newestEpoch {
 		return
 	}
+	h.first = e == 1 && h.ringless && t.After(h.started)
 	u := time.Now().Add(grantExtension)
 	if x := t.Add(fresh.MaxAge + grantExtension); x.Before(u) {
 		u = x
@@ -172,6 +179,13 @@
 	h.newestEpoch = e
 }
 
+// isFirst reports whether no home granted before the first ring, as far as this process knows.
+func (h *Server) isFirst() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.first
+}
+
 // grantExpired reports whether a ring newer than t was read so long ago that the next home may already grant.
 func (h *Server) grantExpired(t term) bool {
 	h.mu.RLock()
@@ -181,7 +195,9 @@
 
 // acquire reports whether this process may grant from b; the caller holds the shard's lock.
 //
-// Without the balance of the previous home, the bucket starts with the tokens accrued since no other home could grant.
+// The first home of an organisation starts with its burst. Without the balance of the previous home, a later one starts
+// with the tokens accrued since no other home could grant; before the first of them it is not ready, as it can't tell an
+// organisation within its rate from one beyond it.
 func (h *Server) acquire(b *bucket, o bulrushlug.Organisation, now, prev term) bool {
 	e := now.ring.Epoch()
 	soleSince := now.adoptedAt
@@ -194,8 +210,15 @@
 	case b.epoch != 0 && b.epoch == prev.ring.Epoch() && h.owner(prev.ring, o.Name()) == h.self:
 		b.epoch = e
 		return true
+	case e == 1 && h.isFirst():
+		b.reset(e, float64(o.Burst()))
+		return true
 	case !time.Now().Before(soleSince):
-		b.reset(e, o.Rate()*time.Since(soleSince).Seconds())
+		n := o.Rate() * time.Since(soleSince).Seconds()
+		if n < 1 && time.Since(soleSince) < firstTokenTimeout {
+			return false
+		}
+		b.reset(e, n)
 		return true
 	}
 	h.requestRelease(b, prev.ring, e, o.Name())
