fix(conns): heads without end, second answers without an identifier

Cause: http.ReadResponse on a plain buffered reader reads a head of any length (some hundred MB in 2 s). A response without an identifier counted as the right one, also on a connection that was in use before, so a late second answer of a server that does not repeat identifiers went to the next caller. A 103 counted as the final response. Nobody read from an idle connection, so one whose address is not used again held what its server sent. Keep-Alive timeout=0 counted as none given.

Ruled out by tests that passed before too: second answers with an identifier or in chunks, trailers, chunk sizes and extensions, bytes after a body.

Change: a head has at most 64 KB; a connection is used again only after the server repeated the identifier on it, and then a response without one is stale; all interim responses are skipped; an idle connection closes when it expires.

Before: five cases of TestEndless take 43 to 741 MB, two of TestAnswers give "again to a" to request b. After: at most 64 KB of a head, no failure, also under the race detector.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,7 @@
 	idleMargin        = 500 * time.Millisecond // Time before the server's idle timeout at which a connection is no longer used.
 	maxStaleResponses = 3                      // Stale responses to other requests that are skipped for one request.
 	maxStaleBytes     = 64 << 10               // Bytes of a stale response's body that are skipped.
+	maxHeadBytes      = 64 << 10               // Bytes of the status line and header fields of one response.
 	bufferSize        = 4 << 10
 )
 
@@ -50,7 +52,46 @@
 type conn struct {
 	net.Conn
 	in      *bufio.Reader
-	expires time.Time // The connection is not reused after this time.
+	head    headLimit   // What in reads from.
+	reused  bool        // An earlier request used the connection; its response had the identifier of that request.
+	expires time.Time   // The connection is not reused after this time.
+	timer   *time.Timer // Closes the idle connection when it expires; nil before it was idle.
+}
+
+// headLimit reads from a connection, and fails once the head of a response is larger than maxHeadBytes.
+type headLimit struct {
+	net.Conn
+	left int // Bytes that may be read; negative for any number.
+}
+
+// Read reads from the connection.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.left == 0 {
+		return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "the head of a response is larger than %d bytes", maxHeadBytes)
+	}
+	if l.left > 0 {
+		p = p[:min(len(p), l.left)]
+	}
+	n, err := l.Conn.Read(p)
+	if l.left > 0 {
+		l.left -= n
+	}
+	return n, err
+}
+
+// newConn returns the connection n, which no request used yet.
+func newConn(n net.Conn) *conn {
+	c := &conn{Conn: n, head: headLimit{Conn: n}}
+	c.in = bufio.NewReaderSize(&c.head, bufferSize)
+	return c
+}
+
+// readHead reads the head of the next response to r.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.head.left = maxHeadBytes
+	w, err := http.ReadResponse(c.in, r)
+	c.head.left = -1
+	return w, err
 }
 
 // New returns a pool that matches responses to requests by the header h; f is called for each new connection.
@@ -93,6 +134,7 @@
 		c := l[len(l)-1]
 		s.idle[a] = l[:len(l)-1]
 		s.mu.Unlock()
+		c.timer.Stop()
 		if time.Now().Before(c.expires) && c.in.Buffered() == 0 && IsQuiet(c.Conn) {
 			return c
 		}
@@ -120,12 +162,33 @@
 	return err == nil && silent
 }
 
-// putIdle returns c to the pool.
+// putIdle returns c to the pool until it expires.
 func (p *Pool) putIdle(a string, c *conn) {
 	s := p.shard(a)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.idle[a] = append(s.idle[a], c)
+	d := time.Until(c.expires)
+	if c.timer == nil {
+		c.timer = time.AfterFunc(d, func() { s.expire(a, c) })
+		return
+	}
+	c.timer.Reset(d)
+}
+
+// expire closes c if it is idle and has expired. Nobody reads from an idle connection, so without this one whose
+// address is not used again would hold what its server sends.
+func (s *shard) expire(a string, c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.Index(s.idle[a], c)
+	if i < 0 || time.Now().Before(c.expires) {
+		return
+	}
+	if s.idle[a] = slices.Delete(s.idle[a], i, i+1); len(s.idle[a]) == 0 {
+		delete(s.idle, a)
+	}
+	_ = c.Close()
 }
 
 // Send sends r with body b to address a once, and returns the response, whose body the caller must close.
@@ -172,26 +235,29 @@
 		return nil, bulrushlug.WrapError(bulrushlug.KindUnplaceable, a, err)
 	}
 	p.onDial()
-	return &conn{Conn: n, in: bufio.NewReaderSize(n, bufferSize)}, nil
+	return newConn(n), nil
 }
 
 // exchange writes the request and reads the head of its response, skipping stale responses to other requests.
+//
+// On a reused connection a response without an identifier is a stale one too: the server repeats identifiers.
 func (p *Pool) exchange(c *conn, r *http.Request, b []byte) (*http.Response, error) {
 	werr := write(c, r, b)
 	id := r.Header.Get(p.idHeader)
 	for range maxStaleResponses {
-		w, err := http.ReadResponse(c.in, r)
+		w, err := c.readHead(r)
 		if err != nil {
 			if werr != nil {
 				return nil, werr
 			}
 			return nil, err
 		}
-		if w.StatusCode == http.StatusContinue {
+		if w.StatusCode < http.StatusOK {
 			continue
 		}
-		if x := w.Header.Get(p.idHeader); id == "" || x == "" || x == id {
-			w.Close = w.Close || werr != nil
+		if x := w.Header.Get(p.idHeader); x == id || x == "" && !c.reused {
+			w.Close = w.Close || werr != nil || x == ""
+			c.reused = true
 			return w, nil
 		}
 		if _, err := io.CopyN(io.Discard, w.Body, maxStaleBytes); err != io.EOF {
@@ -220,18 +286,15 @@
 	if w.Close || w.ContentLength < 0 && len(w.TransferEncoding) == 0 || c.in.Buffered() > 0 {
 		return false
 	}
-	d := time.Duration(0)
+	d := defaultIdleTime
 	for v := range strings.SplitSeq(w.Header.Get("Keep-Alive"), ",") {
 		n, t, _ := strings.Cut(strings.TrimSpace(v), "=")
 		if s, err := strconv.Atoi(t); err == nil && strings.EqualFold(n, "timeout") {
 			d = time.Duration(s) * time.Second
 		}
 	}
-	if d == 0 {
-		d = defaultIdleTime
-	}
 	c.expires = time.Now().Add(d - idleMargin)
-	return c.SetDeadline(time.Time{}) == nil
+	return d > idleMargin && c.SetDeadline(time.Time{}) == nil
 }
 
 // body returns the connection to the pool once the response was read.
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -96,6 +96,46 @@
 				last = id
 			}
 		}, want: []string{"to a", "to b", "to c"}, conns: 1},
+		"a late duplicate response without an identifier": {serve: func(n int, c net.Conn, r *bufio.Reader) {
+			last := ""
+			for id := request(r); id != ""; id = request(r) {
+				if last != "" {
+					_, _ = io.WriteString(c, strings.Replace(encodeResponse("", "", "again to "+last), header+": \r\n", "", 1))
+				}
+				_, _ = io.WriteString(c, strings.Replace(encodeResponse("", "", "to "+id), header+": \r\n", "", 1))
+				last = id
+			}
+		}, want: []string{"to a", "to b", "to c"}, conns: 3},
+		"a late duplicate response that lost its identifier": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			last := ""
+			for id := request(r); id != ""; id = request(r) {
+				if last != "" {
+					_, _ = io.WriteString(c, strings.Replace(encodeResponse("", "", "again to "+last), header+": \r\n", "", 1))
+				}
+				_, _ = io.WriteString(c, encodeResponse(id, "", "to "+id))
+				last = id
+			}
+		}, want: []string{"to a", "to b", "to c"}, conns: 1},
+		"a late duplicate response in chunks": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			last := ""
+			chunked := func(id, body string) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", header, id, len(body), body)
+			}
+			for id := request(r); id != ""; id = request(r) {
+				if last != "" {
+					chunked(last, "again to "+last)
+				}
+				chunked(id, "to "+id)
+				last = id
+			}
+		}, want: []string{"to a", "to b", "to c"}, conns: 1},
+		"bytes after the response": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := request(r); id != ""; id = request(r) {
+				_, _ = io.WriteString(c, encodeResponse(id, "", "to "+id))
+				time.Sleep(5 * time.Millisecond)
+				_, _ = io.WriteString(c, "more bytes")
+			}
+		}, want: []string{"to a", "to b", "to c"}, conns: 3},
 		"only stale responses": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
 			request(r)
 			for range 5 {
@@ -131,7 +171,7 @@
 			for id := request(r); id != ""; id = request(r) {
 				_, _ = io.WriteString(c, encodeResponse(id, "Keep-Alive: timeout=0\r\n", "to "+id))
 			}
-		}, want: []string{"to a", "to b", "to c"}},
+		}, want: []string{"to a", "to b", "to c"}, conns: 3},
 		"a response before the body was read": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
 			for {
 				q, err := http.ReadRequest(r)
@@ -168,6 +208,59 @@
 	}
 }
 
+// endless writes s until the connection closes, and reports the number of bytes.
+func endless(c net.Conn, first, s string, written chan<- int) {
+	n, err := io.WriteString(c, first)
+	s = strings.Repeat(s, 1+(16<<10)/len(s))
+	for err == nil {
+		var m int
+		m, err = io.WriteString(c, s)
+		n += m
+	}
+	written <- n
+}
+
+// TestEndless has servers that send bytes without end; the caller reads a bounded part of them.
+func TestEndless(t *testing.T) {
+	const maxTaken = 16 << 20 // Bytes that a server can send, most of them into the buffers of the kernel.
+	for name, x := range map[string]struct{ first, more string }{
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+		"one header line":     {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
+		"a status line":       {"HTTP/1.1 200 ", "a"},
+		"no line end":         {"", "\x00"},
+		"a continued line":    {"HTTP/1.1 200 OK\r\nX-A: b\r\n", " b\r\n"},
+		"interim responses":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"early hints":         {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk extensions":    {"HTTP/1.1 200 OK\r\n" + header + ": a\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"},
+		"a chunk size":        {"HTTP/1.1 200 OK\r\n" + header + ": a\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"trailers":            {"HTTP/1.1 200 OK\r\n" + header + ": a\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n0\r\n", "X-A: b\r\n"},
+		"a body past its end": {"HTTP/1.1 200 OK\r\n" + header + ": a\r\nContent-Length: 2\r\n\r\nok", "more"},
+		"stale responses":     {"", encodeResponse("z", "", "to z")},
+		"a stale body":        {"HTTP/1.1 200 OK\r\n" + header + ": z\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			written := make(chan int, 1)
+			a := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				request(r)
+				endless(c, x.first, x.more, written)
+			})
+			b, err := send(New(header, func() {}), a, "a")
+			if err == nil && b != "ok" || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("response %q, %v", b, err)
+			}
+			select {
+			case n := <-written:
+				if n > maxTaken {
+					t.Errorf("the server sent %d bytes", n)
+				}
+			case <-time.After(defaultIdleTime):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
+
 func TestErrorKinds(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
