--- a/items/runner.go
+++ b/items/runner.go
@@ -251,6 +251,9 @@
 		} else if err != nil {
 			return 0, bulrushlug.WrapError(bulrushlug.KindBroken, s.Backend().ID(), err)
 		}
+		if !e.Progress() {
+			continue
+		}
 		t.Reset(eventTimeout)
 		id, ok := e.ID()
 		if !ok {
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -115,8 +115,13 @@
 	defer l.Release()
 	a.notify(vms)
 	t := time.Now()
-	p, err := a.call(c, l)
+	x, stop := context.WithCancelCause(c)
+	defer stop(nil)
+	p, err := a.call(x, stop, l)
 	if err != nil {
+		if c.Err() == nil && x.Err() != nil {
+			err = errNoResponse
+		}
 		return a.classify(c, l, err)
 	}
 	defer p.Close()
@@ -129,7 +134,14 @@
 		a.skip[l.Backend().ID()] = true
 		return a.mayRetry() && a.canResume(), bulrushlug.Errorf(bulrushlug.KindBroken, "%s answered %d to a request to resume a stream", l.Backend().ID(), p.Status())
 	}
-	n, err := a.forward(p)
+	w := newWatchdog(a.request.TargetRoute().EventGapTarget(), func(cut bool) {
+		l.RecordFailure()
+		if cut {
+			stop(errStalled)
+		}
+	})
+	n, err := a.forward(p, w)
+	w.stop()
 	if err == nil {
 		l.RecordSuccess(eventInterval(t, n))
 		return false, nil
@@ -143,25 +155,23 @@
 }
 
 // call sends the request to the server of l. After suspectTimeout other requests avoid the server, and after
-// responseTimeout a request that may be retried is cancelled.
-func (a *exchange) call(c context.Context, l *slots.Reservation) (bulrushlug.Reply, error) {
+// responseTimeout a request that may be retried is cancelled by stop.
+func (a *exchange) call(c context.Context, stop context.CancelCauseFunc, l *slots.Reservation) (bulrushlug.Reply, error) {
 	t := time.AfterFunc(suspectTimeout, l.RecordFailure)
 	defer t.Stop()
-	if !a.mayRetry() || a.request.TargetRoute().Attempts() == a.possibleRuns+1 {
-		return a.client.Call(c, l.Backend(), a.request)
+	if a.mayRetry() && a.request.TargetRoute().Attempts() != a.possibleRuns+1 {
+		g := time.AfterFunc(responseTimeout, func() { stop(errNoResponse) })
+		defer g.Stop()
 	}
-	x, stop := context.WithCancelCause(c)
-	g := time.AfterFunc(responseTimeout, func() { stop(errNoResponse) })
-	defer g.Stop()
-	p, err := a.client.Call(x, l.Backend(), a.request)
-	if err != nil && c.Err() == nil && x.Err() != nil {
-		err = errNoResponse
-	}
-	return p, err
+	return a.client.Call(c, l.Backend(), a.request)
 }
 
-// errNoResponse is the cause of a cancelled attempt; the request may have run.
-var errNoResponse = bulrushlug.Errorf(bulrushlug.KindUncertain, "the server did not answer in time")
+var (
+	// errNoResponse is the cause of a cancelled attempt; the request may have run.
+	errNoResponse = bulrushlug.Errorf(bulrushlug.KindUncertain, "the server did not answer in time")
+	// errStalled is the cause of a cancelled stream.
+	errStalled = bulrushlug.Errorf(bulrushlug.KindBroken, "the stream has stalled")
+)
 
 // eventInterval returns the average seconds between the n events of a response whose request was sent at t; zero if
 // n is less than two.
@@ -211,9 +221,9 @@
 }
 
 // forward copies the response p to the caller and returns the number of events.
-func (a *exchange) forward(p bulrushlug.Reply) (int, error) {
+func (a *exchange) forward(p bulrushlug.Reply, w *watchdog) (int, error) {
 	if isEventStream(p) {
-		return a.forwardEvents(p)
+		return a.forwardEvents(p, w)
 	}
 	return 0, a.forwardBody(p)
 }
@@ -224,20 +234,19 @@
 }
 
 // forwardEvents copies whole events as they arrive, so that a broken stream can resume between events.
-func (a *exchange) forwardEvents(p bulrushlug.Reply) (n int, err error) {
+func (a *exchange) forwardEvents(p bulrushlug.Reply, w *watchdog) (n int, err error) {
 	r := stream.New(p)
 	for {
-		e, err := r.Next()
-		if errors.Is(err, io.EOF) {
-			return n, a.sink.head(p)
-		}
-		if err != nil {
+		w.start(a.mayRetry() && a.canResume())
+		e, err := a.nextEvent(r, w)
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
 			return n, brokenError(err)
 		}
 		if err := a.sink.head(p); err != nil {
 			return n, err
 		}
-		if err := a.sink.write(e); err != nil {
+		if err := a.sink.write(e); err != nil || ended {
 			return n, err
 		}
 		n++
@@ -248,6 +257,30 @@
 	}
 }
 
+// nextEvent reads the next event with data, and returns it behind the events without any that came before it. These are
+// no progress: a server that sends only comments has stalled.
+func (a *exchange) nextEvent(r *stream.Reader, w *watchdog) (b []byte, err error) {
+	defer w.stop()
+	for {
+		e, err := r.Next()
+		if err == nil && r.Progress() && len(b) == 0 {
+			return e, nil
+		}
+		b = append(b, e...)
+		switch {
+		case err != nil || r.Progress():
+			return b, err
+		case len(b) > maxBuffered:
+			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "%d bytes without an event", len(b))
+		case a.sink.headSent:
+			if err := a.sink.write(b); err != nil {
+				return nil, err
+			}
+			b = b[:0]
+		}
+	}
+}
+
 // forwardBody copies a response once it is complete; one of maxBuffered bytes or more is copied in parts.
 func (a *exchange) forwardBody(p bulrushlug.Reply) error {
 	var b []byte
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -247,6 +247,96 @@
 	}
 }
 
+// paced is a set of servers whose first stream sends the parts with a pause before each, and then nothing.
+type paced struct {
+	*servers
+	parts []string
+	pause time.Duration
+	calls int
+}
+
+func (v *paced) Call(c context.Context, b bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+	if v.calls++; v.calls > 1 {
+		return v.servers.Call(c, b, r)
+	}
+	p, w := io.Pipe()
+	go func() {
+		for _, s := range v.parts {
+			if bulrushlug.Sleep(c, v.pause) != nil {
+				break
+			}
+			_, _ = io.WriteString(w, s)
+			if s == "end" {
+				_ = w.Close()
+				return
+			}
+		}
+		<-c.Done()
+		_ = w.CloseWithError(c.Err())
+	}()
+	return &reply{status: 200, contentType: "text/event-stream", in: p}, nil
+}
+
+// TestStalledStream has streams that are slow, and streams that send bytes but no events.
+func TestStalledStream(t *testing.T) {
+	events := []string{"id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n", "id: 3\ndata: 3\n\n", "id: 4\ndata: 4\n\n"}
+	whole := strings.Join(events, "")
+	for name, x := range map[string]struct {
+		parts     []string
+		pause     time.Duration
+		gap       time.Duration // Longest pause that the route allows.
+		resumable bool
+		slow      time.Duration // Time that the caller takes for each event.
+		want      string        // What the caller gets.
+		calls     int           // Servers asked.
+		ok        bool
+		within    time.Duration
+	}{
+		"slow but sound":             {parts: append(events[:4:4], ""), pause: 1900 * time.Millisecond, resumable: true, want: whole, calls: 2, ok: true, within: 12 * time.Second},
+		"slow within the gap":        {parts: events, pause: 3 * time.Second, gap: 400 * time.Millisecond, resumable: true, want: whole, calls: 2, ok: true, within: 16 * time.Second},
+		"stalled":                    {parts: events[:2], pause: time.Millisecond, resumable: true, want: whole, calls: 2, ok: true, within: 2100 * time.Millisecond},
+		"stalled with comments":      {parts: append(events[:2:2], comments(100)...), pause: 110 * time.Millisecond, resumable: true, want: events[0] + events[1] + strings.Repeat(": here\n\n", 18) + events[2] + events[3], calls: 2, ok: true, within: 2400 * time.Millisecond},
+		"stalled with blank lines":   {parts: append(events[:2:2], strings.Split(strings.Repeat("\n", 100), "")...), pause: 100 * time.Millisecond, resumable: true, want: whole, calls: 2, ok: true, within: 2400 * time.Millisecond},
+		"stalled within an event":    {parts: append(events[:2:2], strings.Split("id: 3"+strings.Repeat("x", 100), "")...), pause: 100 * time.Millisecond, resumable: true, want: whole, calls: 2, ok: true, within: 2400 * time.Millisecond},
+		"comments before the events": {parts: append(comments(3), events[0]), pause: 100 * time.Millisecond, resumable: true, want: strings.Repeat(": here\n\n", 3) + whole, calls: 2, ok: true, within: 3 * time.Second},
+		"stalled, not resumable":     {parts: events[:2], pause: time.Millisecond, want: events[0] + events[1], calls: 1, within: 20 * time.Second},
+		"a caller that reads slowly": {parts: events, pause: time.Millisecond, resumable: true, slow: 3 * time.Second, want: whole, calls: 2, ok: true, within: 16 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := &paced{servers: &servers{steps: []step{steps["ok"]}}, parts: x.parts, pause: x.pause}
+				route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTargets(time.Second, x.gap),
+					bulrushlug.RouteTraffic(bulrushlug.TrafficStream, x.resumable, x.resumable), bulrushlug.RouteLimits(3, 0, time.Second))
+				r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(20*time.Second)))
+				k := &slowCaller{pause: x.slow}
+				t0 := time.Now()
+				err := New(table(), v, noRecorder{}, func([]string) {}).Run(t.Context(), r, k)
+				if (err == nil) != x.ok || k.data != x.want || v.calls != x.calls || time.Since(t0) > x.within {
+					t.Errorf("%v after %v at %d servers, the caller got %q", err, time.Since(t0), v.calls, k.data)
+				}
+			})
+		})
+	}
+}
+
+func comments(n int) (l []string) {
+	for range n {
+		l = append(l, ": here\n\n")
+	}
+	return l
+}
+
+// slowCaller takes a while for each part of a response.
+type slowCaller struct {
+	caller
+	pause time.Duration
+}
+
+func (k *slowCaller) Write(p []byte) error {
+	time.Sleep(k.pause)
+	return k.caller.Write(p)
+}
+
 // silent is a set of servers one of which never answers.
 type silent struct {
 	*servers
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -22,6 +22,7 @@
 	id    uint64       // Identifier of the last whole event that had one.
 	hasID bool         // Some event had an identifier.
 	data  []string     // Values of the data fields of the last whole event.
+	field bool         // The last whole event has an id or data field.
 }
 
 // New returns a reader of the stream r.
@@ -32,7 +33,7 @@
 // io.EOF means that the stream ended between events, io.ErrUnexpectedEOF that it ended within one.
 func (r *Reader) Next() ([]byte, error) {
 	r.event.Reset()
-	r.data = r.data[:0]
+	r.data, r.field = r.data[:0], false
 	for {
 		l, err := r.in.ReadSlice('\n')
 		r.event.Write(l)
@@ -69,12 +70,18 @@
 			if x, err := strconv.ParseUint(v, 10, 64); err == nil {
 				r.id, r.hasID = x, true
 			}
+			r.field = true
 		case "data":
 			r.data = append(r.data, v)
+			r.field = true
 		}
 	}
 }
 
+// Progress reports whether the last whole event has an id or data field; one without, such as a comment, only shows
+// that the server is there.
+func (r *Reader) Progress() bool { return r.field }
+
 // ID returns the identifier of the last whole event that had one, and false if none had.
 func (r *Reader) ID() (uint64, bool) { return r.id, r.hasID }
 
