feat(items): what can be in time runs before what can't

Load pattern: more items wait than the slots can complete in time (a burst of lots, the end of an outage).

Change: a route's pace (events and time between them of completed items) tells which items can't be listed by their due time; they come last. Before them the begun ones, then the others, by due time. Preemption takes the last ones of that order, then the newest. The order of processes at the servers is computed once for each change of either.

--- a/items/item.go
+++ b/items/item.go
@@ -31,6 +31,8 @@
 	started   time.Time          // Start of the current run.
 	cancel    context.CancelFunc // Cancels the current run.
 	preempted bool               // The current run was cancelled for an online request.
+	due       time.Time          // When the item is due.
+	pace      *pace              // Pace of the items of its route.
 }
 
 // sweep cancels runs whose lot this process may not run, and deletes items of lots that it need not keep.
--- a/items/runner.go
+++ b/items/runner.go
@@ -40,12 +40,14 @@
 	logger  log.Logger
 	wake    chan struct{} // Holds a token while a check is due.
 	runs    sync.WaitGroup
+	mu      sync.Mutex
+	paces   map[string]*pace // By route.
 	shards  [shardCount]shard
 }
 
 // New returns a runner that takes lots from k, slots from t and routes from f, and sends items with c.
 func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, l log.Logger) *Runner {
-	r := &Runner{manager: k, table: t, client: c, source: f, logger: l, wake: make(chan struct{}, 1)}
+	r := &Runner{manager: k, table: t, client: c, source: f, logger: l, wake: make(chan struct{}, 1), paces: map[string]*pace{}}
 	for i := range r.shards {
 		r.shards[i].items = map[key]*item{}
 	}
@@ -82,12 +84,26 @@
 	item  uint32
 	route bulrushlug.Route
 	due   time.Time
+	late  bool // The item can't be completed by its due time.
+	begun bool // Some of its events are there.
 }
 
-// schedule starts startable items, earliest due time first, while their service has idle slots.
+// pace returns the pace of the items of route n.
+func (r *Runner) pace(n string) *pace {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.paces[n]
+	if !ok {
+		p = &pace{}
+		r.paces[n] = p
+	}
+	return p
+}
+
+// schedule starts startable items in their order while their service has idle slots.
 func (r *Runner) schedule(c context.Context) {
 	l := r.collect(c)
-	slices.SortStableFunc(l, func(a, b task) int { return a.due.Compare(b.due) })
+	slices.SortStableFunc(l, order)
 	full := map[string]bool{}
 	for _, w := range l {
 		v := heaviestService(w.route)
@@ -119,7 +135,7 @@
 				continue
 			}
 			if r.startable(key{x.ID(), n}, now) {
-				l = append(l, task{lot: x, item: n, route: t, due: x.ReceivedAt().Add(t.Due())})
+				l = append(l, r.newTask(x, n, t, now))
 			}
 		}
 	})
@@ -129,6 +145,24 @@
 	return l
 }
 
+// newTask returns the task of item n of lot x, which is on route t.
+func (r *Runner) newTask(x bulrushlug.Lot, n uint32, t bulrushlug.Route, now time.Time) task {
+	events := r.eventCount(key{x.ID(), n})
+	due := x.ReceivedAt().Add(t.Due())
+	return task{lot: x, item: n, route: t, due: due, late: r.pace(t.Name()).late(events, due, now), begun: events > 0}
+}
+
+// eventCount returns the number of events of an item that are on this process.
+func (r *Runner) eventCount(k key) int {
+	s := r.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x, ok := s.items[k]; ok {
+		return len(x.events)
+	}
+	return 0
+}
+
 // startable reports whether an item without a result is neither running nor in back-off.
 //
 // The result is looked up last: a run records its result before the item counts as no longer running.
@@ -167,6 +201,7 @@
 		h.items[k] = x
 	}
 	x.server, x.started, x.cancel, x.preempted = s.Backend().ID(), time.Now(), stop, false
+	x.due, x.pace = w.due, r.pace(w.route.Name())
 	h.mu.Unlock()
 	r.runs.Go(func() {
 		defer stop()
@@ -189,11 +224,14 @@
 		bulrushlug.WithCall("POST", i.Path(), "", i.Body()), bulrushlug.WithFields(w.lot.Host(), i.Fields()),
 		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResumeFrom(uint64(len(x.events))))
 	h.mu.Unlock()
+	begun := time.Now()
 	status, err := r.exchange(c, h, x, s, q)
 	if err == nil && status == statusOK {
 		h.mu.Lock()
 		text := strings.Join(x.events, "\n")
+		n := len(x.events)
 		h.mu.Unlock()
+		r.pace(w.route.Name()).observe(n, n-int(q.ResumeFrom()), time.Since(begun))
 		r.recordResult(c, k, bulrushlug.NewLotResult(w.item, true, text), "")
 		return
 	}
@@ -278,25 +316,31 @@
 	return slices.Clone(x.events[after:])
 }
 
-// Preempt cancels up to n runs at the backend server b, newest first; their items resume later after the last event.
+// victim is a run that may be preempted.
+type victim struct {
+	shard   *shard
+	item    *item
+	task    task
+	started time.Time
+}
+
+// Preempt cancels up to n runs at the backend server b, the last ones in the order of starts first; their items resume
+// later after the last event.
 func (r *Runner) Preempt(b string, n int) {
-	type run struct {
-		shard *shard
-		item  *item
-		at    time.Time
-	}
-	var l []run
+	now := time.Now()
+	var l []victim
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.Lock()
 		for _, x := range s.items {
 			if x.server == b && !x.preempted {
-				l = append(l, run{s, x, x.started})
+				e := len(x.events)
+				l = append(l, victim{s, x, task{due: x.due, late: x.pace.late(e, x.due, now), begun: e > 0}, x.started})
 			}
 		}
 		s.mu.Unlock()
 	}
-	slices.SortFunc(l, func(a, b run) int { return b.at.Compare(a.at) })
+	slices.SortFunc(l, func(a, b victim) int { return cmp.Or(order(b.task, a.task), b.started.Compare(a.started)) })
 	for _, x := range l[:min(n, len(l))] {
 		x.shard.mu.Lock()
 		if x.item.server == b {
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -2,32 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
-
-	"bulrushlug.dev/bulrushlug/rank"
 )
 
-// ranking orders the processes that run batch items at each server by rendezvous hashing, so that all of
-// them agree on the order without exchanging messages.
-type ranking struct {
-	self string
-	all  []string // All processes that run batch items.
-}
-
-func (t *Table) ranking() ranking { return ranking{self: t.self, all: append(t.batchVMs(), t.self)} }
-
-// isFirst reports whether this process ranks first at server id.
-func (o ranking) isFirst(id string) bool {
-	return rank.First(id, o.all, func(string) bool { return true }) == o.self
-}
-
-// predecessors returns the processes that rank before this one at server id.
-func (o ranking) predecessors(id string) []string {
-	l := rank.Order(id, o.all)
-	return l[:slices.Index(l, o.self)]
-}
-
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
 // Only slots that online requests leave idle are taken, and none of the reserve. A server that ranks another
@@ -52,7 +29,7 @@
 }
 
 // bestIdle returns the best server of the shard with an idle slot, and counts the idle and all slots of service v.
-func (s *shard) bestIdle(v string, o ranking, now time.Time) (best candidate, ok bool, free, all int) {
+func (s *shard) bestIdle(v string, o *ranking, now time.Time) (best candidate, ok bool, free, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
@@ -87,7 +64,7 @@
 	return m
 }
 
-func (s *shard) preemptions(o ranking, m map[string]int) {
+func (s *shard) preemptions(o *ranking, m map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -104,7 +81,7 @@
 }
 
 // batchOfPredecessors counts the batch items at server id of the processes that rank before this one.
-func (s *shard) batchOfPredecessors(o ranking, id string, now time.Time) (n int) {
+func (s *shard) batchOfPredecessors(o *ranking, id string, now time.Time) (n int) {
 	for _, vm := range o.predecessors(id) {
 		if r, ok := s.remote[vm][id]; ok && now.Sub(r.at) < remoteTimeout {
 			n += r.batch
--- a/slots/table.go
+++ b/slots/table.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,8 @@
 type Table struct {
 	self     string
 	batchVMs func() []string // Returns the VMs of the other processes that run batch items.
+	version  atomic.Uint64   // Increases when a server comes or goes.
+	ranks    atomic.Pointer[ranking]
 	shards   [shardCount]shard
 }
 
@@ -76,33 +79,41 @@
 	for _, b := range l {
 		listed[b.ID()] = b
 	}
+	changed := false
 	for i := range t.shards {
-		t.shards[i].update(listed)
+		changed = t.shards[i].update(listed) || changed
 	}
 	for id, b := range listed {
-		t.shard(id).add(b)
+		changed = t.shard(id).add(b) || changed
+	}
+	if changed {
+		t.version.Add(1)
 	}
 }
 
-// update removes the servers that are not in m or that restarted.
-func (s *shard) update(m map[string]bulrushlug.Backend) {
+// update removes the servers that are not in m or that restarted, and reports whether there were any.
+func (s *shard) update(m map[string]bulrushlug.Backend) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
 		if b, ok := m[id]; !ok || !b.SameInstance(e.backend) {
 			delete(s.entries, id)
+			changed = true
 		}
 	}
+	return changed
 }
 
-func (s *shard) add(b bulrushlug.Backend) {
+// add adds server b, or updates it; it reports whether the server is new.
+func (s *shard) add(b bulrushlug.Backend) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.entries[b.ID()]; ok {
 		e.backend = b
-		return
+		return false
 	}
 	s.entries[b.ID()] = &entry{backend: b}
+	return true
 }
 
 // UpdateRemote replaces the load reported by the process on VM vm.
