perf(dgram): a report to all is encoded once

Cause: a broadcast encoded the same report for each receiver: 117 times every half second on the large site.

--- a/bcast/bcast.go
+++ b/bcast/bcast.go
@@ -82,9 +82,11 @@
 // chooses a different one each time, because the chosen one may be behind the same partition.
 func (g *Broadcaster) send(l []peers.Peer, f []string) {
 	r := g.report()
+	var a []string
 	for _, p := range l {
-		g.messenger.Send(p.Member().Address(), bulrushlug.NewMessage(bulrushlug.MessageReport(r)))
+		a = append(a, p.Member().Address())
 	}
+	g.messenger.SendAll(a, bulrushlug.NewMessage(bulrushlug.MessageReport(r)))
 	if len(f) == 0 || g.peers.Self().Role() != bulrushlug.RoleEntry {
 		return
 	}
@@ -104,9 +106,7 @@
 // Relay forwards the report r to the addresses that its sender can't reach.
 func (g *Broadcaster) Relay(r bulrushlug.Report) {
 	m := bulrushlug.MessageReport(r.With(bulrushlug.ReportForwardTo(nil), bulrushlug.ReportRelayed(true)))
-	for _, a := range r.ForwardTo() {
-		g.messenger.Send(a, bulrushlug.NewMessage(m))
-	}
+	g.messenger.SendAll(r.ForwardTo(), bulrushlug.NewMessage(m))
 }
 
 func (g *Broadcaster) report() bulrushlug.Report {
--- a/bcast/bcast_test.go
+++ b/bcast/bcast_test.go
@@ -28,6 +28,12 @@
 	s.to = append(s.to, a)
 }
 
+func (s *recorder) SendAll(l []string, m bulrushlug.Message) {
+	for _, a := range l {
+		s.Send(a, m)
+	}
+}
+
 // TestForward checks which reports are forwarded, by which process and to which addresses.
 func TestForward(t *testing.T) {
 	for name, x := range map[string]struct {
--- a/dgram/dgram.go
+++ b/dgram/dgram.go
@@ -108,18 +108,27 @@
 }
 
 // Send sends x to the process at a, without a guarantee of delivery; a message that can't be sent is dropped.
-func (m *Transport) Send(a string, x bulrushlug.Message) {
+func (m *Transport) Send(a string, x bulrushlug.Message) { m.SendAll([]string{a}, x) }
+
+// SendAll sends x to the processes at the addresses of l as Send does; x is encoded once.
+func (m *Transport) SendAll(l []string, x bulrushlug.Message) {
 	x = x.WithSender(m.vm, m.address)
-	if a == m.address {
-		go m.deliver(x)
-		return
-	}
 	b, err := codec.EncodePacket(x)
 	if err != nil || len(b) > maxDatagram {
-		m.counts.Add("notSent", 1)
+		m.counts.Add("notSent", int64(len(l)))
 		return
 	}
-	b = m.sealer.seal(b)
+	for _, a := range l {
+		if a == m.address {
+			go m.deliver(x)
+			continue
+		}
+		m.send(a, m.sealer.seal(b))
+	}
+}
+
+// send writes the datagram b to the process at a, and counts it.
+func (m *Transport) send(a string, b []byte) {
 	if err := m.write(a, b); err != nil {
 		m.counts.Add("notSent", 1)
 		return
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -33,7 +33,8 @@
 // discard is a messenger that loses all messages.
 type discard struct{}
 
-func (discard) Send(string, bulrushlug.Message) {}
+func (discard) Send(string, bulrushlug.Message)      {}
+func (discard) SendAll([]string, bulrushlug.Message) {}
 
 // fleet is one process with its configuration.
 type fleet struct {
--- a/memnet/net.go
+++ b/memnet/net.go
@@ -145,6 +145,13 @@
 	self bulrushlug.Member
 }
 
+// SendAll sends m to each address of l.
+func (x *messenger) SendAll(l []string, m bulrushlug.Message) {
+	for _, a := range l {
+		x.Send(a, m)
+	}
+}
+
 // Send encodes m and delivers its decoded copy to address a after the latency of the link.
 func (x *messenger) Send(a string, m bulrushlug.Message) {
 	b, err := codec.EncodePacket(m.WithSender(x.self.Name(), x.self.Address()))
