fix(peers): an entry whose commit failed after its lease was granted is written

Cause: register returned the lease beside the error of the commit, so the loop renewed a lease without an entry for as long as renewals succeeded, and the process was on no list (StoreLost false).

Ruled out: the list of the others (it shows no entry at all).

Before: TestRegister has 0 entries after 10 s in two of three cases.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -126,6 +126,8 @@
 // every third of the lease.
 func (p *Membership) StoreLost() bool { return p.storeLost.Load() }
 
+// register writes the entry of this process under a new lease, which it returns; the lease of an entry that could not be
+// written expires by itself.
 func (p *Membership) register(c context.Context) (uint64, error) {
 	l, err := p.store.Grant(c, p.lease)
 	if err != nil {
@@ -136,8 +138,10 @@
 	if err != nil {
 		return 0, bulrushlug.WrapError(bulrushlug.KindInternal, p.self.Name(), err)
 	}
-	_, err = p.store.Commit(c, nil, []bulrushlug.Write{bulrushlug.PutWrite(p.prefix+p.self.Name(), b, l)})
-	return l, err
+	if _, err := p.store.Commit(c, nil, []bulrushlug.Write{bulrushlug.PutWrite(p.prefix+p.self.Name(), b, l)}); err != nil {
+		return 0, err
+	}
+	return l, nil
 }
 
 // list reads the entries of all processes and updates the members.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -50,6 +50,39 @@
 	}
 }
 
+// failing is a key-value service whose first commits fail.
+type failing struct {
+	*memtxn.Store
+	left int
+}
+
+func (f *failing) Commit(c context.Context, on []bulrushlug.Condition, w []bulrushlug.Write) (uint64, error) {
+	if f.left--; f.left >= 0 {
+		return 0, bulrushlug.Errorf(bulrushlug.KindStoreDown, "the commit failed")
+	}
+	return f.Store.Commit(c, on, w)
+}
+
+// TestRegister has commits of the process's entry fail after its lease was granted.
+func TestRegister(t *testing.T) {
+	for name, failures := range map[string]int{"no failure": 0, "one failure": 1, "three failures": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				m := &failing{memtxn.New(), failures}
+				p := New(bulrushlug.NewMember("e", "e:1", "r", "z", bulrushlug.RoleEntry), 1, "", m, "vm/", leaseTime, log.NewNopLogger())
+				go func() { _ = p.Run(c) }()
+				time.Sleep(10 * time.Second)
+				if l, _, err := m.List(c, "vm/"); err != nil || len(l) != 1 || p.StoreLost() {
+					t.Errorf("%d entries, %v, store lost %v", len(l), err, p.StoreLost())
+				}
+			})
+		})
+	}
+}
+
 func TestCountHeard(t *testing.T) {
 	for name, x := range map[string]struct {
 		silent     map[string]bool
