fix(peers): one lost report is no failure where reports are slow

Cause: reports slow down to one in 500 ms with more processes, but a process counted as failed after 800 ms without one: on the large site (118 processes) one lost datagram made it failed, and its lots changed their replicas.

Change: 2.5 intervals where that is more than 800 ms; the interval stands in peers, beside the timeouts that depend on it. Up to 40 other processes nothing changes.

Open: heardTimeout (350 ms), with which rates are divided, has the same fault from 44 processes of a role on; a longer one admits more beside a partition.

peers.TestAlive: "hundreds, one report lost" fails with the fixed timeout.

--- a/bcast/bcast.go
+++ b/bcast/bcast.go
@@ -4,18 +4,11 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/peers"
 )
 
-const (
-	minInterval     = 100 * time.Millisecond // Time between reports in a small system.
-	maxInterval     = 500 * time.Millisecond // Longest time between reports; less than half of the time after which package slots ignores the load that a process reported.
-	intervalPerPeer = 8 * time.Millisecond   // Time between reports grows by this for each other process, which bounds what one process receives.
-)
-
 // Broadcaster sends the reports of one process.
 type Broadcaster struct {
 	peers     *peers.Membership
@@ -35,7 +28,7 @@
 func (g *Broadcaster) Run(c context.Context) error {
 	for c.Err() == nil {
 		n := g.Broadcast()
-		_ = bulrushlug.Sleep(c, min(maxInterval, max(minInterval, time.Duration(n)*intervalPerPeer)))
+		_ = bulrushlug.Sleep(c, peers.ReportInterval(n))
 	}
 	return nil
 }
--- a/peers/peer.go
+++ b/peers/peer.go
@@ -16,6 +16,7 @@
 	registered bool   // It has an entry in the key-value service.
 	storeLost  bool   // It can't reach the key-value service.
 	lastHeard  time.Time
+	timeout    time.Duration // Age of the last report at which the process counts as failed.
 }
 
 // Member returns the name, address and role of the process.
@@ -34,7 +35,7 @@
 func (p Peer) Registered() bool { return p.registered }
 
 // Alive reports whether its last report is recent, as a failure detector with a fixed timeout.
-func (p Peer) Alive() bool { return time.Since(p.lastHeard) < aliveTimeout }
+func (p Peer) Alive() bool { return time.Since(p.lastHeard) < p.timeout }
 
 // SilentFor returns the time since its last report.
 func (p Peer) SilentFor() time.Duration { return time.Since(p.lastHeard) }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -19,9 +19,14 @@
 )
 
 const (
-	shardCount = 8
-	// aliveTimeout is the age of the last report at which a process counts as failed; reports come every 100 to 500 ms.
+	shardCount      = 8
+	minInterval     = 100 * time.Millisecond // Time between reports in a small system.
+	maxInterval     = 500 * time.Millisecond // Longest time between reports; less than half of the time after which package slots ignores the load that a process reported.
+	intervalPerPeer = 8 * time.Millisecond   // Time between reports grows by this for each other process, which bounds what one process receives.
+	// aliveTimeout is the age of the last report at which a process counts as failed, or lostReports intervals if that is
+	// more: one lost report is no failure.
 	aliveTimeout = 800 * time.Millisecond
+	lostReports  = 2.5
 	// heardTimeout is the age of the last report at which a process no longer counts as heard when rate limits are divided
 	// among processes; it covers three reports at intervals of 100 ms.
 	heardTimeout = 350 * time.Millisecond
@@ -42,7 +47,8 @@
 	store     bulrushlug.TxnStore
 	logger    log.Logger
 	shards    [shardCount]shard
-	storeLost atomic.Bool // The last call for this process's entry failed.
+	storeLost atomic.Bool  // The last call for this process's entry failed.
+	count     atomic.Int64 // Other processes.
 }
 
 type shard struct {
@@ -60,6 +66,16 @@
 	return x
 }
 
+// ReportInterval returns the time between two reports of a process that knows n others.
+func ReportInterval(n int) time.Duration {
+	return min(maxInterval, max(minInterval, time.Duration(n)*intervalPerPeer))
+}
+
+// aliveTimeout returns the age of the last report at which a process counts as failed.
+func (p *Membership) aliveTimeout() time.Duration {
+	return max(aliveTimeout, time.Duration(lostReports*float64(ReportInterval(int(p.count.Load())))))
+}
+
 // Self returns this process.
 func (p *Membership) Self() bulrushlug.Member { return p.self }
 
@@ -231,6 +247,10 @@
 		l = append(l, p.shards[i].all()...)
 	}
 	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.member.Name(), b.member.Name()) })
+	p.count.Store(int64(len(l)))
+	for i := range l {
+		l[i].timeout = p.aliveTimeout()
+	}
 	return l
 }
 
@@ -262,7 +282,9 @@
 	if !ok {
 		return Peer{}, false
 	}
-	return *x, true
+	y := *x
+	y.timeout = p.aliveTimeout()
+	return y, true
 }
 
 // ByDisk returns the process whose disk has identifier d.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -83,6 +83,38 @@
 	}
 }
 
+// TestAlive checks that one lost report is no failure, whatever the number of processes and so the interval of reports.
+func TestAlive(t *testing.T) {
+	for name, x := range map[string]struct {
+		others int
+		silent time.Duration
+		want   bool
+	}{
+		"a few, silent for a while":     {others: 3, silent: 700 * time.Millisecond, want: true},
+		"a few, failed":                 {others: 3, silent: 800 * time.Millisecond},
+		"tens, one report lost":         {others: 26, silent: 2 * 208 * time.Millisecond, want: true},
+		"tens, failed":                  {others: 26, silent: 800 * time.Millisecond},
+		"hundreds, one report lost":     {others: 132, silent: 1100 * time.Millisecond, want: true},
+		"hundreds, two reports lost":    {others: 132, silent: 1300 * time.Millisecond},
+		"fewer than the longest, alive": {others: 50, silent: 2 * 400 * time.Millisecond, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newMembership(0, memtxn.New())
+				for i := range x.others {
+					p.ApplyReport(report(fmt.Sprint("x", i), 1, 1))
+				}
+				time.Sleep(x.silent)
+				l := p.All()
+				y, ok := p.ByVM("x0")
+				if !ok || l[0].Alive() != x.want || y.Alive() != x.want {
+					t.Errorf("alive: %v and %v", l[0].Alive(), y.Alive())
+				}
+			})
+		})
+	}
+}
+
 func TestCountHeard(t *testing.T) {
 	for name, x := range map[string]struct {
 		silent     map[string]bool
