perf(slots): placement adds up the reports once, not for each request

Load pattern: hundreds of servers and processes. Each placement summed the reports of all processes at all servers: 160 x 118 look-ups for each request, and again for each start of an item.

Change: sums by server, kept with each report and its expiry. TestTotals compares them with the reports that have not expired.

Ruled out: the number of reports as the main cost of the processes (encoding them once left their processor time as it was).

--- a/slots/batch.go
+++ b/slots/batch.go
@@ -82,10 +82,9 @@
 
 // batchOfPredecessors counts the batch items at server id of the processes that rank before this one.
 func (s *shard) batchOfPredecessors(o *ranking, id string, now time.Time) (n int) {
+	s.expire(now)
 	for _, vm := range o.predecessors(id) {
-		if r, ok := s.remote[vm][id]; ok && now.Sub(r.at) < remoteTimeout {
-			n += r.batch
-		}
+		n += s.remote[vm].loads[id].batch
 	}
 	return n
 }
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -26,8 +26,8 @@
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
 	online, batch = l.shard.totalLoad(l.entry, now)
-	for _, m := range l.shard.remote {
-		if r, ok := m[l.backend.ID()]; ok && now.Sub(r.at) < remoteTimeout {
+	for _, r := range l.shard.remote {
+		if _, ok := r.loads[l.backend.ID()]; ok {
 			age = max(age, now.Sub(r.at))
 		}
 	}
--- a/slots/table.go
+++ b/slots/table.go
@@ -40,8 +40,10 @@
 
 type shard struct {
 	mu      sync.Mutex
-	entries map[string]*entry                // By identifier of the backend server.
-	remote  map[string]map[string]remoteLoad // By VM of the process and identifier of the server.
+	entries map[string]*entry       // By identifier of the backend server.
+	remote  map[string]remoteReport // By VM of the process; expired ones are removed before each use.
+	totals  map[string]remoteLoad   // Sums of remote by identifier of the server, so that placement looks at each server once.
+	expiry  time.Time               // No report in remote expires before this time.
 }
 
 // entry is the state of one backend server.
@@ -55,18 +57,22 @@
 	started       time.Time     // Last start of a batch item by this process.
 }
 
-// remoteLoad is the load that another process reported at one server.
-type remoteLoad struct {
-	online, batch int
-	at            time.Time
+// remoteReport is the load that another process reported, by identifier of the server.
+type remoteReport struct {
+	at    time.Time
+	loads map[string]remoteLoad
 }
 
+// remoteLoad is the load of other processes at one server.
+type remoteLoad struct{ online, batch int }
+
 // New returns an empty table of the process on VM vm; f returns the VMs of the other processes that run batch items.
 func New(vm string, f func() []string) *Table {
 	t := &Table{self: vm, batchVMs: f}
 	for i := range t.shards {
 		t.shards[i].entries = map[string]*entry{}
-		t.shards[i].remote = map[string]map[string]remoteLoad{}
+		t.shards[i].remote = map[string]remoteReport{}
+		t.shards[i].totals = map[string]remoteLoad{}
 	}
 	return t
 }
@@ -125,33 +131,63 @@
 		if m[i] == nil {
 			m[i] = map[string]remoteLoad{}
 		}
-		m[i][u.Backend()] = remoteLoad{online: int(u.Online()), batch: int(u.Batch()), at: now}
+		m[i][u.Backend()] = remoteLoad{online: int(u.Online()), batch: int(u.Batch())}
 	}
 	for i := range t.shards {
-		t.shards[i].updateRemote(vm, m[i])
+		t.shards[i].updateRemote(vm, remoteReport{now, m[i]})
 	}
 }
 
-func (s *shard) updateRemote(vm string, m map[string]remoteLoad) {
+func (s *shard) updateRemote(vm string, r remoteReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(m) == 0 {
-		delete(s.remote, vm)
+	s.removeRemote(vm)
+	if len(r.loads) == 0 {
 		return
 	}
-	s.remote[vm] = m
+	if e := r.at.Add(remoteTimeout); len(s.remote) == 0 || e.Before(s.expiry) {
+		s.expiry = e
+	}
+	s.remote[vm] = r
+	for id, l := range r.loads {
+		x := s.totals[id]
+		s.totals[id] = remoteLoad{x.online + l.online, x.batch + l.batch}
+	}
 }
 
-// totalLoad returns the online requests and batch items of all processes at e.
-func (s *shard) totalLoad(e *entry, now time.Time) (online, batch int) {
-	online, batch = e.online, e.batch
-	for _, m := range s.remote {
-		if r, ok := m[e.backend.ID()]; ok && now.Sub(r.at) < remoteTimeout {
-			online += r.online
-			batch += r.batch
+// removeRemote removes the report of VM vm from remote and totals; the caller holds the lock.
+func (s *shard) removeRemote(vm string) {
+	for id, l := range s.remote[vm].loads {
+		x := s.totals[id]
+		if x = (remoteLoad{x.online - l.online, x.batch - l.batch}); x == (remoteLoad{}) {
+			delete(s.totals, id)
+			continue
+		}
+		s.totals[id] = x
+	}
+	delete(s.remote, vm)
+}
+
+// expire removes the reports of which no newer one came within remoteTimeout; the caller holds the lock.
+func (s *shard) expire(now time.Time) {
+	if now.Before(s.expiry) {
+		return
+	}
+	s.expiry = now.Add(remoteTimeout)
+	for vm, r := range s.remote {
+		if e := r.at.Add(remoteTimeout); !now.Before(e) {
+			s.removeRemote(vm)
+		} else if e.Before(s.expiry) {
+			s.expiry = e
 		}
 	}
-	return online, batch
+}
+
+// totalLoad returns the online requests and batch items of all processes at e.
+func (s *shard) totalLoad(e *entry, now time.Time) (online, batch int) {
+	s.expire(now)
+	r := s.totals[e.backend.ID()]
+	return e.online + r.online, e.batch + r.batch
 }
 
 // Usages returns the load of this process at each server where it has any.
@@ -237,8 +273,9 @@
 func (s *shard) batchVMs(id string, now time.Time) (l []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for vm, m := range s.remote {
-		if r, ok := m[id]; ok && r.batch > 0 && now.Sub(r.at) < remoteTimeout {
+	s.expire(now)
+	for vm, r := range s.remote {
+		if r.loads[id].batch > 0 {
 			l = append(l, vm)
 		}
 	}
--- a/slots/table_test.go
+++ b/slots/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -203,6 +204,56 @@
 	}
 }
 
+// TestTotals replays random reports and silences, and compares the load of each server with the sum of the reports that
+// have not expired.
+func TestTotals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers, others = 5, 6
+		type sent struct {
+			at    time.Time
+			loads map[string]int
+		}
+		r := rand.New(rand.NewPCG(1, 2))
+		b := New("e", alone)
+		var l []bulrushlug.Backend
+		for i := range servers {
+			l = append(l, backend(fmt.Sprint("s", i), 8))
+		}
+		b.Update(l)
+		last := map[string]sent{}
+		for range 2000 {
+			time.Sleep(rand.N(400 * time.Millisecond))
+			vm := fmt.Sprint("e", r.IntN(others))
+			var u []bulrushlug.Usage
+			loads := map[string]int{}
+			for i := range servers {
+				if n := r.IntN(4); n > 0 {
+					loads[fmt.Sprint("s", i)] = n - 1
+					u = append(u, bulrushlug.NewUsage(fmt.Sprint("s", i), uint32(n-1), uint32(2*(n-1))))
+				}
+			}
+			b.UpdateRemote(vm, u)
+			last[vm] = sent{time.Now(), loads}
+			for i := range servers {
+				id := fmt.Sprint("s", i)
+				want := 0
+				for _, x := range last {
+					if time.Since(x.at) < remoteTimeout {
+						want += x.loads[id]
+					}
+				}
+				s := b.shard(id)
+				s.mu.Lock()
+				online, batch := s.totalLoad(s.entries[id], time.Now())
+				s.mu.Unlock()
+				if online != want || batch != 2*want {
+					t.Fatalf("%s: %d requests and %d items, want %d and %d", id, online, batch, want, 2*want)
+				}
+			}
+		}
+	})
+}
+
 func TestRemoteLoadExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New("e", alone)
