--- a/items/order.go
+++ b/items/order.go
@@ -9,9 +9,7 @@
 const (
 	paceWeight = 0.1 // Smoothing factor of the moving averages.
 	// listingTime is how long a result takes from the server to its caller: it is replicated and then read.
-	listingTime = time.Second
-	// interruption is the longest time for which online requests may take the slot of a run, as a share of a whole run.
-	interruption = 0.9
+	listingTime = 500 * time.Millisecond
 )
 
 // order decides which items start first.
@@ -58,11 +56,11 @@
 	p.interval += paceWeight * (i - p.interval)
 }
 
-// late reports whether an item of which n events are there would be listed after due even if it started at time now;
+// late reports whether an item of which n events are there would be listed after due even if it started at time now and ran through;
 // false before the first observation.
 func (p *pace) late(n int, due, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	left := max(0, p.events-float64(n)) * p.interval * (1 + interruption)
+	left := max(0, p.events-float64(n)) * p.interval
 	return p.events > 0 && now.Add(time.Duration(left*float64(time.Second))+listingTime).After(due)
 }
