--- a/home/home.go
+++ b/home/home.go
@@ -29,7 +29,7 @@
 // Server answers admission requests from the token buckets of this process.
 type Server struct {
 	self        string
-	started     time.Time
+	started     time.Time // When this process began; evidence from before may be older than its own grants.
 	source      bulrushlug.ConfigSource
 	roster      bulrushlug.Roster
 	messenger   bulrushlug.Messenger
--- a/items/order.go
+++ b/items/order.go
@@ -56,8 +56,8 @@
 	p.interval += paceWeight * (i - p.interval)
 }
 
-// late reports whether an item of which n events are there would be listed after due even if it started at time now and ran through;
-// false before the first observation.
+// late reports whether an item of which n events are there would be listed after due even if it started at time now
+// and ran through; false before the first observation.
 func (p *pace) late(n int, due, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
