--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -70,6 +70,31 @@
 	return string(b), err
 }
 
+func identified(id, body string) string { return encodeResponse(id, "", body) }
+
+func anonymous(_, body string) string {
+	return strings.Replace(encodeResponse("", "", body), header+": \r\n", "", 1)
+}
+
+func chunked(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", header, id, len(body), body)
+}
+
+// lateDuplicate returns a server that encodes its responses by encode, and before each but the first sends the last one
+// again, by again.
+func lateDuplicate(again, encode func(id, body string) string) func(n int, c net.Conn, r *bufio.Reader) {
+	return func(_ int, c net.Conn, r *bufio.Reader) {
+		last := ""
+		for id := request(r); id != ""; id = request(r) {
+			if last != "" {
+				_, _ = io.WriteString(c, again(last, "again to "+last))
+			}
+			_, _ = io.WriteString(c, encode(id, "to "+id))
+			last = id
+		}
+	}
+}
+
 func TestAnswers(t *testing.T) {
 	for name, x := range map[string]struct {
 		serve func(n int, c net.Conn, r *bufio.Reader)
@@ -86,49 +111,10 @@
 				_, _ = io.WriteString(c, encodeResponse(id, "", "to "+id)+encodeResponse(id, "", "again to "+id))
 			}
 		}, want: []string{"to a", "to b", "to c"}},
-		"a late duplicate response": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
-			last := ""
-			for id := request(r); id != ""; id = request(r) {
-				if last != "" {
-					_, _ = io.WriteString(c, encodeResponse(last, "", "again to "+last))
-				}
-				_, _ = io.WriteString(c, encodeResponse(id, "", "to "+id))
-				last = id
-			}
-		}, want: []string{"to a", "to b", "to c"}, conns: 1},
-		"a late duplicate response without an identifier": {serve: func(n int, c net.Conn, r *bufio.Reader) {
-			last := ""
-			for id := request(r); id != ""; id = request(r) {
-				if last != "" {
-					_, _ = io.WriteString(c, strings.Replace(encodeResponse("", "", "again to "+last), header+": \r\n", "", 1))
-				}
-				_, _ = io.WriteString(c, strings.Replace(encodeResponse("", "", "to "+id), header+": \r\n", "", 1))
-				last = id
-			}
-		}, want: []string{"to a", "to b", "to c"}, conns: 3},
-		"a late duplicate response that lost its identifier": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
-			last := ""
-			for id := request(r); id != ""; id = request(r) {
-				if last != "" {
-					_, _ = io.WriteString(c, strings.Replace(encodeResponse("", "", "again to "+last), header+": \r\n", "", 1))
-				}
-				_, _ = io.WriteString(c, encodeResponse(id, "", "to "+id))
-				last = id
-			}
-		}, want: []string{"to a", "to b", "to c"}, conns: 1},
-		"a late duplicate response in chunks": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
-			last := ""
-			chunked := func(id, body string) {
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", header, id, len(body), body)
-			}
-			for id := request(r); id != ""; id = request(r) {
-				if last != "" {
-					chunked(last, "again to "+last)
-				}
-				chunked(id, "to "+id)
-				last = id
-			}
-		}, want: []string{"to a", "to b", "to c"}, conns: 1},
+		"a late duplicate response":                          {serve: lateDuplicate(identified, identified), want: []string{"to a", "to b", "to c"}, conns: 1},
+		"a late duplicate response without an identifier":    {serve: lateDuplicate(anonymous, anonymous), want: []string{"to a", "to b", "to c"}, conns: 3},
+		"a late duplicate response that lost its identifier": {serve: lateDuplicate(anonymous, identified), want: []string{"to a", "to b", "to c"}, conns: 1},
+		"a late duplicate response in chunks":                {serve: lateDuplicate(chunked, chunked), want: []string{"to a", "to b", "to c"}, conns: 1},
 		"bytes after the response": {serve: func(_ int, c net.Conn, r *bufio.Reader) {
 			for id := request(r); id != ""; id = request(r) {
 				_, _ = io.WriteString(c, encodeResponse(id, "", "to "+id))
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -59,7 +59,7 @@
 	return s
 }
 
-// Serve serves connections from l until Shutdown or Close; it then returns http.ErrServerClosed.
+// Serve serves connections from l until Shutdown; it then returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
 	o := &listener{Listener: l, server: s}
 	s.mu.Lock()
@@ -87,12 +87,6 @@
 	return s.http.Close()
 }
 
-// Close closes the listener and cuts all connections.
-func (s *Server) Close() error {
-	s.closing.Store(true)
-	return s.http.Close()
-}
-
 // closeListener closes the listener once no connection waits to be accepted, or when c ends.
 func (s *Server) closeListener(c context.Context) error {
 	s.mu.Lock()
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -179,6 +179,23 @@
 	return strings.Join(l, "\n")
 }
 
+// play submits a lot of one item to a new system and calls during, unless that is nil; stop ends the system.
+func play(t *testing.T, status map[string][]int, during func(s *system)) (s *system, stop func()) {
+	t.Helper()
+	c, cancel := context.WithCancel(t.Context())
+	s = newSystem(c, status)
+	if err := s.submit(c, 1); err != nil {
+		t.Fatal(err)
+	}
+	if during != nil {
+		during(s)
+	}
+	return s, func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
 func TestItems(t *testing.T) {
 	for name, x := range map[string]struct {
 		status map[string][]int
@@ -211,14 +228,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c, stop := context.WithCancel(t.Context())
-				s := newSystem(c, x.status)
-				if err := s.submit(c, 1); err != nil {
-					t.Fatal(err)
-				}
-				if x.during != nil {
-					x.during(s)
-				}
+				s, stop := play(t, x.status, x.during)
 				time.Sleep(20 * time.Second)
 				if got := s.listed(t)["i0"]; got != x.want {
 					t.Errorf("result of i0 is %q", got)
@@ -235,7 +245,6 @@
 					t.Errorf("%d servers still have items", n)
 				}
 				stop()
-				synctest.Wait()
 			})
 		})
 	}
@@ -254,18 +263,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c, stop := context.WithCancel(t.Context())
-				defer synctest.Wait()
-				defer stop()
-				s := newSystem(c, x.status)
-				if err := s.submit(c, 1); err != nil {
-					t.Fatal(err)
-				}
+				s, stop := play(t, x.status, nil)
 				time.Sleep(x.after)
 				synctest.Wait()
 				if got := s.runner.startable(key{"lot", 0}, time.Now().Add(maxBackoff)); got != x.want {
 					t.Errorf("the item may be started: %v", got)
 				}
+				stop()
 			})
 		})
 	}
@@ -290,20 +294,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c, stop := context.WithCancel(t.Context())
-				s := newSystem(c, x.status)
-				if err := s.submit(c, 1); err != nil {
-					t.Fatal(err)
-				}
-				if x.during != nil {
-					x.during(s)
-				}
+				s, stop := play(t, x.status, x.during)
 				time.Sleep(10 * time.Second)
 				if v := s.counts.Get(x.cause); v == nil || v.String() != x.want || s.lines.count.Load() != x.lines {
 					t.Errorf("counted %v, %d lines", s.counts, s.lines.count.Load())
 				}
 				stop()
-				synctest.Wait()
 			})
 		})
 	}
--- a/message.go
+++ b/message.go
@@ -97,7 +97,7 @@
 type Messenger interface {
 	// Send sends m to the process at address a and never blocks on the network.
 	Send(a string, m Message)
-	// SendAll sends m to the processes at all addresses of l as Send does; m is encoded once.
+	// SendAll sends m to the process at each address of l as Send does.
 	SendAll(l []string, m Message)
 }
 
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -115,8 +115,8 @@
 	defer l.Release()
 	a.notify(vms)
 	t := time.Now()
-	x, stop := context.WithCancelCause(c)
-	defer stop(nil)
+	x, stop := context.WithCancel(c)
+	defer stop()
 	p, err := a.call(x, stop, l)
 	if err != nil {
 		if c.Err() == nil && x.Err() != nil {
@@ -137,11 +137,10 @@
 	w := newWatchdog(a.request.TargetRoute().EventGapTarget(), func(cut bool) {
 		l.RecordFailure()
 		if cut {
-			stop(errStalled)
+			stop()
 		}
 	})
 	n, err := a.forward(p, w)
-	w.stop()
 	if err == nil {
 		l.RecordSuccess(eventInterval(t, n))
 		return false, nil
@@ -156,22 +155,18 @@
 
 // call sends the request to the server of l. After suspectTimeout other requests avoid the server, and after
 // responseTimeout a request that may be retried is cancelled by stop.
-func (a *exchange) call(c context.Context, stop context.CancelCauseFunc, l *slots.Reservation) (bulrushlug.Reply, error) {
+func (a *exchange) call(c context.Context, stop context.CancelFunc, l *slots.Reservation) (bulrushlug.Reply, error) {
 	t := time.AfterFunc(suspectTimeout, l.RecordFailure)
 	defer t.Stop()
 	if a.mayRetry() && a.request.TargetRoute().Attempts() != a.possibleRuns+1 {
-		g := time.AfterFunc(responseTimeout, func() { stop(errNoResponse) })
+		g := time.AfterFunc(responseTimeout, stop)
 		defer g.Stop()
 	}
 	return a.client.Call(c, l.Backend(), a.request)
 }
 
-var (
-	// errNoResponse is the cause of a cancelled attempt; the request may have run.
-	errNoResponse = bulrushlug.Errorf(bulrushlug.KindUncertain, "the server did not answer in time")
-	// errStalled is the cause of a cancelled stream.
-	errStalled = bulrushlug.Errorf(bulrushlug.KindBroken, "the stream has stalled")
-)
+// errNoResponse is the error of an attempt that was cancelled after responseTimeout; the request may have run.
+var errNoResponse = bulrushlug.Errorf(bulrushlug.KindUncertain, "the server did not answer in time")
 
 // eventInterval returns the average seconds between the n events of a response whose request was sent at t; zero if
 // n is less than two.
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -73,16 +73,16 @@
 			continue
 		}
 		online, _ := s.totalLoad(e, now)
-		room := int(e.backend.Slots()) - online - s.batchOfPredecessors(o, id, now)
+		room := int(e.backend.Slots()) - online - s.batchOfPredecessors(o, id)
 		if n := e.batch - max(0, room); n > 0 {
 			m[id] = n
 		}
 	}
 }
 
-// batchOfPredecessors counts the batch items at server id of the processes that rank before this one.
-func (s *shard) batchOfPredecessors(o *ranking, id string, now time.Time) (n int) {
-	s.expire(now)
+// batchOfPredecessors counts the batch items at server id of the processes that rank before this one; the caller has
+// removed expired reports.
+func (s *shard) batchOfPredecessors(o *ranking, id string) (n int) {
 	for _, vm := range o.predecessors(id) {
 		n += s.remote[vm].loads[id].batch
 	}
