fix(drain): serve a connection that was accepted as the server stops

Cause: Shutdown looked at the accept queue, found it empty, closed the listener and counted the open connections. A connection that had left the queue but was not yet passed to the server was in neither place: the count was zero, and the server was closed with the connection's request unread.

Ruled out: the queue's poll (the connection had left it) and the bound of the first request (the connection was cut within a millisecond).

Change: Shutdown waits until Serve returned, which is after the last accepted connection was passed on.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -32,7 +32,8 @@
 	leaving atomic.Bool // Each response closes its connection.
 	closing atomic.Bool // The listener is closed or about to be.
 	mu      sync.Mutex
-	open    *listener // Nil before Serve.
+	open    *listener     // Nil before Serve.
+	served  chan struct{} // Closed once Serve returned: every accepted connection is then in a shard; nil before Serve.
 	shards  [shardCount]shard
 }
 
@@ -61,9 +62,10 @@
 
 // Serve serves connections from l until Shutdown; it then returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	o := &listener{Listener: l, server: s}
+	o, served := &listener{Listener: l, server: s}, make(chan struct{})
+	defer close(served)
 	s.mu.Lock()
-	s.open = o
+	s.open, s.served = o, served
 	s.mu.Unlock()
 	return s.http.Serve(o)
 }
@@ -87,10 +89,11 @@
 	return s.http.Close()
 }
 
-// closeListener closes the listener once no connection waits to be accepted, or when c ends.
+// closeListener closes the listener once no connection waits to be accepted, or when c ends, and waits until Serve has
+// passed on the last connection that it accepted.
 func (s *Server) closeListener(c context.Context) error {
 	s.mu.Lock()
-	l := s.open
+	l, served := s.open, s.served
 	s.mu.Unlock()
 	if l == nil {
 		return nil
@@ -98,7 +101,12 @@
 	for hasQueued(l.Listener) && bulrushlug.Sleep(c, queueInterval) == nil {
 	}
 	s.closing.Store(true)
-	return l.Close()
+	err := l.Close()
+	select {
+	case <-served:
+	case <-c.Done():
+	}
+	return err
 }
 
 // endIdle ends the connections that wait for a request, and returns the number of open connections.
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -18,7 +18,8 @@
 // the bytes.
 type hookListener struct {
 	*net.TCPListener
-	acceptDelay time.Duration
+	acceptDelay time.Duration // Before a connection leaves the queue.
+	returnDelay time.Duration // After it left the queue, before the server has it.
 	afterRead   func(n int)
 }
 
@@ -28,6 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.Sleep(l.returnDelay)
 	return &hookConn{TCPConn: c, afterRead: l.afterRead}, nil
 }
 
@@ -80,6 +82,7 @@
 func TestShutdown(t *testing.T) {
 	for name, x := range map[string]struct {
 		acceptDelay time.Duration
+		returnDelay time.Duration
 		stopAt      int // The server stops as this read of the connection has returned; zero if run stops it.
 		run         func(t *testing.T, c *caller, stop func()) (string, bool, error)
 		want        string // Body of the last response; empty if the connection closes without one.
@@ -107,6 +110,12 @@
 			stop()
 			return c.response()
 		}},
+		"a connection that left the accept queue": {returnDelay: 200 * time.Millisecond, want: "ok", run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
+			c.send(request)
+			time.Sleep(50 * time.Millisecond)
+			stop()
+			return c.response()
+		}},
 		"half a request": {want: "ok", run: func(_ *testing.T, c *caller, stop func()) (string, bool, error) {
 			c.send(request)
 			_, _, _ = c.response()
@@ -158,7 +167,7 @@
 				go func() { ended <- s.Shutdown(t.Context()) }()
 				time.Sleep(50 * time.Millisecond)
 			}
-			h := &hookListener{TCPListener: l.(*net.TCPListener), acceptDelay: x.acceptDelay, afterRead: func(n int) {
+			h := &hookListener{TCPListener: l.(*net.TCPListener), acceptDelay: x.acceptDelay, returnDelay: x.returnDelay, afterRead: func(n int) {
 				if n == x.stopAt {
 					stop()
 				}
