--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -46,10 +46,11 @@
 // which they are complete; a revision is zero if that mirror has nothing newer.
 func (s *Daemon) snapshot(operatorRevision, backendRevision uint64) (l []bulrushlug.KVEntry, manifest, backends uint64) {
 	if s.operatorMirror.NewestRevision() > operatorRevision {
-		l, manifest = s.operatorMirror.Entries(), s.operatorMirror.Revision()
+		l, manifest = s.operatorMirror.Snapshot()
 	}
 	if s.backendMirror.NewestRevision() > backendRevision {
-		l, backends = append(l, s.backendMirror.Entries()...), s.backendMirror.Revision()
+		b, n := s.backendMirror.Snapshot()
+		l, backends = append(l, b...), n
 	}
 	return l, manifest, backends
 }
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -47,7 +47,8 @@
 	l, m, b := s.snapshot(q.Operated, q.Servers)
 	w := &wire.Known{ManifestRevision: m, BackendRevision: b}
 	for _, i := range l {
-		w.Items = append(w.Items, &wire.KnownItem{Key: i.Key(), Value: i.Value(), Revision: i.Revision()})
+		w.Items = append(w.Items, &wire.KnownItem{Key: i.Key(), Value: i.Value(), Revision: i.Revision(),
+			RetentionMs: uint32(i.Retention().Milliseconds())})
 	}
 	return w, nil
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -44,16 +44,16 @@
 
 	mu             sync.Mutex
 	entries        map[string]bulrushlug.KVEntry
-	retained       map[string]bool    // Entries that are gone from the service and kept until the grace period ends.
-	revision       uint64             // Revision up to which entries is complete according to the watch; never falls.
-	newest         uint64             // Revision of the newest change seen.
-	peerRevision   uint64             // Revision of the newest change that other processes saw.
-	peerRevisionAt time.Time          // When peerRevision rose above newest.
-	cancelWatch    context.CancelFunc // Cancels the current watch.
-	loaded         bool               // entries was read at least once.
-	downSince      time.Time          // Start of the current outage; zero while the service answers.
-	recoveredAt    time.Time          // End of the last outage.
-	reportedAt     time.Time          // Last report of a process that reaches the service.
+	retained       map[string]time.Time // Entries that are gone from the service, and until when they are kept.
+	revision       uint64               // Revision up to which entries is complete according to the watch; never falls.
+	newest         uint64               // Revision of the newest change seen.
+	peerRevision   uint64               // Revision of the newest change that other processes saw.
+	peerRevisionAt time.Time            // When peerRevision rose above newest.
+	cancelWatch    context.CancelFunc   // Cancels the current watch.
+	loaded         bool                 // entries was read at least once.
+	downSince      time.Time            // Start of the current outage; zero while the service answers.
+	recoveredAt    time.Time            // End of the last outage.
+	reportedAt     time.Time            // Last report of a process that reaches the service.
 }
 
 // option configures a mirror.
@@ -70,7 +70,7 @@
 func New(t bulrushlug.TxnStore, p string, l log.Logger, f func([]bulrushlug.KVEntry), o ...option) *Mirror {
 	m := &Mirror{store: t, prefix: p, logger: log.With(l, "mirror", p), onChange: f,
 		watchTimeout: func() time.Duration { return defaultWatchTimeout },
-		entries:      map[string]bulrushlug.KVEntry{}, retained: map[string]bool{}}
+		entries:      map[string]bulrushlug.KVEntry{}, retained: map[string]time.Time{}}
 	for _, g := range o {
 		g(m)
 	}
@@ -210,7 +210,7 @@
 }
 
 // replace installs the entries l, read at revision n, unless they are older; own says that this process read them.
-// A snapshot of another process already contains the entries that it retains.
+// A snapshot of another process contains the entries that it retains, with the time for which it does.
 func (m *Mirror) replace(l []bulrushlug.KVEntry, n uint64, own bool) {
 	m.mu.Lock()
 	if m.loaded && n < m.revision {
@@ -219,13 +219,13 @@
 	}
 	old := m.entries
 	m.entries = map[string]bulrushlug.KVEntry{}
-	if !own {
-		clear(m.retained)
-	}
+	clear(m.retained)
 	for _, i := range l {
-		m.entries[i.Key()] = i
+		m.entries[i.Key()] = i.WithRetention(0)
 		m.newest = max(m.newest, i.Revision())
-		delete(m.retained, i.Key())
+		if d := i.Retention(); d > 0 {
+			m.retained[i.Key()] = time.Now().Add(min(d, gracePeriod))
+		}
 	}
 	for k, i := range old {
 		if _, ok := m.entries[k]; !ok && own && m.inGracePeriod() && time.Since(m.reportedAt) > reportFreshness {
@@ -269,7 +269,7 @@
 		return
 	}
 	m.entries[k] = i
-	m.retained[k] = true
+	m.retained[k] = m.recoveredAt.Add(gracePeriod)
 }
 
 // publish calls onChange with all entries and releases the lock.
@@ -283,7 +283,7 @@
 	return slices.SortedFunc(maps.Values(m.entries), func(a, b bulrushlug.KVEntry) int { return cmp.Compare(a.Key(), b.Key()) })
 }
 
-// sweep removes retained entries after the grace period, and cancels watches that miss changes.
+// sweep removes retained entries once their time is over, and cancels watches that miss changes.
 func (m *Mirror) sweep(c context.Context) {
 	for bulrushlug.Sleep(c, sweepInterval) == nil {
 		m.dropRetained()
@@ -293,14 +293,19 @@
 
 func (m *Mirror) dropRetained() {
 	m.mu.Lock()
-	if len(m.retained) == 0 || m.inGracePeriod() {
+	dropped := false
+	for k, t := range m.retained {
+		if time.Now().Before(t) {
+			continue
+		}
+		delete(m.entries, k)
+		delete(m.retained, k)
+		dropped = true
+	}
+	if !dropped {
 		m.mu.Unlock()
 		return
 	}
-	for k := range m.retained {
-		delete(m.entries, k)
-	}
-	clear(m.retained)
 	m.publish()
 }
 
@@ -322,6 +327,20 @@
 	return m.sorted()
 }
 
+// Snapshot returns all entries in key order and the revision up to which they are complete, for ApplySnapshot of another
+// process.
+func (m *Mirror) Snapshot() ([]bulrushlug.KVEntry, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.sorted()
+	for i, e := range l {
+		if t, ok := m.retained[e.Key()]; ok {
+			l[i] = e.WithRetention(max(time.Millisecond, time.Until(t)))
+		}
+	}
+	return l, m.revision
+}
+
 // Revision returns the revision up to which the entries are complete; zero before the first read.
 func (m *Mirror) Revision() uint64 {
 	m.mu.Lock()
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -159,6 +159,82 @@
 	}
 }
 
+// TestSnapshotOfRetainedEntries has another process, which does not reach the service, take a snapshot after an outage in
+// which the owner of an entry left.
+func TestSnapshotOfRetainedEntries(t *testing.T) {
+	for name, x := range map[string]struct {
+		back  bool          // The owner writes its entry again after the snapshot.
+		after time.Duration // Time from the end of the outage to the snapshot.
+		first string        // What the other process holds at once.
+		want  string        // What it holds later.
+	}{
+		"retained":            {after: 1500 * time.Millisecond, first: "p/a=1 p/b=1", want: "p/b=1"},
+		"retained no longer":  {after: 5 * time.Second, first: "p/b=1", want: "p/b=1"},
+		"the owner came back": {after: 1500 * time.Millisecond, back: true, first: "p/a=1 p/b=1", want: "p/a=2 p/b=1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, none := memtxn.New(), memtxn.New()
+				none.SetOutage(true)
+				put(t, m, "p/a", "1", 0)
+				put(t, m, "p/b", "1", 0)
+				c, stop := context.WithCancel(t.Context())
+				r := New(m, "p/", log.NewNopLogger(), func([]bulrushlug.KVEntry) {}, WithGracePeriod())
+				q := New(none, "p/", log.NewNopLogger(), func([]bulrushlug.KVEntry) {}, WithGracePeriod())
+				go func() { _ = r.Run(c) }()
+				go func() { _ = q.Run(c) }()
+				time.Sleep(time.Second)
+				m.SetOutage(true)
+				time.Sleep(4 * time.Second)
+				m.SetOutage(false)
+				remove(t, m, "p/a")
+				time.Sleep(x.after)
+				q.ApplySnapshot(r.Snapshot())
+				first := text(q.Entries())
+				if x.back {
+					put(t, m, "p/a", "2", 0)
+					time.Sleep(200 * time.Millisecond)
+					q.ApplySnapshot(r.Snapshot())
+				}
+				time.Sleep(gracePeriod + 2*sweepInterval)
+				if got := text(q.Entries()); first != x.first || got != x.want {
+					t.Errorf("it holds %q, later %q", first, got)
+				}
+				stop()
+				m.SetOutage(true)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestSnapshotIsComplete takes snapshots while entries come and go: each holds what is in force at its revision.
+func TestSnapshotIsComplete(t *testing.T) {
+	m := New(memtxn.New(), "p/", log.NewNopLogger(), func([]bulrushlug.KVEntry) {})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := uint64(1); n <= 20000; n++ {
+			v := []byte(nil)
+			if n%2 == 1 {
+				v = []byte("1")
+			}
+			m.apply([]bulrushlug.KVEntry{bulrushlug.NewKVEntry("p/a", v, n)}, n)
+		}
+	}()
+	for {
+		l, n := m.Snapshot()
+		if len(l) != int(n%2) {
+			t.Fatalf("%d entries at revision %d", len(l), n)
+		}
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
+
 // silentWatch is a service whose watches deliver no changes for some time and do not fail.
 type silentWatch struct {
 	*memtxn.Store
--- a/platform.go
+++ b/platform.go
@@ -10,6 +10,8 @@
 	key      string
 	value    []byte
 	revision uint64 // Revision of the last write; zero if the key does not exist.
+	// retention is the time for which the entry is kept although it is gone from the service; zero if it is there.
+	retention time.Duration
 }
 
 // NewKVEntry returns the entry with key k, last written at revision n.
@@ -24,6 +26,15 @@
 // Revision returns the revision of the last write.
 func (i KVEntry) Revision() uint64 { return i.revision }
 
+// Retention returns the time for which the entry is kept although it is gone from the service; zero if it is there.
+func (i KVEntry) Retention() time.Duration { return i.retention }
+
+// WithRetention returns a copy of i that is gone from the service and kept for d.
+func (i KVEntry) WithRetention(d time.Duration) KVEntry {
+	i.retention = d
+	return i
+}
+
 // Store is the platform's key-value service with compare-and-swap. A write that fails may still have taken effect.
 type Store interface {
 	// Get returns the entry with key k; its revision is zero if the key does not exist.
