feat(guard): a panic in one message or request ends that one, not the process

What went wrong for others: one malformed message or unexpected error took a whole process down. It could here: nothing recovered a panic in a datagram's handler, an RPC's, a run of an item, or in what applies the operators' and the servers' entries. One such message was at hand: an update of a lot, or a record in the key-value service, without replicas, whose first one is read in five places.

Ruled out: HTTP handlers of net/http, which recover, but cut the request without an answer.

Change: package guard; a line with the stack for each panic, five a second at most (package lines, taken out of items). A request whose response has not begun gets status 500. The codec takes no update and no record without replicas.

--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/wire"
 )
 
 // FuzzPacket checks that arbitrary datagrams decode without a panic, and that a decoded packet which encodes again
@@ -78,3 +81,39 @@
 		}
 	}
 }
+
+// FuzzLots checks that arbitrary lots, updates, queries, pages and records of lots decode without a panic.
+func FuzzLots(f *testing.F) {
+	u := EncodeLotUpdate(bulrushlug.NewLotUpdate("i", 1, []string{"d"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotEndEntry()}, true))
+	r, err := EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"d"}, "o", time.UnixMilli(5)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	b, err := proto.Marshal(u)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add(r)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if x, err := DecodeLotRecord(b); err == nil && len(x.Replicas()) == 0 {
+			t.Error("a record without replicas")
+		}
+		w := &wire.LotAppend{}
+		if proto.Unmarshal(b, w) == nil {
+			if x, err := DecodeLotUpdate(w); err == nil && len(x.Replicas()) == 0 {
+				t.Error("an update without replicas")
+			}
+		}
+		l, q, p := &wire.Lot{}, &wire.LotRef{}, &wire.LotPage{}
+		if proto.Unmarshal(b, l) == nil {
+			DecodeLot(l)
+		}
+		if proto.Unmarshal(b, q) == nil {
+			DecodeLotQuery(q)
+		}
+		if proto.Unmarshal(b, p) == nil {
+			DecodeLotPage(p)
+		}
+	})
+}
--- a/codec/lot.go
+++ b/codec/lot.go
@@ -85,8 +85,12 @@
 		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed()}
 }
 
-// DecodeLotUpdate decodes an append to the log of a lot; it fails with KindBadRequest if an entry is empty.
+// DecodeLotUpdate decodes an append to the log of a lot; it fails with KindBadRequest if an entry is empty or
+// there are no replicas.
 func DecodeLotUpdate(w *wire.LotAppend) (bulrushlug.LotUpdate, error) {
+	if len(w.Replicas) == 0 {
+		return bulrushlug.LotUpdate{}, bulrushlug.Errorf(bulrushlug.KindBadRequest, "update of lot %s has no replicas", w.Lot)
+	}
 	l, err := DecodeLotEntries(w.Entries)
 	if err != nil {
 		return bulrushlug.LotUpdate{}, err
@@ -152,5 +156,8 @@
 	if err := proto.Unmarshal(b, w); err != nil {
 		return bulrushlug.LotRecord{}, bulrushlug.WrapError(bulrushlug.KindInternal, "lot record", err)
 	}
+	if len(w.Replicas) == 0 {
+		return bulrushlug.LotRecord{}, bulrushlug.Errorf(bulrushlug.KindInternal, "lot record of epoch %d has no replicas", w.Epoch)
+	}
 	return bulrushlug.NewLotRecord(w.Epoch, w.Replicas, w.Organisation, time.UnixMilli(int64(w.ExpiresMs))), nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/bcast"
 	"bulrushlug.dev/bulrushlug/dgram"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/lotlog"
 	"bulrushlug.dev/bulrushlug/lotsrv"
@@ -50,6 +51,7 @@
 	slotTable      *slots.Table
 	limiter        *meter.Limiter
 	recorder       *recorder
+	guard          *guard.Guard
 	manifest       atomic.Pointer[bulrushlug.Manifest] // Nil before the first one; its version never decreases.
 	retiring       atomic.Pointer[map[string]bool]     // VMs that operators are retiring; nil before the first read.
 	manifestReady  chan struct{}                       // Closed when the first manifest arrives.
@@ -79,6 +81,7 @@
 		platform: p, lotClient: lotcli.New(), manifestReady: make(chan struct{}), snapshotPeers: make(chan bulrushlug.Member, 1)}
 	x.settings.Store(s)
 	x.recorder = newRecorder(x.logger)
+	x.guard = guard.New(x.logger)
 	disk := ""
 	if d := s.DataFolder(); d != "" {
 		g, err := lotlog.Open(d)
@@ -92,15 +95,15 @@
 	x.membership = peers.New(s.Member(), boot, disk, p.Store(), memberPrefix, lease, x.logger)
 	x.slotTable = slots.New(s.Member().Name(), x.batchRunners)
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
-	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.counters)
+	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.guard, x.counters)
 	if err != nil {
 		return nil, err
 	}
 	m.OnMessage(x.handleMessage)
 	x.transport = m
 	x.broadcaster = bcast.New(x.membership, m, boot, x.buildReport)
-	x.operatorMirror = mirror.New(p.Store(), platform.ManifestPrefix, x.logger, x.setManifest, mirror.WithWatchTimeout(x.watchTimeout))
-	x.backendMirror = mirror.New(p.Store(), platform.BackendPrefix, x.logger, x.setBackends, mirror.WithGracePeriod(), mirror.WithWatchTimeout(x.watchTimeout))
+	x.operatorMirror = mirror.New(p.Store(), platform.ManifestPrefix, x.logger, x.protect("manifest", x.setManifest), mirror.WithWatchTimeout(x.watchTimeout))
+	x.backendMirror = mirror.New(p.Store(), platform.BackendPrefix, x.logger, x.protect("servers", x.setBackends), mirror.WithGracePeriod(), mirror.WithWatchTimeout(x.watchTimeout))
 	if s.Member().Role() == bulrushlug.RoleEntry {
 		x.roleHandler = newEntry(x)
 		return x, nil
@@ -158,6 +161,16 @@
 	return m != nil && (*m)[v]
 }
 
+// protect returns f under the guard: a value that f does not expect leaves the state as it is.
+func (s *Daemon) protect(task string, f func(l []bulrushlug.KVEntry)) func(l []bulrushlug.KVEntry) {
+	return func(l []bulrushlug.KVEntry) {
+		_ = s.guard.Run(task, func() error {
+			f(l)
+			return nil
+		})
+	}
+}
+
 // setManifest applies the operators' entries: the manifest and the VMs to retire.
 func (s *Daemon) setManifest(l []bulrushlug.KVEntry) {
 	r := s.platform.RetiringVMs(l)
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -31,14 +31,14 @@
 		lots.WithProgress(func(i string, n uint32, after uint64) []string { return d.runner.Progress(i, n, after) }))
 	counts := new(expvar.Map).Init()
 	s.counters.Set("itemRunsEnded", counts)
-	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(), s, s.logger, counts)
+	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(), s, s.guard, s.logger, counts)
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
-func (d *data) rpcServer() *lotsrv.Server { return lotsrv.New(d.replicas, d.snapshot) }
+func (d *data) rpcServer() *lotsrv.Server { return lotsrv.New(d.replicas, d.guard, d.snapshot) }
 
 // reportOptions returns the lots of which this process recently became the primary.
 func (d *data) reportOptions() []bulrushlug.ReportOption {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -59,7 +59,7 @@
 	return err
 }
 
-func (e *entry) rpcServer() *lotsrv.Server { return lotsrv.New(nil, e.snapshot) }
+func (e *entry) rpcServer() *lotsrv.Server { return lotsrv.New(nil, e.guard, e.snapshot) }
 
 // reportOptions returns the requests that the process admitted, by organisation.
 func (e *entry) reportOptions() []bulrushlug.ReportOption {
@@ -107,7 +107,7 @@
 	if w == 0 {
 		w = defaultHeaderTimeout
 	}
-	return &http.Server{Handler: e.handler, MaxHeaderBytes: h, ReadHeaderTimeout: w, IdleTimeout: i}
+	return &http.Server{Handler: e.guard.HTTP(e.handler), MaxHeaderBytes: h, ReadHeaderTimeout: w, IdleTimeout: i}
 }
 
 func (e *entry) logListenerEnd(n string, err error) {
--- a/dgram/dgram.go
+++ b/dgram/dgram.go
@@ -13,6 +13,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/guard"
 )
 
 const (
@@ -30,15 +31,16 @@
 	address string
 	sealer  *sealer
 	handle  atomic.Pointer[func(bulrushlug.Message)]
+	guard   *guard.Guard
 	engine  gnet.Engine
 	booted  chan struct{}
 	sender  *net.UDPConn // Safe for use by several goroutines.
 	counts  *expvar.Map
 }
 
-// New returns the transport of VM v, which listens on address a; secrets are the shared keys in hex, and counts gets
-// the numbers of messages and bytes.
-func New(v, a string, secrets []string, counts *expvar.Map) (*Transport, error) {
+// New returns the transport of VM v, which listens on address a and handles messages under g; secrets are the shared keys
+// in hex, and counts gets the numbers of messages and bytes.
+func New(v, a string, secrets []string, g *guard.Guard, counts *expvar.Map) (*Transport, error) {
 	s, err := newSealer(secrets)
 	if err != nil {
 		return nil, err
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, bulrushlug.WrapError(bulrushlug.KindInternal, a, err)
 	}
-	return &Transport{vm: v, address: a, sealer: s, booted: make(chan struct{}), sender: o, counts: counts}, nil
+	return &Transport{vm: v, address: a, sealer: s, guard: g, booted: make(chan struct{}), sender: o, counts: counts}, nil
 }
 
 // OnMessage sets the handler of received messages, which must not block.
@@ -86,19 +88,35 @@
 		return gnet.None
 	}
 	m.counts.Add("bytesIn", int64(len(p)))
+	m.protect(func() { m.receive(p) })
+	return gnet.None
+}
+
+// protect calls f, and counts a panic.
+func (m *Transport) protect(f func()) {
+	err := m.guard.Run("datagram", func() error {
+		f()
+		return nil
+	})
+	if err != nil {
+		m.counts.Add("panics", 1)
+	}
+}
+
+// receive handles the datagram p.
+func (m *Transport) receive(p []byte) {
 	b, ok := m.sealer.open(p)
 	if !ok {
 		m.counts.Add("notAuthentic", 1)
-		return gnet.None
+		return
 	}
 	x, err := codec.DecodePacket(b)
 	if err != nil {
 		m.counts.Add("notDecoded", 1)
-		return gnet.None
+		return
 	}
 	m.counts.Add("messagesIn", 1)
 	m.deliver(x)
-	return gnet.None
 }
 
 func (m *Transport) deliver(x bulrushlug.Message) {
@@ -120,7 +138,7 @@
 	}
 	for _, a := range l {
 		if a == m.address {
-			go m.deliver(x)
+			go m.protect(func() { m.deliver(x) })
 			continue
 		}
 		m.send(a, m.sealer.seal(b))
--- a/items/runner.go
+++ b/items/runner.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lots"
 	"bulrushlug.dev/bulrushlug/slots"
 	"bulrushlug.dev/bulrushlug/stream"
@@ -41,6 +42,7 @@
 	source  bulrushlug.ConfigSource
 	logger  log.Logger
 	endings *endings
+	guard   *guard.Guard
 	wake    chan struct{} // Holds a token while a check is due.
 	runs    sync.WaitGroup
 	mu      sync.Mutex
@@ -50,8 +52,8 @@
 
 // New returns a runner that takes lots from k, slots from t and routes from f, and sends items with c; counts holds the
 // runs without a result by cause.
-func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, l log.Logger, counts *expvar.Map) *Runner {
-	r := &Runner{manager: k, table: t, client: c, source: f, logger: l, endings: &endings{counts: counts, logger: l}, wake: make(chan struct{}, 1), paces: map[string]*pace{}}
+func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, g *guard.Guard, l log.Logger, counts *expvar.Map) *Runner {
+	r := &Runner{manager: k, table: t, client: c, source: f, guard: g, logger: l, endings: newEndings(counts, l), wake: make(chan struct{}, 1), paces: map[string]*pace{}}
 	for i := range r.shards {
 		r.shards[i].items = map[key]*item{}
 	}
@@ -229,7 +231,11 @@
 		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResumeFrom(uint64(len(x.events))))
 	h.mu.Unlock()
 	begun := time.Now()
-	status, err := r.exchange(c, h, x, s, q)
+	status := 0
+	err := r.guard.Run("item", func() (err error) {
+		status, err = r.exchange(c, h, x, s, q)
+		return err
+	})
 	if err == nil && status == statusOK {
 		h.mu.Lock()
 		text := strings.Join(x.events, "\n")
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lots"
 	"bulrushlug.dev/bulrushlug/memtxn"
 	"bulrushlug.dev/bulrushlug/peers"
@@ -118,14 +119,14 @@
 	runner  *Runner
 	server  *server
 	routes  *routes
-	lines   *lines
+	lines   *lineCount
 	counts  *expvar.Map
 }
 
-// lines is a logger that counts its lines.
-type lines struct{ count atomic.Int64 }
+// lineCount is a logger that counts its lines.
+type lineCount struct{ count atomic.Int64 }
 
-func (l *lines) Log(...any) error {
+func (l *lineCount) Log(...any) error {
 	l.count.Add(1)
 	return nil
 }
@@ -139,9 +140,9 @@
 	s.table = slots.New("d", func() []string { return nil })
 	s.table.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendZoneSlots("z", 4))})
 	s.manager = lots.New(discardLog{}, nil, m, "lot/", p, log.NewNopLogger(), lots.WithReplicationFactor(1), lots.WithRetention(time.Hour), lots.WithWorkCallback(func() { s.runner.Wake() }))
-	s.lines = &lines{}
+	s.lines = &lineCount{}
 	s.counts = new(expvar.Map).Init()
-	s.runner = New(s.manager, s.table, s.server, s.routes, s.lines, s.counts)
+	s.runner = New(s.manager, s.table, s.server, s.routes, guard.New(s.lines), s.lines, s.counts)
 	go func() { _ = s.manager.Run(c) }()
 	go func() { _ = s.runner.Run(c) }()
 	return s
@@ -308,13 +309,13 @@
 // TestMaxLines ends more runs in a second than have lines.
 func TestMaxLines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &lines{}
-		e := &endings{counts: new(expvar.Map).Init(), logger: l}
+		l := &lineCount{}
+		e := newEndings(new(expvar.Map).Init(), l)
 		for range 3 * maxLines {
 			e.record("broken")
 		}
 		time.Sleep(time.Second)
-		if n, ok := e.take(time.Now()); !ok || n != 2*maxLines || l.count.Load() != maxLines || e.counts.Get("broken").String() != "60" {
+		if n, ok := e.limiter.Take(); !ok || n != 2*maxLines || l.count.Load() != maxLines || e.counts.Get("broken").String() != "60" {
 			t.Errorf("%d omitted, %d lines, %v counted", n, l.count.Load(), e.counts)
 		}
 	})
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -10,6 +10,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/lots"
 	"bulrushlug.dev/bulrushlug/wire"
@@ -18,13 +19,14 @@
 // Server serves lots and the entries that this process has read from the key-value service.
 type Server struct {
 	manager  *lots.ReplicaManager // Nil for a process without a disk.
+	guard    *guard.Guard
 	snapshot func(c context.Context, operatorRevision, backendRevision uint64) (l []bulrushlug.KVEntry, manifest, backends uint64)
 }
 
-// New returns a server of the lots in k, which may be nil. f returns the entries of operators and of backend servers, each
+// New returns a server of the lots in k, which may be nil, that handles calls under g. f returns the entries of operators and of backend servers, each
 // set only if it changed after the given revision, and the revisions of both sets.
-func New(k *lots.ReplicaManager, f func(c context.Context, operatorRevision, backendRevision uint64) (l []bulrushlug.KVEntry, manifest, backends uint64)) *Server {
-	return &Server{manager: k, snapshot: f}
+func New(k *lots.ReplicaManager, g *guard.Guard, f func(c context.Context, operatorRevision, backendRevision uint64) (l []bulrushlug.KVEntry, manifest, backends uint64)) *Server {
+	return &Server{manager: k, guard: g, snapshot: f}
 }
 
 // Run serves connections from l until c ends.
@@ -38,7 +40,7 @@
 	if err := wire.DRPCRegisterSite(m, s); err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindInternal, "drpc", err)
 	}
-	return drpcserver.NewWithOptions(m, drpcserver.Options{Manager: lotcli.ConnOptions()}).Serve(c, l)
+	return drpcserver.NewWithOptions(s.guard.RPC(m), drpcserver.Options{Manager: lotcli.ConnOptions()}).Serve(c, l)
 }
 
 // Snapshot returns the entries that this process has read from the key-value service and that are newer than the
--- a/node/entry.go
+++ b/node/entry.go
@@ -35,7 +35,7 @@
 func newEntry(n *Node) *entry {
 	e := &entry{Node: n, revoke: revoke.New(n.control.State()), dedup: dedup.New(n.store)}
 	n.control.State().OnChange(func(*bulrushlug.Config) { go e.revoke.CancelUnauthorised() })
-	e.http = drain.New(&http.Server{Handler: e.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	e.http = drain.New(&http.Server{Handler: e.guard.HTTP(e.handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	return e
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"bulrushlug.dev/bulrushlug/disk"
 	"bulrushlug.dev/bulrushlug/event"
 	"bulrushlug.dev/bulrushlug/fleet"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/jobs"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/place"
@@ -47,6 +48,7 @@
 	settings   *conf.Settings
 	self       bulrushlug.Member
 	logger     log.Logger
+	guard      *guard.Guard
 	counts     *expvar.Map
 	clock      *clock.Clock
 	events     *event.Log
@@ -102,11 +104,12 @@
 		store:     store.New(s.Store()),
 		reclaimed: make(chan struct{}),
 	}
+	n.guard = guard.New(n.logger)
 	if err := n.loadTLS(); err != nil {
 		return nil, err
 	}
 	n.events = event.New(m.Name(), n.clock)
-	x, err := dgram.New(m.Name(), m.Address(), s.PeerSecrets(), n.counters("mesh"))
+	x, err := dgram.New(m.Name(), m.Address(), s.PeerSecrets(), n.guard, n.counters("mesh"))
 	if err != nil {
 		return nil, err
 	}
@@ -218,7 +221,7 @@
 }
 
 func (n *Node) server() *rpcsrv.Server {
-	return rpcsrv.New(n.control.State(), n.events, n.clock, n.position,
+	return rpcsrv.New(n.guard, n.control.State(), n.events, n.clock, n.position,
 		rpcsrv.WithStage(n.role.stage()),
 		rpcsrv.WithDisk(n.disk),
 		rpcsrv.WithTLS(n.tls))
--- a/rpccli/rpccli_test.go
+++ b/rpccli/rpccli_test.go
@@ -10,11 +10,14 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/cert"
 	"bulrushlug.dev/bulrushlug/clock"
 	"bulrushlug.dev/bulrushlug/event"
 	"bulrushlug.dev/bulrushlug/fresh"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/issuer"
 	"bulrushlug.dev/bulrushlug/rpccli"
 	"bulrushlug.dev/bulrushlug/rpcsrv"
@@ -36,7 +39,7 @@
 	}
 	c, stop := context.WithCancel(context.Background())
 	k := clock.New()
-	s := rpcsrv.New(state.New(fresh.New("z")), event.New("vm", k), k, func() *wire.Position { return &wire.Position{} }, rpcsrv.WithStage(g), rpcsrv.WithTLS(x))
+	s := rpcsrv.New(guard.New(log.NewNopLogger()), state.New(fresh.New("z")), event.New("vm", k), k, func() *wire.Position { return &wire.Position{} }, rpcsrv.WithStage(g), rpcsrv.WithTLS(x))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/rpcsrv/rpcsrv.go
+++ b/rpcsrv/rpcsrv.go
@@ -14,6 +14,7 @@
 	"bulrushlug.dev/bulrushlug/clock"
 	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/event"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
@@ -23,6 +24,7 @@
 // Server serves the pipe, the chunks, the configuration and the events of one process; calls for a pipe or chunks that
 // the process does not have fail.
 type Server struct {
+	guard    *guard.Guard
 	stage    bulrushlug.Stage           // Pipe of the agent; nil on entries.
 	disk     bulrushlug.LocalChunkStore // Nil without a data folder.
 	source   bulrushlug.ConfigSource
@@ -44,9 +46,9 @@
 // WithTLS secures connections with the current configuration from t, if t isn't nil.
 func WithTLS(t func() *tls.Config) option { return func(s *Server) { s.tls = t } }
 
-// New returns a server for the configuration of f, the events of e and the position that p returns.
-func New(f bulrushlug.ConfigSource, e *event.Log, k *clock.Clock, p func() *wire.Position, o ...option) *Server {
-	s := &Server{source: f, events: e, clock: k, position: p}
+// New returns a server that handles calls under h, for the configuration of f, the events of e and the position that p returns.
+func New(h *guard.Guard, f bulrushlug.ConfigSource, e *event.Log, k *clock.Clock, p func() *wire.Position, o ...option) *Server {
+	s := &Server{guard: h, source: f, events: e, clock: k, position: p}
 	for _, g := range o {
 		g(s)
 	}
@@ -68,7 +70,7 @@
 	if s.tls != nil {
 		l = tls.NewListener(l, &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.tls(), nil }})
 	}
-	return drpcserver.New(m).Serve(c, l)
+	return drpcserver.New(s.guard.RPC(m)).Serve(c, l)
 }
 
 type agent struct{ *Server }
