test(trial): the counter of TestWaysToSpread is written by several goroutines

Found by the race detector, test by test: a race of the fixture alone. The other tests of trial pass under it, but for two that crash in the runtime itself (TestBatchCost: ThreadSanitizer CHECK in tsan_rtl.cpp; and TestPausedOwnerResumes: SIGSEGV on goroutine 0 in a synctest bubble) and TestControlCost, which does not end within 300 s there.

--- a/trial/spread_test.go
+++ b/trial/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,10 +27,10 @@
 			}
 		}
 		time.Sleep(2 * time.Second)
-		messages := 0
+		var messages atomic.Int64
 		f.net.OnSend(func(_ bulrushlug.Member, m bulrushlug.Message) {
 			if len(m.Changes()) > 0 {
-				messages++
+				messages.Add(1)
 			}
 		})
 		at := time.Now()
@@ -38,7 +39,7 @@
 			t.Fatal(err)
 		}
 		f.waitFor(n, 20*time.Second)
-		t.Logf("trees with anti-entropy queries: all %d live processes after %v, %d messages with the change", zones*each-len(dead), time.Since(at), messages)
+		t.Logf("trees with anti-entropy queries: all %d live processes after %v, %d messages with the change", zones*each-len(dead), time.Since(at), messages.Load())
 		alive := func(i int) bool { return !dead[i] }
 		rounds, sent, reached := simulateGossip(r, zones*each, alive)
 		t.Logf("push gossip, fan-out 3, one round per 500 ms: %d of %d after %v, %d messages", reached, zones*each-len(dead), time.Duration(rounds)*500*time.Millisecond, sent)
