perf(peers,mirror): fewer calls to the key-value service with many processes

Change: the lease is 9 s and renewed each 30 ms a process, from one second to three, so that small systems renew as before; the first watch waits 0.7 s after the first read, in which reports come, and misses nothing as it starts at the read's revision.

Measured: peers.TestRenewals.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,7 +32,7 @@
 const (
 	memberPrefix   = "bulrushlug/vm/"
 	lotPrefix      = "bulrushlug/lot/"
-	leaseTTL       = 3 * time.Second // TTL of the lease on the process's membership entry; renewed after every third of it.
+	leaseTTL       = 9 * time.Second // TTL of the lease on the process's membership entry, in which it is renewed three times or more.
 	watcherCount   = 2               // Number of processes that watch the key-value service; the others fetch changes from them when a report announces one.
 	watcherTimeout = 2 * time.Second // Timeout of each watch; shorter than the time after an outage of the service for which time limits are suspended.
 )
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -24,9 +24,12 @@
 	// passes down their tree, and one request that fails.
 	standbyLagTimeout   = 800 * time.Millisecond
 	defaultWatchTimeout = 10 * time.Second
-	minBackoff          = 100 * time.Millisecond
-	maxBackoff          = time.Second     // Maximum back-off in an outage.
-	standbyBackoff      = 4 * time.Second // Back-off of processes that rely on the watches of others.
+	// startDelay is the time from the first read to the first watch, in which this process hears whether others watch: the
+	// longest time between reports, and some more.
+	startDelay     = 700 * time.Millisecond
+	minBackoff     = 100 * time.Millisecond
+	maxBackoff     = time.Second     // Maximum back-off in an outage.
+	standbyBackoff = 4 * time.Second // Back-off of processes that rely on the watches of others.
 	// gracePeriod is how long entries that disappeared in an outage are retained after it: owners of entries with
 	// leases write them again within two seconds of its end.
 	gracePeriod = 2 * time.Second
@@ -114,7 +117,13 @@
 		return err
 	}
 	m.markUp()
+	first := m.Revision() == 0
 	m.replace(l, n, true)
+	if first {
+		if err := bulrushlug.Sleep(c, startDelay); err != nil {
+			return err
+		}
+	}
 	for {
 		if m.watchTimeout() == 0 {
 			return m.standby(c)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -33,8 +33,12 @@
 	heardTimeout = 350 * time.Millisecond
 	// forgetTimeout is the age of the last report after which a process without an entry is removed. Until then it may
 	// serve behind a partition, and must receive reports so that it can restart while the key-value service is down.
-	forgetTimeout  = 20 * time.Second
-	listInterval   = 5 * time.Second // Time between reads of the entries.
+	forgetTimeout = 20 * time.Second
+	listInterval  = 5 * time.Second // Time between reads of the entries.
+	// minRenewal is the shortest time between two renewals of the lease of a process's entry. It grows by renewalPerPeer for
+	// each other process, which bounds the calls of all, up to a third of the lease.
+	minRenewal     = time.Second
+	renewalPerPeer = 30 * time.Millisecond
 	initialBackoff = 200 * time.Millisecond
 )
 
@@ -80,6 +84,11 @@
 	return min(maxInterval, max(minInterval, time.Duration(n)*intervalPerPeer))
 }
 
+// renewalInterval returns the time between two renewals of the lease.
+func (p *Membership) renewalInterval() time.Duration {
+	return min(p.lease/3, max(minRenewal, time.Duration(p.count.Load())*renewalPerPeer))
+}
+
 // silence returns the age of the last report at which a process counts as silent: d, or lostReports intervals if that is
 // more.
 func (p *Membership) silence(d time.Duration) time.Duration {
@@ -104,13 +113,12 @@
 	return nil
 }
 
-// maintainEntry registers this process under a lease, renews the lease every third of its length, and revokes it
-// when c ends.
+// maintainEntry registers this process under a lease, renews the lease, and revokes it when c ends.
 func (p *Membership) maintainEntry(c context.Context) {
 	var lease uint64
 	retry := initialBackoff
 	for c.Err() == nil {
-		d := p.lease / 3
+		d := p.renewalInterval()
 		if lease != 0 {
 			err := p.store.Renew(c, lease)
 			p.recordStoreResult(err)
@@ -148,8 +156,8 @@
 	p.storeLost.Store(err != nil && (k == bulrushlug.KindStoreDown || k == bulrushlug.KindUncertain || k == bulrushlug.KindRateLimited))
 }
 
-// StoreLost reports whether the key-value service failed to answer the last call for this process's entry; there is one
-// every third of the lease.
+// StoreLost reports whether the key-value service failed to answer the last call for this process's entry; the lease is
+// renewed every second or, in a large system, every third of its length.
 func (p *Membership) StoreLost() bool { return p.storeLost.Load() }
 
 // register writes the entry of this process under a new lease, which it returns; the lease of an entry that could not be
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -252,3 +252,27 @@
 		})
 	}
 }
+
+// TestRenewals counts the renewals of all processes: they do not grow with the number of processes without bound.
+func TestRenewals(t *testing.T) {
+	for name, x := range map[string]struct {
+		others int
+		want   time.Duration
+	}{
+		"a few":      {others: 3, want: time.Second},
+		"tens":       {others: 26, want: time.Second},
+		"60":         {others: 60, want: 1800 * time.Millisecond},
+		"hundreds":   {others: 132, want: 3 * time.Second},
+		"the target": {others: 1499, want: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(bulrushlug.NewMember("e", "e:1", "r", "z", bulrushlug.RoleEntry), 1, "", memtxn.New(), "vm/", 9*time.Second, log.NewNopLogger())
+			for i := range x.others {
+				p.ApplyReport(report(fmt.Sprint("x", i), 1, 1))
+			}
+			if got := p.renewalInterval(); got != x.want {
+				t.Errorf("a renewal each %v", got)
+			}
+		})
+	}
+}
