fix(front,admin,cmds,issuer,disk,batch): six faults that were found by reading

Each with a test that fails on the old code:

- X-Timeout-Ms of more than a duration holds overflowed: the request's deadline was past at once (front.TestDeadline).
- A rate of NaN, a rate for an organisation without a burst, and a burst of zero for one with a rate were accepted (admin.TestCheckRate).
- certificate overwrote ca.pem, so that processes stop trusting each other (issuer.TestNew).
- A run whose job's record is gone tried to finish it for ever (batch.TestFinish).

No fault: meter admits all at a rate of zero, which means no limit on the pages.

--- a/admin/changes.go
+++ b/admin/changes.go
@@ -62,19 +62,26 @@
 		case !ok:
 			o = bulrushlug.NewOrganisation(q.Name, 0, 0)
 		}
-		return bulrushlug.NewChange("", author, applyCommand(o, q)), nil
+		o = applyCommand(o, q)
+		return bulrushlug.NewChange("", author, o), checkRate(o)
 	})
 }
 
-func checkOrganisation(q *wire.OrganisationCommand) error {
+// checkRate checks rate and burst of o, whichever of them a command sets.
+func checkRate(o bulrushlug.Organisation) error {
 	switch {
-	case !validName(q.Name):
-		return bulrushlug.Errorf(bulrushlug.KindBadRequest, "invalid name %q: use letters, digits, dots, dashes and underscores", q.Name)
-	case q.Rate != nil && (*q.Rate < 0 || *q.Rate > maxRate):
+	case !(o.Rate() >= 0 && o.Rate() <= maxRate): // NaN is neither.
 		return bulrushlug.Errorf(bulrushlug.KindBadRequest, "the rate must be from 0 to %g requests per second", maxRate)
-	case q.GetRate() > 0 && q.Burst != nil && *q.Burst == 0:
+	case o.Rate() > 0 && o.Burst() == 0:
 		return bulrushlug.Errorf(bulrushlug.KindBadRequest, "the burst must be at least 1 request")
 	}
+	return nil
+}
+
+func checkOrganisation(q *wire.OrganisationCommand) error {
+	if !validName(q.Name) {
+		return bulrushlug.Errorf(bulrushlug.KindBadRequest, "invalid name %q: use letters, digits, dots, dashes and underscores", q.Name)
+	}
 	if err := match.Validate(q.GetSelector()); err != nil {
 		return err
 	}
--- a/batch/run.go
+++ b/batch/run.go
@@ -322,6 +322,8 @@
 			return r.jobs.RemoveOpen(c, x.ID())
 		case errors.Is(err, errNotOwner):
 			return err
+		case bulrushlug.KindOf(err) == bulrushlug.KindNotFound: // The record is gone: nobody reads a result.
+			return errors.Join(err, r.jobs.RemoveOpen(c, r.job.ID()))
 		}
 		if err := bulrushlug.Sleep(c, storeRetryDelay); err != nil {
 			return err
--- a/cmds/key.go
+++ b/cmds/key.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if m.Bool("dry-run") {
+		return printAccepted(m, a, nil)
+	}
 	if _, err := fmt.Fprintf(m.Root().Writer, "key %s\n", k); err != nil {
 		return err
 	}
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -10,12 +10,16 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"sync"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlug.dev/bulrushlug"
 )
 
 const (
+	shardCount  = 64
 	headerBytes = 8        // Magic number and CRC-32C.
 	magic       = 0x62756c // First four bytes of each chunk, big-endian.
 	minFree     = 64 << 20 // Bytes of the disk that must stay free.
@@ -33,7 +37,8 @@
 
 // Store keeps each chunk with its checksum in a file, which is renamed into place once it is synced.
 type Store struct {
-	root string // Directory with one directory for each file.
+	root  string                   // Directory with one directory for each file.
+	locks [shardCount]sync.RWMutex // By file: held for reading while a chunk is written, so that Drop does not remove the directory.
 }
 
 // New returns the store in directory d, which it creates if needed, and removes temporary files of interrupted writes.
@@ -74,12 +79,17 @@
 	if err := v.checkSpace(len(p)); err != nil {
 		return err
 	}
+	l := v.lock(f)
+	l.RLock()
+	defer l.RUnlock()
 	if err := v.write(k, p); err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindStorage, k, err)
 	}
 	return nil
 }
 
+func (v *Store) lock(f string) *sync.RWMutex { return &v.locks[xxhash.Sum64String(f)%shardCount] }
+
 func (v *Store) checkSpace(n int) error {
 	var s syscall.Statfs_t
 	if err := syscall.Statfs(v.root, &s); err != nil {
@@ -174,6 +184,9 @@
 	if err := os.Remove(k); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return bulrushlug.WrapError(bulrushlug.KindStorage, k, err)
 	}
-	_ = os.Remove(filepath.Dir(k))
+	l := v.lock(f)
+	l.Lock()
+	defer l.Unlock()
+	_ = os.Remove(filepath.Dir(k)) // Fails while the directory has other chunks.
 	return nil
 }
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"bulrushlug.dev/bulrushlug"
@@ -99,3 +101,30 @@
 		t.Errorf("a directory that can't be created: %v", err)
 	}
 }
+
+// TestDropWhilePutting drops the only chunk of a file, and so its directory, while the next chunk is written.
+func TestDropWhilePutting(t *testing.T) {
+	v, err := New(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, stop := context.WithCancel(t.Context())
+	var w sync.WaitGroup
+	w.Go(func() {
+		for c.Err() == nil {
+			if err := v.Drop("f", 1); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	defer w.Wait()
+	defer stop()
+	for n := uint32(2); n < 500; n++ {
+		if err := v.Put("f", n, []byte("a")); err != nil {
+			t.Fatalf("chunk %d: %v", n, err)
+		}
+		if err := v.Drop("f", n); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -105,8 +105,8 @@
 // deadline returns the deadline of r from its X-Timeout-Ms header or the default.
 func deadline(r *http.Request) time.Time {
 	d := defaultTimeout
-	if n, err := strconv.Atoi(r.Header.Get("X-Timeout-Ms")); err == nil && n > 0 {
-		d = min(time.Duration(n)*time.Millisecond, maxTimeout)
+	if n, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64); err == nil && n > 0 {
+		d = time.Duration(min(n, maxTimeout.Milliseconds())) * time.Millisecond
 	}
 	return time.Now().Add(d)
 }
--- a/issuer/authority.go
+++ b/issuer/authority.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"math/big"
 	"os"
 	"path/filepath"
@@ -32,7 +33,8 @@
 	key         *ecdsa.PrivateKey
 }
 
-// New creates an authority and writes its certificate to ca.pem in folder d.
+// New creates an authority and writes its certificate to ca.pem in folder d. It fails if there is one: without it, no
+// process trusts the certificates that were issued under it.
 //
 // The private key of the authority is never stored: to issue more certificates later, create a new authority and add
 // its certificate to the old one in ca.pem.
@@ -56,7 +58,7 @@
 		return nil, bulrushlug.WrapError(bulrushlug.KindBadRequest, d, err)
 	}
 	a := &Authority{folder: d, certificate: c, key: k}
-	return a, a.write("ca.pem", "CERTIFICATE", b)
+	return a, a.write("ca.pem", "CERTIFICATE", b, os.O_EXCL)
 }
 
 func template(name string, d time.Duration) *x509.Certificate {
@@ -88,15 +90,20 @@
 	if err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindInternal, v, err)
 	}
-	if err := a.write(v+".pem", "CERTIFICATE", b); err != nil {
+	if err := a.write(v+".pem", "CERTIFICATE", b, os.O_TRUNC); err != nil {
 		return err
 	}
-	return a.write(v+"-key.pem", "PRIVATE KEY", p)
+	return a.write(v+"-key.pem", "PRIVATE KEY", p, os.O_TRUNC)
 }
 
-func (a *Authority) write(name, kind string, b []byte) error {
+// write writes b to the file called name; flag says what happens to one that exists.
+func (a *Authority) write(name, kind string, b []byte, flag int) error {
 	p := filepath.Join(a.folder, name)
-	if err := os.WriteFile(p, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), fileMode); err != nil {
+	f, err := os.OpenFile(p, os.O_WRONLY|os.O_CREATE|flag, fileMode)
+	if err != nil {
+		return bulrushlug.WrapError(bulrushlug.KindBadRequest, p, err)
+	}
+	if err := errors.Join(pem.Encode(f, &pem.Block{Type: kind, Bytes: b}), f.Close()); err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindBadRequest, p, err)
 	}
 	return nil
