--- a/cfglog/snapshot.go
+++ b/cfglog/snapshot.go
@@ -55,8 +55,9 @@
 	n := 0
 	for _, x := range f.Entities() {
 		w := codec.EncodeChange(x)
-		if n += 2 * proto.Size(w); n > maxPartBytes {
-			p, n = &wire.Snapshot{Revision: f.Revision()}, 0
+		m := 2 * proto.Size(w)
+		if n += m; n > maxPartBytes {
+			p, n = &wire.Snapshot{Revision: f.Revision()}, m
 			l = append(l, p)
 		}
 		p.Changes = append(p.Changes, w)
@@ -86,7 +87,11 @@
 	}
 	for _, i := range m {
 		x, err := decode(i)
-		if err != nil || x.Revision() > n || time.Since(x.Time()) < logRetention {
+		if err != nil {
+			l.recorder.Record(bulrushlug.NewEvent("changeNotDecoded", bulrushlug.WithDetail(err.Error())))
+			continue
+		}
+		if x.Revision() > n || time.Since(x.Time()) < logRetention {
 			return
 		}
 		_ = l.store.Delete(c, i.Key(), i.Revision())
@@ -95,14 +100,10 @@
 
 // readSnapshot returns the newest snapshot, or the empty configuration if there is none.
 func (l *Log) readSnapshot(c context.Context) (*bulrushlug.Config, error) {
-	h, err := l.store.Get(c, headKey)
-	if err != nil || h.Revision() == 0 {
+	m, err := l.readParts(c)
+	if err != nil || m == nil {
 		return bulrushlug.NewConfig(), err
 	}
-	m, _, err := l.store.List(c, string(h.Value()))
-	if err != nil {
-		return nil, err
-	}
 	var x []bulrushlug.Change
 	var n uint64
 	for _, i := range m {
@@ -118,3 +119,24 @@
 	}
 	return bulrushlug.RestoreConfig(n, x), nil
 }
+
+// readParts returns the parts of the newest snapshot, or nil if there is none. The parts of a snapshot are deleted once a
+// newer one is in place, so the list is whole only if the head is still the same after it.
+func (l *Log) readParts(c context.Context) ([]bulrushlug.KVEntry, error) {
+	h, err := l.store.Get(c, headKey)
+	for err == nil && h.Revision() != 0 {
+		m, _, err := l.store.List(c, string(h.Value()))
+		if err != nil {
+			return nil, err
+		}
+		x, err := l.store.Get(c, headKey)
+		if err != nil {
+			return nil, err
+		}
+		if x.Revision() == h.Revision() {
+			return m, nil
+		}
+		h = x
+	}
+	return nil, err
+}
