fix(meter): requests within a rate are not refused for the number of entries

In a round of reports (500 ms there) each of 88 entries admitted one request of an organisation, or its part of the level; two of them at one entry in a round is common.

Ruled out: shorter rounds (reports from all to all are what the processes' time goes into), parts carried over (all entries spend them at once).

Change: meter.share. The level is refilled before the admissions of others are deducted.

--- /dev/null
+++ b/meter/many_test.go
@@ -0,0 +1,80 @@
+package meter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestManyProcesses replays the load of one organisation in a system of many entries, whose callers reach any of them at
+// random: within its rate, its requests are admitted though few of them meet at one entry; beyond it, the bound holds.
+func TestManyProcesses(t *testing.T) {
+	wave := func(g *group, mean float64) (admitted float64) {
+		for range 3 {
+			admitted += g.run(3600*time.Millisecond, 0.39*mean)*0.39*3.6/6 + g.run(2400*time.Millisecond, 1.91*mean)*1.91*2.4/6
+		}
+		return admitted / 3
+	}
+	for name, x := range map[string]struct {
+		processes int
+		rate      float64
+		burst     uint32
+		run       func(g *group) float64
+		least     float64 // Share of the requests that is admitted at least.
+	}{
+		"a large one in waves":        {processes: 88, rate: 118, burst: 118, least: 0.98, run: func(g *group) float64 { return wave(g, 0.5*118) }},
+		"a middle one in waves":       {processes: 88, rate: 68, burst: 68, least: 0.98, run: func(g *group) float64 { return wave(g, 0.5*68) }},
+		"a small one in waves":        {processes: 88, rate: 8, burst: 8, least: 0.98, run: func(g *group) float64 { return wave(g, 0.5*8) }},
+		"tens of processes":           {processes: 17, rate: 60, burst: 60, least: 0.98, run: func(g *group) float64 { return wave(g, 0.5*60) }},
+		"a large one turns hot":       {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 { wave(g, 0.5*118); return g.run(8*time.Second, 7.5*118) }},
+		"a middle one turns hot":      {processes: 88, rate: 68, burst: 68, run: func(g *group) float64 { wave(g, 0.5*68); return g.run(8*time.Second, 7.5*68) }},
+		"a small one turns hot":       {processes: 88, rate: 8, burst: 8, run: func(g *group) float64 { wave(g, 0.5*8); return g.run(8*time.Second, 7.5*8) }},
+		"it turns hot, tens":          {processes: 17, rate: 60, burst: 60, run: func(g *group) float64 { wave(g, 0.5*60); return g.run(8*time.Second, 7.5*60) }},
+		"it turns hot when half full": {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 { g.run(4*time.Second, 1.1*118); return g.run(8*time.Second, 7.5*118) }},
+		"a large one turns hot in a partition": {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 {
+			wave(g, 0.5*118)
+			g.split(44)
+			return g.run(8*time.Second, 7.5*118)
+		}},
+		"a small one turns hot in a partition": {processes: 88, rate: 8, burst: 8, run: func(g *group) float64 {
+			wave(g, 0.5*8)
+			g.split(44)
+			return g.run(8*time.Second, 7.5*8)
+		}},
+		"tens, one turns hot in a partition": {processes: 17, rate: 60, burst: 60, run: func(g *group) float64 {
+			wave(g, 0.5*60)
+			g.split(8)
+			return g.run(8*time.Second, 7.5*60)
+		}},
+		"a small one in waves, one process failed": {processes: 88, rate: 8, burst: 8, least: 0.95, run: func(g *group) float64 {
+			wave(g, 0.5*8)
+			g.split(1)
+			time.Sleep(2 * g.notice)
+			return wave(g, 0.5*8)
+		}},
+		"all restart and it turns hot": {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 {
+			wave(g, 0.5*118)
+			for i := range g.limiters {
+				g.restart(i)
+			}
+			return g.run(8*time.Second, 7.5*118)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroupOf(x.processes, true, &group{rate: x.rate, burst: x.burst, interval: 500 * time.Millisecond, notice: 1250 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))})
+				p := x.run(g)
+				bound := (x.rate*window.Seconds()+float64(x.burst))*(1+overrun) + slack
+				n := g.maxInWindow()
+				t.Logf("%.3f admitted, at most %d within %v, the bound is %.0f", p, n, window, bound)
+				if p < x.least {
+					t.Errorf("%.3f of the requests within the rate were admitted", p)
+				}
+				if float64(n) > bound {
+					t.Errorf("%d admissions within %v, the bound is %.0f", n, window, bound)
+				}
+			})
+		})
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,13 +25,20 @@
 	// turnInterval is the time for which reports also contain the idle organisations of one shard, before those of the
 	// next shard (round robin). It is longer than the time between two reports.
 	turnInterval = 600 * time.Millisecond
+	// An organisation counts as contended from a level below contendedLevel until the level is recovered of its burst and
+	// this process refused none of its requests for calmTime. Within a rate, the level falls to just below one now and then.
+	contendedLevel = 0.5
+	recovered      = 0.9
+	calmTime       = 2 * time.Second
+	// uncontendedExtra is what a process may admit beyond its part in a round while an organisation is not contended.
+	uncontendedExtra = 2
 )
 
 // Limiter admits requests within rate and burst of their organisation.
 //
 // Each process has a token bucket for each organisation and deducts what it admits and what others report. In a
-// round of reports it admits only its share of the level, so that partitioned processes never admit the same tokens
-// twice. A bucket refills only at the share of the rate that belongs to the processes heard, as the others may use
+// round of reports it admits its share of the level, and little more, so that partitioned processes do not admit the same
+// tokens twice. A bucket refills only at the share of the rate that belongs to the processes heard, as the others may use
 // the rest.
 type Limiter struct {
 	source    bulrushlug.ConfigSource
@@ -53,10 +62,13 @@
 	refilledAt     time.Time         // When level was last computed.
 	admitted       uint64            // Admissions of this process since its start; never falls.
 	lastRequestAt  time.Time         // Last request at this process, admitted or not.
+	refusedAt      time.Time         // Last request that this process refused.
 	remoteAdmitted map[string]uint64 // Admissions reported by other processes, by VM.
 	initialised    bool              // The level was set.
 	merged         bool              // The level includes what the others admitted before this process started.
 	roundAdmitted  float64           // Admissions of this process in this round.
+	roundChance    float64           // Rounds the share of this round up or down, from 0 to 1; drawn in each round.
+	contended      bool              // The level fell below contendedLevel and has not recovered since.
 }
 
 // New returns a limiter that reads rates from f; full says that nothing was admitted before the start, and t is the
@@ -102,16 +114,39 @@
 		b.initialise(m.initialLevel(g, all), m.startFull)
 	}
 	b.refill(g, part)
-	if b.level >= 1 && b.roundAdmitted+1 <= max(1, (b.level+b.roundAdmitted)/float64(heard)) {
+	if b.level >= 1 && b.roundAdmitted+1 <= b.share(g, heard, all) {
 		b.level--
 		b.roundAdmitted++
 		return nil
 	}
 	b.admitted--
+	b.refusedAt = time.Now()
 	w := time.Duration(max(1, 1-b.level) / (g.Rate() * part) * float64(time.Second))
 	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(w)
 }
 
+// share returns the requests that this process may admit in this round: its part of the level, and while the
+// organisation is not contended at least one, or uncontendedExtra more where all processes are heard.
+//
+// Load patterns: requests of one organisation within its rate, of which a few reach the same one of many entries in one
+// round; and requests beyond it, of which one reaches nearly every entry in each round. The fraction of a part is rounded
+// at random, so that all processes together admit the level. A round lasts until all have reported, so in a partition
+// that nobody noticed yet, what is extra comes once.
+func (b *bucket) share(g bulrushlug.Organisation, heard, all int) float64 {
+	if heard == 1 {
+		return b.level + b.roundAdmitted
+	}
+	b.contended = b.level < contendedLevel || b.contended && (b.level < recovered*float64(g.Burst()) || time.Since(b.refusedAt) < calmTime)
+	s := math.Floor((b.level+b.roundAdmitted)/float64(heard) + b.roundChance)
+	switch {
+	case b.contended:
+		return s
+	case heard < all:
+		return max(1, s)
+	}
+	return s + uncontendedExtra
+}
+
 // initialLevel returns the tokens with which a bucket of g starts at one of n processes.
 func (m *Limiter) initialLevel(g bulrushlug.Organisation, n int) float64 {
 	if m.startFull {
@@ -137,10 +172,15 @@
 
 // ApplyReport deducts what the reporting process admitted since its last report from the buckets.
 func (m *Limiter) ApplyReport(r bulrushlug.Report) {
+	heard, all := m.heard()
+	c := m.source.Config()
 	for _, x := range r.AdmissionCounts() {
-		m.shard(x.Organisation()).applyAdmissions(r.Member().Name(), r.Boot(), x, m.startFull || r.Boot() > m.boot)
+		var g bulrushlug.Organisation
+		if c != nil {
+			g, _ = c.Organisation(x.Organisation())
+		}
+		m.shard(x.Organisation()).applyAdmissions(r.Member().Name(), r.Boot(), x, m.startFull || r.Boot() > m.boot, g, float64(heard)/float64(all))
 	}
-	heard, _ := m.heard()
 	for i := range m.shards {
 		m.shards[i].advanceRound(r.Member().Name(), heard-1)
 	}
@@ -156,16 +196,19 @@
 	}
 	clear(s.roundReports)
 	for _, b := range s.buckets {
-		b.roundAdmitted = 0
+		b.roundAdmitted, b.roundChance = 0, rand.Float64()
 	}
 }
 
-// applyAdmissions deducts x of the process on VM vm; later says that all of it was admitted after the start of this
-// process.
-func (s *shard) applyAdmissions(vm string, boot uint64, x bulrushlug.AdmissionCount, later bool) {
+// applyAdmissions deducts x of the process on VM vm from the bucket of g; later says that all of it was admitted after the
+// start of this process, and part is the share of rate and burst that this process may use.
+func (s *shard) applyAdmissions(vm string, boot uint64, x bulrushlug.AdmissionCount, later bool, g bulrushlug.Organisation, part float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(x.Organisation())
+	if b.initialised {
+		b.refill(g, part)
+	}
 	if old, ok := s.boots[vm]; ok && old != boot {
 		for _, c := range s.buckets {
 			delete(c.remoteAdmitted, vm)
@@ -180,6 +223,7 @@
 		b.level -= float64(x.Admitted() - n)
 	}
 	b.remoteAdmitted[vm] = max(n, x.Admitted())
+	b.contended = b.contended || b.initialised && b.level < contendedLevel
 }
 
 // mergeRemote lowers the level to that of a process whose first report has admissions from before this one's start.
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -39,10 +40,19 @@
 	heard    []*atomic.Int64 // Number of processes that each one hears, itself included.
 	cut      [][]bool
 	times    []time.Time // Times of the admissions of all processes.
+	rate     float64     // Of the organisation.
+	burst    uint32
+	interval time.Duration // Of reports.
+	notice   time.Duration // Time after which a process that is not heard is noticed.
+	random   *rand.Rand    // Picks the process of each request; nil for one after the other.
 }
 
 func newGroup(n int, full bool) *group {
-	g := &group{}
+	return newGroupOf(n, full, &group{rate: rate, burst: burst, interval: reportInterval, notice: 350 * time.Millisecond})
+}
+
+// newGroupOf adds n processes to g.
+func newGroupOf(n int, full bool, g *group) *group {
 	for i := range n {
 		g.heard = append(g.heard, &atomic.Int64{})
 		g.heard[i].Store(int64(n))
@@ -54,7 +64,7 @@
 }
 
 func (g *group) newLimiter(i int, full bool) *Limiter {
-	return New(organisation(rate, burst), func() (int, int) { return int(g.heard[i].Load()), len(g.heard) }, g.boots[i], full, bulrushlug.NewTolerance(window, overrun, slack))
+	return New(organisation(g.rate, g.burst), func() (int, int) { return int(g.heard[i].Load()), len(g.heard) }, g.boots[i], full, bulrushlug.NewTolerance(window, overrun, slack))
 }
 
 // restart replaces the limiter of process i by one with a later boot.
@@ -63,14 +73,14 @@
 	g.limiters[i] = g.newLimiter(i, false)
 }
 
-// split partitions the processes before n from the others; they notice after 350 ms.
+// split partitions the processes before n from the others; they notice after g.notice.
 func (g *group) split(n int) {
 	for i := range g.limiters {
 		for j := range g.limiters {
 			g.cut[i][j] = (i < n) != (j < n)
 		}
 	}
-	time.AfterFunc(350*time.Millisecond, func() {
+	time.AfterFunc(g.notice, func() {
 		for i := range g.heard {
 			g.heard[i].Store(int64(len(g.heard) - n))
 			if i < n {
@@ -103,12 +113,15 @@
 	owed, sent, admitted, next := 0.0, 0, 0, 0
 	told := time.Now()
 	for t := time.Now(); time.Since(t) < d; time.Sleep(step) {
-		if time.Since(told) >= reportInterval {
+		if time.Since(told) >= g.interval {
 			told = time.Now()
 			g.exchangeReports()
 		}
 		for owed += perSecond * step.Seconds(); owed >= 1; owed-- {
 			next = (next + 1) % len(g.limiters)
+			if g.random != nil {
+				next = g.random.IntN(len(g.limiters))
+			}
 			sent++
 			if g.limiters[next].Take(context.Background(), "o") == nil {
 				admitted++
