fix(meter): a contended organisation gets at least one admission an entry and round

Change: only where the burst has less than one request for each entry is it the part alone, as there all entries at once exceed what is tolerated.

--- a/meter/many_test.go
+++ b/meter/many_test.go
@@ -53,6 +53,13 @@
 			time.Sleep(2 * g.notice)
 			return wave(g, 0.5*8)
 		}},
+		"a large one in waves, all restart": {processes: 88, rate: 118, burst: 118, least: 0.75, run: func(g *group) float64 {
+			wave(g, 0.5*118)
+			for i := range g.limiters {
+				g.restart(i)
+			}
+			return g.run(3600*time.Millisecond, 0.5*118)
+		}},
 		"all restart and it turns hot": {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 {
 			wave(g, 0.5*118)
 			for i := range g.limiters {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -25,11 +25,10 @@
 	// turnInterval is the time for which reports also contain the idle organisations of one shard, before those of the
 	// next shard (round robin). It is longer than the time between two reports.
 	turnInterval = 600 * time.Millisecond
-	// An organisation counts as contended from a level below contendedLevel until the level is recovered of its burst and
-	// this process refused none of its requests for calmTime. Within a rate, the level falls to just below one now and then.
+	// An organisation counts as contended from a level below contendedLevel until the level is recovered of its burst.
+	// Within a rate, the level falls to just below one now and then.
 	contendedLevel = 0.5
 	recovered      = 0.9
-	calmTime       = 2 * time.Second
 	// uncontendedExtra is what a process may admit beyond its part in a round while an organisation is not contended.
 	uncontendedExtra = 2
 )
@@ -62,7 +61,6 @@
 	refilledAt     time.Time         // When level was last computed.
 	admitted       uint64            // Admissions of this process since its start; never falls.
 	lastRequestAt  time.Time         // Last request at this process, admitted or not.
-	refusedAt      time.Time         // Last request that this process refused.
 	remoteAdmitted map[string]uint64 // Admissions reported by other processes, by VM.
 	initialised    bool              // The level was set.
 	merged         bool              // The level includes what the others admitted before this process started.
@@ -120,13 +118,13 @@
 		return nil
 	}
 	b.admitted--
-	b.refusedAt = time.Now()
 	w := time.Duration(max(1, 1-b.level) / (g.Rate() * part) * float64(time.Second))
 	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(w)
 }
 
-// share returns the requests that this process may admit in this round: its part of the level, and while the
-// organisation is not contended at least one, or uncontendedExtra more where all processes are heard.
+// share returns the requests that this process may admit in this round: its part of the level and uncontendedExtra,
+// or the larger of its part and one while the organisation is contended or a process is not heard. Where the burst has less
+// than one request for each process, all of them would admit too much together: then it is the part alone.
 //
 // Load patterns: requests of one organisation within its rate, of which a few reach the same one of many entries in one
 // round; and requests beyond it, of which one reaches nearly every entry in each round. The fraction of a part is rounded
@@ -136,12 +134,12 @@
 	if heard == 1 {
 		return b.level + b.roundAdmitted
 	}
-	b.contended = b.level < contendedLevel || b.contended && (b.level < recovered*float64(g.Burst()) || time.Since(b.refusedAt) < calmTime)
+	b.contended = b.level < contendedLevel || b.contended && b.level < recovered*float64(g.Burst())
 	s := math.Floor((b.level+b.roundAdmitted)/float64(heard) + b.roundChance)
 	switch {
-	case b.contended:
+	case b.contended && int(g.Burst()) < heard:
 		return s
-	case heard < all:
+	case b.contended || heard < all:
 		return max(1, s)
 	}
 	return s + uncontendedExtra
