--- a/meter/meter.go
+++ b/meter/meter.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -65,7 +63,6 @@
 	initialised    bool              // The level was set.
 	merged         bool              // The level includes what the others admitted before this process started.
 	roundAdmitted  float64           // Admissions of this process in this round.
-	roundChance    float64           // Rounds the share of this round up or down, from 0 to 1; drawn in each round.
 	contended      bool              // The level fell below contendedLevel and has not recovered since.
 }
 
@@ -123,23 +120,18 @@
 }
 
 // share returns the requests that this process may admit in this round: its part of the level and uncontendedExtra,
-// or the larger of its part and one while the organisation is contended or a process is not heard. Where the burst has less
-// than one request for each process, all of them would admit too much together: then it is the part alone.
+// or the larger of its part and one while the organisation is contended or a process is not heard.
 //
 // Load patterns: requests of one organisation within its rate, of which a few reach the same one of many entries in one
-// round; and requests beyond it, of which one reaches nearly every entry in each round. The fraction of a part is rounded
-// at random, so that all processes together admit the level. A round lasts until all have reported, so in a partition
-// that nobody noticed yet, what is extra comes once.
+// round; and requests beyond it, of which one reaches nearly every entry in each round. A round lasts until all have
+// reported, so in a partition that nobody noticed yet, what is extra comes once.
 func (b *bucket) share(g bulrushlug.Organisation, heard, all int) float64 {
 	if heard == 1 {
 		return b.level + b.roundAdmitted
 	}
 	b.contended = b.level < contendedLevel || b.contended && b.level < recovered*float64(g.Burst())
-	s := math.Floor((b.level+b.roundAdmitted)/float64(heard) + b.roundChance)
-	switch {
-	case b.contended && int(g.Burst()) < heard:
-		return s
-	case b.contended || heard < all:
+	s := (b.level + b.roundAdmitted) / float64(heard)
+	if b.contended || heard < all {
 		return max(1, s)
 	}
 	return s + uncontendedExtra
@@ -194,7 +186,7 @@
 	}
 	clear(s.roundReports)
 	for _, b := range s.buckets {
-		b.roundAdmitted, b.roundChance = 0, rand.Float64()
+		b.roundAdmitted = 0
 	}
 }
 
