refactor(peers,guard): the number of processes is derived; one adapter for functions without an error

The membership kept a count beside the sorted list of names, from which it follows, and passed the changes of it through three functions. Two packages wrapped functions without an error in the same five lines for the guard. No decision changes: tests of peers, bcast, guard, dgram, lotsrv and items three times, peers, dgram and guard with the race detector.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -163,12 +163,7 @@
 
 // protect returns f under the guard: a value that f does not expect leaves the state as it is.
 func (s *Daemon) protect(task string, f func(l []bulrushlug.KVEntry)) func(l []bulrushlug.KVEntry) {
-	return func(l []bulrushlug.KVEntry) {
-		_ = s.guard.Run(task, func() error {
-			f(l)
-			return nil
-		})
-	}
+	return func(l []bulrushlug.KVEntry) { _ = s.guard.Do(task, func() { f(l) }) }
 }
 
 // setManifest applies the operators' entries: the manifest and the VMs to retire.
--- a/dgram/dgram.go
+++ b/dgram/dgram.go
@@ -94,11 +94,7 @@
 
 // protect calls f, and counts a panic.
 func (m *Transport) protect(f func()) {
-	err := m.guard.Run("datagram", func() error {
-		f()
-		return nil
-	})
-	if err != nil {
+	if err := m.guard.Do("datagram", f); err != nil {
 		m.counts.Add("panics", 1)
 	}
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -41,6 +41,14 @@
 	return f()
 }
 
+// Do is Run for an f that has no error of its own.
+func (g *Guard) Do(task string, f func()) error {
+	return g.Run(task, func() error {
+		f()
+		return nil
+	})
+}
+
 // RPC returns h with each call under the guard.
 func (g *Guard) RPC(h drpc.Handler) drpc.Handler { return handler{h, g} }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -53,7 +53,6 @@
 	logger    log.Logger
 	shards    [shardCount]shard
 	storeLost atomic.Bool   // The last call for this process's entry failed.
-	count     atomic.Int64  // Other processes.
 	version   atomic.Uint64 // Increases when a process comes or goes.
 	sorted    atomic.Pointer[nameList]
 }
@@ -86,13 +85,13 @@
 
 // renewalInterval returns the time between two renewals of the lease.
 func (p *Membership) renewalInterval() time.Duration {
-	return min(p.lease/3, max(minRenewal, time.Duration(p.count.Load())*renewalPerPeer))
+	return min(p.lease/3, max(minRenewal, time.Duration(len(p.names()))*renewalPerPeer))
 }
 
 // silence returns the age of the last report at which a process counts as silent: d, or lostReports intervals if that is
 // more.
 func (p *Membership) silence(d time.Duration) time.Duration {
-	return max(d, time.Duration(lostReports*float64(ReportInterval(int(p.count.Load())))))
+	return max(d, time.Duration(lostReports*float64(ReportInterval(len(p.names())))))
 }
 
 // Self returns this process.
@@ -195,29 +194,19 @@
 			listed[w.Vm] = w
 		}
 	}
-	n := 0
 	for vm, w := range listed {
-		if p.shard(vm).putRecord(w) {
-			n++
-		}
+		p.shard(vm).putRecord(w)
 	}
 	for i := range p.shards {
-		n -= p.shards[i].forget(listed)
+		p.shards[i].forget(listed)
 	}
-	p.resize(n)
-	return nil
-}
-
-// resize records that n more processes are known, or that the known ones changed if n is zero.
-func (p *Membership) resize(n int) {
-	p.count.Add(int64(n))
 	p.version.Add(1)
+	return nil
 }
 
 func (p *Membership) shard(vm string) *shard { return &p.shards[xxhash.Sum64String(vm)%shardCount] }
 
-// putRecord stores the entry w, and reports whether its process is new.
-func (s *shard) putRecord(w *wire.MemberRecord) bool {
+func (s *shard) putRecord(w *wire.MemberRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.peers[w.Vm]
@@ -230,21 +219,18 @@
 		x.boot, x.diskID = w.Boot, w.Disk
 		x.member = bulrushlug.NewMember(w.Vm, w.Address, w.Region, w.Zone, w.Role).WithDataFolder(w.Disk != "").WithLeaving(x.member.Leaving() && w.Boot == x.boot)
 	}
-	return !ok
 }
 
-// forget removes processes without an entry that have been silent for forgetTimeout, and returns their number.
-func (s *shard) forget(listed map[string]*wire.MemberRecord) (n int) {
+// forget removes processes without an entry that have been silent for forgetTimeout.
+func (s *shard) forget(listed map[string]*wire.MemberRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for vm, x := range s.peers {
 		x.registered = listed[vm] != nil
 		if !x.registered && x.SilentFor() > forgetTimeout {
 			delete(s.peers, vm)
-			n++
 		}
 	}
-	return n
 }
 
 // ApplyReport stores r unless it is out of date, and reports whether it did.
@@ -254,7 +240,7 @@
 	}
 	accepted, added := p.shard(r.Member().Name()).applyReport(r)
 	if added {
-		p.resize(1)
+		p.version.Add(1)
 	}
 	return accepted
 }
@@ -279,8 +265,9 @@
 
 // All returns all other processes, sorted by VM.
 func (p *Membership) All() []Peer {
-	l := make([]Peer, 0, p.count.Load())
-	for _, vm := range p.names() {
+	names := p.names()
+	l := make([]Peer, 0, len(names))
+	for _, vm := range names {
 		if x, ok := p.ByVM(vm); ok {
 			l = append(l, x)
 		}
@@ -333,6 +320,7 @@
 
 // ByVM returns the process on VM vm.
 func (p *Membership) ByVM(vm string) (Peer, bool) {
+	d := p.silence(aliveTimeout) // Locks the shards itself if a process came or went.
 	s := p.shard(vm)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -340,7 +328,7 @@
 	if !ok {
 		return Peer{}, false
 	}
-	return x.withTimeout(p.silence(aliveTimeout)), true
+	return x.withTimeout(d), true
 }
 
 // ByDisk returns the process whose disk has identifier d.
