feat(items): log after which event a run resumes, and items taken over

The logs could not tell whether a text was joined at the replica, in the runner or by a stale response: they showed neither the event after which a run resumes nor where its events came from. itemRunEnded now has resumedAfter and events, and itemTakenOver says that an item goes on from events which another process received.

--- a/items/runner.go
+++ b/items/runner.go
@@ -209,6 +209,9 @@
 	x.server, x.started, x.cancel, x.preempted = s.Backend().ID(), time.Now(), stop, false
 	x.due, x.pace = w.due, r.pace(w.route.Name())
 	h.mu.Unlock()
+	if !ok && len(text) > 0 {
+		_ = r.logger.Log("event", "itemTakenOver", "lot", k.lot, "request", w.lot.Items()[w.item].ID(), "events", len(text))
+	}
 	r.runs.Go(func() {
 		defer stop()
 		defer s.Release()
@@ -254,11 +257,11 @@
 	if status == statusError {
 		x.failures++
 	}
-	failures := x.failures
+	failures, events := x.failures, len(x.events)
 	h.mu.Unlock()
 	online, batch, age := s.Load()
 	r.endings.record(cause(preempted, c.Err() != nil, status, err), "lot", k.lot, "request", i.ID(), "server", s.Backend().ID(), "status", status,
-		"failed", failures, "ran", time.Since(begun), "online", online, "batch", batch, "age", age, "err", err)
+		"failed", failures, "resumedAfter", q.ResumeFrom(), "events", events, "ran", time.Since(begun), "online", online, "batch", batch, "age", age, "err", err)
 	if preempted || c.Err() != nil {
 		return
 	}
