--- /dev/null
+++ b/items/takeover_test.go
@@ -0,0 +1,342 @@
+package items
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/guard"
+	"bulrushlug.dev/bulrushlug/lots"
+	"bulrushlug.dev/bulrushlug/memtxn"
+	"bulrushlug.dev/bulrushlug/peers"
+	"bulrushlug.dev/bulrushlug/slots"
+)
+
+const (
+	longItemEvents = 100 // Events of an item, eventInterval apart.
+	reportInterval = 100 * time.Millisecond
+	replicaDelay   = time.Millisecond
+	restartTime    = 300 * time.Millisecond // Shorter than the silence after which a replica takes over.
+)
+
+// memLog is a log on a disk that outlives the process that uses it.
+type memLog struct {
+	mu      sync.Mutex
+	updates []bulrushlug.LotUpdate
+}
+
+func (g *memLog) Append(u bulrushlug.LotUpdate) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.updates = append(g.updates, u.WithProgress(nil))
+	return nil
+}
+
+func (g *memLog) Load(f func(u bulrushlug.LotUpdate)) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, u := range g.updates {
+		f(u)
+	}
+	return nil
+}
+
+func (g *memLog) Drop(i string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.updates = slices.DeleteFunc(g.updates, func(u bulrushlug.LotUpdate) bool { return u.Lot() == i })
+	return nil
+}
+
+// textServer is a fake client of all backend servers; each event names the run that made it.
+type textServer struct {
+	mu     sync.Mutex
+	resume map[string][]uint64 // Event after which each run of an item was asked to resume.
+}
+
+func (v *textServer) Call(c context.Context, _ bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := len(v.resume[r.ID()])
+	v.resume[r.ID()] = append(v.resume[r.ID()], r.ResumeFrom())
+	p, w := io.Pipe()
+	go func() {
+		for i := r.ResumeFrom() + 1; i <= longItemEvents; i++ {
+			err := bulrushlug.Sleep(c, eventInterval)
+			if err == nil {
+				_, err = fmt.Fprintf(w, "id: %d\ndata: %d %d\n\n", i, n, i)
+			}
+			if err != nil {
+				_ = w.CloseWithError(err)
+				return
+			}
+		}
+		_ = w.Close()
+	}()
+	return &run{status: statusOK, PipeReader: p}, nil
+}
+
+// check returns what is wrong with the text of an item: an event that is missing, or one whose run was not asked to
+// resume after the event before it.
+func (v *textServer) check(id, text string) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	last := -1
+	l := strings.Split(text, "\n")
+	for i, d := range l {
+		var run, event int
+		if _, err := fmt.Sscanf(d, "%d %d", &run, &event); err != nil || event != i+1 {
+			return fmt.Errorf("event %d is %q", i+1, d)
+		}
+		if run != last && v.resume[id][run] != uint64(i) {
+			return fmt.Errorf("event %d is of run %d, which was asked to resume after event %d", i+1, run, v.resume[id][run])
+		}
+		last = run
+	}
+	if len(l) != longItemEvents {
+		return fmt.Errorf("%d events", len(l))
+	}
+	return nil
+}
+
+// process is a process with a disk.
+type process struct {
+	log      *memLog
+	boot     uint64
+	sequence uint64
+	alive    bool
+	stop     context.CancelFunc
+	peers    *peers.Membership
+	manager  *lots.ReplicaManager
+	runner   *Runner
+}
+
+// group is a set of processes that share one fake of all backend servers.
+type group struct {
+	c         context.Context
+	mu        sync.Mutex
+	store     *memtxn.Store
+	server    *textServer
+	processes map[string]*process // By VM, which is also the name of the disk.
+	boots     uint64
+}
+
+func newGroup(c context.Context, names ...string) *group {
+	g := &group{c: c, store: memtxn.New(), server: &textServer{resume: map[string][]uint64{}}, processes: map[string]*process{}}
+	for _, n := range names {
+		g.start(n, &memLog{})
+	}
+	go func() {
+		for bulrushlug.Sleep(c, reportInterval) == nil {
+			g.report()
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	return g
+}
+
+// start starts a process on VM n with the log d.
+func (g *group) start(n string, d *memLog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.boots++
+	c, stop := context.WithCancel(g.c)
+	p := &process{log: d, boot: g.boots, alive: true, stop: stop}
+	p.peers = peers.New(bulrushlug.NewMember(n, n, "r", "z"+n, "data").WithDataFolder(true), p.boot, n, g.store, "vm/", time.Second, log.NewNopLogger())
+	t := slots.New(n, func() []string { return nil })
+	t.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendZoneSlots("z", 4))})
+	f := &routes{}
+	f.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
+		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(time.Minute, time.Minute))))
+	p.manager = lots.New(d, link{g, n}, g.store, "lot/", p.peers, log.NewNopLogger(), lots.WithReplicationFactor(2), lots.WithRetention(time.Hour),
+		lots.WithWorkCallback(func() { p.runner.Wake() }),
+		lots.WithProgress(func(i string, n uint32, after uint64) []string { return p.runner.Progress(i, n, after) }))
+	p.runner = New(p.manager, t, g.server, f, guard.New(log.NewNopLogger()), log.NewNopLogger(), new(expvar.Map).Init())
+	_ = p.manager.Load()
+	g.processes[n] = p
+	go func() { _ = p.manager.Run(c) }()
+	go func() { _ = p.runner.Run(c) }()
+}
+
+// kill ends the process on VM n at once.
+func (g *group) kill(n string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.processes[n].alive = false
+	g.processes[n].stop()
+}
+
+// restart kills the process on VM n and starts it again before the others take it for failed.
+func (g *group) restart(n string) {
+	g.kill(n)
+	time.Sleep(restartTime)
+	g.start(n, g.processes[n].log)
+}
+
+// report delivers a report of each process to all others.
+func (g *group) report() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for n, p := range g.processes {
+		if !p.alive {
+			continue
+		}
+		p.sequence++
+		r := bulrushlug.NewReport(p.peers.Self(), p.boot, p.sequence, bulrushlug.ReportState(n, 1))
+		for _, q := range g.processes {
+			q.peers.ApplyReport(r)
+		}
+	}
+}
+
+// primary returns the VM of the primary of the lot, and empty if no process may answer for it.
+func (g *group) primary() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for n, p := range g.processes {
+		if _, err := p.manager.Body(g.c, bulrushlug.NewLotQuery("lot", "o").WithItem("i0")); p.alive && err == nil {
+			return n
+		}
+	}
+	return ""
+}
+
+// link calls the other processes of a group.
+type link struct {
+	group *group
+	from  string
+}
+
+func (l link) manager(c context.Context, a string) (*lots.ReplicaManager, error) {
+	if err := bulrushlug.Sleep(c, replicaDelay); err != nil {
+		return nil, err
+	}
+	l.group.mu.Lock()
+	defer l.group.mu.Unlock()
+	if p := l.group.processes[a]; p != nil && p.alive {
+		return p.manager, nil
+	}
+	return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "%s does not answer %s", a, l.from)
+}
+
+func (l link) Append(c context.Context, a string, u bulrushlug.LotUpdate) (bulrushlug.LotReplicaState, error) {
+	k, err := l.manager(c, a)
+	if err != nil {
+		return bulrushlug.LotReplicaState{}, err
+	}
+	return k.Append(u)
+}
+
+func (l link) Verify(c context.Context, a, i string, n uint64) (bulrushlug.LotReplicaState, error) {
+	k, err := l.manager(c, a)
+	if err != nil {
+		return bulrushlug.LotReplicaState{}, err
+	}
+	return k.Verify(i, n), nil
+}
+
+func (l link) Forget(c context.Context, a, i string, n uint64) error {
+	k, err := l.manager(c, a)
+	if err == nil {
+		k.Forget(i, n)
+	}
+	return err
+}
+
+func (l link) Withdraw(c context.Context, a, i, d string) error {
+	k, err := l.manager(c, a)
+	if err == nil {
+		k.Withdraw(i, d)
+	}
+	return err
+}
+
+// TestTextJoinedFromTwoRuns ends primaries while they run an item: its text goes on only with runs that were asked to
+// resume after the event before.
+func TestTextJoinedFromTwoRuns(t *testing.T) {
+	for name, during := range map[string]func(g *group){
+		"no fault": func(*group) {},
+		"the primary fails": func(g *group) {
+			time.Sleep(2 * time.Second)
+			g.kill(g.primary())
+		},
+		"the primary restarts": func(g *group) {
+			time.Sleep(2 * time.Second)
+			g.restart(g.primary())
+		},
+		"the primary restarts, and fails as the new text is longer": func(g *group) {
+			time.Sleep(1700 * time.Millisecond)
+			p := g.primary()
+			g.restart(p)
+			time.Sleep(3500 * time.Millisecond)
+			g.kill(p)
+		},
+		"the primary restarts, and fails as the new text is shorter": func(g *group) {
+			time.Sleep(2700 * time.Millisecond)
+			p := g.primary()
+			g.restart(p)
+			time.Sleep(1500 * time.Millisecond)
+			g.kill(p)
+		},
+		"the primary restarts twice, and fails": func(g *group) {
+			time.Sleep(1200 * time.Millisecond)
+			p := g.primary()
+			g.restart(p)
+			time.Sleep(2200 * time.Millisecond)
+			g.restart(p)
+			time.Sleep(3200 * time.Millisecond)
+			g.kill(p)
+		},
+		"the primary fails, then the next one": func(g *group) {
+			time.Sleep(2 * time.Second)
+			p := g.primary()
+			g.kill(p)
+			time.Sleep(2 * time.Second)
+			g.start(p, g.processes[p].log)
+			time.Sleep(2 * time.Second)
+			g.kill(g.primary())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				g := newGroup(c, "a", "b", "c")
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+				if err := g.processes["a"].manager.Submit(c, l); err != nil {
+					t.Fatal(err)
+				}
+				during(g)
+				time.Sleep(20 * time.Second)
+				found := false
+				for n, p := range g.processes {
+					r, err := p.manager.Read(c, bulrushlug.NewLotQuery("lot", "o"))
+					if !p.alive || err != nil {
+						continue
+					}
+					found = true
+					if len(r.Results()) != 1 || !r.Results()[0].Completed() {
+						t.Fatalf("results at %s: %v", n, r.Results())
+					}
+					if err := g.server.check("i0", r.Results()[0].Text()); err != nil {
+						t.Errorf("text at %s: %v", n, err)
+					}
+				}
+				if !found {
+					t.Error("no process answers for the lot")
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
