fix(lots,items): events of two texts of an item are not joined

Callers saw: a result whose text goes on, after some event, with a run that was not asked to resume there (ORDER), as reported for lot bNeaddbe.

Cause: a replica told the events of an item apart by their number alone. A primary that restarts within its epoch has lost the events that it had and runs the item again from the first one; the replica kept the old events and added the later ones of the new text to them. If the primary failed after that, the replica ran the item on from this mixture. The same happened where a replica got events from two primaries one after the other. Class of fault: state merged by position, without the identity of its source.

Change: the process that first runs an item draws an identifier for its text, which goes with the events to the replicas; events of another text replace the known ones from the first one on, and never continue them. The same holds for what the replicas acknowledged. A process that takes an item over has a text of its own, which begins with the events that it received.

Why not the epoch: a restart does not change it. Why not the start time of the primary: a lot that leaves a disk and comes back starts a new text within one lifetime.

Ruled out: events that a process keeps while it does not have the lot (they only ever get longer, and its next run resumes after the last of them); a late response to an earlier run of the item (the process that joined the texts had no earlier run of the item).

--- a/codec/lot.go
+++ b/codec/lot.go
@@ -79,7 +79,7 @@
 func EncodeLotUpdate(u bulrushlug.LotUpdate) *wire.LotAppend {
 	var l []*wire.LotProgress
 	for _, p := range u.Progress() {
-		l = append(l, &wire.LotProgress{Item: p.Item(), First: p.First(), Data: p.Data()})
+		l = append(l, &wire.LotProgress{Item: p.Item(), Text: p.Text(), First: p.First(), Data: p.Data()})
 	}
 	return &wire.LotAppend{Progress: l, Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.Offset()),
 		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed()}
@@ -97,7 +97,7 @@
 	}
 	var p []bulrushlug.LotProgress
 	for _, x := range w.Progress {
-		p = append(p, bulrushlug.NewLotProgress(x.Item, x.First, x.Data))
+		p = append(p, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, x.Data))
 	}
 	return bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed).WithProgress(p), nil
 }
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -32,3 +33,20 @@
 		})
 	}
 }
+
+// TestProgress encodes and decodes what is known of the running items of a lot.
+func TestProgress(t *testing.T) {
+	for name, p := range map[string][]bulrushlug.LotProgress{
+		"none":      nil,
+		"one text":  {bulrushlug.NewLotProgress(3, 7, 5, []string{"a", "b"})},
+		"two items": {bulrushlug.NewLotProgress(0, 7, 1, []string{"a"}), bulrushlug.NewLotProgress(1, 1<<63, 9, []string{""})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, nil, true).WithProgress(p)
+			got, err := DecodeLotUpdate(EncodeLotUpdate(u))
+			if err != nil || !reflect.DeepEqual(got.Progress(), p) {
+				t.Errorf("progress %v, %v", got.Progress(), err)
+			}
+		})
+	}
+}
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -28,7 +28,9 @@
 	d.replicas = lots.New(s.lotLog, s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger,
 		lots.WithReplicationFactor(s.settings.Load().ReplicationFactor()), lots.WithRetention(s.settings.Load().Retention()), lots.WithRetiring(s.isRetiring), lots.WithStoreDown(s.storeLost),
 		lots.WithWorkCallback(func() { d.runner.Wake() }),
-		lots.WithProgress(func(i string, n uint32, after uint64) []string { return d.runner.Progress(i, n, after) }))
+		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
+			return d.runner.Progress(i, n, text, after)
+		}))
 	counts := new(expvar.Map).Init()
 	s.counters.Set("itemRunsEnded", counts)
 	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(), s, s.guard, s.logger, counts)
--- a/items/item.go
+++ b/items/item.go
@@ -23,7 +23,8 @@
 
 // item is the state of one started item, guarded by the lock of its shard.
 type item struct {
-	events    []string // Data of the events received, from event 1 on.
+	text      uint64   // Identifies the events; no other process, and no other item, has this text.
+	events    []string // Data of the events received, from event 1 on; only ever gets longer.
 	failures  int      // Runs that the server answered with status 500.
 	backoff   time.Duration
 	notBefore time.Time          // Earliest time of the next run.
--- a/items/runner.go
+++ b/items/runner.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -203,7 +204,7 @@
 	h.mu.Lock()
 	x, ok := h.items[k]
 	if !ok {
-		x = &item{events: text}
+		x = &item{text: rand.Uint64(), events: text}
 		h.items[k] = x
 	}
 	x.server, x.started, x.cancel, x.preempted = s.Backend().ID(), time.Now(), stop, false
@@ -331,17 +332,21 @@
 	}
 }
 
-// Progress returns the data of the events of item n that follow event after.
-func (r *Runner) Progress(lot string, n uint32, after uint64) []string {
+// Progress returns the events of item n that follow event after of the given text, or all of them if the item has another
+// text.
+func (r *Runner) Progress(lot string, n uint32, text, after uint64) bulrushlug.LotProgress {
 	k := key{lot, n}
 	s := r.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.items[k]
-	if !ok || after >= uint64(len(x.events)) {
-		return nil
+	if !ok {
+		return bulrushlug.LotProgress{}
+	}
+	if x.text != text {
+		after = 0
 	}
-	return slices.Clone(x.events[after:])
+	return bulrushlug.NewLotProgress(n, x.text, after+1, slices.Clone(x.events[min(after, uint64(len(x.events))):]))
 }
 
 // victim is a run that may be preempted.
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -160,7 +160,9 @@
 		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(time.Minute, time.Minute))))
 	p.manager = lots.New(d, link{g, n}, g.store, "lot/", p.peers, log.NewNopLogger(), lots.WithReplicationFactor(2), lots.WithRetention(time.Hour),
 		lots.WithWorkCallback(func() { p.runner.Wake() }),
-		lots.WithProgress(func(i string, n uint32, after uint64) []string { return p.runner.Progress(i, n, after) }))
+		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
+			return p.runner.Progress(i, n, text, after)
+		}))
 	p.runner = New(p.manager, t, g.server, f, guard.New(log.NewNopLogger()), log.NewNopLogger(), new(expvar.Map).Init())
 	_ = p.manager.Load()
 	g.processes[n] = p
--- a/lot.go
+++ b/lot.go
@@ -207,25 +207,30 @@
 // LotProgress is part of the streamed response to an item in progress; values are immutable.
 type LotProgress struct {
 	item  uint32
+	text  uint64   // Identifies the text that the events belong to. Within one text an event never changes.
 	first uint64   // Event ID of the first event, at least one.
 	data  []string // Data of the first event and of those after it.
 }
 
-// NewLotProgress returns the events of item n, starting with event ID first.
-func NewLotProgress(n uint32, first uint64, data []string) LotProgress {
-	return LotProgress{item: n, first: first, data: data}
+// NewLotProgress returns the events of item n that belong to the given text, starting with event ID first.
+func NewLotProgress(n uint32, text, first uint64, data []string) LotProgress {
+	return LotProgress{item: n, text: text, first: first, data: data}
 }
 
 // Item returns the index of the item in the lot.
 func (p LotProgress) Item() uint32 { return p.item }
 
+// Text returns the identifier of the text that the events belong to. Events of two texts must not be joined, as they come
+// from different runs of the item.
+func (p LotProgress) Text() uint64 { return p.text }
+
 // First returns the event ID of the first event.
 func (p LotProgress) First() uint64 { return p.first }
 
 // Data returns the data of the events.
 func (p LotProgress) Data() []string { return p.data }
 
-// Last returns the event ID of the last event.
+// Last returns the event ID of the last event; First() - 1 if there is none.
 func (p LotProgress) Last() uint64 { return p.first + uint64(len(p.data)) - 1 }
 
 // LotUpdate is a replication message for a lot's log, sent by the primary to the replicas; values are immutable.
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -32,14 +32,23 @@
 	recordReadAt    time.Time             // Last time at which the record named this epoch.
 	verifiedAt      time.Time             // Last time at which all replicas followed this epoch.
 	nextTaskAt      time.Time             // Earliest time of the next task.
-	progress        map[uint32][]string   // Events of items without a result, from the first one on, as the primary replicated them.
-	ackedEvents     map[uint32]uint64     // Last event of each item that all replicas acknowledged in this epoch.
+	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
+	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
 	changed         chan struct{}         // Closed at the next change.
 	writeMu         sync.Mutex            // Serializes writes to the log.
 }
 
+// text holds the events of one text, from the first one on.
+type text struct {
+	id     uint64
+	events []string
+}
+
+// position is the last event of a text that was acknowledged.
+type position struct{ text, last uint64 }
+
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32][]string{}, ackedEvents: map[uint32]uint64{}, changed: make(chan struct{}), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, changed: make(chan struct{}), firstSeen: time.Now()}
 }
 
 // notify wakes all goroutines that wait for a change.
@@ -66,7 +75,7 @@
 		l.entries = append(l.entries[:u.Offset():u.Offset()], u.Entries()...)
 		l.verifiedAt = time.Time{}
 		l.committed = 0
-		clear(l.ackedEvents)
+		clear(l.acked)
 		l.promiseDeadline = time.Now().Add(promiseTimeout + rand.N(promiseTimeout/2))
 		l.epochChanged, l.stale = false, u.Offset() > 0
 	}
@@ -78,12 +87,18 @@
 	l.notify()
 }
 
-// addProgress adds events that continue the known ones; parts that leave a gap are ignored.
+// addProgress adds events that continue the known ones of their text; parts that leave a gap are ignored. Another text
+// replaces the known one from its first event on, even within one epoch: a primary that restarted runs its items again.
 func (l *lot) addProgress(p []bulrushlug.LotProgress) {
 	for _, x := range p {
-		known := uint64(len(l.progress[x.Item()]))
+		t := l.progress[x.Item()]
+		if t.id != x.Text() {
+			t = text{id: x.Text()}
+		}
+		known := uint64(len(t.events))
 		if x.First() <= known+1 && x.Last() > known && !l.done[x.Item()] {
-			l.progress[x.Item()] = append(l.progress[x.Item()], x.Data()[known+1-x.First():]...)
+			t.events = append(t.events, x.Data()[known+1-x.First():]...)
+			l.progress[x.Item()] = t
 		}
 	}
 }
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -61,8 +61,9 @@
 	retiring          func(vm string) bool // Reports whether operators are retiring the VM, so that its lots have to move.
 	storeLost         func() bool          // Reports whether the key-value service is unreachable.
 	logger            log.Logger
-	// progress returns the events of a running item after event n, or nothing.
-	progress func(lot string, item uint32, n uint64) []string
+	// progress returns the events of a running item after event n of the given text, or all events if the item has
+	// another text.
+	progress func(lot string, item uint32, text, n uint64) bulrushlug.LotProgress
 	onWork   func() // Called when items may have to be started or stopped.
 	started  time.Time
 	shards   [shardCount]shard
@@ -93,15 +94,16 @@
 // WithWorkCallback calls f when items may have to be started or stopped.
 func WithWorkCallback(f func()) option { return func(k *ReplicaManager) { k.onWork = f } }
 
-// WithProgress replicates the progress of running items; f returns the events of an item after event n.
-func WithProgress(f func(lot string, item uint32, n uint64) []string) option {
+// WithProgress replicates the progress of running items; f returns the events of an item after event n of the given text,
+// or all events if the item has another text.
+func WithProgress(f func(lot string, item uint32, text, n uint64) bulrushlug.LotProgress) option {
 	return func(k *ReplicaManager) { k.progress = f }
 }
 
 // New returns the manager of the logs in g, whose placement records are the entries of t under prefix.
 func New(g bulrushlug.LotLog, r bulrushlug.LotReplicaClient, t bulrushlug.TxnStore, prefix string, p *peers.Membership, l log.Logger, o ...option) *ReplicaManager {
 	k := &ReplicaManager{disk: p.DiskID(), replicationFactor: 1, log: g, remote: r, store: t, prefix: prefix, peers: p, logger: l,
-		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, onWork: func() {}, progress: func(string, uint32, uint64) []string { return nil }, started: time.Now(), promoted: map[string]time.Time{}}
+		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, onWork: func() {}, progress: func(string, uint32, uint64, uint64) bulrushlug.LotProgress { return bulrushlug.LotProgress{} }, started: time.Now(), promoted: map[string]time.Time{}}
 	for i := range k.shards {
 		k.shards[i].lots = map[string]*lot{}
 	}
@@ -221,7 +223,7 @@
 
 // Progress returns the events of an item that an earlier primary replicated, from the first one on.
 func (k *ReplicaManager) Progress(i string, item uint32) (d []string) {
-	k.withLot(i, func(l *lot) { d = slices.Clone(l.progress[item]) })
+	k.withLot(i, func(l *lot) { d = slices.Clone(l.progress[item].events) })
 	return d
 }
 
--- /dev/null
+++ b/lots/progress_test.go
@@ -0,0 +1,52 @@
+package lots
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memtxn"
+	"bulrushlug.dev/bulrushlug/peers"
+)
+
+// TestTextsAreNotJoined sends a replica the progress of an item in several parts.
+func TestTextsAreNotJoined(t *testing.T) {
+	type part struct {
+		epoch       uint64
+		text, first uint64
+		data        []string
+	}
+	for name, x := range map[string]struct {
+		parts []part
+		want  []string
+	}{
+		"one text":                      {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {1, 7, 3, []string{"a3"}}}, want: []string{"a1", "a2", "a3"}},
+		"a part twice":                  {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {1, 7, 1, []string{"a1", "a2", "a3"}}}, want: []string{"a1", "a2", "a3"}},
+		"a late part":                   {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {1, 7, 1, []string{"a1"}}}, want: []string{"a1", "a2"}},
+		"a gap":                         {parts: []part{{1, 7, 1, []string{"a1"}}, {1, 7, 3, []string{"a3"}}}, want: []string{"a1"}},
+		"a restarted primary":           {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {1, 8, 1, []string{"b1", "b2", "b3"}}}, want: []string{"b1", "b2", "b3"}},
+		"a restarted primary, shorter":  {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {1, 8, 1, []string{"b1"}}}, want: []string{"b1"}},
+		"another text without its head": {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {1, 8, 3, []string{"b3"}}}, want: []string{"a1", "a2"}},
+		"another primary":               {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {2, 8, 1, []string{"b1", "b2", "b3"}}}, want: []string{"b1", "b2", "b3"}},
+		"a replaced primary":            {parts: []part{{2, 8, 1, []string{"b1"}}, {1, 7, 1, []string{"a1", "a2"}}}, want: []string{"b1"}},
+		"a primary without progress":    {parts: []part{{1, 7, 1, []string{"a1", "a2"}}, {2, 8, 1, nil}}, want: []string{"a1", "a2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := peers.New(bulrushlug.NewMember("r", "r", "r", "z", "data"), 1, "r", memtxn.New(), "vm/", time.Second, log.NewNopLogger())
+			k := New(newDisk("r"), nil, memtxn.New(), "lot/", p, log.NewNopLogger())
+			h := bulrushlug.NewLotHeadEntry(bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)}))
+			for _, y := range x.parts {
+				u := bulrushlug.NewLotUpdate("lot", y.epoch, []string{"p", "r"}, 0, []bulrushlug.LotEntry{h}, true)
+				if _, err := k.Append(u.WithProgress([]bulrushlug.LotProgress{bulrushlug.NewLotProgress(0, y.text, y.first, y.data)})); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := k.Progress("lot", 0); !slices.Equal(got, x.want) {
+				t.Errorf("events %q", got)
+			}
+		})
+	}
+}
--- a/lots/task.go
+++ b/lots/task.go
@@ -202,7 +202,7 @@
 			l.verifiedAt = time.Now()
 			l.recheck = false
 			for _, p := range u.Progress() {
-				l.ackedEvents[p.Item()] = p.Last()
+				l.acked[p.Item()] = position{p.Text(), p.Last()}
 			}
 			l.notify()
 		}
@@ -213,20 +213,20 @@
 
 // unsentProgress returns the progress of the items of lot i that the replicas have not acknowledged.
 func (k *ReplicaManager) unsentProgress(i string) (p []bulrushlug.LotProgress) {
-	acked := map[uint32]uint64{}
+	acked := map[uint32]position{}
 	k.withLot(i, func(l *lot) {
 		if l.head == nil {
 			return
 		}
 		for n := range uint32(len(l.head.Items())) {
 			if !l.done[n] {
-				acked[n] = l.ackedEvents[n]
+				acked[n] = l.acked[n]
 			}
 		}
 	})
-	for n, last := range acked {
-		if d := k.progress(i, n, last); len(d) > 0 {
-			p = append(p, bulrushlug.NewLotProgress(n, last+1, d))
+	for n, a := range acked {
+		if x := k.progress(i, n, a.text, a.last); len(x.Data()) > 0 {
+			p = append(p, x)
 		}
 	}
 	return p
