--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"strings"
@@ -145,7 +146,7 @@
 		l.RecordSuccess(eventInterval(t, n))
 		return false, nil
 	}
-	a.record("answerBroken", l.Backend(), err)
+	a.recordBroken(l.Backend(), n, err)
 	if c.Err() != nil || a.sink.callerGone {
 		return false, err
 	}
@@ -215,6 +216,16 @@
 		bulrushlug.WithDetail(b.ID()+" "+bulrushlug.KindOf(err).String()+": "+err.Error())))
 }
 
+// recordBroken records a response that broke off after n events. One without any may be that of the request that ended the
+// server, so the parts of its prompt are in the record.
+func (a *exchange) recordBroken(b bulrushlug.Backend, n int, err error) {
+	d := fmt.Sprintf("%s %s after %d events: %v", b.ID(), bulrushlug.KindOf(err), n, err)
+	if n == 0 {
+		d += fmt.Sprintf(", prompt %x", a.request.Prompt().Parts())
+	}
+	a.recorder.Record(bulrushlug.NewEvent("answerBroken", bulrushlug.ForRequest(a.request), bulrushlug.WithDetail(d)))
+}
+
 // forward copies the response p to the caller and returns the number of events.
 func (a *exchange) forward(p bulrushlug.Reply, w *watchdog) (int, error) {
 	if isEventStream(p) {
--- a/request.go
+++ b/request.go
@@ -27,6 +27,7 @@
 	fields         []Field     // Header fields to pass on to the backend server.
 	targetRoute    *Route      // Route of the request; nil for model requests.
 	host           string      // Host that the caller requested.
+	prompt         Prompt      // Parts of the prompt; empty if they are unknown.
 }
 
 // RequestOption configures a new Request.
@@ -96,6 +97,9 @@
 	return func(r *Request) { r.host, r.fields = host, l }
 }
 
+// WithPrompt sets the parts of the prompt.
+func WithPrompt(p Prompt) RequestOption { return func(r *Request) { r.prompt = p } }
+
 // ID returns the identifier.
 func (r *Request) ID() string { return r.id }
 
@@ -171,6 +175,9 @@
 // Fields returns the header fields to pass on to the backend server.
 func (r *Request) Fields() []Field { return r.fields }
 
+// Prompt returns the parts of the prompt; empty if they are unknown.
+func (r *Request) Prompt() Prompt { return r.prompt }
+
 // Host returns the host that the caller requested.
 func (r *Request) Host() string { return r.host }
 
