fix(poison,proxy,items): a prompt on which servers end is quarantined

Cause: nothing remembered which prompts had ended servers. Each request with the part was new to each entry, which retried it at a second server, and its caller did the same at another entry. Class of fault: retries that spread a fault (a query of death).

Change: package poison. A server that refuses connections right after a response broke off before its second event is evidence against the parts of that prompt; a response that begins clears its parts. Three servers on two requests convict a part, three on one request convict what is its own; where several parts were in each crash, only requests with all of them are held back. Processes tell each other in their reports, at once after a crash. Requests are refused with 503 and a Retry-After; items of lots wait. A quarantine lasts a minute from the last crash, and twice as long with each further crash, up to ten minutes.

--- a/codec/report.go
+++ b/codec/report.go
@@ -1,6 +1,9 @@
 package codec
 
 import (
+	"math"
+	"time"
+
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/wire"
 )
@@ -27,6 +30,9 @@
 	for _, s := range r.AdmissionCounts() {
 		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
 	}
+	for _, x := range r.Suspects() {
+		w.Suspects = append(w.Suspects, encodeSuspect(x))
+	}
 	w.Lots, w.Forward, w.Relayed = r.Lots(), r.ForwardTo(), r.Relayed()
 	return w
 }
@@ -42,6 +48,39 @@
 	for _, x := range w.Spendings {
 		s = append(s, bulrushlug.NewAdmissionCount(x.Organisation, x.Admitted, x.Level))
 	}
+	var p []bulrushlug.Suspect
+	for _, x := range w.Suspects {
+		p = append(p, decodeSuspect(x))
+	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeenRevisions(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
-		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed))
+		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed), bulrushlug.ReportSuspects(p))
+}
+
+func encodeSuspect(x bulrushlug.Suspect) *wire.Suspect {
+	w := &wire.Suspect{Scope: x.Scope(), Part: x.Part(), Own: x.Own()}
+	for _, y := range x.Crashes() {
+		w.Crashes = append(w.Crashes, &wire.Crash{Server: y.Server(), Request: y.Request(), AgeMs: milliseconds(y.Age())})
+	}
+	if d, ok := x.Success(); ok {
+		n := milliseconds(d)
+		w.SuccessMs = &n
+	}
+	return w
+}
+
+func decodeSuspect(w *wire.Suspect) bulrushlug.Suspect {
+	var l []bulrushlug.Crash
+	for _, y := range w.Crashes {
+		l = append(l, bulrushlug.NewCrash(y.Server, y.Request, time.Duration(y.AgeMs)*time.Millisecond))
+	}
+	d := time.Duration(-1)
+	if w.SuccessMs != nil {
+		d = time.Duration(*w.SuccessMs) * time.Millisecond
+	}
+	return bulrushlug.NewSuspect(w.Scope, w.Part, w.Own, l, d)
+}
+
+// milliseconds returns d in whole milliseconds, within the range of its type.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
 }
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -238,6 +239,20 @@
 	return newConn(n), nil
 }
 
+// Refuses reports whether address a refuses a new connection: its process has ended. A connection that is accepted goes to
+// the pool.
+func (p *Pool) Refuses(x context.Context, a string) bool {
+	n, err := Dialer().DialContext(x, "tcp", a)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.onDial()
+	c := newConn(n)
+	c.expires = time.Now().Add(defaultIdleTime - idleMargin)
+	p.putIdle(a, c)
+	return false
+}
+
 // exchange writes the request and reads the head of its response, skipping stale responses to other requests.
 //
 // On a reused connection a response without an identifier is a stale one too: the server repeats identifiers.
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -298,3 +298,36 @@
 		t.Error("the connection to the server is still open")
 	}
 }
+
+// TestRefuses asks at addresses whether their processes have ended.
+func TestRefuses(t *testing.T) {
+	open := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	cancelled, stop := context.WithCancel(t.Context())
+	stop()
+	for name, x := range map[string]struct {
+		c       context.Context
+		address string
+		want    bool
+		dials   int64
+	}{
+		"accepts":      {c: t.Context(), address: open, dials: 1},
+		"ended":        {c: t.Context(), address: ended, want: true},
+		"not answered": {c: cancelled, address: ended},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var dials atomic.Int64
+			p := New(header, func() { dials.Add(1) })
+			if got := p.Refuses(x.c, x.address); got != x.want || dials.Load() != x.dials {
+				t.Errorf("refuses: %v, %d connections", got, dials.Load())
+			}
+		})
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"bulrushlug.dev/bulrushlug/mirror"
 	"bulrushlug.dev/bulrushlug/peers"
 	"bulrushlug.dev/bulrushlug/platform"
+	"bulrushlug.dev/bulrushlug/poison"
 	"bulrushlug.dev/bulrushlug/setup"
 	"bulrushlug.dev/bulrushlug/slots"
 )
@@ -34,6 +35,7 @@
 	lotPrefix      = "bulrushlug/lot/"
 	leaseTTL       = 9 * time.Second // TTL of the lease on the process's membership entry, in which it is renewed three times or more.
 	watcherCount   = 2               // Number of processes that watch the key-value service; the others fetch changes from them when a report announces one.
+	announceDelay  = 5 * time.Millisecond
 	watcherTimeout = 2 * time.Second // Timeout of each watch; shorter than the time after an outage of the service for which time limits are suspended.
 )
 
@@ -52,6 +54,8 @@
 	limiter        *meter.Limiter
 	recorder       *recorder
 	guard          *guard.Guard
+	detector       *poison.Detector
+	announcing     atomic.Bool                         // A report about a crash is about to be sent.
 	manifest       atomic.Pointer[bulrushlug.Manifest] // Nil before the first one; its version never decreases.
 	retiring       atomic.Pointer[map[string]bool]     // VMs that operators are retiring; nil before the first read.
 	manifestReady  chan struct{}                       // Closed when the first manifest arrives.
@@ -82,6 +86,7 @@
 	x.settings.Store(s)
 	x.recorder = newRecorder(x.logger)
 	x.guard = guard.New(x.logger)
+	x.detector = poison.New(p.Refuses, x.announceCrash, x.logger, x.counters)
 	disk := ""
 	if d := s.DataFolder(); d != "" {
 		g, err := lotlog.Open(d)
@@ -206,10 +211,22 @@
 		bulrushlug.ReportSeenRevisions(s.operatorMirror.NewestRevision(), s.backendMirror.NewestRevision()),
 		bulrushlug.ReportUsages(s.slotTable.Usages()),
 		bulrushlug.ReportStoreLost(s.storeLost()),
+		bulrushlug.ReportSuspects(s.detector.Suspects()),
 	}
 	return append(o, s.roleHandler.reportOptions()...)
 }
 
+// announceCrash tells the other processes of a server that ended; crashes within announceDelay share one report.
+func (s *Daemon) announceCrash() {
+	if s.announcing.Swap(true) {
+		return
+	}
+	time.AfterFunc(announceDelay, func() {
+		s.announcing.Store(false)
+		s.broadcaster.Broadcast()
+	})
+}
+
 // storeLost reports whether this process can't reach the key-value service.
 func (s *Daemon) storeLost() bool {
 	return s.operatorMirror.OutageDuration() > 0 || s.backendMirror.OutageDuration() > 0 || s.membership.StoreLost()
@@ -222,6 +239,7 @@
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
+	s.detector.Merge(r.Suspects())
 	s.roleHandler.handleReport(r)
 }
 
@@ -241,6 +259,7 @@
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
+	s.detector.Merge(r.Suspects())
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -9,6 +9,7 @@
 	"bulrushlug.dev/bulrushlug/items"
 	"bulrushlug.dev/bulrushlug/lots"
 	"bulrushlug.dev/bulrushlug/lotsrv"
+	"bulrushlug.dev/bulrushlug/platform"
 )
 
 const (
@@ -33,7 +34,8 @@
 		}))
 	counts := new(expvar.Map).Init()
 	s.counters.Set("itemRunsEnded", counts)
-	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(), s, s.guard, s.logger, counts)
+	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(), s, s.detector, platform.Prompt, s.guard, s.logger, counts)
+	s.counters.Set("itemsQuarantined", expvar.Func(func() any { return d.runner.Held() }))
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
 	}
--- a/items/runner.go
+++ b/items/runner.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,7 @@
 	eventTimeout        = 3 * time.Second        // Time without an event after which a run is cancelled and resumed, maybe at another server.
 	initialBackoff      = 200 * time.Millisecond // First delay after a failed run; doubles with each further failure.
 	maxBackoff          = 3 * time.Second
+	begunEvents         = 2 // Events of a run after which its item is not what ends the server.
 	statusOK            = 200
 	statusUnprocessable = 422 // The item can never be completed.
 	statusError         = 500 // The run failed; a later one may succeed.
@@ -49,12 +51,18 @@
 	mu      sync.Mutex
 	paces   map[string]*pace // By route.
 	shards  [shardCount]shard
+
+	detector bulrushlug.PoisonDetector
+	prompt   func(route string, l []bulrushlug.Field) bulrushlug.Prompt
+	held     atomic.Int64 // Items that the detector held back at the last check.
 }
 
-// New returns a runner that takes lots from k, slots from t and routes from f, and sends items with c; counts holds the
-// runs without a result by cause.
-func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, g *guard.Guard, l log.Logger, counts *expvar.Map) *Runner {
-	r := &Runner{manager: k, table: t, client: c, source: f, guard: g, logger: l, endings: newEndings(counts, l), wake: make(chan struct{}, 1), paces: map[string]*pace{}}
+// New returns a runner that takes lots from k, slots from t and routes from f, and sends items with c, unless d holds them
+// back; p returns the prompt of an item with the given header fields, and counts holds the runs without a result by cause.
+func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, d bulrushlug.PoisonDetector,
+	p func(route string, l []bulrushlug.Field) bulrushlug.Prompt, g *guard.Guard, l log.Logger, counts *expvar.Map) *Runner {
+	r := &Runner{manager: k, table: t, client: c, source: f, guard: g, logger: l, endings: newEndings(counts, l), wake: make(chan struct{}, 1), paces: map[string]*pace{},
+		detector: d, prompt: p}
 	for i := range r.shards {
 		r.shards[i].items = map[key]*item{}
 	}
@@ -131,6 +139,7 @@
 func (r *Runner) collect(c context.Context) (l []task) {
 	now := time.Now()
 	f := r.source.Config()
+	held := int64(0)
 	r.manager.EachRunnable(func(x bulrushlug.Lot, left []uint32) {
 		if f == nil {
 			return
@@ -141,17 +150,26 @@
 				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), "its route was removed or its retention has ended")
 				continue
 			}
-			if r.startable(key{x.ID(), n}, now) {
-				l = append(l, r.newTask(x, n, t, now))
+			if !r.startable(key{x.ID(), n}, now) {
+				continue
+			}
+			if r.detector.Check(r.prompt(t.Name(), x.Items()[n].Fields())) != nil {
+				held++
+				continue
 			}
+			l = append(l, r.newTask(x, n, t, now))
 		}
 	})
+	r.held.Store(held)
 	for i := range r.shards {
 		r.shards[i].sweep(r.manager)
 	}
 	return l
 }
 
+// Held returns the number of items that wait because servers ended on their prompts.
+func (r *Runner) Held() int64 { return r.held.Load() }
+
 // newTask returns the task of item n of lot x, which is on route t.
 func (r *Runner) newTask(x bulrushlug.Lot, n uint32, t bulrushlug.Route, now time.Time) task {
 	events := r.eventCount(key{x.ID(), n})
@@ -232,7 +250,8 @@
 	h.mu.Lock()
 	q := bulrushlug.NewRequest(i.ID(), bulrushlug.WithOrganisation(w.lot.Organisation()), bulrushlug.WithBatch(w.lot.ID()),
 		bulrushlug.WithCall("POST", i.Path(), "", i.Body()), bulrushlug.WithFields(w.lot.Host(), i.Fields()),
-		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResumeFrom(uint64(len(x.events))))
+		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResumeFrom(uint64(len(x.events))),
+		bulrushlug.WithPrompt(r.prompt(w.route.Name(), i.Fields())))
 	h.mu.Unlock()
 	begun := time.Now()
 	status := 0
@@ -300,6 +319,9 @@
 	defer t.Stop()
 	p, err := r.client.Call(c, s.Backend(), q)
 	if err != nil {
+		if c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
+			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+		}
 		if k := bulrushlug.KindOf(err); k == bulrushlug.KindUnplaceable || k == bulrushlug.KindMisdirected || k == bulrushlug.KindUncertain {
 			s.RecordFailure()
 		}
@@ -310,13 +332,25 @@
 		_, err := io.Copy(io.Discard, p)
 		return p.Status(), err
 	}
-	e := stream.New(p)
-	for n := 0; ; n++ {
+	n, err := r.receive(h, x, s.Backend(), q, stream.New(p), t)
+	if err != nil {
+		if n < begunEvents && c.Err() == nil {
+			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+		}
+		return 0, err
+	}
+	s.RecordSuccess(0)
+	r.detector.RecordBegun(q.Prompt())
+	return statusOK, nil
+}
+
+// receive adds the events of e to x until the stream ends, and returns their number; each restarts the timer t.
+func (r *Runner) receive(h *shard, x *item, b bulrushlug.Backend, q *bulrushlug.Request, e *stream.Reader, t *time.Timer) (n int, err error) {
+	for {
 		if _, err := e.Next(); errors.Is(err, io.EOF) {
-			s.RecordSuccess(0)
-			return statusOK, nil
+			return n, nil
 		} else if err != nil {
-			return 0, bulrushlug.WrapError(bulrushlug.KindBroken, s.Backend().ID(), err)
+			return n, bulrushlug.WrapError(bulrushlug.KindBroken, b.ID(), err)
 		}
 		if !e.Progress() {
 			continue
@@ -324,10 +358,13 @@
 		t.Reset(eventTimeout)
 		id, ok := e.ID()
 		if !ok {
-			return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: an event has no id field", s.Backend().ID())
+			return n, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: an event has no id field", b.ID())
 		}
 		if err := h.appendEvent(x, id, e.Data()); err != nil {
-			return 0, err
+			return n, err
+		}
+		if n++; n == begunEvents {
+			r.detector.RecordBegun(q.Prompt())
 		}
 	}
 }
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -112,6 +112,15 @@
 func (r *run) Fields() []bulrushlug.Field { return nil }
 func (r *run) Close()                     { _ = r.PipeReader.Close() }
 
+// noDetector suspects no prompt.
+type noDetector struct{}
+
+func (noDetector) Check(bulrushlug.Prompt) error                                       { return nil }
+func (noDetector) RecordBegun(bulrushlug.Prompt)                                       {}
+func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {}
+
+func noPrompt(string, []bulrushlug.Field) bulrushlug.Prompt { return bulrushlug.Prompt{} }
+
 // system is a replica manager with a runner and the servers that it uses.
 type system struct {
 	manager *lots.ReplicaManager
@@ -132,6 +141,10 @@
 }
 
 func newSystem(c context.Context, status map[string][]int) *system {
+	return newSystemWith(c, status, noDetector{})
+}
+
+func newSystemWith(c context.Context, status map[string][]int, d bulrushlug.PoisonDetector) *system {
 	s := &system{server: &server{status: status, runs: map[string]int{}, resume: map[string][]uint64{}}, routes: &routes{}}
 	s.routes.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(18*time.Second, time.Minute))))
@@ -142,7 +155,7 @@
 	s.manager = lots.New(discardLog{}, nil, m, "lot/", p, log.NewNopLogger(), lots.WithReplicationFactor(1), lots.WithRetention(time.Hour), lots.WithWorkCallback(func() { s.runner.Wake() }))
 	s.lines = &lineCount{}
 	s.counts = new(expvar.Map).Init()
-	s.runner = New(s.manager, s.table, s.server, s.routes, guard.New(s.lines), s.lines, s.counts)
+	s.runner = New(s.manager, s.table, s.server, s.routes, d, noPrompt, guard.New(s.lines), s.lines, s.counts)
 	go func() { _ = s.manager.Run(c) }()
 	go func() { _ = s.runner.Run(c) }()
 	return s
--- a/kind.go
+++ b/kind.go
@@ -29,6 +29,7 @@
 	KindRepeated    // The idempotency key or the identifier of the change was used before.
 	KindHistoryLost // Changes after the requested revision are no longer available.
 	KindMisdirected // The request reached the wrong backend server or a disk that doesn't serve the lot.
+	KindQuarantined // Backend servers ended on a part of the prompt; the request was not sent to one.
 	kindCount
 )
 
@@ -58,6 +59,7 @@
 	KindRepeated:        {name: "repeated", status: 409, mayHaveRun: true},
 	KindHistoryLost:     {name: "historyLost", status: 410},
 	KindMisdirected:     {name: "misdirected", status: 503, retryable: true},
+	KindQuarantined:     {name: "quarantined", status: 503, retryable: true},
 }
 
 // Response returns the response that callers get for an error of kind k.
--- /dev/null
+++ b/poison/detector.go
@@ -0,0 +1,150 @@
+// Package poison detects queries of death: requests on which backend servers end, one after the other, because of a part of
+// their prompt. Requests with such a part are quarantined.
+//
+// Load pattern: a few requests in a hundred share a part, and nothing else, that ends each server on which they begin to
+// run. Retries multiply them, and all other requests at these servers break with them.
+//
+// A part is suspected by the servers that ended while a request with it had not begun to run, and cleared by each request
+// with it that begins. The processes tell each other what they know in their reports.
+package poison
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	shardCount   = 8
+	maxReported  = 24                     // Suspects in one report.
+	probeTimeout = 100 * time.Millisecond // Time in which a server that ended refuses a connection.
+)
+
+// Detector holds the suspected parts of prompts, sharded by the scope of the prompts: parts of one scope are compared.
+type Detector struct {
+	refuses  func(c context.Context, address string) bool // Reports whether an address refuses connections.
+	changed  func()                                       // Called when this process has found a crash.
+	logger   log.Logger
+	counters *expvar.Map
+	shards   [shardCount]shard
+}
+
+// New returns a detector without suspects. A server that refuses connections according to r has ended; f is called when
+// this process has found a crash, so that it can tell others.
+func New(r func(c context.Context, address string) bool, f func(), l log.Logger, counters *expvar.Map) *Detector {
+	d := &Detector{refuses: r, changed: f, logger: l, counters: counters}
+	for i := range d.shards {
+		d.shards[i].suspects = map[key]*suspect{}
+	}
+	return d
+}
+
+func (d *Detector) shard(scope uint64) *shard { return &d.shards[scope%shardCount] }
+
+// Check fails with KindQuarantined if a part of p is quarantined.
+func (d *Detector) Check(p bulrushlug.Prompt) error {
+	s := d.shard(p.Scope())
+	if s.size.Load() == 0 {
+		return nil
+	}
+	now := time.Now()
+	part, until := s.quarantined(p, now)
+	if until.IsZero() {
+		return nil
+	}
+	return bulrushlug.Errorf(bulrushlug.KindQuarantined, "backend servers ended on part %x of the prompt", part).WithRetryAfter(until.Sub(now))
+}
+
+// RecordBegun clears the parts of p: a server began to respond to it and did not end.
+func (d *Detector) RecordBegun(p bulrushlug.Prompt) {
+	s := d.shard(p.Scope())
+	if s.size.Load() == 0 {
+		return
+	}
+	d.log(s.clear(p, time.Now()))
+}
+
+// RecordBroken suspects the parts of p if server b has ended. A connection that breaks while b goes on is no evidence.
+func (d *Detector) RecordBroken(c context.Context, b bulrushlug.Backend, p bulrushlug.Prompt) {
+	if len(p.Parts()) == 0 {
+		return
+	}
+	c, stop := context.WithTimeout(c, probeTimeout)
+	defer stop()
+	if !d.refuses(c, b.Address()) {
+		return
+	}
+	d.counters.Add("serverCrashes", 1)
+	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
+	d.log(d.shard(p.Scope()).suspect(p, server, time.Now()))
+	d.changed()
+}
+
+// Suspects returns what this process knows of suspected parts: those with the most crashes, and those that it cleared last.
+func (d *Detector) Suspects() []bulrushlug.Suspect {
+	var l []bulrushlug.Suspect
+	now := time.Now()
+	for i := range d.shards {
+		if s := &d.shards[i]; s.size.Load() > 0 {
+			m, c := s.report(now)
+			l = append(l, m...)
+			d.log(c)
+		}
+	}
+	if len(l) <= maxReported {
+		return l
+	}
+	slices.SortFunc(l, func(a, b bulrushlug.Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes()), len(a.Crashes())), cmp.Compare(a.Part(), b.Part()))
+	})
+	most, rest := l[:maxReported/2], l[maxReported/2:]
+	slices.SortFunc(rest, func(a, b bulrushlug.Suspect) int {
+		return cmp.Or(cmp.Compare(clearedAge(a), clearedAge(b)), cmp.Compare(a.Part(), b.Part()))
+	})
+	return append(most, rest[:maxReported/2]...)
+}
+
+// clearedAge returns the time since the process cleared the part, and the longest time if it did not.
+func clearedAge(s bulrushlug.Suspect) time.Duration {
+	if t, ok := s.Success(); ok {
+		return t
+	}
+	return math.MaxInt64
+}
+
+// Merge adds what another process reported.
+func (d *Detector) Merge(l []bulrushlug.Suspect) {
+	now := time.Now()
+	for i := range d.shards {
+		var m []bulrushlug.Suspect
+		for _, x := range l {
+			if d.shard(x.Scope()) == &d.shards[i] {
+				m = append(m, x)
+			}
+		}
+		if len(m) > 0 {
+			d.log(d.shards[i].merge(m, now))
+		}
+	}
+}
+
+// log writes a line for each part whose quarantine began or ended.
+func (d *Detector) log(l []change) {
+	for _, x := range l {
+		if x.quarantine > 0 {
+			d.counters.Add("quarantines", 1)
+			_ = d.logger.Log("event", "quarantine", "part", strconv.FormatUint(x.part, 16), "servers", x.servers, "requests", x.requests, "alternatives", x.alternatives, "for", x.quarantine)
+			continue
+		}
+		_ = d.logger.Log("event", "quarantineEnded", "part", strconv.FormatUint(x.part, 16))
+	}
+}
--- /dev/null
+++ b/poison/shard.go
@@ -0,0 +1,181 @@
+package poison
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	maxSuspects = 256 // Suspects in one shard.
+	// clearedLifetime is how long a part without crashes is kept, so that late reports of crashes before its last success
+	// change nothing.
+	clearedLifetime = 10 * time.Second
+)
+
+// shard holds the suspected parts of some scopes.
+type shard struct {
+	mu       sync.Mutex
+	suspects map[key]*suspect
+	size     atomic.Int64 // Number of suspects; written under mu.
+}
+
+type key struct{ scope, part uint64 }
+
+// change is the begin or end of the quarantine of a part.
+type change struct {
+	part         uint64
+	quarantine   time.Duration // Length of the quarantine; zero if it ended.
+	servers      int           // Servers that ended on the part.
+	requests     int           // Requests with the part on which they did.
+	alternatives int           // Other parts that may be at fault instead.
+}
+
+// quarantined returns a part of p for which p is held back and the end of its quarantine, which is zero if there is none.
+func (s *shard) quarantined(p bulrushlug.Prompt, now time.Time) (part uint64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range p.Parts() {
+		q := s.suspects[key{p.Scope(), x}]
+		if q == nil || !q.quarantined || !now.Before(q.until) || !q.until.After(until) {
+			continue
+		}
+		lacks := func(y uint64) bool { return !slices.Contains(p.Parts(), y) }
+		if !slices.ContainsFunc(q.alternatives, lacks) {
+			part, until = x, q.until
+		}
+	}
+	return part, until
+}
+
+// clear records that a server began to respond to p.
+func (s *shard) clear(p bulrushlug.Prompt, now time.Time) []change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	for _, x := range p.Parts() {
+		if q := s.suspects[key{p.Scope(), x}]; q != nil {
+			q.succeed(now)
+			q.ownSuccess = now
+			found = true
+		}
+	}
+	if !found {
+		return nil
+	}
+	return s.judge(now)
+}
+
+// suspect records that a server ended as it began to respond to p.
+func (s *shard) suspect(p bulrushlug.Prompt, server uint64, now time.Time) []change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := p.Parts()
+	last := len(l) - 1
+	for i, x := range l {
+		s.find(key{p.Scope(), x}, i == last).add(crash{server, l[last], now}, now)
+	}
+	return s.judge(now)
+}
+
+// merge adds what another process reported.
+func (s *shard) merge(l []bulrushlug.Suspect, now time.Time) []change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range l {
+		k := key{x.Scope(), x.Part()}
+		q := s.suspects[k]
+		if q == nil {
+			if len(x.Crashes()) == 0 {
+				continue
+			}
+			q = s.find(k, x.Own())
+		}
+		if d, ok := x.Success(); ok {
+			q.succeed(now.Add(-d))
+		}
+		for _, y := range x.Crashes() {
+			q.add(crash{y.Server(), y.Request(), now.Add(-y.Age())}, now)
+		}
+	}
+	return s.judge(now)
+}
+
+// find returns the suspect k, which is new if there is none. If there is no room for it, the one whose last crash is the
+// oldest goes.
+func (s *shard) find(k key, own bool) *suspect {
+	q := s.suspects[k]
+	if q != nil {
+		return q
+	}
+	if len(s.suspects) >= maxSuspects {
+		s.evict()
+	}
+	q = &suspect{own: own}
+	s.suspects[k] = q
+	s.size.Store(int64(len(s.suspects)))
+	return q
+}
+
+// evict removes the suspect that is not quarantined and whose last crash is the oldest, or any one if all are quarantined.
+func (s *shard) evict() {
+	var oldest key
+	var p *suspect
+	for k, q := range s.suspects {
+		if p == nil || p.quarantined && !q.quarantined || p.quarantined == q.quarantined && q.lastCrash().Before(p.lastCrash()) {
+			oldest, p = k, q
+		}
+	}
+	delete(s.suspects, oldest)
+}
+
+// judge decides which parts are quarantined, forgets what is too old, and returns what changed.
+func (s *shard) judge(now time.Time) (l []change) {
+	for k, p := range s.suspects {
+		p.expire(now)
+		if len(p.crashes) == 0 && now.Sub(p.success) > clearedLifetime {
+			delete(s.suspects, k)
+		}
+	}
+	s.size.Store(int64(len(s.suspects)))
+	for k, p := range s.suspects {
+		was := p.quarantined
+		p.until, p.alternatives = time.Time{}, nil
+		if p.convictable() {
+			p.until, p.alternatives = p.quarantineEnd(), s.alternatives(k, p)
+		}
+		p.quarantined = now.Before(p.until)
+		switch {
+		case p.quarantined && !was:
+			n, r := p.counts()
+			l = append(l, change{part: k.part, quarantine: p.until.Sub(now), servers: n, requests: r, alternatives: len(p.alternatives)})
+		case was && !p.quarantined:
+			l = append(l, change{part: k.part})
+		}
+	}
+	return l
+}
+
+// alternatives returns the other parts of the same scope that cover the crashes of p.
+func (s *shard) alternatives(k key, p *suspect) (l []uint64) {
+	for x, q := range s.suspects {
+		if x.scope == k.scope && x != k && !q.own && q.covers(p) {
+			l = append(l, x.part)
+		}
+	}
+	return l
+}
+
+// report returns what this process knows of its suspects, and what changed by the passage of time.
+func (s *shard) report(now time.Time) (l []bulrushlug.Suspect, c []change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c = s.judge(now)
+	for k, p := range s.suspects {
+		l = append(l, p.report(k, now))
+	}
+	return l, c
+}
--- /dev/null
+++ b/poison/suspect.go
@@ -0,0 +1,116 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	minServers  = 3  // Servers that end on a part before it is quarantined.
+	minRequests = 2  // Requests with a shared part on which they end; retries of one request don't convict what it shares with others.
+	maxCrashes  = 16 // Crashes that are kept of a part.
+	// minQuarantine is the time from the last crash until requests with a part are tried again. It doubles with each crash
+	// beyond minServers, up to maxQuarantine.
+	minQuarantine = time.Minute
+	maxQuarantine = 10 * time.Minute
+	crashLifetime = 30 * time.Minute // Age at which a crash is forgotten.
+)
+
+// suspect is a part of prompts that may end servers.
+type suspect struct {
+	own         bool      // It is the last part of a prompt.
+	crashes     []crash   // Crashes after success, at most maxCrashes, in the order in which they became known.
+	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
+	ownSuccess  time.Time // The same by a request of this process.
+	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
+	until       time.Time // End of the quarantine.
+	// alternatives are the other parts on which each of the servers ended as well. A request without one of them tells
+	// which of them is at fault: it ends a server, or clears the part.
+	alternatives []uint64
+}
+
+// crash is the end of a server as it began to respond to a request.
+type crash struct {
+	server  uint64
+	request uint64
+	at      time.Time
+}
+
+// add adds x, unless it is known, came before the last success or is too old.
+func (p *suspect) add(x crash, now time.Time) {
+	known := slices.ContainsFunc(p.crashes, func(y crash) bool { return x.server == y.server && x.request == y.request })
+	if known || len(p.crashes) == maxCrashes || !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
+		return
+	}
+	p.crashes = append(p.crashes, x)
+}
+
+// succeed records a success at time t, which clears the crashes before it.
+func (p *suspect) succeed(t time.Time) {
+	if !t.After(p.success) {
+		return
+	}
+	p.success = t
+	p.crashes = slices.DeleteFunc(p.crashes, func(x crash) bool { return !x.at.After(t) })
+}
+
+// expire forgets crashes that are too old.
+func (p *suspect) expire(now time.Time) {
+	p.crashes = slices.DeleteFunc(p.crashes, func(x crash) bool { return now.Sub(x.at) > crashLifetime })
+}
+
+// counts returns the numbers of servers that ended and of requests on which they did.
+func (p *suspect) counts() (servers, requests int) {
+	s, r := map[uint64]bool{}, map[uint64]bool{}
+	for _, x := range p.crashes {
+		s[x.server], r[x.request] = true, true
+	}
+	return len(s), len(r)
+}
+
+// convictable reports whether enough servers ended on the part.
+func (p *suspect) convictable() bool {
+	if len(p.crashes) < minServers {
+		return false
+	}
+	servers, requests := p.counts()
+	return servers >= minServers && (p.own || requests >= minRequests)
+}
+
+// covers reports whether each server that ended on q ended on p too.
+func (p *suspect) covers(q *suspect) bool {
+	return !slices.ContainsFunc(q.crashes, func(x crash) bool {
+		return !slices.ContainsFunc(p.crashes, func(y crash) bool { return x.server == y.server })
+	})
+}
+
+// quarantineEnd returns the end of the quarantine of a convicted part.
+func (p *suspect) quarantineEnd() time.Time {
+	servers, _ := p.counts()
+	d := min(maxQuarantine, minQuarantine<<(servers-minServers))
+	return p.lastCrash().Add(d)
+}
+
+func (p *suspect) lastCrash() (t time.Time) {
+	for _, x := range p.crashes {
+		if x.at.After(t) {
+			t = x.at
+		}
+	}
+	return t
+}
+
+// report returns what other processes are told of the part k.
+func (p *suspect) report(k key, now time.Time) bulrushlug.Suspect {
+	var l []bulrushlug.Crash
+	for _, x := range p.crashes {
+		l = append(l, bulrushlug.NewCrash(x.server, x.request, now.Sub(x.at)))
+	}
+	d := time.Duration(-1)
+	if !p.ownSuccess.IsZero() {
+		d = now.Sub(p.ownSuccess)
+	}
+	return bulrushlug.NewSuspect(k.scope, k.part, p.own, l, d)
+}
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -18,6 +18,7 @@
 const (
 	maxServers  = 4                      // Backend servers tried for one request, those that refuse it included.
 	retryAfter  = 300 * time.Millisecond // Retry-After of a service without capacity; about the duration of a short response.
+	begunEvents = 2                      // Events of a response after which its request is not what ends the server.
 	maxBuffered = 8 << 20                // Bytes of a response that are buffered until it is complete.
 	readSize    = 16 << 10
 	// suspectTimeout is the time without a response after which other requests avoid a server: three times the 99th
@@ -37,12 +38,13 @@
 	client   bulrushlug.BackendClient
 	recorder bulrushlug.Recorder
 	notify   func(vms []string) // Tells the processes on these VMs that a request runs on the same server as their batch items.
+	detector bulrushlug.PoisonDetector
 }
 
-// New returns a stage that takes slots from t and sends requests by c; f tells the processes on the given VMs that a
-// request runs on the same server as their batch items.
-func New(t *slots.Table, c bulrushlug.BackendClient, e bulrushlug.Recorder, f func(vms []string)) *Stage {
-	return &Stage{table: t, client: c, recorder: e, notify: f}
+// New returns a stage that takes slots from t and sends requests by c, unless d holds them back; f tells the processes on
+// the given VMs that a request runs on the same server as their batch items.
+func New(t *slots.Table, c bulrushlug.BackendClient, e bulrushlug.Recorder, f func(vms []string), d bulrushlug.PoisonDetector) *Stage {
+	return &Stage{table: t, client: c, recorder: e, notify: f, detector: d}
 }
 
 // exchange is one request with its response, over all attempts.
@@ -109,6 +111,9 @@
 
 // try sends the request to one server; it reports whether the request may be retried at another one after the error.
 func (a *exchange) try(c context.Context) (bool, error) {
+	if err := a.detector.Check(a.request.Prompt()); err != nil {
+		return false, err
+	}
 	l, vms := a.table.AcquireOnline(a.service, a.skip)
 	if l == nil {
 		return false, bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
@@ -120,8 +125,11 @@
 	defer stop()
 	p, err := a.call(x, stop, l)
 	if err != nil {
-		if c.Err() == nil && x.Err() != nil {
+		switch {
+		case c.Err() == nil && x.Err() != nil:
 			err = errNoResponse
+		case bulrushlug.KindOf(err) == bulrushlug.KindUncertain:
+			a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
 		}
 		return a.classify(c, l, err)
 	}
@@ -144,8 +152,12 @@
 	n, err := a.forward(p, w)
 	if err == nil {
 		l.RecordSuccess(eventInterval(t, n))
+		a.detector.RecordBegun(a.request.Prompt())
 		return false, nil
 	}
+	if n < begunEvents && x.Err() == nil && !a.sink.callerGone {
+		a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
+	}
 	a.recordBroken(l.Backend(), n, err)
 	if c.Err() != nil || a.sink.callerGone {
 		return false, err
@@ -255,7 +267,9 @@
 		if err := a.sink.write(e); err != nil || ended {
 			return n, err
 		}
-		n++
+		if n++; n == begunEvents {
+			a.detector.RecordBegun(a.request.Prompt())
+		}
 		if id, ok := r.ID(); ok {
 			a.request.SkipEvents(id)
 			a.sink.resumable = true
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -19,6 +19,13 @@
 
 func (noRecorder) Record(bulrushlug.Event) {}
 
+// noDetector suspects no prompt.
+type noDetector struct{}
+
+func (noDetector) Check(bulrushlug.Prompt) error                                       { return nil }
+func (noDetector) RecordBegun(bulrushlug.Prompt)                                       {}
+func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {}
+
 // step is the behaviour of one server for one request.
 type step struct {
 	err    bulrushlug.Kind // Kind of the failure before a response; KindInternal, the zero value, means none.
@@ -149,7 +156,7 @@
 					r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(time.Second)))
 					k := &caller{}
 					x := table()
-					err := New(x, v, noRecorder{}, func([]string) {}).Run(t.Context(), r, k)
+					err := New(x, v, noRecorder{}, func([]string) {}, noDetector{}).Run(t.Context(), r, k)
 					check(t, v, r, k, err, whole)
 					if n := len(x.Usages()); n != 0 {
 						t.Errorf("%d servers still have requests", n)
@@ -214,7 +221,7 @@
 					t.Errorf("notified %v", vms)
 				}
 				notified++
-			}).Run(t.Context(), bulrushlug.NewRequest("r", bulrushlug.WithTarget(route)), &caller{})
+			}, noDetector{}).Run(t.Context(), bulrushlug.NewRequest("r", bulrushlug.WithTarget(route)), &caller{})
 			if notified != x.notified || (err != nil) != (x.kind != bulrushlug.KindInternal) {
 				t.Errorf("notified %d times, error %v", notified, err)
 			}
@@ -310,7 +317,7 @@
 				r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(20*time.Second)))
 				k := &slowCaller{pause: x.slow}
 				t0 := time.Now()
-				err := New(table(), v, noRecorder{}, func([]string) {}).Run(t.Context(), r, k)
+				err := New(table(), v, noRecorder{}, func([]string) {}, noDetector{}).Run(t.Context(), r, k)
 				if (err == nil) != x.ok || k.data != x.want || v.calls != x.calls || time.Since(t0) > x.within {
 					t.Errorf("%v after %v at %d servers, the caller got %q", err, time.Since(t0), v.calls, k.data)
 				}
@@ -364,7 +371,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := slots.New("e", func() []string { return nil })
 				b.Update([]bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendZoneSlots("z", 8))})
-				g := New(b, &silent{&servers{steps: []step{steps["ok"]}}, "a"}, noRecorder{}, func([]string) {})
+				g := New(b, &silent{&servers{steps: []step{steps["ok"]}}, "a"}, noRecorder{}, func([]string) {}, noDetector{})
 				route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 					bulrushlug.RouteTraffic(bulrushlug.TrafficStream, false, x.resumable), bulrushlug.RouteLimits(2, 0, time.Second))
 				r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(3*time.Second)))
--- a/report.go
+++ b/report.go
@@ -55,9 +55,10 @@
 	storeLost        bool   // The process can't reach the key-value service.
 	usages           []Usage
 	admissionCounts  []AdmissionCount
-	lots             []string // Lots of which the process recently became the primary.
-	forwardTo        []string // Addresses of processes that the sender does not hear from; the receiver relays the report to them.
-	relayed          bool     // The report was relayed by another process.
+	lots             []string  // Lots of which the process recently became the primary.
+	forwardTo        []string  // Addresses of processes that the sender does not hear from; the receiver relays the report to them.
+	relayed          bool      // The report was relayed by another process.
+	suspects         []Suspect // Parts of prompts on which servers may have ended.
 }
 
 // ReportOption sets fields of a Report.
@@ -102,6 +103,9 @@
 // ReportRelayed sets whether the report is relayed by another process.
 func ReportRelayed(v bool) ReportOption { return func(r *Report) { r.relayed = v } }
 
+// ReportSuspects sets the parts of prompts on which servers may have ended.
+func ReportSuspects(l []Suspect) ReportOption { return func(r *Report) { r.suspects = l } }
+
 // With returns a copy of r with the given options applied.
 func (r Report) With(o ...ReportOption) Report {
 	for _, f := range o {
@@ -147,3 +151,6 @@
 
 // Lots returns the lots of which the process recently became the primary.
 func (r Report) Lots() []string { return r.lots }
+
+// Suspects returns the parts of prompts on which servers may have ended.
+func (r Report) Suspects() []Suspect { return r.suspects }
