--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -274,11 +274,15 @@
 	m.publish()
 }
 
-// apply applies the changes in l, which lead to revision n.
+// apply applies the changes in l, which lead to revision n, except those that the entries include already: a snapshot of
+// another process may have come during the watch.
 func (m *Mirror) apply(l []bulrushlug.KVEntry, n uint64) {
 	m.mu.Lock()
 	for _, i := range l {
 		m.raise(i.Revision())
+		if i.Revision() <= m.revision {
+			continue
+		}
 		delete(m.retained, i.Key())
 		if i.Value() == nil {
 			delete(m.entries, i.Key())
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -327,3 +328,57 @@
 		})
 	}
 }
+
+// slowWatch is a service whose watches respond some time after the change.
+type slowWatch struct {
+	*memtxn.Store
+	delay time.Duration
+}
+
+func (d *slowWatch) Watch(c context.Context, p string, n uint64, w time.Duration) ([]bulrushlug.KVEntry, uint64, error) {
+	l, r, err := d.Store.Watch(c, p, n, w)
+	return l, r, errors.Join(err, bulrushlug.Sleep(c, d.delay))
+}
+
+// TestWatchOlderThanSnapshot has a watch respond with a change after a snapshot that includes a later one.
+func TestWatchOlderThanSnapshot(t *testing.T) {
+	for name, x := range map[string]struct {
+		later func(t *testing.T, m *memtxn.Store)
+		want  string
+	}{
+		"the entry was removed":   {later: func(t *testing.T, m *memtxn.Store) { remove(t, m, "p/a") }, want: "p/b=1"},
+		"the entry changed again": {later: func(t *testing.T, m *memtxn.Store) { put(t, m, "p/a", "3", 0) }, want: "p/a=3 p/b=1"},
+		"another entry came":      {later: func(t *testing.T, m *memtxn.Store) { put(t, m, "p/c", "1", 0) }, want: "p/a=2 p/b=1 p/c=1"},
+		"no later change":         {later: func(*testing.T, *memtxn.Store) {}, want: "p/a=2 p/b=1"},
+		"a change after the snapshot": {later: func(t *testing.T, m *memtxn.Store) {
+			put(t, m, "p/a", "3", 0)
+			time.AfterFunc(time.Second, func() { put(t, m, "p/a", "4", 0) })
+		}, want: "p/a=4 p/b=1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := memtxn.New()
+				put(t, m, "p/a", "1", 0)
+				put(t, m, "p/b", "1", 0)
+				c, stop := context.WithCancel(t.Context())
+				r := New(&slowWatch{m, 200 * time.Millisecond}, "p/", log.NewNopLogger(), func([]bulrushlug.KVEntry) {})
+				go func() { _ = r.Run(c) }()
+				time.Sleep(2 * time.Second)
+				put(t, m, "p/a", "2", 0)
+				synctest.Wait()
+				x.later(t, m)
+				l, n, err := m.List(c, "p/")
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.ApplySnapshot(l, n)
+				time.Sleep(3 * time.Second)
+				if got := text(r.Entries()); got != x.want {
+					t.Errorf("entries are %q", got)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
