fix(peers): a process that restarts after its clock was set back is heard

Callers saw (possible, shown in a test only): a data process that restarts with a time of day before its former start counts as failed until it starts again later. Its lots get new replicas, and entries offer it none; an entry's admissions are not deducted by the others.

Cause: the start of a process, in Unix milliseconds, orders its reports, and reports of an earlier start were never accepted. Its entry in the key-value service kept it from being forgotten. Class of fault: order by the time of day, which may go back.

Evidence: TestRestartAfterClockStep failed before in four of five cases.

Change: a start that seems the earlier one counts once the later one has been silent for as long as a failed process. An entry, which may be seconds old, no longer replaces the start that a live process reports.

Ruled out: a random number instead of the time, as reports of a former start that arrive late could not be told from those of the next one.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -194,8 +194,9 @@
 			listed[w.Vm] = w
 		}
 	}
+	d := p.silence(aliveTimeout)
 	for vm, w := range listed {
-		p.shard(vm).putRecord(w)
+		p.shard(vm).putRecord(w, d)
 	}
 	for i := range p.shards {
 		p.shards[i].forget(listed)
@@ -206,7 +207,9 @@
 
 func (p *Membership) shard(vm string) *shard { return &p.shards[xxhash.Sum64String(vm)%shardCount] }
 
-func (s *shard) putRecord(w *wire.MemberRecord) {
+// putRecord stores the entry w, unless it is of an earlier start or a process whose last report is less than d old reports
+// another start; entries may be seconds old.
+func (s *shard) putRecord(w *wire.MemberRecord, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.peers[w.Vm]
@@ -215,7 +218,7 @@
 		s.peers[w.Vm] = x
 	}
 	x.registered = true
-	if w.Boot >= x.boot {
+	if w.Boot == x.boot || w.Boot > x.boot && x.SilentFor() >= d {
 		x.boot, x.diskID = w.Boot, w.Disk
 		x.member = bulrushlug.NewMember(w.Vm, w.Address, w.Region, w.Zone, w.Role).WithDataFolder(w.Disk != "").WithLeaving(x.member.Leaving() && w.Boot == x.boot)
 	}
@@ -238,7 +241,7 @@
 	if r.Member().Name() == p.self.Name() {
 		return false
 	}
-	accepted, added := p.shard(r.Member().Name()).applyReport(r)
+	accepted, added := p.shard(r.Member().Name()).applyReport(r, p.silence(aliveTimeout))
 	if added {
 		p.version.Add(1)
 	}
@@ -246,7 +249,10 @@
 }
 
 // applyReport stores r unless it is out of date; added means that its process is new.
-func (s *shard) applyReport(r bulrushlug.Report) (accepted, added bool) {
+//
+// A start that seems to be the earlier one counts once the later one is silent for d: the clock may have been set back
+// between them.
+func (s *shard) applyReport(r bulrushlug.Report, d time.Duration) (accepted, added bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	vm := r.Member().Name()
@@ -255,7 +261,7 @@
 		x = &Peer{}
 		s.peers[vm] = x
 	}
-	if r.Boot() < x.boot || r.Boot() == x.boot && r.Sequence() <= x.sequence {
+	if r.Boot() < x.boot && x.SilentFor() < d || r.Boot() == x.boot && r.Sequence() <= x.sequence {
 		return false, !ok
 	}
 	x.member, x.boot, x.sequence = r.Member(), r.Boot(), r.Sequence()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -50,6 +50,60 @@
 	}
 }
 
+// TestRestartAfterClockStep restarts a process whose clock was set back, so that its start counts as the earlier one: the
+// others hear it again once its former start is silent.
+func TestRestartAfterClockStep(t *testing.T) {
+	for name, x := range map[string]struct {
+		boot   uint64        // Start of the restarted process; the former one is at 1000.
+		down   time.Duration // Time from the last report of the former start to the first one.
+		record uint64        // Start in the entry that is read after each report; zero for none.
+		silent time.Duration // Longest time for which the process may be silent, from its restart on.
+	}{
+		"the clock is right":                           {boot: 2000, down: 500 * time.Millisecond, silent: minInterval},
+		"set back":                                     {boot: 500, down: 2 * time.Second, silent: minInterval},
+		"set back, and restarted at once":              {boot: 500, down: 300 * time.Millisecond, silent: aliveTimeout + minInterval},
+		"set back, with its entry":                     {boot: 500, down: 2 * time.Second, record: 500, silent: minInterval},
+		"set back, with the entry of the former start": {boot: 500, down: 2 * time.Second, record: 1000, silent: minInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := memtxn.New()
+				p := newMembership(0, m)
+				for n := range uint64(20) {
+					p.ApplyReport(report("a", 1000, n+1))
+					time.Sleep(minInterval)
+				}
+				time.Sleep(x.down - minInterval)
+				if x.record != 0 {
+					q := New(bulrushlug.NewMember("a", "a:1", "r", "z", bulrushlug.RoleEntry), x.record, "", m, "vm/", time.Hour, log.NewNopLogger())
+					if _, err := q.register(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+				begun := time.Now()
+				heard := begun
+				for n := range uint64(50) {
+					if p.ApplyReport(report("a", x.boot, n+1)) {
+						heard = time.Now()
+					}
+					if x.record != 0 {
+						if err := p.list(t.Context()); err != nil {
+							t.Fatal(err)
+						}
+					}
+					time.Sleep(minInterval)
+					if d := time.Since(heard); d > x.silent {
+						t.Fatalf("%v after its restart nothing was heard for %v", time.Since(begun), d)
+					}
+				}
+				if y, ok := p.ByVM("a"); !ok || !y.Alive() {
+					t.Error("the process counts as failed")
+				}
+			})
+		})
+	}
+}
+
 // failing is a key-value service whose first commits fail.
 type failing struct {
 	*memtxn.Store
