fix(lots): a replica that promised an epoch does not read the record in a loop

Callers saw nothing (shown in a test only); the key-value service saw a paid call every few milliseconds, for up to 1.5 s, and processor time was lost.

Cause: a replica that promised its epoch to a reconfiguration, and that a caller takes for the primary, has to read the record again. It finds the earlier epoch, waits for the reconfiguration, and so ends the task without an error; the record is still to be read, so the next task begins at once.

Evidence: TestReadsWhilePromised: 170 calls to the key-value service in a second before, two of three cases failed. Found by random faults in virtual time, which never ended, as calls take no time there.

Change: the next task of such a lot waits as after a failed one.

Ruled out: marking the record as read, as the time of its last reading says that it named this epoch.

--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"bulrushlug.dev/bulrushlug"
 )
@@ -22,6 +24,7 @@
 		return k.adoptRecord(c, i, bulrushlug.LotUpdate{})
 	}
 	if k.promisePending(i) {
+		k.withLot(i, func(l *lot) { l.nextTaskAt = time.Now().Add(retryDelay/2 + rand.N(retryDelay)) })
 		return nil
 	}
 	to := k.nextReplicas(r)
