test(items): texts and results under random faults

Processes with their runners end, restart and are isolated at random, updates come late, out of order or without a response, and runs break off. Every text has to go on only with runs that were asked to resume there, a result that was read stays, and every item is completed in the end.

--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -62,6 +63,7 @@
 type textServer struct {
 	mu     sync.Mutex
 	resume map[string][]uint64 // Event after which each run of an item was asked to resume.
+	random *rand.Rand          // Breaks runs off; nil for none.
 }
 
 func (v *textServer) Call(c context.Context, _ bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
@@ -70,9 +72,16 @@
 	n := len(v.resume[r.ID()])
 	v.resume[r.ID()] = append(v.resume[r.ID()], r.ResumeFrom())
 	p, w := io.Pipe()
+	last := uint64(longItemEvents)
+	if v.random != nil && v.random.IntN(3) == 0 {
+		last = r.ResumeFrom() + v.random.Uint64N(longItemEvents)
+	}
 	go func() {
 		for i := r.ResumeFrom() + 1; i <= longItemEvents; i++ {
 			err := bulrushlug.Sleep(c, eventInterval)
+			if err == nil && i > last {
+				err = io.ErrUnexpectedEOF
+			}
 			if err == nil {
 				_, err = fmt.Fprintf(w, "id: %d\ndata: %d %d\n\n", i, n, i)
 			}
@@ -111,7 +120,9 @@
 
 // process is a process with a disk.
 type process struct {
+	vm       string
 	log      *memLog
+	isolated bool // It reaches no other process, and none reaches it.
 	boot     uint64
 	sequence uint64
 	alive    bool
@@ -129,6 +140,7 @@
 	server    *textServer
 	processes map[string]*process // By VM, which is also the name of the disk.
 	boots     uint64
+	random    *rand.Rand // Makes updates late; nil for none.
 }
 
 func newGroup(c context.Context, names ...string) *group {
@@ -151,14 +163,14 @@
 	defer g.mu.Unlock()
 	g.boots++
 	c, stop := context.WithCancel(g.c)
-	p := &process{log: d, boot: g.boots, alive: true, stop: stop}
+	p := &process{vm: n, log: d, boot: g.boots, alive: true, stop: stop}
 	p.peers = peers.New(bulrushlug.NewMember(n, n, "r", "z"+n, "data").WithDataFolder(true), p.boot, n, g.store, "vm/", time.Second, log.NewNopLogger())
 	t := slots.New(n, func() []string { return nil })
 	t.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendZoneSlots("z", 4))})
 	f := &routes{}
 	f.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(time.Minute, time.Minute))))
-	p.manager = lots.New(d, link{g, n}, g.store, "lot/", p.peers, log.NewNopLogger(), lots.WithReplicationFactor(2), lots.WithRetention(time.Hour),
+	p.manager = lots.New(ownLog{d, g, p}, link{g, p}, ownStore{g.store, g, p}, "lot/", p.peers, log.NewNopLogger(), lots.WithReplicationFactor(2), lots.WithRetention(time.Hour),
 		lots.WithWorkCallback(func() { p.runner.Wake() }),
 		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
 			return p.runner.Progress(i, n, text, after)
@@ -190,13 +202,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for n, p := range g.processes {
-		if !p.alive {
+		if !p.alive || p.isolated {
 			continue
 		}
 		p.sequence++
 		r := bulrushlug.NewReport(p.peers.Self(), p.boot, p.sequence, bulrushlug.ReportState(n, 1))
 		for _, q := range g.processes {
-			q.peers.ApplyReport(r)
+			if !q.isolated {
+				q.peers.ApplyReport(r)
+			}
 		}
 	}
 }
@@ -216,19 +230,24 @@
 // link calls the other processes of a group.
 type link struct {
 	group *group
-	from  string
+	from  *process
 }
 
 func (l link) manager(c context.Context, a string) (*lots.ReplicaManager, error) {
 	if err := bulrushlug.Sleep(c, replicaDelay); err != nil {
 		return nil, err
 	}
-	l.group.mu.Lock()
-	defer l.group.mu.Unlock()
-	if p := l.group.processes[a]; p != nil && p.alive {
+	return l.group.reach(l.from, a)
+}
+
+// reach returns the manager of the process on VM a if from reaches it.
+func (g *group) reach(from *process, a string) (*lots.ReplicaManager, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.processes[a]; p != nil && p.alive && from.alive && !p.isolated && !from.isolated {
 		return p.manager, nil
 	}
-	return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "%s does not answer %s", a, l.from)
+	return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "%s does not answer %s", a, from.vm)
 }
 
 func (l link) Append(c context.Context, a string, u bulrushlug.LotUpdate) (bulrushlug.LotReplicaState, error) {
@@ -236,9 +255,86 @@
 	if err != nil {
 		return bulrushlug.LotReplicaState{}, err
 	}
+	if d, lost := l.group.fault(); d > 0 {
+		return l.late(c, a, u, d, lost)
+	}
 	return k.Append(u)
 }
 
+// late delivers u after d, even if the caller waits no longer; the response may get lost.
+func (l link) late(c context.Context, a string, u bulrushlug.LotUpdate, d time.Duration, lost bool) (s bulrushlug.LotReplicaState, err error) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(d)
+		var k *lots.ReplicaManager
+		if k, err = l.group.reach(&process{alive: true}, a); err == nil {
+			s, err = k.Append(u)
+		}
+	}()
+	if lost {
+		<-c.Done()
+		return bulrushlug.LotReplicaState{}, c.Err()
+	}
+	select {
+	case <-done:
+		return s, err
+	case <-c.Done():
+		return bulrushlug.LotReplicaState{}, c.Err()
+	}
+}
+
+// ownLog is the log of a process, which can't write once it ended.
+type ownLog struct {
+	*memLog
+	group *group
+	p     *process
+}
+
+func (o ownLog) Append(u bulrushlug.LotUpdate) error {
+	if !o.group.isAlive(o.p) {
+		return bulrushlug.Errorf(bulrushlug.KindStorage, "the process on %s ended", o.p.vm)
+	}
+	return o.memLog.Append(u)
+}
+
+func (o ownLog) Drop(i string) error {
+	if !o.group.isAlive(o.p) {
+		return bulrushlug.Errorf(bulrushlug.KindStorage, "the process on %s ended", o.p.vm)
+	}
+	return o.memLog.Drop(i)
+}
+
+// ownStore is the key-value service for a process, which makes no calls once it ended.
+type ownStore struct {
+	*memtxn.Store
+	group *group
+	p     *process
+}
+
+func (o ownStore) Commit(c context.Context, l []bulrushlug.Condition, w []bulrushlug.Write) (uint64, error) {
+	if !o.group.isAlive(o.p) {
+		return 0, bulrushlug.Errorf(bulrushlug.KindStoreDown, "the process on %s ended", o.p.vm)
+	}
+	return o.Store.Commit(c, l, w)
+}
+
+func (g *group) isAlive(p *process) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return p.alive
+}
+
+// fault returns the delay of an update, and whether its response gets lost.
+func (g *group) fault() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.random == nil || g.random.IntN(4) > 0 {
+		return 0, false
+	}
+	return time.Duration(1+g.random.IntN(1500)) * time.Millisecond, g.random.IntN(3) == 0
+}
+
 func (l link) Verify(c context.Context, a, i string, n uint64) (bulrushlug.LotReplicaState, error) {
 	k, err := l.manager(c, a)
 	if err != nil {
