fix(lots): a replica that restarts gets the progress of items again

Callers saw: items that are late, as their next run begins at the first event.

Cause: what a replica knows of running items is in memory only. The primary remembers what the replica acknowledged, and goes on sending what follows that. A replica that restarted within the epoch ignores it as a gap, and acknowledges it. If the primary fails then, the items run from their first event again.

Change: the primary sends all progress again once a replica's process reports another start.

Ruled out: a refusal by the replica, as entries and progress are in one update, and entries must not wait for progress.

--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -438,3 +438,46 @@
 		})
 	}
 }
+
+// TestProgressOfRestartedReplica restarts the replica of an item while it runs, then ends the primary: the next run goes on
+// from events that the replica received again.
+func TestProgressOfRestartedReplica(t *testing.T) {
+	for name, x := range map[string]struct {
+		restarts int
+		least    uint64 // Event after which the last run resumes, or a later one.
+	}{
+		"no restart":   {least: 60},
+		"one restart":  {restarts: 1, least: 60},
+		"two restarts": {restarts: 2, least: 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				g := newGroup(c, "a", "b")
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+				if err := g.processes["a"].manager.Submit(c, l); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				for range x.restarts {
+					g.restart("b")
+					time.Sleep(1200*time.Millisecond - restartTime)
+				}
+				time.Sleep(3*time.Second - time.Duration(x.restarts)*1200*time.Millisecond)
+				g.start("c", &memLog{})
+				time.Sleep(500 * time.Millisecond)
+				g.kill("a")
+				time.Sleep(10 * time.Second)
+				g.server.mu.Lock()
+				runs := g.server.resume["i0"]
+				g.server.mu.Unlock()
+				if last := runs[len(runs)-1]; len(runs) < 2 || last < x.least {
+					t.Errorf("runs resumed after events %v", runs)
+				}
+				stop()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -34,6 +34,7 @@
 	nextTaskAt      time.Time             // Earliest time of the next task.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
+	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
 	writeMu         sync.Mutex            // Serializes writes to the log.
 }
--- a/lots/task.go
+++ b/lots/task.go
@@ -191,6 +191,13 @@
 	k.withLot(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(l.entries[min(max(l.committed, 1), len(l.entries)):]), true)
 	})
+	b := k.boots(u.Replicas()[1:])
+	k.withLot(i, func(l *lot) {
+		if !slices.Equal(l.ackedBoots, b) {
+			clear(l.acked)
+		}
+		l.ackedBoots = b
+	})
 	u = u.WithProgress(k.unsentProgress(i))
 	n := u.Offset() + len(u.Entries())
 	if err := parallel(u.Replicas()[1:], func(d string) error { return k.catchUp(c, d, u) }); err != nil {
@@ -211,6 +218,15 @@
 	return nil
 }
 
+// boots returns the starts of the processes with the disks in l, zero for those that are not known.
+func (k *ReplicaManager) boots(l []string) (b []uint64) {
+	for _, d := range l {
+		p, _ := k.peers.ByDisk(d)
+		b = append(b, p.Boot())
+	}
+	return b
+}
+
 // unsentProgress returns the progress of the items of lot i that the replicas have not acknowledged.
 func (k *ReplicaManager) unsentProgress(i string) (p []bulrushlug.LotProgress) {
 	acked := map[uint32]position{}
--- a/peers/peer.go
+++ b/peers/peer.go
@@ -28,6 +28,9 @@
 // Member returns the name, address and role of the process.
 func (p Peer) Member() bulrushlug.Member { return p.member }
 
+// Boot returns the start of the process, in Unix milliseconds by its own clock.
+func (p Peer) Boot() uint64 { return p.boot }
+
 // DiskID returns the identifier of its disk; empty if it has none.
 func (p Peer) DiskID() string { return p.diskID }
 
