feat(lots): a primary that restarts goes on from the progress that its replicas have

Callers saw: items that are late after a data process restarted, as they run again from their first event although the replicas have their events; whole runs are paid for twice.

Cause: progress is in memory only, and passed from the primary to the replicas only. Since texts are told apart, the replica also discards the longer text of the run before the restart for the new, shorter one.

Change: the first commit of a primary after its start, and a reconfiguration, ask the replicas for the progress that they have, and adopt what is longer. A primary starts items only after its replicas confirmed its epoch, so it knows the progress by then. Each text stays whole: the run that goes on has a text of its own.

Evidence: TestProgressOfRestartedPrimary failed before in all three cases (the primary had 36 to 53 events, its next run resumed after event 0).

Cost: one field in an update, and the running texts of a lot once for each start of its primary and each reconfiguration.

--- a/codec/lot.go
+++ b/codec/lot.go
@@ -75,13 +75,23 @@
 	return l, nil
 }
 
+func encodeProgress(p []bulrushlug.LotProgress) (l []*wire.LotProgress) {
+	for _, x := range p {
+		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: x.Data()})
+	}
+	return l
+}
+
+func decodeProgress(w []*wire.LotProgress) (l []bulrushlug.LotProgress) {
+	for _, x := range w {
+		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, x.Data))
+	}
+	return l
+}
+
 // EncodeLotUpdate encodes an append that the primary sends to the replicas of a lot.
 func EncodeLotUpdate(u bulrushlug.LotUpdate) *wire.LotAppend {
-	var l []*wire.LotProgress
-	for _, p := range u.Progress() {
-		l = append(l, &wire.LotProgress{Item: p.Item(), Text: p.Text(), First: p.First(), Data: p.Data()})
-	}
-	return &wire.LotAppend{Progress: l, Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.Offset()),
+	return &wire.LotAppend{Progress: encodeProgress(u.Progress()), WantsProgress: u.WantsProgress(), Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.Offset()),
 		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed()}
 }
 
@@ -95,21 +105,18 @@
 	if err != nil {
 		return bulrushlug.LotUpdate{}, err
 	}
-	var p []bulrushlug.LotProgress
-	for _, x := range w.Progress {
-		p = append(p, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, x.Data))
-	}
-	return bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed).WithProgress(p), nil
+	u := bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed)
+	return u.WithProgress(decodeProgress(w.Progress)).WithProgressWanted(w.WantsProgress), nil
 }
 
 // EncodeLotReplicaState encodes the state of a replica.
 func EncodeLotReplicaState(s bulrushlug.LotReplicaState) *wire.LotState {
-	return &wire.LotState{Ok: s.OK(), Epoch: s.Epoch(), Length: uint64(s.Length())}
+	return &wire.LotState{Ok: s.OK(), Epoch: s.Epoch(), Length: uint64(s.Length()), Progress: encodeProgress(s.Progress())}
 }
 
 // DecodeLotReplicaState decodes the state of a replica.
 func DecodeLotReplicaState(w *wire.LotState) bulrushlug.LotReplicaState {
-	return bulrushlug.NewLotReplicaState(w.Ok, w.Epoch, int(w.Length))
+	return bulrushlug.NewLotReplicaState(w.Ok, w.Epoch, int(w.Length)).WithProgress(decodeProgress(w.Progress))
 }
 
 // EncodeLotPage encodes a page of results.
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -44,9 +44,16 @@
 		t.Run(name, func(t *testing.T) {
 			u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, nil, true).WithProgress(p)
 			got, err := DecodeLotUpdate(EncodeLotUpdate(u))
-			if err != nil || !reflect.DeepEqual(got.Progress(), p) {
+			if err != nil || !reflect.DeepEqual(got.Progress(), p) || got.WantsProgress() {
 				t.Errorf("progress %v, %v", got.Progress(), err)
 			}
+			if got, err := DecodeLotUpdate(EncodeLotUpdate(u.WithProgressWanted(true))); err != nil || !got.WantsProgress() {
+				t.Errorf("no progress is wanted: %v", err)
+			}
+			s := DecodeLotReplicaState(EncodeLotReplicaState(bulrushlug.NewLotReplicaState(true, 1, 2).WithProgress(p)))
+			if !reflect.DeepEqual(s.Progress(), p) {
+				t.Errorf("progress %v of a replica", s.Progress())
+			}
 		})
 	}
 }
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -481,3 +481,49 @@
 		})
 	}
 }
+
+// TestProgressOfRestartedPrimary restarts the primary of an item while it runs: the next run goes on from the events that the
+// replica received.
+func TestProgressOfRestartedPrimary(t *testing.T) {
+	for name, x := range map[string]struct {
+		claimed  bool // The primary took the lot over before.
+		restarts int
+	}{
+		"one restart":                  {restarts: 1},
+		"two restarts":                 {restarts: 2},
+		"one restart after a takeover": {claimed: true, restarts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				g := newGroup(c, "a", "b", "c")
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+				if err := g.processes["a"].manager.Submit(c, l); err != nil {
+					t.Fatal(err)
+				}
+				if x.claimed {
+					g.kill("a")
+					time.Sleep(1500 * time.Millisecond)
+				}
+				had := 0 // Events that the primary had at its last restart.
+				for range x.restarts {
+					time.Sleep(2 * time.Second)
+					p := g.primary()
+					had = g.processes[p].runner.eventCount(key{"lot", 0})
+					g.restart(p)
+				}
+				time.Sleep(10 * time.Second)
+				g.server.mu.Lock()
+				runs := g.server.resume["i0"]
+				g.server.mu.Unlock()
+				// Replicas get the progress at least once a second.
+				if last := runs[len(runs)-1]; len(runs) <= x.restarts || had == 0 || int(last) < had-int(time.Second/eventInterval) || last == 0 {
+					t.Errorf("the primary had %d events, runs resumed after events %v", had, runs)
+				}
+				stop()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lot.go
+++ b/lot.go
@@ -242,8 +242,18 @@
 	entries   []LotEntry
 	confirmed bool // The record in the key-value service has this epoch and replica set.
 	progress  []LotProgress
+	wants     bool // The response is to contain the progress that the replica knows.
 }
 
+// WithProgressWanted returns a copy that asks the replicas for the progress that they know.
+func (u LotUpdate) WithProgressWanted(v bool) LotUpdate {
+	u.wants = v
+	return u
+}
+
+// WantsProgress reports whether the response is to contain the progress that the replica knows.
+func (u LotUpdate) WantsProgress() bool { return u.wants }
+
 // WithProgress returns a copy that adds the progress of running items, which replicas keep in memory only.
 func (u LotUpdate) WithProgress(l []LotProgress) LotUpdate {
 	u.progress = l
@@ -278,9 +288,10 @@
 
 // LotReplicaState is a replica's response to a replication call; values are immutable.
 type LotReplicaState struct {
-	ok     bool   // The replica is in the epoch of the call.
-	epoch  uint64 // Epoch of the replica; zero if it has no copy of the lot.
-	length int    // Number of log entries on the replica.
+	ok       bool          // The replica is in the epoch of the call.
+	epoch    uint64        // Epoch of the replica; zero if it has no copy of the lot.
+	length   int           // Number of log entries on the replica.
+	progress []LotProgress // Progress of running items, if the call wanted it.
 }
 
 // NewLotReplicaState returns the state of a replica.
@@ -288,6 +299,15 @@
 	return LotReplicaState{ok: ok, epoch: epoch, length: length}
 }
 
+// WithProgress returns a copy with the progress of running items that the replica knows.
+func (s LotReplicaState) WithProgress(l []LotProgress) LotReplicaState {
+	s.progress = l
+	return s
+}
+
+// Progress returns the progress of running items that the replica knows, if the call wanted it.
+func (s LotReplicaState) Progress() []LotProgress { return s.progress }
+
 // OK reports whether the replica is in the epoch of the call.
 func (s LotReplicaState) OK() bool { return s.ok }
 
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// knownProgress returns the events of the items without a result.
+func (l *lot) knownProgress() (p []bulrushlug.LotProgress) {
+	for n, t := range l.progress {
+		p = append(p, bulrushlug.NewLotProgress(n, t.id, 1, slices.Clone(t.events)))
+	}
+	return p
+}
+
+// recoverProgress adopts the texts in p that are longer than the known ones.
+func (l *lot) recoverProgress(p []bulrushlug.LotProgress) {
+	for _, x := range p {
+		if x.First() == 1 && len(x.Data()) > len(l.progress[x.Item()].events) && !l.done[x.Item()] {
+			l.progress[x.Item()] = text{x.Text(), x.Data()}
+		}
+	}
+}
+
 // contains reports whether the update u changes nothing.
 func (l *lot) contains(u bulrushlug.LotUpdate) bool {
 	return l.sameEpoch(u) && !l.stale && (l.confirmed || !u.Confirmed()) && u.Offset()+len(u.Entries()) <= len(l.entries)
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -215,7 +215,12 @@
 		return bulrushlug.NewLotReplicaState(false, u.Epoch(), 0), nil
 	}
 	if err == nil && s.OK() {
-		k.withLot(u.Lot(), func(l *lot) { l.addProgress(u.Progress()) })
+		k.withLot(u.Lot(), func(l *lot) {
+			l.addProgress(u.Progress())
+			if u.WantsProgress() {
+				s = s.WithProgress(l.knownProgress())
+			}
+		})
 		k.onWork()
 	}
 	return s, err
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -45,7 +45,7 @@
 		if d == k.disk {
 			return nil
 		}
-		return k.replicateTo(c, d, k.withEntriesFrom(u, 0), logTransferTimeout)
+		return k.replicateTo(c, d, k.withEntriesFrom(u.WithProgressWanted(true), 0), logTransferTimeout)
 	})
 	if err != nil {
 		return err
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -96,7 +96,7 @@
 	return err
 }
 
-// send sends u to the replica on disk d and returns the state of the replica.
+// send sends u to the replica on disk d, adopts the progress that it returns, and returns the state of the replica.
 func (k *ReplicaManager) send(c context.Context, d string, u bulrushlug.LotUpdate, wait time.Duration) (bulrushlug.LotReplicaState, error) {
 	p, ok := k.peers.ByDisk(d)
 	if !ok {
@@ -104,7 +104,11 @@
 	}
 	c, stop := context.WithTimeout(c, wait)
 	defer stop()
-	return k.remote.Append(c, p.Member().Address(), u)
+	s, err := k.remote.Append(c, p.Member().Address(), u)
+	if err == nil && s.OK() {
+		k.withLot(u.Lot(), func(l *lot) { l.recoverProgress(s.Progress()) })
+	}
+	return s, err
 }
 
 // parallel calls f for all elements of l concurrently and returns the joined errors.
--- a/lots/task.go
+++ b/lots/task.go
@@ -190,6 +190,7 @@
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(l.entries[min(max(l.committed, 1), len(l.entries)):]), true)
+		u = u.WithProgressWanted(l.committed == 0)
 	})
 	b := k.boots(u.Replicas()[1:])
 	k.withLot(i, func(l *lot) {
@@ -303,7 +304,7 @@
 	var e []bulrushlug.LotEntry
 	end := u.Offset() + len(u.Entries())
 	k.withLot(u.Lot(), func(l *lot) { e = slices.Clone(l.entries[min(n, len(l.entries)):min(end, len(l.entries))]) })
-	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed()).WithProgress(u.Progress())
+	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed()).WithProgress(u.Progress()).WithProgressWanted(u.WantsProgress())
 }
 
 // expire removes lot i from this disk; the primary deletes its record first.
