perf(lots): the progress of items is not written to disk

Cause: an update with entries was written to a replica's log with the progress of the running items that it carried. Nothing reads it there: progress is in memory only, and a result has the whole text. Disk and synced bytes are paid for.

Evidence: TestProgressOnDisk failed before in one of two cases.

--- a/lots/manager.go
+++ b/lots/manager.go
@@ -188,7 +188,7 @@
 	if !ok || duplicate || u.Offset() > s.Length() {
 		return s, nil
 	}
-	if err := k.log.Append(u); err != nil {
+	if err := k.log.Append(u.WithProgress(nil).WithProgressWanted(false)); err != nil {
 		return s, err
 	}
 	k.withLot(u.Lot(), func(*lot) {
--- a/lots/progress_test.go
+++ b/lots/progress_test.go
@@ -50,3 +50,37 @@
 		})
 	}
 }
+
+// TestProgressOnDisk sends a replica an entry with the progress of another item: only the entry is written to its disk.
+func TestProgressOnDisk(t *testing.T) {
+	for name, x := range map[string]struct {
+		progress []bulrushlug.LotProgress
+		want     []string
+	}{
+		"none":       {},
+		"two events": {progress: []bulrushlug.LotProgress{bulrushlug.NewLotProgress(1, 7, 1, []string{"a1", "a2"})}, want: []string{"a1", "a2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := peers.New(bulrushlug.NewMember("r", "r", "r", "z", "data"), 1, "r", memtxn.New(), "vm/", time.Second, log.NewNopLogger())
+			d := newDisk("r")
+			k := New(d, nil, memtxn.New(), "lot/", p, log.NewNopLogger())
+			l := []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil), bulrushlug.NewLotItem("j", "/", nil, nil)}
+			e := []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), l)),
+				bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(0, true, "a"))}
+			for n := range e {
+				u := bulrushlug.NewLotUpdate("lot", 1, []string{"p", "r"}, n, e[n:n+1], true)
+				if s, err := k.Append(u.WithProgress(x.progress)); err != nil || !s.OK() {
+					t.Fatal(s, err)
+				}
+			}
+			if got := k.Progress("lot", 1); !slices.Equal(got, x.want) {
+				t.Errorf("events %q", got)
+			}
+			for _, u := range d.updates["lot"] {
+				if len(u.Progress()) > 0 || u.WantsProgress() {
+					t.Errorf("the progress %v is on the disk", u.Progress())
+				}
+			}
+		})
+	}
+}
