fix(proxy): a response that does not resume is not joined to a stream

Callers saw (possible, shown in a test only): events twice in one stream (ORDER), if the server that is to resume it begins with the first event.

Cause: the events of the next server were passed on whatever their identifiers, although the list of rules says that they are checked. Class of fault: state merged without the position that it belongs to.

Evidence: TestFailurePoints with the step "not resumed" failed before in two cases (after a break after one and within the third event).

Change: a resumed response whose first event is not after the last one that was passed on counts as broken off, and the next server is asked.

Not changed: a gap, as the identifiers of events are only said to increase.

--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -238,6 +238,9 @@
 		if err != nil && !ended {
 			return n, brokenError(err)
 		}
+		if id, ok := r.ID(); n == 0 && ok && a.sink.headSent && id <= a.request.ResumeFrom() {
+			return n, bulrushlug.Errorf(bulrushlug.KindBroken, "event %d in a response that was to resume after event %d", id, a.request.ResumeFrom())
+		}
 		if err := a.sink.head(p); err != nil {
 			return n, err
 		}
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -25,6 +25,7 @@
 	status int
 	text   bool // The response is not a stream.
 	events int  // Whole events sent.
+	anew   bool // The response begins with the first event even if the request resumes.
 	half   bool // An incomplete event follows.
 	broken bool // The connection breaks during the response.
 }
@@ -40,6 +41,7 @@
 	"broken before an event": {status: 200, broken: true},
 	"broken after an event":  {status: 200, events: 1, broken: true},
 	"broken in an event":     {status: 200, events: 2, half: true, broken: true},
+	"not resumed":            {status: 200, events: eventCount, anew: true},
 	"failed":                 {status: 500, text: true},
 	"failed and broken":      {status: 500, text: true, broken: true},
 }
@@ -65,7 +67,11 @@
 	v.asked = append(v.asked, r.ResumeFrom())
 	var b strings.Builder
 	for i := range s.events {
-		if n := uint64(i) + 1 + r.ResumeFrom(); n <= eventCount {
+		n := uint64(i) + 1
+		if !s.anew {
+			n += r.ResumeFrom()
+		}
+		if n <= eventCount {
 			fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
 		}
 	}
