--- a/lots/lot.go
+++ b/lots/lot.go
@@ -34,6 +34,7 @@
 	nextTaskAt      time.Time             // Earliest time of the next task.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
+	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
 	writeMu         sync.Mutex            // Serializes writes to the log.
 }
@@ -103,6 +104,23 @@
 	}
 }
 
+// knownProgress returns the events of the items without a result.
+func (l *lot) knownProgress() (p []bulrushlug.LotProgress) {
+	for n, t := range l.progress {
+		p = append(p, bulrushlug.NewLotProgress(n, t.id, 1, slices.Clone(t.events)))
+	}
+	return p
+}
+
+// recoverProgress adopts the texts in p that are longer than the known ones.
+func (l *lot) recoverProgress(p []bulrushlug.LotProgress) {
+	for _, x := range p {
+		if x.First() == 1 && len(x.Data()) > len(l.progress[x.Item()].events) && !l.done[x.Item()] {
+			l.progress[x.Item()] = text{x.Text(), x.Data()}
+		}
+	}
+}
+
 // contains reports whether the update u changes nothing.
 func (l *lot) contains(u bulrushlug.LotUpdate) bool {
 	return l.sameEpoch(u) && !l.stale && (l.confirmed || !u.Confirmed()) && u.Offset()+len(u.Entries()) <= len(l.entries)
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -188,7 +188,7 @@
 	if !ok || duplicate || u.Offset() > s.Length() {
 		return s, nil
 	}
-	if err := k.log.Append(u); err != nil {
+	if err := k.log.Append(u.WithProgress(nil).WithProgressWanted(false)); err != nil {
 		return s, err
 	}
 	k.withLot(u.Lot(), func(*lot) {
@@ -215,7 +215,12 @@
 		return bulrushlug.NewLotReplicaState(false, u.Epoch(), 0), nil
 	}
 	if err == nil && s.OK() {
-		k.withLot(u.Lot(), func(l *lot) { l.addProgress(u.Progress()) })
+		k.withLot(u.Lot(), func(l *lot) {
+			l.addProgress(u.Progress())
+			if u.WantsProgress() {
+				s = s.WithProgress(l.knownProgress())
+			}
+		})
 		k.onWork()
 	}
 	return s, err
--- a/lots/task.go
+++ b/lots/task.go
@@ -190,6 +190,14 @@
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(l.entries[min(max(l.committed, 1), len(l.entries)):]), true)
+		u = u.WithProgressWanted(l.committed == 0)
+	})
+	b := k.boots(u.Replicas()[1:])
+	k.withLot(i, func(l *lot) {
+		if !slices.Equal(l.ackedBoots, b) {
+			clear(l.acked)
+		}
+		l.ackedBoots = b
 	})
 	u = u.WithProgress(k.unsentProgress(i))
 	n := u.Offset() + len(u.Entries())
@@ -211,6 +219,15 @@
 	return nil
 }
 
+// boots returns the starts of the processes with the disks in l, zero for those that are not known.
+func (k *ReplicaManager) boots(l []string) (b []uint64) {
+	for _, d := range l {
+		p, _ := k.peers.ByDisk(d)
+		b = append(b, p.Boot())
+	}
+	return b
+}
+
 // unsentProgress returns the progress of the items of lot i that the replicas have not acknowledged.
 func (k *ReplicaManager) unsentProgress(i string) (p []bulrushlug.LotProgress) {
 	acked := map[uint32]position{}
@@ -287,7 +304,7 @@
 	var e []bulrushlug.LotEntry
 	end := u.Offset() + len(u.Entries())
 	k.withLot(u.Lot(), func(l *lot) { e = slices.Clone(l.entries[min(n, len(l.entries)):min(end, len(l.entries))]) })
-	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed()).WithProgress(u.Progress())
+	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed()).WithProgress(u.Progress()).WithProgressWanted(u.WantsProgress())
 }
 
 // expire removes lot i from this disk; the primary deletes its record first.
