fix(drain): the listener belongs to the server before its goroutine serves

Callers whose connection was in the accept queue while a server stopped lost it without an answer, and Shutdown reported success, if the goroutine that serves had not run yet.

Cause: the server learned of its listener in Serve, which callers start in a goroutine. A Shutdown before that found no listener, so it neither waited for the queue nor for the last accepted connection, and closed the HTTP server.

New takes the listener, and Shutdown waits for Serve, which accepts what is queued. The state "no listener yet" is gone. The entry of the product's own interface listens in start, so an address in use ends the start instead of the running process; the daemon listened before its goroutine already. In both the readiness delay lies between a signal and Shutdown, so a stopped process met this only if its goroutine did not run for 2 s.

TestShutdownBeforeServe holds Serve back until Shutdown has begun.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -88,8 +88,8 @@
 	if err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.Load().HTTP(), err)
 	}
-	f := drain.New(e.httpServer())
-	go func() { e.logListenerEnd("front", f.Serve(l)) }()
+	f := drain.New(e.httpServer(), l)
+	go func() { e.logListenerEnd("front", f.Serve()) }()
 	<-c.Done()
 	return e.drain(f)
 }
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -31,9 +31,8 @@
 	http    *http.Server
 	leaving atomic.Bool // Each response closes its connection.
 	closing atomic.Bool // The listener is closed or about to be.
-	mu      sync.Mutex
-	open    *listener     // Nil before Serve.
-	served  chan struct{} // Closed once Serve returned: every accepted connection is then in a shard; nil before Serve.
+	open    *listener
+	served  chan struct{} // Closed once Serve returned: every accepted connection is then in a shard.
 	shards  [shardCount]shard
 }
 
@@ -43,9 +42,10 @@
 	conns map[*conn]bool
 }
 
-// New returns a server that serves h; it takes over the handler and the hook ConnState of h.
-func New(h *http.Server) *Server {
-	s := &Server{http: h}
+// New returns a server that serves h on l; it takes over l, and the handler and the hook ConnState of h.
+func New(h *http.Server, l net.Listener) *Server {
+	s := &Server{http: h, served: make(chan struct{})}
+	s.open = &listener{Listener: l, server: s}
 	for i := range s.shards {
 		s.shards[i].conns = map[*conn]bool{}
 	}
@@ -60,21 +60,18 @@
 	return s
 }
 
-// Serve serves connections from l until Shutdown; it then returns http.ErrServerClosed.
-func (s *Server) Serve(l net.Listener) error {
-	o, served := &listener{Listener: l, server: s}, make(chan struct{})
-	defer close(served)
-	s.mu.Lock()
-	s.open, s.served = o, served
-	s.mu.Unlock()
-	return s.http.Serve(o)
+// Serve serves connections until Shutdown; it then returns http.ErrServerClosed. It has to be called once.
+func (s *Server) Serve() error {
+	defer close(s.served)
+	return s.http.Serve(s.open)
 }
 
 // Leave has each further response close its connection; connections are still accepted.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
 // Shutdown closes the listener once the queued connections are accepted, then each connection without a request, and
-// waits for open requests. When c ends it cuts them and returns the error of c.
+// waits for open requests. When c ends it cuts them and returns the error of c. Where Serve has not begun yet, Shutdown
+// waits for it, as connections may be queued already.
 func (s *Server) Shutdown(c context.Context) error {
 	s.Leave()
 	if err := s.closeListener(c); err != nil {
@@ -92,18 +89,12 @@
 // closeListener closes the listener once no connection waits to be accepted, or when c ends, and waits until Serve has
 // passed on the last connection that it accepted.
 func (s *Server) closeListener(c context.Context) error {
-	s.mu.Lock()
-	l, served := s.open, s.served
-	s.mu.Unlock()
-	if l == nil {
-		return nil
-	}
-	for hasQueued(l.Listener) && bulrushlug.Sleep(c, queueInterval) == nil {
+	for hasQueued(s.open.Listener) && bulrushlug.Sleep(c, queueInterval) == nil {
 	}
 	s.closing.Store(true)
-	err := l.Close()
+	err := s.open.Close()
 	select {
-	case <-served:
+	case <-s.served:
 	case <-c.Done():
 	}
 	return err
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -161,8 +161,8 @@
 				case <-r.Context().Done():
 				}
 			})
-			s := New(&http.Server{Handler: m, IdleTimeout: 10 * time.Second})
 			ended := make(chan error, 2)
+			var s *Server
 			stop := func() {
 				go func() { ended <- s.Shutdown(t.Context()) }()
 				time.Sleep(50 * time.Millisecond)
@@ -172,7 +172,8 @@
 					stop()
 				}
 			}}
-			go func() { ended <- s.Serve(h) }()
+			s = New(&http.Server{Handler: m, IdleTimeout: 10 * time.Second}, h)
+			go func() { ended <- s.Serve() }()
 			c := dial(t, l.Addr().String())
 			got, closes, err := x.run(t, c, stop)
 			if got != x.want || x.want != "" && closes == x.keeps || x.want == "" && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -198,8 +199,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })})
-	go func() { _ = s.Serve(l) }()
+	s := New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })}, l)
+	go func() { _ = s.Serve() }()
 	c := dial(t, l.Addr().String())
 	c.send(request)
 	x, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
@@ -212,6 +213,56 @@
 	}
 }
 
+// TestShutdownBeforeServe stops a server whose goroutine has not reached Serve yet.
+func TestShutdownBeforeServe(t *testing.T) {
+	for name, x := range map[string]struct {
+		queued bool // A request waits in the accept queue.
+	}{
+		"a connection in the accept queue": {queued: true},
+		"no connection":                    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}, l)
+			var c *caller
+			if x.queued {
+				c = dial(t, l.Addr().String())
+				c.send(request)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- s.Shutdown(t.Context()) }()
+			select {
+			case err := <-ended:
+				t.Fatalf("Shutdown returned %v before Serve", err)
+			case <-time.After(50 * time.Millisecond):
+			}
+			served := make(chan error, 1)
+			go func() { served <- s.Serve() }()
+			if x.queued {
+				if got, closes, err := c.response(); got != "ok" || !closes || err != nil {
+					t.Errorf("response %q, closes %v, error %v", got, closes, err)
+				}
+			}
+			for what, e := range map[string]struct {
+				got  chan error
+				want error
+			}{"Shutdown": {ended, nil}, "Serve": {served, http.ErrServerClosed}} {
+				select {
+				case err := <-e.got:
+					if !errors.Is(err, e.want) {
+						t.Errorf("%s returned %v, want %v", what, err, e.want)
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatalf("%s does not return", what)
+				}
+			}
+		})
+	}
+}
+
 // TestStopsUnderLoad stops a server many times while callers send requests on kept connections: each request that the
 // handler saw gets its response.
 func TestStopsUnderLoad(t *testing.T) {
@@ -225,8 +276,8 @@
 		s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			seen.Store(r.URL.Path, true)
 			_, _ = io.WriteString(w, r.URL.Path)
-		})})
-		go func() { _ = s.Serve(l) }()
+		})}, l)
+		go func() { _ = s.Serve() }()
 		var w sync.WaitGroup
 		for i := range callers {
 			c := dial(t, l.Addr().String())
--- a/node/entry.go
+++ b/node/entry.go
@@ -29,13 +29,12 @@
 	*Node
 	revoke *revoke.Filter
 	dedup  *dedup.Filter
-	http   *drain.Server
+	http   *drain.Server // Nil before start.
 }
 
 func newEntry(n *Node) *entry {
 	e := &entry{Node: n, revoke: revoke.New(n.control.State()), dedup: dedup.New(n.store)}
 	n.control.State().OnChange(func(*bulrushlug.Config) { go e.revoke.CancelUnauthorised() })
-	e.http = drain.New(&http.Server{Handler: e.guard.HTTP(e.handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	return e
 }
 
@@ -73,14 +72,15 @@
 func (e *entry) stage() bulrushlug.Stage { return nil }
 
 func (e *entry) start(c context.Context, g *group) error {
+	l, err := net.Listen("tcp", e.settings.HTTP())
+	if err != nil {
+		return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.HTTP(), err)
+	}
+	e.http = drain.New(&http.Server{Handler: e.guard.HTTP(e.handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l)
 	g.run(c, e.revoke.Run)
 	g.run(c, e.dedup.Run)
 	g.run(c, func(context.Context) error {
-		l, err := net.Listen("tcp", e.settings.HTTP())
-		if err == nil {
-			err = e.http.Serve(l)
-		}
-		if err != http.ErrServerClosed {
+		if err := e.http.Serve(); err != http.ErrServerClosed {
 			return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.HTTP(), err)
 		}
 		return nil
