fix(drain): a shutdown that cuts its accept queue says so

A server whose time to drain ended while connections waited to be accepted closed its listener, which resets them, and Shutdown returned nil: the log had no requestsCut, though callers lost their requests.

Cause: the end of the context ended the wait for the queue, but only the wait for open connections reported it. Both do now, and the open connections are cut on every error; an error of the listener's Close left them open.

TestQueueCutAtTimeout holds a connection in the queue until after the timeout.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -74,30 +74,33 @@
 // waits for it, as connections may be queued already.
 func (s *Server) Shutdown(c context.Context) error {
 	s.Leave()
-	if err := s.closeListener(c); err != nil {
-		return err
+	err := s.closeListener(c)
+	for err == nil && s.endIdle() > 0 {
+		err = bulrushlug.Sleep(c, checkInterval)
 	}
-	for s.endIdle() > 0 {
-		if err := bulrushlug.Sleep(c, checkInterval); err != nil {
-			_ = s.http.Close()
-			return err
-		}
+	if e := s.http.Close(); err == nil {
+		err = e
 	}
-	return s.http.Close()
+	return err
 }
 
-// closeListener closes the listener once no connection waits to be accepted, or when c ends, and waits until Serve has
-// passed on the last connection that it accepted.
+// closeListener closes the listener once no connection waits to be accepted, and waits until Serve has passed on the
+// last connection that it accepted. If c ends before, it closes the listener at once and returns the error of c.
 func (s *Server) closeListener(c context.Context) error {
-	for hasQueued(s.open.Listener) && bulrushlug.Sleep(c, queueInterval) == nil {
+	var err error
+	for err == nil && hasQueued(s.open.Listener) {
+		err = bulrushlug.Sleep(c, queueInterval)
 	}
 	s.closing.Store(true)
-	err := s.open.Close()
+	if e := s.open.Close(); err == nil {
+		err = e
+	}
 	select {
 	case <-s.served:
+		return err
 	case <-c.Done():
+		return c.Err()
 	}
-	return err
 }
 
 // endIdle ends the connections that wait for a request, and returns the number of open connections.
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -213,6 +213,31 @@
 	}
 }
 
+// TestQueueCutAtTimeout has a connection that is not accepted before the timeout.
+func TestQueueCutAtTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &hookListener{TCPListener: l.(*net.TCPListener), acceptDelay: 300 * time.Millisecond}
+	s := New(&http.Server{}, h)
+	c := dial(t, l.Addr().String())
+	c.send(request)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	x, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	if err := s.Shutdown(x); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("Shutdown returned %v", err)
+	}
+	if _, _, err := c.response(); err == nil {
+		t.Error("the connection got a response")
+	}
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("Serve returned %v", err)
+	}
+}
+
 // TestShutdownBeforeServe stops a server whose goroutine has not reached Serve yet.
 func TestShutdownBeforeServe(t *testing.T) {
 	for name, x := range map[string]struct {
