fix(lots): the error of a submission that may be accepted promises nothing

A caller could get 503, which promises that no part of a lot runs, for the very attempt by which it was accepted; the lot then ran (REFUSED, if the caller got such answers for all of its attempts).

Cause: two errors after the record may exist kept the kind of the call that failed. The last step of an acceptance asks the replicas whether they follow the epoch; a replica that did not answer made it KindStale. And where the response to the write of the record was lost, the second write met that record and read it; a key-value service that failed just then made it KindStoreDown. Both are 503, and the router took them for refusals. A disk that promised a later epoch meanwhile made the second one a 409.

Both are KindUncertain now, 502, as the other paths after the record's write were already. KindMisdirected is kept: the router looks for the primary then.

Ruled out as paths to a false promise: errors before the record is written (the draft is withdrawn, and only its primary writes a record), and writes without a response that are followed by an outage (abortSubmit knows of them).

--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -342,6 +342,13 @@
 	return n.response(c, a)
 }
 
+// setIsolated sets whether VM n reaches no other VM.
+func (k *cluster) setIsolated(n string, v bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.isolated[n] = v
+}
+
 // front returns a random front end.
 func (k *cluster) front() *locate.Router {
 	k.mu.Lock()
@@ -861,3 +868,57 @@
 		})
 	}
 }
+
+// TestAcceptedLotIsNotRefused submits a lot that is accepted although the answer of a replica or of the key-value
+// service is missing: no error may promise that it does not run.
+func TestAcceptedLotIsNotRefused(t *testing.T) {
+	for name, f := range map[string]func(k *cluster, submit func() error) error{
+		"the replica is lost after the record was written": func(k *cluster, submit func() error) error {
+			go func() {
+				time.Sleep(4*callDelay + callDelay/2) // The record is written after 3 callDelay, its response arrives after 4.
+				k.setIsolated("d1", true)
+			}()
+			return submit()
+		},
+		"the replica is lost before a resubmission": func(k *cluster, submit func() error) error {
+			if err := submit(); err != nil {
+				k.t.Fatal(err)
+			}
+			k.setIsolated("d1", true)
+			return submit()
+		},
+		"the response to the record is lost, and the record cannot be read": func(k *cluster, submit func() error) error {
+			k.store.DropResponses(1)
+			go func() {
+				time.Sleep(5*callDelay + retryDelay/3 + callDelay/2) // The second write meets the record just before.
+				k.store.SetOutage(true)
+			}()
+			return submit()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, 2, 2)
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
+				err := f(k, func() error {
+					x, stop := context.WithTimeout(c, 1500*time.Millisecond)
+					defer stop()
+					return k.vms["d0"].manager.Submit(x, l)
+				})
+				if err == nil || !bulrushlug.KindOf(err).Response().MayHaveRun() {
+					t.Errorf("Submit returned %v", err)
+				}
+				k.store.SetOutage(false)
+				k.setIsolated("d1", false)
+				time.Sleep(recoveryTime)
+				if p, err := k.fronts[0].Read(c, bulrushlug.NewLotQuery("lot", "o")); err != nil || len(p.Results()) != 1 {
+					t.Errorf("%d results of the lot: %v", len(p.Results()), err)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -15,7 +15,8 @@
 
 // Submit accepts x: the lot is synced on all its replicas before its placement record is written.
 //
-// Only the primary acknowledges a lot; KindMisdirected means that another disk may be its primary.
+// Only the primary acknowledges a lot; KindMisdirected means that another disk may be its primary. Once the lot may be
+// accepted, no error promises that it does not run.
 func (k *ReplicaManager) Submit(c context.Context, x bulrushlug.Lot) error {
 	if accepted, err := k.awaitAccepted(c, x.ID()); accepted || err != nil {
 		return err
@@ -58,7 +59,7 @@
 		case accepted && !primary:
 			return false, bulrushlug.Errorf(bulrushlug.KindMisdirected, "lot %s has another primary", i)
 		case accepted && committed:
-			return true, k.verifyReplicas(c, i)
+			return true, k.verifyAccepted(c, i)
 		case !primary && recent:
 			return false, bulrushlug.Errorf(bulrushlug.KindMisdirected, "lot %s is being accepted by another primary", i)
 		case !primary:
@@ -73,6 +74,15 @@
 	}
 }
 
+// verifyAccepted verifies the replicas of the accepted lot i.
+func (k *ReplicaManager) verifyAccepted(c context.Context, i string) error {
+	err := k.verifyReplicas(c, i)
+	if err == nil || bulrushlug.KindOf(err) == bulrushlug.KindMisdirected {
+		return err
+	}
+	return bulrushlug.WrapError(bulrushlug.KindUncertain, "accepted", err)
+}
+
 // replicate writes u to this disk and, in parallel, to all other replicas.
 func (k *ReplicaManager) replicate(c context.Context, u bulrushlug.LotUpdate) error {
 	return parallel(u.Replicas(), func(d string) error {
@@ -185,7 +195,10 @@
 		case err == nil:
 			return k.confirm(i, r)
 		case kind == bulrushlug.KindConflict:
-			return k.adoptRecord(c, i, u)
+			if err := k.adoptRecord(c, i, u); err != nil {
+				return bulrushlug.WrapError(bulrushlug.KindUncertain, "lot "+i, err)
+			}
+			return nil
 		case kind == bulrushlug.KindStoreDown || kind == bulrushlug.KindRateLimited:
 			if e := bulrushlug.Sleep(c, retryDelay); e != nil {
 				return k.abortSubmit(c, i, err)
