fix(locate): an accepted lot is offered to its primary, and never refused

The same holds where all such processes are silent for 0.8 s. More ways to the same answer were found by reading: KindMisdirected, which says that another disk has the lot or is accepting it, counted as "not run" where no record was found or the read of the record failed; and so did the refusals of disks that do not know the lot (StoreDown, Unplaceable).

A lot with a known primary, from the reports or the record, is now offered to that primary only, also one that is not heard; this saves drafts on other disks. Before a refusal the record is looked for, once and for 0.3 s at most. If there is one the response is 202 or 502, and if it can't be read, 502: an earlier attempt may have been accepted. KindMisdirected always leaves the outcome uncertain, so a data process returns it only if another primary is involved; where it just can't reach its replicas it returns KindUnplaceable, which also saves a read of the record.

The callers of the series of faults in lots now check every answer: no refusal of an accepted lot, and no run of a lot of which every attempt was refused. The record of locate.TestRead moved into a function.

A new lot that reaches an entry while the key-value service is unreachable gets 502 instead of 503, as the entry can't tell it from a resubmission.

--- a/locate/router.go
+++ b/locate/router.go
@@ -22,6 +22,7 @@
 	submitTimeout     = 1500 * time.Millisecond // Bounds one attempt to submit a lot to a process.
 	maxSubmitAttempts = 3                       // Processes that a lot is offered to in one round.
 	roundDelay        = 200 * time.Millisecond  // Delay between rounds; bridges faults that are shorter than the caller's timeout.
+	recordTimeout     = 300 * time.Millisecond  // Bounds the read of the placement record before a lot is refused.
 	readMargin        = 800 * time.Millisecond  // Time that one process has on top of the caller's own wait.
 	maxCallAttempts   = 3                       // Attempts of one call about a lot.
 	retryDelay        = 150 * time.Millisecond  // Delay between attempts; a change of replicas takes about as long.
@@ -107,34 +108,59 @@
 	return err
 }
 
+// submission is what the process has learned about a lot that is being submitted.
+type submission struct {
+	accepted  bool // The lot is accepted, so only its primary may acknowledge it.
+	uncertain bool // The lot may be accepted, or another process may be accepting it.
+}
+
 // Submit offers x to processes with disks until one accepts it or c ends; it fails at once if no such process is
-// known to be alive.
+// known to be alive and x is not accepted already. An accepted lot is only offered to its primary.
+//
+// An error that promises that no part of x runs means that x is known not to be accepted.
 func (l *Router) Submit(c context.Context, x bulrushlug.Lot) error {
 	return l.logFailure("submit", x.ID(), l.submit(c, x))
 }
 
 func (l *Router) submit(c context.Context, x bulrushlug.Lot) error {
-	uncertain := false
+	var s submission
 	for {
-		err := l.submitRound(c, x, &uncertain)
+		err := l.submitRound(c, x, &s)
 		if err == nil {
 			return nil
 		}
-		if !uncertain && len(l.peers.LiveDataPeers()) == 0 {
-			return bulrushlug.WrapError(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithRetryAfter(noDiskRetryAfter)
+		if !s.uncertain && len(l.peers.LiveDataPeers()) == 0 {
+			err = l.refusal(c, x.ID(), err, noDiskRetryAfter)
+			if l.cachedPrimary(x.ID()) == "" {
+				return err
+			}
 		}
 		if e := bulrushlug.Sleep(c, roundDelay); e == nil {
 			continue
 		}
-		if uncertain {
+		if s.uncertain {
 			return bulrushlug.WrapError(bulrushlug.KindUncertain, "lot "+x.ID(), err)
 		}
-		return bulrushlug.WrapError(bulrushlug.KindOf(err), "lot "+x.ID(), err).WithRetryAfter(retryAfter)
+		return l.refusal(c, x.ID(), err, retryAfter)
 	}
 }
 
-// submitRound offers x to the preferred processes with disks once; uncertain becomes true if one may have accepted it.
-func (l *Router) submitRound(c context.Context, x bulrushlug.Lot, uncertain *bool) error {
+// refusal returns the error of a submission of lot i that failed with err and left nothing behind. An earlier
+// submission may have been accepted: unless the record says that none was, the error is of KindUncertain.
+func (l *Router) refusal(c context.Context, i string, err error, d time.Duration) error {
+	c, stop := context.WithTimeout(context.WithoutCancel(c), recordTimeout)
+	defer stop()
+	if _, e := l.primaryDisk(c, i); e == nil || bulrushlug.KindOf(e) != bulrushlug.KindNotFound {
+		return bulrushlug.WrapError(bulrushlug.KindUncertain, "lot "+i, err)
+	}
+	return bulrushlug.WrapError(bulrushlug.KindOf(err), "lot "+i, err).WithRetryAfter(d)
+}
+
+// submitRound offers x once to its primary if it is accepted, and to the preferred processes with disks otherwise.
+func (l *Router) submitRound(c context.Context, x bulrushlug.Lot, s *submission) error {
+	if s.accepted || l.cachedPrimary(x.ID()) != "" {
+		return l.submitToPrimary(c, x, s)
+	}
 	var err error = bulrushlug.Errorf(bulrushlug.KindUnplaceable, "no process with a disk available")
 	for n, p := range l.candidates() {
 		if n == maxSubmitAttempts || c.Err() != nil {
@@ -144,21 +170,37 @@
 			l.cachePrimary(x.ID(), p.DiskID())
 			return nil
 		}
-		*uncertain = *uncertain || bulrushlug.KindOf(err).Response().MayHaveRun()
+		s.uncertain = s.uncertain || bulrushlug.KindOf(err).Response().MayHaveRun()
 		if bulrushlug.KindOf(err) != bulrushlug.KindMisdirected {
 			continue
 		}
-		l.evictPrimary(x.ID())
-		if a, e := l.primaryAddress(c, x.ID()); e == nil {
-			*uncertain = true
-			if err = l.submitTo(c, a, x); err == nil {
-				return nil
-			}
+		s.uncertain = true
+		if e := l.submitToPrimary(c, x, s); e == nil || s.accepted {
+			return e
 		}
 	}
 	return err
 }
 
+// submitToPrimary offers x to the process that runs it by the cache or the record, if x is accepted.
+func (l *Router) submitToPrimary(c context.Context, x bulrushlug.Lot, s *submission) error {
+	s.uncertain = true
+	d, err := l.primaryDisk(c, x.ID())
+	if err != nil {
+		s.accepted = s.accepted && bulrushlug.KindOf(err) != bulrushlug.KindNotFound
+		return err
+	}
+	s.accepted = true
+	a, err := l.diskAddress(x.ID(), d)
+	if err == nil {
+		err = l.submitTo(c, a, x)
+	}
+	if err != nil {
+		l.evictPrimary(x.ID())
+	}
+	return err
+}
+
 func (l *Router) submitTo(c context.Context, a string, x bulrushlug.Lot) error {
 	c, stop := context.WithTimeout(c, submitTimeout)
 	defer stop()
@@ -227,22 +269,36 @@
 
 // primaryAddress returns the address of the process that runs lot i, by the cache or the placement record.
 func (l *Router) primaryAddress(c context.Context, i string) (string, error) {
-	d := l.cachedPrimary(i)
-	if d == "" {
-		x, err := l.store.Get(c, l.prefix+i)
-		if err != nil {
-			return "", err
-		}
-		if x.Revision() == 0 {
-			return "", bulrushlug.Errorf(bulrushlug.KindNotFound, "lot %s does not exist", i)
-		}
-		r, err := codec.DecodeLotRecord(x.Value())
-		if err != nil {
-			return "", err
-		}
-		d = r.Replicas()[0]
-		l.cachePrimary(i, d)
+	d, err := l.primaryDisk(c, i)
+	if err != nil {
+		return "", err
 	}
+	return l.diskAddress(i, d)
+}
+
+// primaryDisk returns the disk of the primary of lot i, by the cache or the placement record; KindNotFound means that
+// there is no record.
+func (l *Router) primaryDisk(c context.Context, i string) (string, error) {
+	if d := l.cachedPrimary(i); d != "" {
+		return d, nil
+	}
+	x, err := l.store.Get(c, l.prefix+i)
+	if err != nil {
+		return "", err
+	}
+	if x.Revision() == 0 {
+		return "", bulrushlug.Errorf(bulrushlug.KindNotFound, "lot %s does not exist", i)
+	}
+	r, err := codec.DecodeLotRecord(x.Value())
+	if err != nil {
+		return "", err
+	}
+	l.cachePrimary(i, r.Replicas()[0])
+	return r.Replicas()[0], nil
+}
+
+// diskAddress returns the address of the process that serves disk d, on which lot i has its primary.
+func (l *Router) diskAddress(i, d string) (string, error) {
 	p, ok := l.peers.ByDisk(d)
 	if !ok {
 		l.evictPrimary(i)
--- a/locate/router_test.go
+++ b/locate/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +87,73 @@
 	}
 }
 
+// writeRecord writes a record of lot that names the disk of d2 as its primary.
+func writeRecord(t *testing.T, m *memtxn.Store) {
+	t.Helper()
+	b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"disk-d2", "disk-d3"}, "o", time.Now()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Commit(t.Context(), nil, []bulrushlug.Write{bulrushlug.PutWrite("lot/lot", b, 0)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAcceptedLotIsNotRefused resubmits a lot: once accepted, it is never answered with the promise that it does not run.
+func TestAcceptedLotIsNotRefused(t *testing.T) {
+	all := func(k bulrushlug.Kind) map[string]bulrushlug.Kind {
+		return map[string]bulrushlug.Kind{"d1": k, "d2": k, "d3": k}
+	}
+	for name, x := range map[string]struct {
+		record, cached bool // The record, or a report, says that the lot was accepted on the disk of d2.
+		outage, silent bool
+		fail           map[string]bulrushlug.Kind
+		ok             bool
+		kind           bulrushlug.Kind
+		offered        []string // First processes that it is offered to; others must not get it if the lot is accepted.
+	}{
+		"to its primary by a report":                              {record: true, cached: true, ok: true, offered: []string{"d2"}},
+		"to its primary in an outage":                             {record: true, cached: true, outage: true, ok: true, offered: []string{"d2"}},
+		"no process with a disk is heard, a report named it":      {record: true, cached: true, silent: true, ok: true, offered: []string{"d2"}},
+		"no process with a disk is heard, the record names it":    {record: true, silent: true, ok: true, offered: []string{"d2"}},
+		"no process with a disk is heard, and it does not answer": {record: true, silent: true, fail: all(bulrushlug.KindUnplaceable), kind: bulrushlug.KindUncertain, offered: []string{"d2", "d2"}},
+		"no process with a disk is heard, the record is unknown":  {record: true, silent: true, outage: true, kind: bulrushlug.KindUncertain},
+		"a replica sends it to its primary":                       {record: true, fail: map[string]bulrushlug.Kind{"d1": bulrushlug.KindMisdirected}, ok: true, offered: []string{"d1", "d2"}},
+		"the primary refuses it":                                  {record: true, cached: true, fail: all(bulrushlug.KindStale), kind: bulrushlug.KindUncertain, offered: []string{"d2", "d2"}},
+		"others refuse it":                                        {record: true, fail: all(bulrushlug.KindStoreDown), kind: bulrushlug.KindUncertain, offered: []string{"d1"}},
+		"others refuse it, and the record is unknown":             {record: true, outage: true, fail: all(bulrushlug.KindStoreDown), kind: bulrushlug.KindUncertain, offered: []string{"d1"}},
+		"another process is accepting it":                         {fail: all(bulrushlug.KindMisdirected), kind: bulrushlug.KindUncertain, offered: []string{"d1"}},
+		"the record of a cached primary is gone":                  {cached: true, fail: all(bulrushlug.KindUnplaceable), kind: bulrushlug.KindUncertain, offered: []string{"d2", "d1"}},
+		"it was not accepted":                                     {silent: true, kind: bulrushlug.KindUnplaceable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDisks{fail: x.fail}
+				l, m := newRouter(t, d, nil)
+				if x.record {
+					writeRecord(t, m)
+				}
+				if x.cached {
+					l.SetPrimary("disk-d2", []string{"lot"})
+				}
+				m.SetOutage(x.outage)
+				if x.silent {
+					time.Sleep(2 * time.Second)
+				}
+				c, stop := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer stop()
+				err := l.Submit(c, bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), nil))
+				if (err == nil) != x.ok || err != nil && bulrushlug.KindOf(err) != x.kind {
+					t.Errorf("Submit returned %v", err)
+				}
+				if !slices.Equal(d.offered[:min(len(d.offered), len(x.offered))], x.offered) || x.ok && len(d.offered) != len(x.offered) {
+					t.Errorf("offered to %v, want %v first", d.offered, x.offered)
+				}
+			})
+		})
+	}
+}
+
 func TestRead(t *testing.T) {
 	for name, x := range map[string]struct {
 		record bool
@@ -106,13 +174,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				l, m := newRouter(t, &fakeDisks{fail: x.fail}, nil)
 				if x.record {
-					b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"disk-d2", "disk-d3"}, "o", time.Now()))
-					if err != nil {
-						t.Fatal(err)
-					}
-					if _, err := m.Commit(t.Context(), nil, []bulrushlug.Write{bulrushlug.PutWrite("lot/lot", b, 0)}); err != nil {
-						t.Fatal(err)
-					}
+					writeRecord(t, m)
 				}
 				m.SetOutage(x.outage)
 				_, err := l.Read(t.Context(), bulrushlug.NewLotQuery("lot", "o"))
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -97,6 +97,7 @@
 	readResults       map[string]map[int]string // Results that callers read, by lot and position.
 	accepted          map[string]int            // Items of each accepted lot.
 	submitted         map[string]int            // Items of each submitted lot.
+	refused           map[string]bool           // Lots of which every attempt was told that no part of them runs.
 	ended             map[string]bool
 	boots             uint64
 	replicationFactor int  // Disks that hold accepted lots.
@@ -108,7 +109,7 @@
 
 func newCluster(t *testing.T, c context.Context, n, factor int) *cluster {
 	k := &cluster{t: t, c: c, replicationFactor: factor, store: memtxn.New(), vms: map[string]*vm{}, partitioned: map[string]bool{}, isolated: map[string]bool{}, retiring: map[string]bool{},
-		readResults: map[string]map[int]string{}, accepted: map[string]int{}, submitted: map[string]int{}, ended: map[string]bool{}, logger: log.NewNopLogger()}
+		readResults: map[string]map[int]string{}, accepted: map[string]int{}, submitted: map[string]int{}, refused: map[string]bool{}, ended: map[string]bool{}, logger: log.NewNopLogger()}
 	if os.Getenv("LOTS_LOG") != "" {
 		k.logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
 	}
@@ -211,6 +212,11 @@
 		v.manager.EachRunnable(func(l bulrushlug.Lot, left []uint32) {
 			n := left[rand.IntN(len(left))]
 			v.runs++
+			k.mu.Lock()
+			if k.refused[l.ID()] {
+				k.t.Errorf("lot %s runs, of which every attempt was refused", l.ID())
+			}
+			k.mu.Unlock()
 			v.manager.RecordResult(c, l.ID(), bulrushlug.NewLotResult(n, true, fmt.Sprint(l.ID(), " ", n, " run ", v.runs, " at boot ", v.boot)))
 		})
 	}
@@ -363,7 +369,8 @@
 	k.fronts[n] = locate.New(network{k, "front"}, k.store, "lot/", k.frontPeers[n], k.logger)
 }
 
-// submit submits a lot of n items and retries after a timeout, as a caller does.
+// submit submits a lot of n items and retries after a timeout, as a caller does. A refusal promises that no part of the
+// lot runs, so an accepted lot may not be refused.
 func (k *cluster) submit(i string, n int) {
 	var l []bulrushlug.LotItem
 	for x := range n {
@@ -371,7 +378,9 @@
 	}
 	k.mu.Lock()
 	k.submitted[i] = n
+	accepted := k.accepted[i] > 0
 	k.mu.Unlock()
+	refused := true
 	for range 6 {
 		c, stop := context.WithTimeout(k.c, 2*time.Second)
 		err := k.front().Submit(c, bulrushlug.NewLot(i, "o", "r", "h", time.Now(), l))
@@ -382,8 +391,16 @@
 			k.mu.Unlock()
 			return
 		}
+		if r := bulrushlug.KindOf(err).Response(); r.MayHaveRun() {
+			refused = false
+		} else if accepted {
+			k.t.Errorf("lot %s was accepted, and its resubmission refused: %v", i, err)
+		}
 		time.Sleep(300 * time.Millisecond)
 	}
+	k.mu.Lock()
+	k.refused[i] = refused && !accepted
+	k.mu.Unlock()
 }
 
 // read reads a lot from position n on and compares the results with those read before.
@@ -922,3 +939,40 @@
 		})
 	}
 }
+
+// TestRefusedLot submits a lot whose replica is not reachable or holds the draft of another primary.
+func TestRefusedLot(t *testing.T) {
+	for name, x := range map[string]struct {
+		draft bool // The replica holds the draft of another primary.
+		want  bulrushlug.Kind
+	}{
+		"the replica is not reachable":      {want: bulrushlug.KindUnplaceable},
+		"another primary has a draft there": {draft: true, want: bulrushlug.KindMisdirected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, 2, 2)
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
+				if x.draft {
+					u := bulrushlug.NewLotUpdate("lot", firstEpoch, []string{"disk-9", "disk-1"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, false)
+					if s, err := k.vms["d1"].manager.Append(u); err != nil || !s.OK() {
+						t.Fatal(s, err)
+					}
+				} else {
+					k.setIsolated("d1", true)
+				}
+				if err := k.vms["d0"].manager.Submit(c, l); err == nil || bulrushlug.KindOf(err) != x.want {
+					t.Errorf("Submit returned %v", err)
+				}
+				if k.vms["d0"].manager.LotCount() != 0 {
+					t.Error("the refused lot is still on the disk")
+				}
+				time.Sleep(replicaTimeout) // The withdrawal is on its way.
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -31,7 +31,10 @@
 	u := bulrushlug.NewLotUpdate(x.ID(), firstEpoch, r, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(x)}, false)
 	if err := k.replicate(c, u); err != nil {
 		k.withdraw(c, x.ID(), r)
-		return bulrushlug.WrapError(bulrushlug.KindMisdirected, "lot "+x.ID(), err)
+		if hasKind(err, bulrushlug.KindConflict) {
+			return bulrushlug.WrapError(bulrushlug.KindMisdirected, "lot "+x.ID(), err)
+		}
+		return bulrushlug.WrapError(bulrushlug.KindUnplaceable, "lot "+x.ID(), err)
 	}
 	if err := k.createRecord(c, x.ID(), u); err != nil {
 		return err
@@ -128,6 +131,12 @@
 	return errors.Join(e...)
 }
 
+// hasKind reports whether one of the errors that err joins is of kind n.
+func hasKind(err error, n bulrushlug.Kind) bool {
+	j, ok := err.(interface{ Unwrap() []error })
+	return ok && slices.ContainsFunc(j.Unwrap(), func(e error) bool { return bulrushlug.KindOf(e) == n })
+}
+
 // withdraw removes an unconfirmed draft of this disk from this disk and from the disks l.
 func (k *ReplicaManager) withdraw(c context.Context, i string, l []string) {
 	k.notifyDisks(c, i, l, func(c context.Context, a string) error { return k.remote.Withdraw(c, a, i, k.disk) })
