fix(daemon): an entry is ready only once it listens for callers

The load balancer could send callers to an entry that had just started and refused their connections. daemon.TestEndToEnd met it in 2 of 46 runs with the race detector on one core shared with eight busy loops ("connect: connection refused" right after the readiness probe had returned 200).

Cause: the readiness probe was answered as soon as there were a manifest and backend servers; the goroutine that waits for the manifest listens for callers after that. The probe now also needs the listener. Connections are queued from then on, so the start of the HTTP server is no further window.

TestReadyBeforeListening failed in 3 of 3 runs before ("status 200 before the process listens", and the dial once ready) and passes 3 of 3; daemon passes.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -5,7 +5,9 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -242,6 +244,50 @@
 	}
 }
 
+// TestReadyBeforeListening has a process with a manifest and servers that does not listen for callers yet.
+func TestReadyBeforeListening(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	c, err := setup.Parse("test", []byte(fmt.Sprintf(`{"vm": "e9", "zone": "z0", "region": "r", "role": "entry", "listen": %q, "http": %q, "ready": %q, "store": %q, "graceSeconds": 4}`,
+		freeAddress(), freeAddress(), freeAddress(), s.storeAddress)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := New(c, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for p, f := range map[string]func(l []bulrushlug.KVEntry){"op/": x.setManifest, "servers/": x.setBackends} {
+		l, _, err := s.store.List(t.Context(), p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f(l)
+	}
+	e := x.roleHandler.(*entry)
+	status := func() int {
+		w := httptest.NewRecorder()
+		e.serveReadiness(w, httptest.NewRequest("GET", "/readyz", nil))
+		return w.Code
+	}
+	if n := status(); n != http.StatusServiceUnavailable {
+		t.Errorf("status %d before the process listens", n)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- e.serve(ctx) }()
+	s.waitUntil("the process is ready", func() bool { return status() == 200 })
+	n, err := net.Dial("tcp", c.HTTP())
+	if err != nil {
+		t.Error(err)
+	} else {
+		_ = n.Close()
+	}
+	stop()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestManifestChange(t *testing.T) {
 	s := newSystem(t, 2, 1, 1)
 	if n, _ := s.call(0, "POST", "/ask/x", "q", "k1", ""); n != 200 {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -30,9 +30,10 @@
 // entry is the role of a process that serves callers.
 type entry struct {
 	*Daemon
-	router  *locate.Router
-	handler http.Handler
-	leaving atomic.Bool
+	router    *locate.Router
+	handler   http.Handler
+	listening atomic.Bool // Connections of callers are queued.
+	leaving   atomic.Bool
 }
 
 func newEntry(s *Daemon) *entry {
@@ -88,6 +89,7 @@
 	if err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.Load().HTTP(), err)
 	}
+	e.listening.Store(true)
 	f := drain.New(e.httpServer(), l)
 	go func() { e.logListenerEnd("front", f.Serve()) }()
 	<-c.Done()
@@ -118,7 +120,7 @@
 
 // serveReadiness answers the load balancer's readiness probe.
 func (e *entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || !e.Fresh() || e.slotTable.Available("") == 0 {
+	if !e.listening.Load() || e.leaving.Load() || !e.Fresh() || e.slotTable.Available("") == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
