--- a/lots/submit.go
+++ b/lots/submit.go
@@ -15,7 +15,8 @@
 
 // Submit accepts x: the lot is synced on all its replicas before its placement record is written.
 //
-// Only the primary acknowledges a lot; KindMisdirected means that another disk may be its primary.
+// Only the primary acknowledges a lot; KindMisdirected means that another disk may be its primary. Once the lot may be
+// accepted, no error promises that it does not run.
 func (k *ReplicaManager) Submit(c context.Context, x bulrushlug.Lot) error {
 	if accepted, err := k.awaitAccepted(c, x.ID()); accepted || err != nil {
 		return err
@@ -30,7 +31,10 @@
 	u := bulrushlug.NewLotUpdate(x.ID(), firstEpoch, r, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(x)}, false)
 	if err := k.replicate(c, u); err != nil {
 		k.withdraw(c, x.ID(), r)
-		return bulrushlug.WrapError(bulrushlug.KindMisdirected, "lot "+x.ID(), err)
+		if hasKind(err, bulrushlug.KindConflict) {
+			return bulrushlug.WrapError(bulrushlug.KindMisdirected, "lot "+x.ID(), err)
+		}
+		return bulrushlug.WrapError(bulrushlug.KindUnplaceable, "lot "+x.ID(), err)
 	}
 	if err := k.createRecord(c, x.ID(), u); err != nil {
 		return err
@@ -58,7 +62,7 @@
 		case accepted && !primary:
 			return false, bulrushlug.Errorf(bulrushlug.KindMisdirected, "lot %s has another primary", i)
 		case accepted && committed:
-			return true, k.verifyReplicas(c, i)
+			return true, k.verifyAccepted(c, i)
 		case !primary && recent:
 			return false, bulrushlug.Errorf(bulrushlug.KindMisdirected, "lot %s is being accepted by another primary", i)
 		case !primary:
@@ -73,6 +77,15 @@
 	}
 }
 
+// verifyAccepted verifies the replicas of the accepted lot i.
+func (k *ReplicaManager) verifyAccepted(c context.Context, i string) error {
+	err := k.verifyReplicas(c, i)
+	if err == nil || bulrushlug.KindOf(err) == bulrushlug.KindMisdirected {
+		return err
+	}
+	return bulrushlug.WrapError(bulrushlug.KindUncertain, "accepted", err)
+}
+
 // replicate writes u to this disk and, in parallel, to all other replicas.
 func (k *ReplicaManager) replicate(c context.Context, u bulrushlug.LotUpdate) error {
 	return parallel(u.Replicas(), func(d string) error {
@@ -122,6 +135,12 @@
 	return errors.Join(e...)
 }
 
+// hasKind reports whether one of the errors that err joins is of kind n.
+func hasKind(err error, n bulrushlug.Kind) bool {
+	j, ok := err.(interface{ Unwrap() []error })
+	return ok && slices.ContainsFunc(j.Unwrap(), func(e error) bool { return bulrushlug.KindOf(e) == n })
+}
+
 // withdraw removes an unconfirmed draft of this disk from this disk and from the disks l.
 func (k *ReplicaManager) withdraw(c context.Context, i string, l []string) {
 	k.notifyDisks(c, i, l, func(c context.Context, a string) error { return k.remote.Withdraw(c, a, i, k.disk) })
@@ -189,7 +208,10 @@
 		case err == nil:
 			return k.confirm(i, r)
 		case kind == bulrushlug.KindConflict:
-			return k.adoptRecord(c, i, u)
+			if err := k.adoptRecord(c, i, u); err != nil {
+				return bulrushlug.WrapError(bulrushlug.KindUncertain, "lot "+i, err)
+			}
+			return nil
 		case kind == bulrushlug.KindStoreDown || kind == bulrushlug.KindRateLimited:
 			if e := bulrushlug.Sleep(c, retryDelay); e != nil {
 				return k.abortSubmit(c, i, err)
