fix: deeply nested JSON ends the process

Cause: gjson.Valid validates by recursion. A stack overflow is no panic: the guard cannot catch it.

Change: encoding/json validates without recursion and rejects more than 10,000 levels. The decoding after it (gjson's lookups) does not recurse on nested values; the case of a field within a valid entry shows it. protojson has a bound of its own.

--- a/batch/items.go
+++ b/batch/items.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -131,7 +132,7 @@
 	l := newResultLine(id, line)
 	l, _ = sjson.SetBytes(l, "response.status_code", a.status)
 	l, _ = sjson.SetBytes(l, "response.request_id", id)
-	if gjson.ValidBytes(a.body.Bytes()) {
+	if json.Valid(a.body.Bytes()) {
 		l, _ = sjson.SetRawBytes(l, "response.body", a.body.Bytes())
 	} else {
 		l, _ = sjson.SetBytes(l, "response.body", a.body.String())
--- a/batch/run_test.go
+++ b/batch/run_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"expvar"
+	"runtime/debug"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/clock"
 	"bulrushlug.dev/bulrushlug/event"
@@ -52,3 +56,25 @@
 		})
 	}
 }
+
+// TestDeeplyNestedResponseEndsProcess has responses whose validation by recursion overflows the stack, which ends the
+// process.
+func TestDeeplyNestedResponseEndsProcess(t *testing.T) {
+	defer debug.SetMaxStack(debug.SetMaxStack(16 << 20))
+	for name, body := range map[string]string{
+		"arrays":        strings.Repeat("[", maxResponseBytes),
+		"closed arrays": strings.Repeat("[", maxResponseBytes/2) + strings.Repeat("]", maxResponseBytes/2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan outcome, 1)
+			go func() { // On a new stack.
+				a := &response{status: 200}
+				_ = a.Write([]byte(body))
+				done <- responseLine("r", []byte(`{"custom_id":"a"}`), a)
+			}()
+			if l := <-done; gjson.GetBytes(l.line, "response.body").String() != body {
+				t.Errorf("the response is not in the line of %d bytes", len(l.line))
+			}
+		})
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -136,7 +137,7 @@
 }
 
 func checkModelBody(b []byte, path string) error {
-	if !gjson.ValidBytes(b) || !gjson.ParseBytes(b).IsObject() {
+	if !json.Valid(b) || !gjson.ParseBytes(b).IsObject() {
 		return bulrushlug.Errorf(bulrushlug.KindBadRequest, "the body is not a JSON object")
 	}
 	if m := gjson.GetBytes(b, "model"); m.Type != gjson.String || m.String() == "" {
--- a/upload/upload.go
+++ b/upload/upload.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"time"
@@ -113,7 +114,7 @@
 
 // checkItem validates one line as a batch item; custom_id must be unique in the file.
 func (w *writer) checkItem(l []byte) error {
-	if !gjson.ValidBytes(l) || !gjson.ParseBytes(l).IsObject() {
+	if !json.Valid(l) || !gjson.ParseBytes(l).IsObject() {
 		return bulrushlug.Errorf(bulrushlug.KindBadRequest, "line %d is not a JSON object", w.line)
 	}
 	for _, k := range []string{"custom_id", "method", "url"} {
