fix(conns): a refusal written again is not taken for the answer to the same request

What was seen: operators of similar systems had a faulty backend server that wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that ran, or the request ran a second time.

Cause: a response is matched to its request by the identifier alone, and an item keeps its identifier. Refused, and sent to the same server on the same connection again, it takes the second copy of the first refusal for its answer: the pool returns that connection while the server runs the item, which then starts at another server as well. Requests of callers without an identifier took any stale response without one.

Refusals of other requests, with and without identifier, were skipped before and still are.

Change: a connection remembers the requests that it answered without success and does not carry them again; after 32 of them it is closed. A request without an identifier gets a connection of its own. A success needs no entry: such an item has its result, and is not sent again.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -32,6 +32,7 @@
 	idleMargin        = 500 * time.Millisecond // Time before the server's idle timeout at which a connection is no longer used.
 	maxStaleResponses = 3                      // Stale responses to other requests that are skipped for one request.
 	maxStaleBytes     = 64 << 10               // Bytes of a stale response's body that are skipped.
+	maxRefused        = 32                     // Requests without success after which a connection is closed.
 	maxHeadBytes      = 64 << 10               // Bytes of the status line and header fields of one response.
 	bufferSize        = 4 << 10
 )
@@ -54,6 +55,7 @@
 	in      *bufio.Reader
 	head    headLimit   // What in reads from.
 	reused  bool        // An earlier request used the connection; its response had the identifier of that request.
+	refused []string    // Requests that were answered without success; a second copy would pass for the answer if they came again.
 	expires time.Time   // The connection is not reused after this time.
 	timer   *time.Timer // Closes the idle connection when it expires; nil before it was idle.
 }
@@ -121,19 +123,16 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 const tcpUserTimeout = 18
 
-// takeIdle returns a reusable idle connection to a, or nil, and closes those that are not reusable.
-func (p *Pool) takeIdle(a string) *conn {
-	s := p.shard(a)
+// takeIdle returns a reusable idle connection to a for request id, or nil, and closes those that are not reusable.
+func (p *Pool) takeIdle(a, id string) *conn {
+	if id == "" {
+		return nil // Nothing would tell its response from a stale one.
+	}
 	for {
-		s.mu.Lock()
-		l := s.idle[a]
-		if len(l) == 0 {
-			s.mu.Unlock()
+		c := p.shard(a).take(a, id)
+		if c == nil {
 			return nil
 		}
-		c := l[len(l)-1]
-		s.idle[a] = l[:len(l)-1]
-		s.mu.Unlock()
 		c.timer.Stop()
 		if time.Now().Before(c.expires) && c.in.Buffered() == 0 && IsQuiet(c.Conn) {
 			return c
@@ -142,6 +141,20 @@
 	}
 }
 
+// take removes the connection to a that was used last and did not refuse request id, and returns it, or nil.
+func (s *shard) take(a, id string) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.idle[a]
+	for i := len(l) - 1; i >= 0; i-- {
+		if c := l[i]; !slices.Contains(c.refused, id) {
+			s.idle[a] = slices.Delete(l, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // IsQuiet reports whether n is open with no bytes to read; bytes on an idle connection are a stale response.
 func IsQuiet(n net.Conn) bool {
 	s, ok := n.(syscall.Conn)
@@ -196,7 +209,7 @@
 // KindUnplaceable means that no connection was made, so nothing was sent; after KindUncertain the server may have
 // received the request.
 func (p *Pool) Send(x context.Context, a string, r *http.Request, b []byte) (*http.Response, error) {
-	c, err := p.connect(x, a)
+	c, err := p.connect(x, a, r.Header.Get(p.idHeader))
 	if err != nil {
 		return nil, err
 	}
@@ -220,8 +233,8 @@
 	return w, nil
 }
 
-func (p *Pool) connect(x context.Context, a string) (*conn, error) {
-	if c := p.takeIdle(a); c != nil {
+func (p *Pool) connect(x context.Context, a, id string) (*conn, error) {
+	if c := p.takeIdle(a, id); c != nil {
 		return c, nil
 	}
 	if x.Err() != nil {
@@ -258,6 +271,9 @@
 		if x := w.Header.Get(p.idHeader); x == id || x == "" && !c.reused {
 			w.Close = w.Close || werr != nil || x == ""
 			c.reused = true
+			if w.StatusCode >= http.StatusMultipleChoices {
+				c.refused = append(c.refused, id)
+			}
 			return w, nil
 		}
 		if _, err := io.CopyN(io.Discard, w.Body, maxStaleBytes); err != io.EOF {
@@ -283,7 +299,7 @@
 
 // reusable reports whether c can carry another request after the response w, and sets its expiry.
 func reusable(c *conn, w *http.Response) bool {
-	if w.Close || w.ContentLength < 0 && len(w.TransferEncoding) == 0 || c.in.Buffered() > 0 {
+	if w.Close || w.ContentLength < 0 && len(w.TransferEncoding) == 0 || c.in.Buffered() > 0 || len(c.refused) >= maxRefused {
 		return false
 	}
 	d := defaultIdleTime
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -298,3 +298,74 @@
 		t.Error("the connection to the server is still open")
 	}
 }
+
+// TestRefusalWrittenAgain has a server that writes its refusals of requests again before each later answer on the same
+// connection. Every request that is sent again has to get the answer to its last run.
+func TestRefusalWrittenAgain(t *testing.T) {
+	for name, x := range map[string]struct {
+		header string // Header line with the identifier of the refusal that is written again, with a %s for it.
+		status int    // Status of the refusal.
+		ids    []string
+		want   []string
+		conns  int64 // Connections made.
+	}{
+		"the same request":                   {header: header + ": %s\r\n", status: 503, ids: []string{"a", "a"}, want: []string{"refused", "to a"}, conns: 2},
+		"the same request later":             {header: header + ": %s\r\n", status: 503, ids: []string{"a", "b", "a"}, want: []string{"refused", "to b", "to a"}, conns: 2},
+		"after a failure":                    {header: header + ": %s\r\n", status: 500, ids: []string{"a", "b", "a", "b"}, want: []string{"refused", "to b", "to a", "to b"}, conns: 2},
+		"another request":                    {header: header + ": %s\r\n", status: 503, ids: []string{"a", "b", "c"}, want: []string{"refused", "to b", "to c"}, conns: 1},
+		"without its identifier":             {status: 503, ids: []string{"a", "b", "c"}, want: []string{"refused", "to b", "to c"}, conns: 1},
+		"to a request without an identifier": {status: 503, ids: []string{"a", ""}, want: []string{"refused", "to "}, conns: 2},
+		"a request that moved":               {header: header + ": %s\r\n", status: 421, ids: []string{"a", "a"}, want: []string{"refused", "to a"}, conns: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var made atomic.Int64
+			p := New(header, func() { made.Add(1) })
+			refused := make(chan bool, 1) // Holds a token once the first request was refused.
+			a := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				again := ""
+				for {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					id := q.Header.Get(header)
+					select {
+					case refused <- true:
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 %d No\r\n%s: %s\r\nContent-Length: 7\r\n\r\nrefused", x.status, header, id)
+						again = fmt.Sprintf("HTTP/1.1 %d No\r\n%sContent-Length: 5\r\n\r\nagain", x.status, strings.ReplaceAll(x.header, "%s", id))
+					default:
+						_, _ = io.WriteString(c, again+encodeResponse(id, "", "to "+id))
+					}
+				}
+			})
+			for i, id := range x.ids {
+				if got, err := send(p, a, id); err != nil || got != x.want[i] {
+					t.Errorf("request %d, %q: response %q, %v", i+1, id, got, err)
+				}
+			}
+			if made.Load() != x.conns {
+				t.Errorf("%d connections were made", made.Load())
+			}
+		})
+	}
+}
+
+// TestManyRefusals has a server that refuses every request: what a connection remembers of them is bounded.
+func TestManyRefusals(t *testing.T) {
+	var made atomic.Int64
+	p := New(header, func() { made.Add(1) })
+	a := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := request(r); id != ""; id = request(r) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", header, id)
+		}
+	})
+	for i := range 3 * maxRefused {
+		if got, err := send(p, a, fmt.Sprint(i)); err != nil || got != "no" {
+			t.Fatalf("response %q, %v", got, err)
+		}
+	}
+	if n := made.Load(); n != 3 {
+		t.Errorf("%d connections were made", n)
+	}
+}
