fix(proxy): a stream goes on with the event after the last one that was forwarded

Cause: the identifiers of online streams were recorded and not checked. A server that resumes a stream from its start, or after another event than the one that it was asked for, and one that loses or repeats an event, were forwarded as they came, and the stream looked complete.

Evidence: TestFailurePoints has further servers: ones that start over, start late, lose an event or repeat one. The check of the test tells texts and streams apart by their content type now, so that an error's text in a stream fails.

Change: the identifier of each event is the last one plus one, from one on, as for items; otherwise the response is broken before anything of the event is forwarded, and another server goes on if the route allows it. Events without an identifier are not checked.

--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -238,6 +238,9 @@
 		if err != nil && !ended {
 			return n, brokenError(err)
 		}
+		if err := a.checkSequence(r, ended); err != nil {
+			return n, err
+		}
 		if err := a.sink.head(p); err != nil {
 			return n, err
 		}
@@ -252,6 +255,14 @@
 	}
 }
 
+// checkSequence fails if the last event of r, which has not ended, does not follow the last one that the caller has.
+func (a *exchange) checkSequence(r *stream.Reader, ended bool) error {
+	if id, _ := r.ID(); !ended && r.Identified() && id != a.request.ResumeFrom()+1 {
+		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, a.request.ResumeFrom())
+	}
+	return nil
+}
+
 // nextEvent reads the next event with data, and returns it behind the events without any that came before it. These are
 // no progress: a server that sends only comments has stalled.
 func (a *exchange) nextEvent(r *stream.Reader, w *watchdog) (b []byte, err error) {
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -27,6 +27,9 @@
 	events int  // Whole events sent.
 	half   bool // An incomplete event follows.
 	broken bool // The connection breaks during the response.
+	after  int  // Events that the response begins after, instead of the one that was asked for; zero for none, -1 for that.
+	lost   int  // Event that is missing; zero for none.
+	twice  int  // Event that comes twice; zero for none.
 }
 
 const eventCount = 4 // Events of a complete response.
@@ -42,6 +45,16 @@
 	"broken in an event":     {status: 200, events: 2, half: true, broken: true},
 	"failed":                 {status: 500, text: true},
 	"failed and broken":      {status: 500, text: true, broken: true},
+	"not found":              {status: 404, text: true},
+	"moved":                  {status: 307, text: true},
+	"no content":             {status: 204, text: true},
+	"text":                   {status: 200, text: true},
+	"failed as a stream":     {status: 500, events: 1},
+	"from the start":         {status: 200, events: eventCount, after: -1},
+	"from a later event":     {status: 200, events: eventCount, after: 2},
+	"an event lost":          {status: 200, events: eventCount, lost: 3},
+	"an event twice":         {status: 200, events: eventCount, twice: 2},
+	"broken after two":       {status: 200, events: 2, broken: true},
 }
 
 // servers is a fake client of the backend servers.
@@ -64,10 +77,19 @@
 	v.ran++
 	v.asked = append(v.asked, r.ResumeFrom())
 	var b strings.Builder
-	for i := range s.events {
-		if n := uint64(i) + 1 + r.ResumeFrom(); n <= eventCount {
-			fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+	first := int(r.ResumeFrom()) + 1
+	if s.after != 0 {
+		first = max(0, s.after) + 1
+	}
+	for n := first; n < first+s.events && n <= eventCount; n++ {
+		e := fmt.Sprintf("id: %d\ndata: %d\n\n", n, n)
+		switch n {
+		case s.lost:
+			continue
+		case s.twice:
+			e += e
 		}
+		b.WriteString(e)
 	}
 	if s.half {
 		b.WriteString("id: 9\nda")
@@ -108,13 +130,14 @@
 
 // caller records the response that a caller receives.
 type caller struct {
-	status int
-	heads  int
-	data   string
+	status      int
+	contentType string
+	heads       int
+	data        string
 }
 
-func (k *caller) Head(n int, _ string) error {
-	k.status = n
+func (k *caller) Head(n int, t string) error {
+	k.status, k.contentType = n, t
 	k.heads++
 	return nil
 }
@@ -171,10 +194,11 @@
 	if k.heads > 1 {
 		t.Errorf("%d heads", k.heads)
 	}
-	if !strings.HasPrefix(whole, k.data) && k.data != "it failed" || strings.Count(k.data, "\n\n")*len("id: 1\ndata: 1\n\n") != len(k.data) && k.data != "it failed" {
+	isStream := k.contentType == "text/event-stream"
+	if isStream && (!strings.HasPrefix(whole, k.data) || strings.Count(k.data, "\n\n")*len("id: 1\ndata: 1\n\n") != len(k.data)) || !isStream && k.data != "" && k.data != "it failed" {
 		t.Errorf("the caller got %q", k.data)
 	}
-	if err == nil && k.status == 200 && k.data != whole {
+	if err == nil && k.status == 200 && isStream && k.data != whole {
 		t.Errorf("a response without an error is incomplete: %q", k.data)
 	}
 	if err == nil && k.heads == 0 {
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -21,6 +21,7 @@
 	event bytes.Buffer // Lines of the incomplete event.
 	id    uint64       // Identifier of the last whole event that had one.
 	hasID bool         // Some event had an identifier.
+	named bool         // The last whole event has an identifier of its own.
 	data  []string     // Values of the data fields of the last whole event.
 	field bool         // The last whole event has an id or data field.
 }
@@ -33,7 +34,7 @@
 // io.EOF means that the stream ended between events, io.ErrUnexpectedEOF that it ended within one.
 func (r *Reader) Next() ([]byte, error) {
 	r.event.Reset()
-	r.data, r.field = r.data[:0], false
+	r.data, r.field, r.named = r.data[:0], false, false
 	for {
 		l, err := r.in.ReadSlice('\n')
 		r.event.Write(l)
@@ -68,7 +69,7 @@
 		switch n {
 		case "id":
 			if x, err := strconv.ParseUint(v, 10, 64); err == nil {
-				r.id, r.hasID = x, true
+				r.id, r.hasID, r.named = x, true, true
 			}
 			r.field = true
 		case "data":
@@ -85,5 +86,8 @@
 // ID returns the identifier of the last whole event that had one, and false if none had.
 func (r *Reader) ID() (uint64, bool) { return r.id, r.hasID }
 
+// Identified reports whether the last whole event has an identifier of its own.
+func (r *Reader) Identified() bool { return r.named }
+
 // Data returns the values of the data fields of the last whole event; they are valid until Next is called.
 func (r *Reader) Data() []string { return r.data }
--- a/stream/reader_test.go
+++ b/stream/reader_test.go
@@ -11,21 +11,23 @@
 
 func TestNext(t *testing.T) {
 	for name, x := range map[string]struct {
-		in     string
-		events []string
-		data   []string
-		id     uint64
-		err    error
+		in      string
+		events  []string
+		data    []string
+		id      uint64
+		unnamed bool // The last event has no identifier.
+		err     error
 	}{
-		"nothing":              {err: io.EOF},
-		"one event":            {in: "id: 1\ndata: a\n\n", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.EOF},
-		"several lines":        {in: "id:2\ndata:a\ndata: b\n\n", events: []string{"id:2\ndata:a\ndata: b\n\n"}, data: []string{"a", "b"}, id: 2, err: io.EOF},
-		"carriage returns":     {in: "id: 3\r\ndata: a\r\n\r\n", events: []string{"id: 3\r\ndata: a\r\n\r\n"}, data: []string{"a"}, id: 3, err: io.EOF},
-		"an incomplete event":  {in: "id: 1\ndata: a\n\nid: 2\nda", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.ErrUnexpectedEOF},
-		"a missing blank line": {in: "id: 1\ndata: a\n", err: io.ErrUnexpectedEOF},
-		"an unknown field":     {in: "x-version: 2\nid: 4\ndata: a\n\n", events: []string{"x-version: 2\nid: 4\ndata: a\n\n"}, data: []string{"a"}, id: 4, err: io.EOF},
-		"blank lines between":  {in: "\n\nid: 1\ndata: a\n\n", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.EOF},
-		"a long event":         {in: "id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n", events: []string{"id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n"}, data: []string{strings.Repeat("x", 10000)}, id: 1, err: io.EOF},
+		"nothing":               {err: io.EOF},
+		"without an identifier": {in: "id: 1\ndata: a\n\ndata: b\n\n", events: []string{"id: 1\ndata: a\n\n", "data: b\n\n"}, data: []string{"b"}, id: 1, unnamed: true, err: io.EOF},
+		"one event":             {in: "id: 1\ndata: a\n\n", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.EOF},
+		"several lines":         {in: "id:2\ndata:a\ndata: b\n\n", events: []string{"id:2\ndata:a\ndata: b\n\n"}, data: []string{"a", "b"}, id: 2, err: io.EOF},
+		"carriage returns":      {in: "id: 3\r\ndata: a\r\n\r\n", events: []string{"id: 3\r\ndata: a\r\n\r\n"}, data: []string{"a"}, id: 3, err: io.EOF},
+		"an incomplete event":   {in: "id: 1\ndata: a\n\nid: 2\nda", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.ErrUnexpectedEOF},
+		"a missing blank line":  {in: "id: 1\ndata: a\n", err: io.ErrUnexpectedEOF},
+		"an unknown field":      {in: "x-version: 2\nid: 4\ndata: a\n\n", events: []string{"x-version: 2\nid: 4\ndata: a\n\n"}, data: []string{"a"}, id: 4, err: io.EOF},
+		"blank lines between":   {in: "\n\nid: 1\ndata: a\n\n", events: []string{"id: 1\ndata: a\n\n"}, data: []string{"a"}, id: 1, err: io.EOF},
+		"a long event":          {in: "id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n", events: []string{"id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n"}, data: []string{strings.Repeat("x", 10000)}, id: 1, err: io.EOF},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for how, in := range map[string]io.Reader{
@@ -35,11 +37,12 @@
 				r := New(in)
 				var got, data []string
 				var err error
+				named := false
 				for err == nil {
 					var e []byte
 					if e, err = r.Next(); err == nil {
 						got = append(got, string(e))
-						data = slices.Clone(r.Data())
+						data, named = slices.Clone(r.Data()), r.Identified()
 					}
 				}
 				if !errors.Is(err, x.err) || !slices.Equal(got, x.events) {
@@ -48,6 +51,9 @@
 				if id, _ := r.ID(); id != x.id || len(x.events) > 0 && !slices.Equal(data, x.data) {
 					t.Errorf("%s: event %d with %q", how, id, data)
 				}
+				if named != (len(x.events) > 0 && !x.unnamed) {
+					t.Errorf("%s: the last event has an identifier: %v", how, named)
+				}
 			}
 		})
 	}
