fix(proxy): a stream without any event is not complete

What was seen: operators of similar systems had streams that ended as if they were complete.

Cause: a response without length and chunks ends with its connection, so a server that closed it after the head of a stream gave the caller a success without content.

Change: such a response is broken before its head is forwarded, so that another server is tried if the request may be repeated. A resumed stream may end at once: the one before can have broken off after the last event (TestStalledStream).

--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -238,7 +238,7 @@
 		if err != nil && !ended {
 			return n, brokenError(err)
 		}
-		if err := a.checkSequence(r, ended); err != nil {
+		if err := a.checkSequence(r, n, ended); err != nil {
 			return n, err
 		}
 		if err := a.sink.head(p); err != nil {
@@ -255,10 +255,18 @@
 	}
 }
 
-// checkSequence fails if the last event of r, which has not ended, does not follow the last one that the caller has.
-func (a *exchange) checkSequence(r *stream.Reader, ended bool) error {
-	if id, _ := r.ID(); !ended && r.Identified() && id != a.request.ResumeFrom()+1 {
-		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, a.request.ResumeFrom())
+// checkSequence fails if the last event of r does not follow the last one that the caller has, or if the stream ended
+// without any event; a resumed one may have ended before.
+func (a *exchange) checkSequence(r *stream.Reader, n int, ended bool) error {
+	last := a.request.ResumeFrom()
+	if ended {
+		if n == 0 && last == 0 {
+			return bulrushlug.Errorf(bulrushlug.KindBroken, "the stream ended without an event")
+		}
+		return nil
+	}
+	if id, _ := r.ID(); r.Identified() && id != last+1 {
+		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, last)
 	}
 	return nil
 }
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -30,6 +30,7 @@
 	after  int  // Events that the response begins after, instead of the one that was asked for; zero for none, -1 for that.
 	lost   int  // Event that is missing; zero for none.
 	twice  int  // Event that comes twice; zero for none.
+	empty  bool // A response from the start has no events.
 }
 
 const eventCount = 4 // Events of a complete response.
@@ -50,6 +51,7 @@
 	"no content":             {status: 204, text: true},
 	"text":                   {status: 200, text: true},
 	"failed as a stream":     {status: 500, events: 1},
+	"no event":               {status: 200, events: eventCount, empty: true},
 	"from the start":         {status: 200, events: eventCount, after: -1},
 	"from a later event":     {status: 200, events: eventCount, after: 2},
 	"an event lost":          {status: 200, events: eventCount, lost: 3},
@@ -81,6 +83,9 @@
 	if s.after != 0 {
 		first = max(0, s.after) + 1
 	}
+	if s.empty && r.ResumeFrom() == 0 {
+		s.events = 0
+	}
 	for n := first; n < first+s.events && n <= eventCount; n++ {
 		e := fmt.Sprintf("id: %d\ndata: %d\n\n", n, n)
 		switch n {
