fix(items): a text or an empty stream with status 200 is not an item's result

What was seen: operators of similar systems had streams that broke off and whose next answer, an error, ended them as if they were complete.

Cause: the events of an item's run were read from any response with status 200. A text with an empty line looks like an event without fields and was skipped, so an item was listed as complete with the events before it, or with none; a stream that ended after its head gave an empty result.

Held before: ends within an event, lost events, streams from the start, 404 and 500 after a break.

Change: a response whose content type is another one than that of events is broken, and so is the first run of an item without any event. A resumed run may end at once, since the one before can have broken off after the last event.

--- a/items/runner.go
+++ b/items/runner.go
@@ -29,6 +29,7 @@
 	eventTimeout        = 3 * time.Second        // Time without an event after which a run is cancelled and resumed, maybe at another server.
 	initialBackoff      = 200 * time.Millisecond // First delay after a failed run; doubles with each further failure.
 	maxBackoff          = 3 * time.Second
+	eventStream         = "text/event-stream" // Media type of server-sent events.
 	statusOK            = 200
 	statusUnprocessable = 422 // The item can never be completed.
 	statusError         = 500 // The run failed; a later one may succeed.
@@ -306,9 +307,15 @@
 		_, err := io.Copy(io.Discard, p)
 		return p.Status(), err
 	}
+	if t := bulrushlug.FieldValue(p.Fields(), "Content-Type"); t != "" && !strings.HasPrefix(t, eventStream) {
+		return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the response has type %s", s.Backend().ID(), t)
+	}
 	e := stream.New(p)
 	for n := 0; ; n++ {
 		if _, err := e.Next(); errors.Is(err, io.EOF) {
+			if _, ok := e.ID(); !ok && q.ResumeFrom() == 0 {
+				return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the stream ended without an event", s.Backend().ID())
+			}
 			s.RecordSuccess(0)
 			return statusOK, nil
 		} else if err != nil {
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -58,7 +58,7 @@
 // server is a fake client of all backend servers.
 type server struct {
 	mu     sync.Mutex
-	status map[string][]int    // Status of each run of an item; 0 breaks off after three events, 200 after the last entry.
+	status map[string][]int    // Status of each run of an item; 200 after the last entry; below 200 a fault of the stream.
 	runs   map[string]int      // Runs of each item.
 	resume map[string][]uint64 // Event after which each run of an item resumed.
 	busy   int                 // Runs in progress.
@@ -82,16 +82,42 @@
 		v.busy--
 		v.mu.Unlock()
 	}()
-	return &run{status: max(200, s), PipeReader: p}, nil
+	t := "text/event-stream"
+	if s == asText {
+		t = "text/plain"
+	}
+	return &run{status: max(200, s), contentType: t, PipeReader: p}, nil
 }
 
+// Faults of a stream with status 200.
+const (
+	breaksOff  = iota // After three events.
+	noEvents          // The stream ends at once.
+	halfEvent         // The stream ends cleanly within its fourth event.
+	asText            // An error's text with an empty line, and no events.
+	fromStart         // The stream begins with event 1, whatever event it was to follow.
+	losesEvent        // The stream has no second event.
+)
+
 func events(c context.Context, w io.Writer, status int, after uint64) error {
-	if status > 200 {
+	switch {
+	case status > 200 || status == noEvents:
 		return nil
+	case status == asText:
+		_, err := io.WriteString(w, "it failed\n\n")
+		return err
+	case status == fromStart:
+		after = 0
 	}
 	for n := after + 1; n <= eventCount; n++ {
-		if status == 0 && n == after+4 {
+		switch {
+		case status == breaksOff && n == after+4:
 			return errors.New("connection reset")
+		case status == halfEvent && n == after+4:
+			_, err := fmt.Fprintf(w, "id: %d\nda", n)
+			return err
+		case status == losesEvent && n == after+2:
+			continue
 		}
 		if err := bulrushlug.Sleep(c, eventInterval); err != nil {
 			return err
@@ -105,12 +131,15 @@
 
 type run struct {
 	*io.PipeReader
-	status int
+	status      int
+	contentType string
 }
 
-func (r *run) Status() int                { return r.status }
-func (r *run) Fields() []bulrushlug.Field { return nil }
-func (r *run) Close()                     { _ = r.PipeReader.Close() }
+func (r *run) Status() int { return r.status }
+func (r *run) Fields() []bulrushlug.Field {
+	return []bulrushlug.Field{bulrushlug.NewField("Content-Type", r.contentType)}
+}
+func (r *run) Close() { _ = r.PipeReader.Close() }
 
 // system is a replica manager with a runner and the servers that it uses.
 type system struct {
@@ -207,6 +236,14 @@
 	}{
 		"done at once":                 {want: whole(), runs: 1},
 		"breaks off":                   {status: map[string][]int{"i0": {0, 0}}, want: whole(), runs: 3, resume: 6},
+		"ends within an event":         {status: map[string][]int{"i0": {halfEvent, halfEvent}}, want: whole(), runs: 3, resume: 6},
+		"no events":                    {status: map[string][]int{"i0": {noEvents, noEvents}}, want: whole(), runs: 3},
+		"an error's text":              {status: map[string][]int{"i0": {asText}}, want: whole(), runs: 2},
+		"resumed as an error's text":   {status: map[string][]int{"i0": {breaksOff, asText}}, want: whole(), runs: 3, resume: 3},
+		"resumed as a failure":         {status: map[string][]int{"i0": {breaksOff, 500}}, want: whole(), runs: 3, resume: 3},
+		"resumed as not found":         {status: map[string][]int{"i0": {breaksOff, 404}}, want: whole(), runs: 3, resume: 3},
+		"resumed from the start":       {status: map[string][]int{"i0": {breaksOff, fromStart}}, want: whole(), runs: 3, resume: 3},
+		"an event is lost":             {status: map[string][]int{"i0": {losesEvent}}, want: whole(), runs: 2, resume: 1},
 		"fails twice":                  {status: map[string][]int{"i0": {500, 500}}, want: whole(), runs: 3},
 		"always fails":                 {status: map[string][]int{"i0": {500, 500, 500, 500, 500}}, want: "given up", runs: 3},
 		"rejected":                     {status: map[string][]int{"i0": {422}}, want: "given up", runs: 1},
