fix(resume): the text of an error is no part of a stream that broke off

What was seen: operators of similar systems had callers that found an error's text in the middle of their stream, which then ended as if it were complete.

Cause: after a break the agent asks the engine to resume. The head of the second response was dropped, whatever it was, and its body went into the stream. Only statuses from 500 on were errors before that.

Change: a resumption whose status or content type is another one than that of the stream is broken before its body is read; it is tried again up to the same bound, then the caller gets the error.

--- a/resume/filter.go
+++ b/resume/filter.go
@@ -39,14 +39,19 @@
 	sink     bulrushlug.Sink
 	events   uint64
 	headSent bool // The head was passed on.
+	status   int
+	mimeType string
 }
 
-// Head passes on only the first head.
+// Head passes on only the first head; a resumption with another one is an error, whose body is no part of the stream.
 func (k *eventCounter) Head(n int, t string) error {
 	if k.headSent {
+		if n != k.status || t != k.mimeType {
+			return bulrushlug.Errorf(bulrushlug.KindBroken, "the engine answered %d with type %s to a request to resume a stream", n, t)
+		}
 		return nil
 	}
-	k.headSent = true
+	k.headSent, k.status, k.mimeType = true, n, t
 	return k.sink.Head(n, t)
 }
 
