fix(resume): a stream that broke off has run, also if the engine is gone after it

What was seen: operators of similar systems had callers that were told "not run, try again" for requests that ran.

Cause: a stream breaks off because its engine ends, and the request to resume it finds no connection, which for a first attempt means that it did not run. The caller got that error after half of its stream.

Evidence: TestErrorWithinStream/no_connection failed.

Change: after the first attempt an error that says "not run" becomes "broken".

--- a/resume/filter.go
+++ b/resume/filter.go
@@ -26,6 +26,9 @@
 	k := &eventCounter{sink: s, events: r.ResumeFrom()}
 	for b := 0; ; b++ {
 		err := n.Run(c, r, k)
+		if err != nil && b > 0 && !bulrushlug.KindOf(err).Response().MayHaveRun() {
+			return bulrushlug.WrapError(bulrushlug.KindBroken, "the stream was not resumed", err)
+		}
 		if bulrushlug.KindOf(err) != bulrushlug.KindBroken || k.events == 0 || b >= maxResumes || c.Err() != nil {
 			return err
 		}
--- a/resume/filter_test.go
+++ b/resume/filter_test.go
@@ -12,6 +12,7 @@
 
 // step is the outcome of one attempt at the engine.
 type step struct {
+	err         bulrushlug.Kind // Kind of the failure before a response; KindInternal, the zero value, means none.
 	status      int
 	contentType string
 	body        string // Body that is not a stream.
@@ -33,6 +34,9 @@
 func (e *engine) Run(_ context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
 	x := e.steps[min(e.calls, len(e.steps)-1)]
 	e.calls++
+	if x.err != bulrushlug.KindInternal {
+		return bulrushlug.Errorf(x.err, "engine: connection refused")
+	}
 	if x.status >= 500 {
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "engine: status %d", x.status)
 	}
@@ -91,17 +95,19 @@
 		"an error, then resumed":  {steps: []step{broken, {status: 400, contentType: "application/json", body: "{}"}, whole}, want: all, calls: 3, ok: true},
 		"always an error":         {steps: []step{broken, {status: 404, contentType: "text/plain", body: "404 page not found"}}, want: half, calls: 3},
 		"a text with status 200":  {steps: []step{broken, {status: 200, contentType: "text/html", body: "<html>"}}, want: half, calls: 3},
+		"no connection":           {steps: []step{broken, {err: bulrushlug.KindUnplaceable}}, want: half, calls: 2},
+		"no connection at first":  {steps: []step{{err: bulrushlug.KindUnplaceable}}, calls: 1},
 		"an error as a stream":    {steps: []step{broken, {status: 429, contentType: eventStream, body: "data: busy\n\n"}}, want: half, calls: 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := &engine{steps: x.steps}
 			k := &caller{}
 			err := New(new(expvar.Map).Init()).Pass(t.Context(), bulrushlug.NewRequest("r", bulrushlug.WithStream(true)), k, e)
-			if k.data.String() != x.want || k.heads != 1 || e.calls != x.calls || (err == nil) != x.ok {
+			if k.data.String() != x.want || (k.heads == 1) != (x.want != "") || e.calls != x.calls || (err == nil) != x.ok {
 				t.Errorf("%v after %d calls, the caller got %d heads and %q", err, e.calls, k.heads, k.data.String())
 			}
-			if err != nil && !bulrushlug.KindOf(err).Response().MayHaveRun() {
-				t.Errorf("%v says that the request did not run", err)
+			if err != nil && bulrushlug.KindOf(err).Response().MayHaveRun() != (x.want != "") {
+				t.Errorf("%v says whether the request ran", err)
 			}
 		})
 	}
