fix(relay): "not run" after all attempts, not after the last one

What was seen: operators of similar systems had callers that were told "not run, try again" for requests that a server had run.

Cause: an entry returned the error of the last agent that it tried. Where an earlier one may have run the request and the last one refused it, the caller was told that it did not run. Only idempotent requests are tried again after that.

Evidence: TestNotRunAfterAnAttemptThatRan, six of nine cases failed. TestCutPoints did not see it, since its third agent always answers.

Change: the stage of the own interface does as proxy does: such an error becomes "uncertain".

--- a/relay/stage.go
+++ b/relay/stage.go
@@ -28,11 +28,13 @@
 	g.budget.deposit()
 	h := newBufferedResponse(s, !r.Stream())
 	var err error
+	ran := false // An attempt before the last one may have run the request.
 	for i, d := range r.Candidates() {
 		if i > 0 {
 			if !mayRetry(r, h, err) || c.Err() != nil || !g.budget.tryWithdraw() {
-				return err
+				break
 			}
+			ran = ran || bulrushlug.KindOf(err).Response().MayHaveRun()
 			r.NextAttempt()
 			h.reset()
 		}
@@ -40,6 +42,9 @@
 			return h.flush()
 		}
 	}
+	if ran && !bulrushlug.KindOf(err).Response().MayHaveRun() {
+		return bulrushlug.WrapError(bulrushlug.KindUncertain, "an earlier attempt may have run the request", err)
+	}
 	return err
 }
 
--- a/relay/stage_test.go
+++ b/relay/stage_test.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// TestNotRunAfterAnAttemptThatRan has all agents refuse a request that the first one may have run.
+func TestNotRunAfterAnAttemptThatRan(t *testing.T) {
+	for _, first := range []string{"lostBeforeRun", "lostAfterRun", "brokenAfterOne"} {
+		for _, then := range []string{"refusedConnection", "leaving", "full"} {
+			t.Run(first+", then "+then, func(t *testing.T) {
+				cutPoint(t, []string{first, then}, []bulrushlug.RequestOption{bulrushlug.WithIdempotent(true)})
+			})
+		}
+	}
+}
+
 // TestRetryBudget guards against a retry storm when all agents refuse connections.
 func TestRetryBudget(t *testing.T) {
 	a := &agents{steps: []string{"refusedConnection"}}
