fix(stream): the head of another response is no event

What was seen: operators of similar systems had callers that found the text of an error, at times its whole head, in the middle of their stream.

Cause: where a stream ends with its connection, everything that a server writes after its events belongs to the body. A second response there has lines and an empty line, so it looked like an event without fields and was forwarded as a comment is.

Evidence: TestStreamEnds, over connections from the server to the caller, failed in the two cases with a head; four new cases of TestNext as well. What the next server answers after a break never came into the stream: 500, 404, 302, 204, a text, bytes that are no response.

Change: a line that begins with "HTTP/1." breaks the stream off before the event with it. As the value of a field it stays what it was.

--- a/stream/reader.go
+++ b/stream/reader.go
@@ -15,6 +15,10 @@
 // maxEventBytes is the largest size of one event.
 const maxEventBytes = 1 << 20
 
+// responseHead begins the head of another response, which a server wrote into a stream whose end is that of its
+// connection.
+var responseHead = []byte("HTTP/1.")
+
 // Reader splits a stream into whole events.
 type Reader struct {
 	in    *bufio.Reader
@@ -35,9 +39,12 @@
 func (r *Reader) Next() ([]byte, error) {
 	r.event.Reset()
 	r.data, r.field, r.named = r.data[:0], false, false
-	for {
+	for begin := 0; ; { // Offset of the line in the event.
 		l, err := r.in.ReadSlice('\n')
 		r.event.Write(l)
+		if bytes.HasPrefix(r.event.Bytes()[begin:], responseHead) {
+			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "the head of a response within a stream")
+		}
 		if r.event.Len() > maxEventBytes {
 			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "an event is larger than %d bytes", maxEventBytes)
 		}
@@ -49,9 +56,11 @@
 		case err != nil:
 			return nil, err
 		}
+		begin = r.event.Len()
 		if n := len(l); n == 1 || n == 2 && l[0] == '\r' {
 			if r.event.Len() == n {
 				r.event.Reset()
+				begin = 0
 				continue
 			}
 			r.parse()
