fix(stream): a line that fills the buffer ends no event

Found while the head of a response in a stream was looked for.

Cause: a line of exactly 4096 bytes, or a multiple, arrives without its line end, which comes as the next piece and was taken for an empty line. The event ended there; where it was the event's last line, the true empty line was dropped and the caller got two events in one.

Change: an empty line is judged by the whole line. 40 s of FuzzNext found nothing.

--- a/stream/reader.go
+++ b/stream/reader.go
@@ -56,16 +56,15 @@
 		case err != nil:
 			return nil, err
 		}
-		begin = r.event.Len()
-		if n := len(l); n == 1 || n == 2 && l[0] == '\r' {
-			if r.event.Len() == n {
-				r.event.Reset()
-				begin = 0
-				continue
-			}
+		blank := len(bytes.Trim(r.event.Bytes()[begin:], "\r\n")) == 0
+		switch {
+		case blank && begin > 0:
 			r.parse()
 			return r.event.Bytes(), nil
+		case blank:
+			r.event.Reset()
 		}
+		begin = r.event.Len()
 	}
 }
 
