test(engine): a response that ends early is broken

Held on the code before: a stream of the product's own interface is complete after its [DONE] event only, however its connection ends, and a text without a length after a clean end of its connection only. The package had no tests.

--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,103 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// serve answers every request with b, and then closes or resets the connection.
+func serve(t *testing.T, b string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				defer func() { _ = c.Close() }()
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, q.Body)
+				b, reset := strings.CutSuffix(b, "RESET")
+				_, _ = io.WriteString(c, b)
+				if reset {
+					time.Sleep(50 * time.Millisecond) // Lets the bytes be read: a reset discards those that are not.
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// caller records what it receives.
+type caller struct {
+	status int
+	data   strings.Builder
+}
+
+func (k *caller) Head(n int, _ string) error {
+	k.status = n
+	return nil
+}
+
+func (k *caller) Write(p []byte) error {
+	_, err := k.data.Write(p)
+	return err
+}
+
+// TestResponseEnds has responses that end in several ways; a stream is complete after its last event only.
+func TestResponseEnds(t *testing.T) {
+	const (
+		stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		text   = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		half   = "data: 1\n\ndata: 2\n\n"
+		whole  = half + "data: [DONE]\n\n"
+	)
+	chunked := func(s string) string { return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(s), s) }
+	for name, x := range map[string]struct {
+		response string
+		want     string
+		kind     bulrushlug.Kind
+		ok       bool
+	}{
+		"a stream without length or chunks":  {response: stream + "\r\n" + whole, want: whole, ok: true},
+		"ends within an event":               {response: stream + "\r\n" + half + "data: 3", want: half, kind: bulrushlug.KindBroken},
+		"ends before an empty line":          {response: stream + "\r\n" + half + "data: [DONE]\n", want: half, kind: bulrushlug.KindBroken},
+		"ends between events":                {response: stream + "\r\n" + half, want: half, kind: bulrushlug.KindBroken},
+		"no event":                           {response: stream + "\r\n", kind: bulrushlug.KindBroken},
+		"reset between events":               {response: stream + "\r\n" + half + "RESET", want: half, kind: bulrushlug.KindBroken},
+		"a stream in chunks":                 {response: stream + chunked(whole) + "0\r\n\r\n", want: whole, ok: true},
+		"chunks that end between events":     {response: stream + chunked(half) + "0\r\n\r\n", want: half, kind: bulrushlug.KindBroken},
+		"chunks without their end":           {response: stream + chunked(half), want: half, kind: bulrushlug.KindBroken},
+		"a text without a length":            {response: text + "\r\n{}", want: "{}", ok: true},
+		"a text that is reset":               {response: text + "\r\n{RESET", want: "{", kind: bulrushlug.KindBroken},
+		"a text that is too short":           {response: text + "Content-Length: 3\r\n\r\n{}", want: "{}", kind: bulrushlug.KindBroken},
+		"a text in chunks without their end": {response: text + chunked("{}"), want: "{}", kind: bulrushlug.KindBroken},
+		"a failure":                          {response: "HTTP/1.1 500 Failed\r\n\r\nit failed", kind: bulrushlug.KindBroken},
+		"no response":                        {response: "", kind: bulrushlug.KindUncertain},
+		"bytes that are no response":         {response: "it failed\r\n\r\n", kind: bulrushlug.KindUncertain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := &caller{}
+			r := bulrushlug.NewRequest("r", bulrushlug.WithCall(http.MethodPost, "/v1/completions", "application/json", []byte("{}")))
+			err := New(serve(t, x.response)).Run(t.Context(), r, k)
+			if (err == nil) != x.ok || err != nil && bulrushlug.KindOf(err) != x.kind || k.data.String() != x.want {
+				t.Errorf("%v, the caller got %d and %q", err, k.status, k.data.String())
+			}
+		})
+	}
+}
