fix(engine): a second copy of an answer does not reach the next caller

What was seen: operators of similar systems had a server that sent a second copy of an answer, late, on a connection that was in use again.

Cause: the client of the product's own engines kept its connections. net/http notices bytes on an idle connection; a copy that arrives after the next request was written is that request's response to it. Engines do not repeat identifiers, so nothing tells the two apart. The pool of the platform's servers (conns) does.

Evidence: TestLateDuplicate: request b got the answer to a.

Change: each call to the engine has a connection of its own. The engine is on the agent's VM, so that is one connection over loopback for each run.

--- a/engine/client.go
+++ b/engine/client.go
@@ -19,8 +19,6 @@
 
 const (
 	controlTimeout = 2 * time.Second // Timeout of load reports and load commands.
-	idleTimeout    = 5 * time.Second // Time after which an idle connection is closed.
-	maxIdleConns   = 256             // Idle connections to the engine.
 	bufferBytes    = 64 * 1024       // Read buffer of one response; also the limit on error bodies and load reports.
 )
 
@@ -35,7 +33,8 @@
 
 // New returns the client of the engine at URL u, which has no trailing slash.
 func New(u string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout}
+	// A stale response on a reused connection would pass for the next one: engines need not repeat identifiers.
+	t := &http.Transport{DisableKeepAlives: true}
 	return &Client{
 		base:    u,
 		client:  &http.Client{Transport: t},
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -101,3 +101,36 @@
 		})
 	}
 }
+
+// TestLateDuplicate has an engine that, before each answer but the first on a connection, writes the one before again.
+func TestLateDuplicate(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				last := ""
+				for q, err := http.ReadRequest(in); err == nil; q, err = http.ReadRequest(in) {
+					b, _ := io.ReadAll(q.Body)
+					next := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+					_, _ = io.WriteString(c, last+next)
+					last = next
+				}
+			}()
+		}
+	}()
+	e := New("http://" + l.Addr().String())
+	for _, body := range []string{"a", "b", "c"} {
+		k := &caller{}
+		r := bulrushlug.NewRequest(body, bulrushlug.WithCall(http.MethodPost, "/v1/completions", "application/json", []byte(body)))
+		if err := e.Run(t.Context(), r, k); err != nil || k.data.String() != body {
+			t.Errorf("request %q got %q, %v", body, k.data.String(), err)
+		}
+		time.Sleep(20 * time.Millisecond) // Lets the connection become idle.
+	}
+}
