fix(plain): a second copy of an answer does not reach the next caller

What was seen: operators of similar systems had a server that sent a second copy of an answer, late, on a connection that was in use again.

Cause: as in engine, for idempotent calls: these reused connections, and plain services do not repeat identifiers.

Evidence: TestLateDuplicate/idempotent: request b got the answer to a. The cases of TestResponseEnds held before.

Change: each call has a connection of its own, as others had.

--- a/plain/client.go
+++ b/plain/client.go
@@ -16,26 +16,16 @@
 
 // Client calls one plain service over HTTP.
 type Client struct {
-	base     string       // URL without a trailing slash.
-	reusing  *http.Client // For idempotent calls; reuses connections.
-	unpooled *http.Client // For other calls; never reuses connections, as net/http retries some calls on those.
+	base   string       // URL without a trailing slash.
+	client *http.Client // Reuses no connections: net/http retries some calls on those, and a stale response would pass for the next one.
 }
 
 // New returns the client of the service at URL u, which has no trailing slash.
 func New(u string) *Client {
-	return &Client{
-		base:     u,
-		reusing:  client(&http.Transport{}),
-		unpooled: client(&http.Transport{DisableKeepAlives: true}),
-	}
-}
-
-// client returns an HTTP client that does not follow redirects.
-func client(t *http.Transport) *http.Client {
-	return &http.Client{
-		Transport:     t,
+	return &Client{base: u, client: &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	}}
 }
 
 // Run sends r to the service and relays the response; KindUnplaceable means that r did not run, KindUncertain that it may
@@ -52,11 +42,7 @@
 	q.Header.Set("Content-Type", r.ContentType())
 	q.Header.Set("X-Request-Id", r.ID())
 	q.Header.Set("X-Organisation", r.Organisation())
-	h := p.unpooled
-	if r.Idempotent() {
-		h = p.reusing
-	}
-	a, err := h.Do(q)
+	a, err := p.client.Do(q)
 	switch {
 	case err != nil && !connected:
 		return bulrushlug.WrapError(bulrushlug.KindUnplaceable, r.Route(), err)
