fix(engine): an event without end is read to a bound

Cause: the client of the product's own engines read a line, and an event, of any length into memory.

Evidence: TestEndlessEvent, both cases: 64 MB, all that the test sends, were read.

--- a/engine/client.go
+++ b/engine/client.go
@@ -2,7 +2,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -14,12 +13,13 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/stream"
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
 const (
 	controlTimeout = 2 * time.Second // Timeout of load reports and load commands.
-	bufferBytes    = 64 * 1024       // Read buffer of one response; also the limit on error bodies and load reports.
+	bufferBytes    = 64 * 1024       // Bytes of a response without events that are read at once; also the limit on error bodies and load reports.
 )
 
 var doneEvent = []byte("data: [DONE]")
@@ -112,24 +112,18 @@
 
 // relayEvents relays server-sent events one by one; the response is complete only after the [DONE] event.
 func relayEvents(c context.Context, b io.Reader, s bulrushlug.Sink) error {
-	r := bufio.NewReaderSize(b, bufferBytes)
-	var e []byte
+	r := stream.New(b)
 	for {
-		l, err := r.ReadBytes('\n')
+		e, err := r.Next()
 		if err != nil {
 			return broken(c, err)
 		}
-		e = append(e, l...)
-		if len(bytes.TrimSpace(l)) > 0 {
-			continue
-		}
 		if err := s.Write(e); err != nil {
 			return err
 		}
 		if bytes.HasPrefix(e, doneEvent) {
 			return nil
 		}
-		e = e[:0]
 	}
 }
 
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -134,3 +134,44 @@
 		time.Sleep(20 * time.Millisecond) // Lets the connection become idle.
 	}
 }
+
+// TestEndlessEvent has an engine that sends an event without end; a bounded part of it is read.
+func TestEndlessEvent(t *testing.T) {
+	const maxTaken = 16 << 20 // Bytes that the engine can send, most of them into the buffers of the kernel.
+	for name, more := range map[string]string{"one line": "x", "lines": "data: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			written := make(chan int, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\ndata: ")
+				n := 0
+				for s := strings.Repeat(more, (64<<10)/len(more)); err == nil && n < 4*maxTaken; {
+					var m int
+					m, err = io.WriteString(c, s)
+					n += m
+				}
+				written <- n
+			}()
+			k := &caller{}
+			r := bulrushlug.NewRequest("r", bulrushlug.WithCall(http.MethodPost, "/v1/completions", "application/json", []byte("{}")))
+			err = New("http://"+l.Addr().String()).Run(t.Context(), r, k)
+			if bulrushlug.KindOf(err) != bulrushlug.KindBroken || k.data.String() != "data: 1\n\n" {
+				t.Errorf("%v, the caller got %d bytes", err, k.data.Len())
+			}
+			if n := <-written; n > maxTaken {
+				t.Errorf("the engine sent %d bytes", n)
+			}
+		})
+	}
+}
