fix(repair): new replicas are recorded although another chunk can't be read

Cause: after a data VM was lost, the chunks of a file or job were copied one after the other, and the first error ended the round without writing the new lists. One chunk that can't be read kept all others of its record on the lost VM's list, in each round: the loss of the next VM would have lost them, with a copy on the disk of a third.

Change: the round goes on after an error, writes what it copied, and returns the errors together.

--- a/repair/repair.go
+++ b/repair/repair.go
@@ -118,50 +118,46 @@
 
 func (r *Repairer) rereplicateFile(c context.Context, f bulrushlug.File) error {
 	fixed := map[int]bulrushlug.ChunkRef{}
+	var failed error
 	for i, p := range f.Chunks() {
 		q, changed, err := r.replicator.Repair(c, p, r.roster.Gone)
-		if err != nil {
-			return err
-		}
+		failed = errors.Join(failed, err)
 		if changed {
 			fixed[i] = q
 		}
 	}
 	if len(fixed) == 0 {
-		return nil
+		return failed
 	}
 	r.counts.Add("chunksRepaired", int64(len(fixed)))
-	return r.jobs.UpdateFile(c, f.Organisation(), f.ID(), func(f bulrushlug.File) bulrushlug.File {
+	return errors.Join(failed, r.jobs.UpdateFile(c, f.Organisation(), f.ID(), func(f bulrushlug.File) bulrushlug.File {
 		for i, p := range fixed {
 			f = f.WithChunk(i, p)
 		}
 		return f
-	})
+	}))
 }
 
 func (r *Repairer) rereplicateJob(c context.Context, j bulrushlug.Job) error {
 	fixed := map[uint32]bulrushlug.Result{}
+	var failed error
 	for _, x := range j.Results() {
 		a, m, err := r.replicator.Repair(c, x.Output(), r.roster.Gone)
-		if err != nil {
-			return err
-		}
+		failed = errors.Join(failed, err)
 		b, n, err := r.replicator.Repair(c, x.Errors(), r.roster.Gone)
-		if err != nil {
-			return err
-		}
+		failed = errors.Join(failed, err)
 		if m || n {
 			fixed[x.Chunk()] = bulrushlug.NewResult(x.Chunk(), x.Done(), x.Failed(), a, b)
 		}
 	}
 	if len(fixed) == 0 {
-		return nil
+		return failed
 	}
 	r.counts.Add("chunksRepaired", int64(len(fixed)))
 	_, err := r.jobs.Update(c, j.Organisation(), j.ID(), func(j bulrushlug.Job) (bulrushlug.Job, error) {
 		return replaceResults(j, fixed), nil
 	})
-	return err
+	return errors.Join(failed, err)
 }
 
 // replaceResults returns j with the results of m in place of those of the same chunks.
