fix(repair): a lost data VM is remembered until its chunks are replicated

Cause: a VM that is gone was forgotten before the round that replicates its chunks. If that round failed, in an outage of the key-value service for instance, the next one was the full round, up to ten minutes later.

Evidence: TestRoundAfterOutage, two of three cases failed: 20 s after outages of 11 s and of a minute all chunks were still listed on the lost VM.

Change: a round that failed is repeated after a back-off that grows from 10 s to the ten minutes of full rounds, and starts over when another VM is lost.

--- a/repair/repair.go
+++ b/repair/repair.go
@@ -30,6 +30,8 @@
 	counts     *expvar.Map
 	known      map[string]bool // Data VMs that were listed and are not gone; only Run uses it.
 	lastSweep  time.Time       // End of the last full round; only Run uses it.
+	due        time.Time       // Next round of replication; zero for none before the next full one. Only Run uses it.
+	backoff    time.Duration   // Time from the last round to due, if that round failed; only Run uses it.
 }
 
 // New returns the repairer of the process on VM v; jobs are deleted d after they are final, and files d after their
@@ -42,10 +44,13 @@
 func (r *Repairer) Run(c context.Context) error {
 	for bulrushlug.Sleep(c, checkInterval) == nil {
 		if r.dataVMLost() {
-			r.round(c, r.rereplicate)
+			r.due, r.backoff = time.Now(), 0
 		}
-		if time.Since(r.lastSweep) > sweepInterval {
-			r.round(c, r.rereplicate)
+		sweep := time.Since(r.lastSweep) > sweepInterval
+		if sweep || !r.due.IsZero() && !time.Now().Before(r.due) {
+			r.schedule(r.round(c, r.rereplicate))
+		}
+		if sweep {
 			r.round(c, r.deleteExpired)
 			r.lastSweep = time.Now()
 		}
@@ -53,6 +58,16 @@
 	return nil
 }
 
+// schedule sets when chunks are replicated again: after a back-off if a round failed, not before the next sweep otherwise.
+func (r *Repairer) schedule(ok bool) {
+	if ok {
+		r.due, r.backoff = time.Time{}, 0
+		return
+	}
+	r.backoff = min(max(checkInterval, 2*r.backoff), sweepInterval)
+	r.due = time.Now().Add(r.backoff)
+}
+
 // dataVMLost records the data VMs that have gone since the last call, and reports whether there are any.
 func (r *Repairer) dataVMLost() bool {
 	for _, m := range r.roster.Members() {
@@ -71,14 +86,16 @@
 	return lost
 }
 
-// round runs f with a timeout; an error is recorded, and the next round tries again.
-func (r *Repairer) round(c context.Context, f func(context.Context) error) {
+// round runs f with a timeout and reports whether it succeeded; an error is recorded.
+func (r *Repairer) round(c context.Context, f func(context.Context) error) bool {
 	c, stop := context.WithTimeout(c, roundTimeout)
 	defer stop()
 	if err := f(c); err != nil {
 		r.counts.Add("repairFailed", 1)
 		r.recorder.Record(bulrushlug.NewEvent("repairFailed", bulrushlug.WithDetail(err.Error())))
+		return false
 	}
+	return true
 }
 
 // isAssigned reports whether the record with identifier id is assigned to this VM.
--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -184,3 +185,32 @@
 		})
 	}
 }
+
+// TestRoundAfterOutage loses a VM while the key-value service is unavailable: its chunks are replicated soon after it.
+func TestRoundAfterOutage(t *testing.T) {
+	for name, outage := range map[string]time.Duration{"none": 0, "one round": checkInterval + time.Second, "a minute": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t)
+				c, stop := context.WithCancel(t.Context())
+				var w sync.WaitGroup
+				for _, r := range s.repairers {
+					w.Go(func() { _ = r.Run(c) })
+				}
+				time.Sleep(checkInterval + checkInterval/2)
+				s.store.SetOutage(outage > 0)
+				s.roster.lose("a")
+				time.Sleep(outage)
+				s.store.SetOutage(false)
+				time.Sleep(2 * checkInterval)
+				for k, v := range s.replicas(t) {
+					if !slices.Equal(v, []string{"b", "c"}) {
+						t.Errorf("replicas of %s are recorded on %v", k, v)
+					}
+				}
+				stop()
+				w.Wait()
+			})
+		})
+	}
+}
