--- a/engine/client.go
+++ b/engine/client.go
@@ -2,7 +2,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -14,14 +13,13 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/stream"
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
 const (
 	controlTimeout = 2 * time.Second // Timeout of load reports and load commands.
-	idleTimeout    = 5 * time.Second // Time after which an idle connection is closed.
-	maxIdleConns   = 256             // Idle connections to the engine.
-	bufferBytes    = 64 * 1024       // Read buffer of one response; also the limit on error bodies and load reports.
+	bufferBytes    = 64 * 1024       // Bytes of a response without events that are read at once; also the limit on error bodies and load reports.
 )
 
 var doneEvent = []byte("data: [DONE]")
@@ -35,7 +33,8 @@
 
 // New returns the client of the engine at URL u, which has no trailing slash.
 func New(u string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout}
+	// A stale response on a reused connection would pass for the next one: engines need not repeat identifiers.
+	t := &http.Transport{DisableKeepAlives: true}
 	return &Client{
 		base:    u,
 		client:  &http.Client{Transport: t},
@@ -113,24 +112,18 @@
 
 // relayEvents relays server-sent events one by one; the response is complete only after the [DONE] event.
 func relayEvents(c context.Context, b io.Reader, s bulrushlug.Sink) error {
-	r := bufio.NewReaderSize(b, bufferBytes)
-	var e []byte
+	r := stream.New(b)
 	for {
-		l, err := r.ReadBytes('\n')
+		e, err := r.Next()
 		if err != nil {
 			return broken(c, err)
 		}
-		e = append(e, l...)
-		if len(bytes.TrimSpace(l)) > 0 {
-			continue
-		}
 		if err := s.Write(e); err != nil {
 			return err
 		}
 		if bytes.HasPrefix(e, doneEvent) {
 			return nil
 		}
-		e = e[:0]
 	}
 }
 
--- a/items/runner.go
+++ b/items/runner.go
@@ -31,7 +31,8 @@
 	eventTimeout        = 3 * time.Second        // Time without an event after which a run is cancelled and resumed, maybe at another server.
 	initialBackoff      = 200 * time.Millisecond // First delay after a failed run; doubles with each further failure.
 	maxBackoff          = 3 * time.Second
-	begunEvents         = 2 // Events of a run after which its item is not what ends the server.
+	begunEvents         = 2                   // Events of a run after which its item is not what ends the server.
+	eventStream         = "text/event-stream" // Media type of server-sent events.
 	statusOK            = 200
 	statusUnprocessable = 422 // The item can never be completed.
 	statusError         = 500 // The run failed; a later one may succeed.
@@ -332,6 +333,9 @@
 		_, err := io.Copy(io.Discard, p)
 		return p.Status(), err
 	}
+	if t := bulrushlug.FieldValue(p.Fields(), "Content-Type"); t != "" && !strings.HasPrefix(t, eventStream) {
+		return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the response has type %s", s.Backend().ID(), t)
+	}
 	n, err := r.receive(h, x, s.Backend(), q, stream.New(p), t)
 	if err != nil {
 		if n < begunEvents && c.Err() == nil {
@@ -348,6 +352,9 @@
 func (r *Runner) receive(h *shard, x *item, b bulrushlug.Backend, q *bulrushlug.Request, e *stream.Reader, t *time.Timer) (n int, err error) {
 	for {
 		if _, err := e.Next(); errors.Is(err, io.EOF) {
+			if n == 0 && q.ResumeFrom() == 0 {
+				return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the stream ended without an event", b.ID())
+			}
 			return n, nil
 		} else if err != nil {
 			return n, bulrushlug.WrapError(bulrushlug.KindBroken, b.ID(), err)
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -261,8 +261,8 @@
 		if err != nil && !ended {
 			return n, brokenError(err)
 		}
-		if id, ok := r.ID(); n == 0 && ok && a.sink.headSent && id <= a.request.ResumeFrom() {
-			return n, bulrushlug.Errorf(bulrushlug.KindBroken, "event %d in a response that was to resume after event %d", id, a.request.ResumeFrom())
+		if err := a.checkSequence(r, n, ended); err != nil {
+			return n, err
 		}
 		if err := a.sink.head(p); err != nil {
 			return n, err
@@ -280,6 +280,22 @@
 	}
 }
 
+// checkSequence fails if the last event of r does not follow the last one that the caller has, or if the stream ended
+// without any event; a resumed one may have ended before.
+func (a *exchange) checkSequence(r *stream.Reader, n int, ended bool) error {
+	last := a.request.ResumeFrom()
+	if ended {
+		if n == 0 && last == 0 {
+			return bulrushlug.Errorf(bulrushlug.KindBroken, "the stream ended without an event")
+		}
+		return nil
+	}
+	if id, _ := r.ID(); r.Identified() && id != last+1 {
+		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, last)
+	}
+	return nil
+}
+
 // nextEvent reads the next event with data, and returns it behind the events without any that came before it. These are
 // no progress: a server that sends only comments has stalled.
 func (a *exchange) nextEvent(r *stream.Reader, w *watchdog) (b []byte, err error) {
--- a/resume/filter.go
+++ b/resume/filter.go
@@ -26,6 +26,9 @@
 	k := &eventCounter{sink: s, events: r.ResumeFrom()}
 	for b := 0; ; b++ {
 		err := n.Run(c, r, k)
+		if err != nil && b > 0 && !bulrushlug.KindOf(err).Response().MayHaveRun() {
+			return bulrushlug.WrapError(bulrushlug.KindBroken, "the stream was not resumed", err)
+		}
 		if bulrushlug.KindOf(err) != bulrushlug.KindBroken || k.events == 0 || b >= maxResumes || c.Err() != nil {
 			return err
 		}
@@ -39,14 +42,19 @@
 	sink     bulrushlug.Sink
 	events   uint64
 	headSent bool // The head was passed on.
+	status   int
+	mimeType string
 }
 
-// Head passes on only the first head.
+// Head passes on only the first head; a resumption with another one is an error, whose body is no part of the stream.
 func (k *eventCounter) Head(n int, t string) error {
 	if k.headSent {
+		if n != k.status || t != k.mimeType {
+			return bulrushlug.Errorf(bulrushlug.KindBroken, "the engine answered %d with type %s to a request to resume a stream", n, t)
+		}
 		return nil
 	}
-	k.headSent = true
+	k.headSent, k.status, k.mimeType = true, n, t
 	return k.sink.Head(n, t)
 }
 
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -15,12 +15,17 @@
 // maxEventBytes is the largest size of one event.
 const maxEventBytes = 1 << 20
 
+// responseHead begins the head of another response, which a server wrote into a stream whose end is that of its
+// connection.
+var responseHead = []byte("HTTP/1.")
+
 // Reader splits a stream into whole events.
 type Reader struct {
 	in    *bufio.Reader
 	event bytes.Buffer // Lines of the incomplete event.
 	id    uint64       // Identifier of the last whole event that had one.
 	hasID bool         // Some event had an identifier.
+	named bool         // The last whole event has an identifier of its own.
 	data  []string     // Values of the data fields of the last whole event.
 	field bool         // The last whole event has an id or data field.
 }
@@ -33,10 +38,13 @@
 // io.EOF means that the stream ended between events, io.ErrUnexpectedEOF that it ended within one.
 func (r *Reader) Next() ([]byte, error) {
 	r.event.Reset()
-	r.data, r.field = r.data[:0], false
-	for {
+	r.data, r.field, r.named = r.data[:0], false, false
+	for begin := 0; ; { // Offset of the line in the event.
 		l, err := r.in.ReadSlice('\n')
 		r.event.Write(l)
+		if bytes.HasPrefix(r.event.Bytes()[begin:], responseHead) {
+			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "the head of a response within a stream")
+		}
 		if r.event.Len() > maxEventBytes {
 			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "an event is larger than %d bytes", maxEventBytes)
 		}
@@ -48,14 +56,15 @@
 		case err != nil:
 			return nil, err
 		}
-		if n := len(l); n == 1 || n == 2 && l[0] == '\r' {
-			if r.event.Len() == n {
-				r.event.Reset()
-				continue
-			}
+		blank := len(bytes.Trim(r.event.Bytes()[begin:], "\r\n")) == 0
+		switch {
+		case blank && begin > 0:
 			r.parse()
 			return r.event.Bytes(), nil
+		case blank:
+			r.event.Reset()
 		}
+		begin = r.event.Len()
 	}
 }
 
@@ -68,7 +77,7 @@
 		switch n {
 		case "id":
 			if x, err := strconv.ParseUint(v, 10, 64); err == nil {
-				r.id, r.hasID = x, true
+				r.id, r.hasID, r.named = x, true, true
 			}
 			r.field = true
 		case "data":
@@ -85,5 +94,8 @@
 // ID returns the identifier of the last whole event that had one, and false if none had.
 func (r *Reader) ID() (uint64, bool) { return r.id, r.hasID }
 
+// Identified reports whether the last whole event has an identifier of its own.
+func (r *Reader) Identified() bool { return r.named }
+
 // Data returns the values of the data fields of the last whole event; they are valid until Next is called.
 func (r *Reader) Data() []string { return r.data }
