fix(platform,slots,conns,daemon): servers that say in their answers that they leave get nothing new

Callers saw requests, retries and resumed streams go to backend servers that had said in an answer that they leave (Server-Leaving: 1), and items run there, for as long as the list of servers showed them as ready: in an outage of the key-value service, or where a server never says so on the list.

Cause: no code read the header. Placement knew only the list.

Change: platform makes a Departure of each response that says so, stale ones, refusals and broken ones included, and tells the process before the response is passed on. It concerns one run of a server. slots gives that run nothing new until it is gone from the list for a minute or another run has its identifier; what runs there ends. conns closes its idle connections, and those in use after their response. Reports name the runs that told their sender. What others report, or a response of another server at the address, is a preference: where a service has no other server they are a last resort, so that one server or one report can't take a service out. What a server told this process itself holds for a minute even then, as the platform's rule has no exception; docs/DESIGN.md section 9 has the decision. Only the exact value counts. serversLeaving at /metrics and a line serverLeaving name the evidence.

The tests of slots, proxy and items use new functions; they fail with leaving servers among the candidates.

Ruled out: draining by the list alone (too late, and silent in an outage); a mark by identifier or address alone (a later run at the address would be avoided); passing on what was only heard of (a wrong report would never end).

Existing tests: Send and BackendClient got a parameter; fakeBackend answers as before unless told otherwise. No check was changed.

--- a/codec/report.go
+++ b/codec/report.go
@@ -27,6 +27,9 @@
 	for _, s := range r.AdmissionCounts() {
 		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
 	}
+	for _, b := range r.Leaving() {
+		w.LeavingServers = append(w.LeavingServers, &wire.LeavingServer{Id: b.ID(), Service: b.Service(), Address: b.Address(), StartMs: b.StartTime()})
+	}
 	w.Lots, w.Forward, w.Relayed = r.Lots(), r.ForwardTo(), r.Relayed()
 	return w
 }
@@ -42,6 +45,11 @@
 	for _, x := range w.Spendings {
 		s = append(s, bulrushlug.NewAdmissionCount(x.Organisation, x.Admitted, x.Level))
 	}
+	var l []bulrushlug.Backend
+	for _, x := range w.LeavingServers {
+		l = append(l, bulrushlug.NewBackend(x.Id, x.Service, x.Address, bulrushlug.BackendStart(x.StartMs, 0)))
+	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeenRevisions(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
-		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed))
+		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed),
+		bulrushlug.ReportLeaving(l))
 }
--- /dev/null
+++ b/codec/report_test.go
@@ -0,0 +1,43 @@
+package codec
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/wire"
+)
+
+// TestReportOfLeavingServers checks that the receiver of a report recognises the runs of servers that it names.
+func TestReportOfLeavingServers(t *testing.T) {
+	zone := bulrushlug.BackendZoneSlots("z", 8)
+	for name, x := range map[string]struct {
+		reported, listed bulrushlug.Backend
+		same             bool
+	}{
+		"the same run":      {bulrushlug.NewBackend("i", "s", "h:1", zone, bulrushlug.BackendStart(5, 7)), bulrushlug.NewBackend("i", "s", "h:1", zone, bulrushlug.BackendStart(5, 9)), true},
+		"without a start":   {bulrushlug.NewBackend("i", "s", "h:1"), bulrushlug.NewBackend("i", "s", "h:1", zone), true},
+		"a later run":       {bulrushlug.NewBackend("i", "s", "h:1", bulrushlug.BackendStart(5, 7)), bulrushlug.NewBackend("i", "s", "h:1", bulrushlug.BackendStart(6, 7)), false},
+		"another address":   {bulrushlug.NewBackend("i", "s", "h:1"), bulrushlug.NewBackend("i", "s", "h:2"), false},
+		"another service":   {bulrushlug.NewBackend("i", "s", "h:1"), bulrushlug.NewBackend("i", "t", "h:1"), false},
+		"another server":    {bulrushlug.NewBackend("i", "s", "h:1"), bulrushlug.NewBackend("j", "s", "h:1"), false},
+		"an empty identity": {bulrushlug.NewBackend("", "", ""), bulrushlug.NewBackend("i", "s", "h:1"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := bulrushlug.NewMember("vm", "h:9", "", "z", bulrushlug.RoleEntry)
+			b, err := proto.Marshal(EncodeReport(bulrushlug.NewReport(m, 1, 2, bulrushlug.ReportLeaving([]bulrushlug.Backend{x.reported}))))
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := &wire.Report{}
+			if err := proto.Unmarshal(b, w); err != nil {
+				t.Fatal(err)
+			}
+			l := DecodeReport(w).Leaving()
+			if len(l) != 1 || l[0].SameInstance(x.listed) != x.same {
+				t.Errorf("leaving servers: %+v", l)
+			}
+		})
+	}
+}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -34,6 +35,7 @@
 	maxStaleBytes     = 64 << 10               // Bytes of a stale response's body that are skipped.
 	maxHeadBytes      = 64 << 10               // Bytes of the status line and header fields of one response.
 	bufferSize        = 4 << 10
+	closedTimeout     = 10 * time.Minute // Longer than a connection is in use by one request.
 )
 
 // Pool holds idle connections by address, sharded by address.
@@ -44,8 +46,9 @@
 }
 
 type shard struct {
-	mu   sync.Mutex
-	idle map[string][]*conn // By address, least recently used first.
+	mu     sync.Mutex
+	idle   map[string][]*conn   // By address, least recently used first.
+	closed map[string]time.Time // Last CloseIdle by address, for closedTimeout; connections opened before it are not reused.
 }
 
 // conn is a connection; at most one request uses it at a time.
@@ -53,6 +56,7 @@
 	net.Conn
 	in      *bufio.Reader
 	head    headLimit   // What in reads from.
+	opened  time.Time   // When the connection was made.
 	reused  bool        // An earlier request used the connection; its response had the identifier of that request.
 	expires time.Time   // The connection is not reused after this time.
 	timer   *time.Timer // Closes the idle connection when it expires; nil before it was idle.
@@ -81,7 +85,7 @@
 
 // newConn returns the connection n, which no request used yet.
 func newConn(n net.Conn) *conn {
-	c := &conn{Conn: n, head: headLimit{Conn: n}}
+	c := &conn{Conn: n, head: headLimit{Conn: n}, opened: time.Now()}
 	c.in = bufio.NewReaderSize(&c.head, bufferSize)
 	return c
 }
@@ -99,6 +103,7 @@
 	p := &Pool{idHeader: h, onDial: f}
 	for i := range p.shards {
 		p.shards[i].idle = map[string][]*conn{}
+		p.shards[i].closed = map[string]time.Time{}
 	}
 	return p
 }
@@ -162,11 +167,15 @@
 	return err == nil && silent
 }
 
-// putIdle returns c to the pool until it expires.
+// putIdle returns c to the pool until it expires, or closes it if CloseIdle was called while it was in use.
 func (p *Pool) putIdle(a string, c *conn) {
 	s := p.shard(a)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.opened.Before(s.closed[a]) {
+		_ = c.Close()
+		return
+	}
 	s.idle[a] = append(s.idle[a], c)
 	d := time.Until(c.expires)
 	if c.timer == nil {
@@ -191,17 +200,35 @@
 	_ = c.Close()
 }
 
+// CloseIdle closes the idle connections to address a, and those in use once their responses were read.
+func (p *Pool) CloseIdle(a string) {
+	s := p.shard(a)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.closed, func(_ string, t time.Time) bool { return now.Sub(t) > closedTimeout })
+	s.closed[a] = now
+	for _, c := range s.idle[a] {
+		c.timer.Stop()
+		_ = c.Close()
+	}
+	delete(s.idle, a)
+}
+
 // Send sends r with body b to address a once, and returns the response, whose body the caller must close.
 //
+// It calls onHead with the head of each response that arrives, which is stale if it is one to an earlier request on the
+// same connection. onHead may set Close, so that the connection is not used again.
+//
 // KindUnplaceable means that no connection was made, so nothing was sent; after KindUncertain the server may have
 // received the request.
-func (p *Pool) Send(x context.Context, a string, r *http.Request, b []byte) (*http.Response, error) {
+func (p *Pool) Send(x context.Context, a string, r *http.Request, b []byte, onHead func(w *http.Response, stale bool)) (*http.Response, error) {
 	c, err := p.connect(x, a)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(x, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	w, err := p.exchange(c, r, b)
+	w, err := p.exchange(c, r, b, onHead)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -241,9 +268,10 @@
 // exchange writes the request and reads the head of its response, skipping stale responses to other requests.
 //
 // On a reused connection a response without an identifier is a stale one too: the server repeats identifiers.
-func (p *Pool) exchange(c *conn, r *http.Request, b []byte) (*http.Response, error) {
+func (p *Pool) exchange(c *conn, r *http.Request, b []byte, onHead func(w *http.Response, stale bool)) (*http.Response, error) {
 	werr := write(c, r, b)
 	id := r.Header.Get(p.idHeader)
+	last := false // The connection ends after a stale response.
 	for range maxStaleResponses {
 		w, err := c.readHead(r)
 		if err != nil {
@@ -255,11 +283,15 @@
 		if w.StatusCode < http.StatusOK {
 			continue
 		}
-		if x := w.Header.Get(p.idHeader); x == id || x == "" && !c.reused {
-			w.Close = w.Close || werr != nil || x == ""
+		x := w.Header.Get(p.idHeader)
+		stale := x != id && (x != "" || c.reused)
+		onHead(w, stale)
+		if !stale {
+			w.Close = w.Close || last || werr != nil || x == ""
 			c.reused = true
 			return w, nil
 		}
+		last = last || w.Close
 		if _, err := io.CopyN(io.Discard, w.Body, maxStaleBytes); err != io.EOF {
 			return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "a stale response to another request is too long to skip")
 		}
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -57,11 +57,16 @@
 	return q.Header.Get(header)
 }
 
+func noHead(*http.Response, bool) {}
+
 // send sends request id and returns the body of the response.
-func send(p *Pool, a, id string) (string, error) {
+func send(p *Pool, a, id string) (string, error) { return sendObserved(p, a, id, noHead) }
+
+// sendObserved sends request id, calls onHead with the heads of the responses, and returns the body of the response.
+func sendObserved(p *Pool, a, id string, onHead func(w *http.Response, stale bool)) (string, error) {
 	c, stop := context.WithTimeout(context.Background(), 2*time.Second)
 	defer stop()
-	w, err := p.Send(c, a, &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {id}}}, []byte("body"))
+	w, err := p.Send(c, a, &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {id}}}, []byte("body"), onHead)
 	if err != nil {
 		return "", err
 	}
@@ -280,7 +285,7 @@
 		serverErr <- err
 	})
 	c, stop := context.WithCancel(context.Background())
-	w, err := New(header, func() {}).Send(c, a, &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {"a"}}}, nil)
+	w, err := New(header, func() {}).Send(c, a, &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {"a"}}}, nil, noHead)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -298,3 +303,54 @@
 		t.Error("the connection to the server is still open")
 	}
 }
+
+// TestConnectionToLeavingServerIsKept guards against idle connections that stay open after CloseIdle, and against
+// connections that are used again although the head of a response ended them.
+func TestConnectionToLeavingServerIsKept(t *testing.T) {
+	for name, x := range map[string]struct {
+		serve func(n int, c net.Conn, r *bufio.Reader)
+		last  func(w *http.Response, stale bool) bool // The head of the second response ends its connection.
+		idle  bool                                    // CloseIdle is called after the second response.
+		other bool                                    // It is called for another address.
+		inUse bool                                    // CloseIdle is called before the body of the second response is read.
+		conns int64
+	}{
+		"kept":                   {serve: lateDuplicate(identified, identified), conns: 1},
+		"closed while idle":      {serve: lateDuplicate(identified, identified), idle: true, conns: 2},
+		"closed while in use":    {serve: lateDuplicate(identified, identified), inUse: true, conns: 2},
+		"of another address":     {serve: lateDuplicate(identified, identified), idle: true, other: true, conns: 1},
+		"ended by its response":  {serve: lateDuplicate(identified, identified), last: func(_ *http.Response, stale bool) bool { return !stale }, conns: 2},
+		"ended by a stale one":   {serve: lateDuplicate(identified, identified), last: func(_ *http.Response, stale bool) bool { return stale }, conns: 2},
+		"ended by an anonymous":  {serve: lateDuplicate(anonymous, identified), last: func(w *http.Response, _ bool) bool { return w.Header.Get(header) == "" }, conns: 2},
+		"no condition is met":    {serve: lateDuplicate(identified, identified), last: func(*http.Response, bool) bool { return false }, conns: 1},
+		"closed twice, one idle": {serve: lateDuplicate(identified, identified), idle: true, last: func(_ *http.Response, stale bool) bool { return !stale }, conns: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var made atomic.Int64
+			p := New(header, func() { made.Add(1) })
+			a := serve(t, x.serve)
+			for i, id := range []string{"a", "b", "c"} {
+				onHead := noHead
+				if i == 1 && x.last != nil {
+					onHead = func(w *http.Response, stale bool) { w.Close = x.last(w, stale) }
+				}
+				if i == 1 && x.inUse {
+					onHead = func(*http.Response, bool) { p.CloseIdle(a) }
+				}
+				if got, err := sendObserved(p, a, id, onHead); got != "to "+id {
+					t.Errorf("request %s: response %q, %v", id, got, err)
+				}
+				if i == 1 && x.idle {
+					if x.other {
+						p.CloseIdle("127.0.0.1:1")
+					} else {
+						p.CloseIdle(a)
+					}
+				}
+			}
+			if made.Load() != x.conns {
+				t.Errorf("%d connections were made", made.Load())
+			}
+		})
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,6 +42,7 @@
 	settings       atomic.Pointer[setup.Settings]
 	logger         log.Logger
 	counters       *expvar.Map
+	leavingCounts  *expvar.Map // What told this process that backend servers are leaving.
 	platform       *platform.Platform
 	lotLog         *lotlog.Log // Nil without a data directory.
 	membership     *peers.Membership
@@ -82,6 +83,8 @@
 	x.settings.Store(s)
 	x.recorder = newRecorder(x.logger)
 	x.guard = guard.New(x.logger)
+	x.leavingCounts = new(expvar.Map).Init()
+	x.counters.Set("serversLeaving", x.leavingCounts)
 	disk := ""
 	if d := s.DataFolder(); d != "" {
 		g, err := lotlog.Open(d)
@@ -206,6 +209,7 @@
 		bulrushlug.ReportSeenRevisions(s.operatorMirror.NewestRevision(), s.backendMirror.NewestRevision()),
 		bulrushlug.ReportUsages(s.slotTable.Usages()),
 		bulrushlug.ReportStoreLost(s.storeLost()),
+		bulrushlug.ReportLeaving(s.slotTable.Leaving()),
 	}
 	return append(o, s.roleHandler.reportOptions()...)
 }
@@ -215,13 +219,15 @@
 	return s.operatorMirror.OutageDuration() > 0 || s.backendMirror.OutageDuration() > 0 || s.membership.StoreLost()
 }
 
-// handleRelayedReport applies usage, admission counts and lots of a relayed report whose origin is not heard from
-// directly. It does not update the membership, since a relayed report is no evidence that its origin is reachable.
+// handleRelayedReport applies usage, leaving servers, admission counts and lots of a relayed report whose origin is not
+// heard from directly. It does not update the membership, since a relayed report is no evidence that its origin is
+// reachable.
 func (s *Daemon) handleRelayedReport(r bulrushlug.Report) {
 	if p, ok := s.membership.ByVM(r.Member().Name()); ok && p.Alive() {
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
+	s.applyLeaving(r)
 	s.roleHandler.handleReport(r)
 }
 
@@ -241,6 +247,7 @@
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
+	s.applyLeaving(*r)
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -86,8 +86,11 @@
 	}
 }
 
-func (s *testSystem) register(b *fakeBackend, state string) {
-	s.write("servers/"+b.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"callSeq":1,"born":1}`, b.address, state))
+func (s *testSystem) register(b *fakeBackend, state string) { s.registerStart(b, state, 1) }
+
+// registerStart registers b, which started at the given time.
+func (s *testSystem) registerStart(b *fakeBackend, state string, start int) {
+	s.write("servers/"+b.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"callSeq":1,"born":%d}`, b.address, state, start))
 }
 
 // manifest writes the next version of the manifest, in which organisation o has API key k.
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -31,7 +31,7 @@
 		lots.WithProgress(func(i string, n uint32, after uint64) []string { return d.runner.Progress(i, n, after) }))
 	counts := new(expvar.Map).Init()
 	s.counters.Set("itemRunsEnded", counts)
-	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(), s, s.guard, s.logger, counts)
+	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(s), s, s.guard, s.logger, counts)
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -37,7 +37,7 @@
 
 func newEntry(s *Daemon) *entry {
 	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger)}
-	d := proxy.New(s.slotTable, s.platform.BackendClient(), s.recorder, s.broadcaster.SendTo)
+	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo)
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, a, limit.New(s.limiter))
 	e.handler = s.platform.Handler(s.manifest.Load, p, a, e.router)
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -127,10 +127,31 @@
 	ran           map[string]int    // Number of runs by request.
 	tenants       map[string]string // Organisation header of each request.
 	keyCount      int               // Number of requests that carried an API key.
+	received      int               // Number of requests to this instance, refused ones included.
 	eventCount    int
 	eventInterval time.Duration
+	leaving       bool // All answers say that the server is leaving.
+	refusals      int  // Number of requests to refuse as not run.
+	breaks        int  // Number of streams to break off after their first event.
 }
 
+// set changes the server under its lock.
+func (b *fakeBackend) set(f func(b *fakeBackend)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b)
+}
+
+// total returns the number of runs and refusals.
+func (b *fakeBackend) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.received
+}
+
+// sayLeaving sets the header by which a backend server says that it is leaving.
+func sayLeaving(w http.ResponseWriter) { w.Header().Set("Server-Leaving", "1") }
+
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	if x := r.Header.Get("X-Expect-Instance"); x != "" && x != b.id {
@@ -138,13 +159,28 @@
 		return
 	}
 	b.mu.Lock()
+	b.received++
+	if b.leaving {
+		sayLeaving(w)
+	}
+	w.Header().Set("X-Attempt-Id", id)
+	if b.refusals > 0 {
+		b.refusals--
+		b.mu.Unlock()
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	broken := b.breaks > 0
+	if broken {
+		b.breaks--
+	}
 	b.ran[id]++
 	b.tenants[id] = r.Header.Get("X-Tenant")
 	if r.Header.Get("X-Api-Key") != "" {
 		b.keyCount++
 	}
 	b.mu.Unlock()
-	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Server-Stamp", b.id+"-stamp")
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -154,6 +190,9 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
 		_ = http.NewResponseController(w).Flush()
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,6 +17,7 @@
 	m.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
 		s.counters.Set("storeCalls", counterValue(s.platform.StoreCalls()))
+		s.leavingCounts.Set("lastResorts", counterValue(s.slotTable.LastResorts()))
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
 	h := &http.Server{Addr: s.settings.Load().Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -62,12 +62,16 @@
 	runs   map[string]int      // Runs of each item.
 	resume map[string][]uint64 // Event after which each run of an item resumed.
 	busy   int                 // Runs in progress.
+	onCall func(b bulrushlug.Backend)
 }
 
 // Call starts a run that sends its events one by one.
-func (v *server) Call(c context.Context, _ bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+func (v *server) Call(c context.Context, b bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.onCall != nil {
+		v.onCall(b)
+	}
 	s := 200
 	if l := v.status[r.ID()]; v.runs[r.ID()] < len(l) {
 		s = l[v.runs[r.ID()]]
--- a/report.go
+++ b/report.go
@@ -55,9 +55,10 @@
 	storeLost        bool   // The process can't reach the key-value service.
 	usages           []Usage
 	admissionCounts  []AdmissionCount
-	lots             []string // Lots of which the process recently became the primary.
-	forwardTo        []string // Addresses of processes that the sender does not hear from; the receiver relays the report to them.
-	relayed          bool     // The report was relayed by another process.
+	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
+	lots             []string  // Lots of which the process recently became the primary.
+	forwardTo        []string  // Addresses of processes that the sender does not hear from; the receiver relays the report to them.
+	relayed          bool      // The report was relayed by another process.
 }
 
 // ReportOption sets fields of a Report.
@@ -96,6 +97,9 @@
 // ReportLots sets the lots of which the process recently became the primary.
 func ReportLots(l []string) ReportOption { return func(r *Report) { r.lots = l } }
 
+// ReportLeaving sets the backend servers that told the process that they are leaving.
+func ReportLeaving(l []Backend) ReportOption { return func(r *Report) { r.leaving = l } }
+
 // ReportForwardTo sets the addresses to which the receiver relays the report.
 func ReportForwardTo(l []string) ReportOption { return func(r *Report) { r.forwardTo = l } }
 
@@ -147,3 +151,6 @@
 
 // Lots returns the lots of which the process recently became the primary.
 func (r Report) Lots() []string { return r.lots }
+
+// Leaving returns the backend servers that told the process that they are leaving, without zone and slots.
+func (r Report) Leaving() []Backend { return r.leaving }
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -8,40 +8,50 @@
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
 // Only slots that online requests leave idle are taken, and none of the reserve. A server that ranks another
-// process first is used only if there is no other, so that processes rarely start items in the same slot.
+// process first is used only if there is no other, so that processes rarely start items in the same slot. Leaving
+// servers are a last resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
-	now := time.Now()
+	f := filter{service: v, now: time.Now()}
 	o := t.ranking()
-	var best candidate
-	free, all := 0, 0
+	best, free, all := t.bestIdle(f, o)
+	if all == 0 && !t.staying(v) {
+		f.leaving = true
+		best, free, all = t.bestIdle(f, o)
+	}
+	if best.shard == nil || float64(free-1) < batchReserve*float64(all) {
+		return nil
+	}
+	return t.reserve(best, f, true)
+}
+
+// bestIdle returns the best server with an idle slot, and counts the idle and all slots of the servers that f selects.
+func (t *Table) bestIdle(f filter, o *ranking) (best candidate, free, all int) {
 	for i := range t.shards {
-		c, ok, f, n := t.shards[i].bestIdle(v, o, now)
-		free += f
+		c, ok, m, n := t.shards[i].bestIdle(f, o)
+		free += m
 		all += n
 		if ok && c.better(best) {
 			best = c
 		}
 	}
-	if best.shard == nil || float64(free-1) < batchReserve*float64(all) {
-		return nil
-	}
-	return best.shard.reserve(best.id, true)
+	return best, free, all
 }
 
-// bestIdle returns the best server of the shard with an idle slot, and counts the idle and all slots of service v.
-func (s *shard) bestIdle(v string, o *ranking, now time.Time) (best candidate, ok bool, free, all int) {
+// bestIdle returns the best server of the shard with an idle slot, and counts the idle and all slots of the servers that
+// f selects.
+func (s *shard) bestIdle(f filter, o *ranking) (best candidate, ok bool, free, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
-		if !e.eligible(v, nil, now, true) {
+		if !f.selects(e, s.leaving[id]) {
 			continue
 		}
-		online, batch := s.totalLoad(e, now)
+		online, batch := s.totalLoad(e, f.now)
 		n := max(0, int(e.backend.Slots())-online-batch)
 		all += int(e.backend.Slots())
 		free += n
 		first := o.isFirst(id)
-		if n == 0 || !first && now.Sub(e.started) < startInterval {
+		if n == 0 || !first && f.now.Sub(e.started) < startInterval {
 			continue
 		}
 		c := candidate{shard: s, id: id, fallback: !first, score: -float64(n) - jitter*rand.Float64()}
--- a/slots/table.go
+++ b/slots/table.go
@@ -35,16 +35,18 @@
 
 // Table holds the backend servers and the requests in progress at each of them, sharded by server.
 type Table struct {
-	self     string
-	batchVMs func() []string // Returns the VMs of the other processes that run batch items.
-	version  atomic.Uint64   // Increases when a server comes or goes.
-	ranks    atomic.Pointer[ranking]
-	shards   [shardCount]shard
+	self        string
+	batchVMs    func() []string // Returns the VMs of the other processes that run batch items.
+	version     atomic.Uint64   // Increases when a server comes or goes.
+	lastResorts atomic.Uint64   // Reservations at leaving servers.
+	ranks       atomic.Pointer[ranking]
+	shards      [shardCount]shard
 }
 
 type shard struct {
 	mu      sync.Mutex
 	entries map[string]*entry       // By identifier of the backend server.
+	leaving map[string]*departure   // By identifier of the backend server; holds servers that were on the list lately.
 	remote  map[string]remoteReport // By VM of the process; expired ones are removed before each use.
 	totals  map[string]remoteLoad   // Sums of remote by identifier of the server, so that placement looks at each server once.
 	expiry  time.Time               // No report in remote expires before this time.
@@ -77,6 +79,7 @@
 	t := &Table{self: vm, batchVMs: f}
 	for i := range t.shards {
 		t.shards[i].entries = map[string]*entry{}
+		t.shards[i].leaving = map[string]*departure{}
 		t.shards[i].remote = map[string]remoteReport{}
 		t.shards[i].totals = map[string]remoteLoad{}
 	}
@@ -107,6 +110,7 @@
 func (s *shard) update(m map[string]bulrushlug.Backend) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forgetDepartures(m)
 	for id, e := range s.entries {
 		if b, ok := m[id]; !ok || !b.SameInstance(e.backend) {
 			delete(s.entries, id)
@@ -217,18 +221,23 @@
 }
 
 // Available returns the number of servers of service v that accept requests; an empty v selects all services.
+//
+// Leaving servers that may be used as a last resort are included.
 func (t *Table) Available(v string) (n int) {
+	now := time.Now()
 	for i := range t.shards {
-		n += t.shards[i].available(v)
+		n += t.shards[i].count(v, func(d *departure) bool { return d == nil || !d.binding(now) })
 	}
 	return n
 }
 
-func (s *shard) available(v string) (n int) {
+// count returns the number of servers of service v, or of all services if v is empty, that are not draining and for whose
+// departure f returns true; the departure is nil if the server is not leaving.
+func (s *shard) count(v string, f func(d *departure) bool) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range s.entries {
-		if (v == "" || e.backend.Service() == v) && !e.backend.Draining() {
+	for id, e := range s.entries {
+		if (v == "" || e.backend.Service() == v) && !e.backend.Draining() && f(s.leaving[id]) {
 			n++
 		}
 	}
@@ -254,25 +263,41 @@
 // AcquireOnline reserves a slot for an online request at a server of service v, and returns the VMs of the processes
 // that run batch items there.
 //
-// Servers in skip are left out, and servers in back-off are used only if there is no other. If no server has capacity,
-// the reservation is nil.
+// Servers in skip are left out, and servers in back-off are used only if there is no other. Leaving servers are a last
+// resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
-	now := time.Now()
-	var best candidate
-	for _, skipBackoff := range []bool{true, false} {
-		for i := range t.shards {
-			if c, ok := t.shards[i].bestOnline(v, skip, now, skipBackoff); ok && c.better(best) {
-				best = c
-			}
-		}
-		if best.shard != nil {
-			break
-		}
+	f := filter{service: v, skip: skip, now: time.Now()}
+	best := t.bestOnline(f)
+	if best.shard == nil {
+		f.backoff = true
+		best = t.bestOnline(f)
+	}
+	if best.shard == nil && !t.staying(v) {
+		f.leaving = true
+		best = t.bestOnline(f)
 	}
 	if best.shard == nil {
 		return nil, nil
 	}
-	return best.shard.reserve(best.id, false), best.shard.batchVMs(best.id, now)
+	return t.reserve(best, f, false), best.shard.batchVMs(best.id, f.now)
+}
+
+// bestOnline returns the server with the lowest score of all shards.
+func (t *Table) bestOnline(f filter) (best candidate) {
+	for i := range t.shards {
+		if c, ok := t.shards[i].bestOnline(f); ok && c.better(best) {
+			best = c
+		}
+	}
+	return best
+}
+
+// reserve counts one more request at the server of c, which f selected.
+func (t *Table) reserve(c candidate, f filter, batch bool) *Reservation {
+	if f.leaving {
+		t.lastResorts.Add(1)
+	}
+	return c.shard.reserve(c.id, batch)
 }
 
 // batchVMs returns the VMs of the processes that run batch items at server id.
@@ -288,15 +313,15 @@
 	return l
 }
 
-// bestOnline returns the server of the shard with the lowest score; skipBackoff leaves out servers in back-off.
-func (s *shard) bestOnline(v string, skip map[string]bool, now time.Time, skipBackoff bool) (best candidate, ok bool) {
+// bestOnline returns the server of the shard with the lowest score.
+func (s *shard) bestOnline(f filter) (best candidate, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
-		if !e.eligible(v, skip, now, skipBackoff) {
+		if !f.selects(e, s.leaving[id]) {
 			continue
 		}
-		online, batch := s.totalLoad(e, now)
+		online, batch := s.totalLoad(e, f.now)
 		slots := int(e.backend.Slots())
 		if online >= slots+slots/slotsPerQueued {
 			continue
@@ -305,7 +330,7 @@
 		if online+batch >= slots {
 			n += preemptionCost
 		}
-		if !e.connected(now) {
+		if !e.connected(f.now) {
 			n += connectionCost
 		}
 		c := candidate{shard: s, id: id, score: n / float64(slots) * e.secondsPerEvent()}
@@ -316,9 +341,24 @@
 	return best, ok
 }
 
-// eligible reports whether e may get requests of service v.
-func (e *entry) eligible(v string, skip map[string]bool, now time.Time, skipBackoff bool) bool {
-	return e.backend.Service() == v && !e.backend.Draining() && !skip[e.backend.ID()] && (!skipBackoff || !now.Before(e.backoffUntil))
+// filter selects the servers that may get a request.
+type filter struct {
+	service string
+	skip    map[string]bool // Servers that are left out, by identifier.
+	now     time.Time
+	backoff bool // Servers in back-off are selected too.
+	leaving bool // Leaving servers are selected too, as a last resort.
+}
+
+// selects reports whether the server of e may get the request; d is nil if the server is not leaving.
+func (f filter) selects(e *entry, d *departure) bool {
+	switch {
+	case e.backend.Service() != f.service || e.backend.Draining() || f.skip[e.backend.ID()]:
+		return false
+	case d != nil && (!f.leaving || d.binding(f.now)):
+		return false
+	}
+	return f.backoff || !f.now.Before(e.backoffUntil)
 }
 
 // connected reports whether this process has an idle connection to the server.
