test(daemon): the soak replaces its servers, which say in their answers that they leave

One server after the other says so for 3 s, without a change of its entry, and then starts again at the same address under the same identifier. The oracle checks each run of a request against what its entry had passed on more than 2 s before the request was sent; a restart or freeze of the entry excuses it.

The oracle's other checks are unchanged; a soak that sees no such answer fails.

--- a/daemon/faults_test.go
+++ b/daemon/faults_test.go
@@ -14,9 +14,10 @@
 		time.Sleep(d / 2)
 		s.start(p)
 	},
-	"freeze": func(_ *soak, p *childProcess, d time.Duration, _ int) {
+	"freeze": func(s *soak, p *childProcess, d time.Duration, _ int) {
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(d)
+		s.oracle.excuse(p.entry)
 		p.signal(syscall.SIGCONT)
 	},
 	"stop": func(s *soak, p *childProcess, d time.Duration, _ int) {
--- a/daemon/oracle_test.go
+++ b/daemon/oracle_test.go
@@ -8,6 +8,22 @@
 	"time"
 )
 
+// leavingBound is the time after an answer that says that its server is leaving in which requests that were sent to the
+// same entry may still reach that server.
+const leavingBound = 2 * time.Second
+
+// sentRequest is a request of a caller.
+type sentRequest struct {
+	entry int
+	at    time.Time
+}
+
+// toldBy is an entry that passed on that one run of a server is leaving.
+type toldBy struct {
+	entry int
+	run   string
+}
+
 // acceptedVisibleTime is the time after the acceptance of a lot within which it must become visible at every entry.
 const acceptedVisibleTime = time.Second
 
@@ -19,22 +35,58 @@
 	rejected   map[string]bool      // Requests that were rejected with a status that promises they did not run.
 	accepted   map[string]time.Time // Time at which each lot was first accepted.
 	seen       map[string][]string  // Results of each lot read so far, by position.
+	sent       map[string]sentRequest
+	told       map[toldBy]time.Time // Time of the first answer that said so.
+	answers    int                  // Answers that said that their server is leaving.
 	served     int
 }
 
 func newOracle() *oracle {
-	return &oracle{runs: map[string]int{}, rejected: map[string]bool{}, accepted: map[string]time.Time{}, seen: map[string][]string{}}
+	return &oracle{runs: map[string]int{}, rejected: map[string]bool{}, accepted: map[string]time.Time{}, seen: map[string][]string{},
+		sent: map[string]sentRequest{}, told: map[toldBy]time.Time{}}
 }
 
 func (j *oracle) addViolation(f string, a ...any) {
 	j.violations = append(j.violations, fmt.Sprintf(f, a...))
 }
 
-// recordRun records that a backend server started to run a request.
-func (j *oracle) recordRun(id string) {
+// recordRun records that a run of a backend server started to run a request.
+func (j *oracle) recordRun(id, run string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.runs[id]++
+	q := j.sent[id]
+	if t, ok := j.told[toldBy{q.entry, run}]; ok && q.at.Sub(t) > leavingBound {
+		j.addViolation("request %s reached %s, %v after entry %d had passed on that it is leaving", id, run, q.at.Sub(t), q.entry)
+	}
+}
+
+// recordSent records that a caller sends request id to an entry.
+func (j *oracle) recordSent(id string, entry int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sent[id] = sentRequest{entry, time.Now()}
+}
+
+// recordLeaving records that an entry passed on an answer which says that a run of a backend server is leaving.
+func (j *oracle) recordLeaving(run string, entry int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.answers++
+	if k := (toldBy{entry, run}); j.told[k].IsZero() {
+		j.told[k] = time.Now()
+	}
+}
+
+// excuse forgets what an entry passed on, as it was restarted or frozen.
+func (j *oracle) excuse(entry int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for k := range j.told {
+		if k.entry == entry {
+			delete(j.told, k)
+		}
+	}
 }
 
 // responseBody returns the stream of events that is the correct response to request id.
@@ -137,6 +189,14 @@
 	}
 }
 
+// leave has an entry pass on that run b0-1 of a server is leaving, and a request that is sent to another one later reach
+// the given run.
+func leave(j *oracle, teller, entry int, run string) {
+	j.recordLeaving("b0-1", teller)
+	j.sent["a"] = sentRequest{entry, time.Now().Add(leavingBound + time.Millisecond)}
+	j.recordRun("a", run)
+}
+
 // TestOracle checks that the oracle detects each kind of violation.
 func TestOracle(t *testing.T) {
 	result := func(i string, n int) string {
@@ -157,7 +217,7 @@
 		want    string   // Part of the violation; empty for none.
 	}{
 		"no violation": {observe: func(j *oracle) {
-			j.recordRun("once-1")
+			j.recordRun("once-1", "b0-1")
 			j.checkResponse("once-1", 200, responseBody("once-1"), true)
 			j.checkResponse("once-2", 503, "", true)
 			j.checkRead("l", 0, time.Now(), 200, all[:2])
@@ -167,17 +227,31 @@
 		"an event is missing":         {observe: func(j *oracle) { j.checkResponse("a", 200, responseBody("a")[20:], true) }, final: all, want: "wrong response"},
 		"cut off after foreign bytes": {observe: func(j *oracle) { j.checkResponse("a", 200, "id: 2\n", false) }, final: all, want: "cut off after foreign bytes"},
 		"a valid API key is rejected": {observe: func(j *oracle) { j.checkResponse("a", 401, "", true) }, final: all, want: "unexpected status 401"},
-		"a request ran twice":         {observe: func(j *oracle) { j.recordRun("once-1"); j.recordRun("once-1") }, final: all, want: "ran 2 times"},
-		"a rejected request ran":      {observe: func(j *oracle) { j.recordRun("once-1"); j.checkResponse("once-1", 503, "", true) }, final: all, want: "was rejected but ran"},
+		"a request ran twice":         {observe: func(j *oracle) { j.recordRun("once-1", "b0-1"); j.recordRun("once-1", "b0-1") }, final: all, want: "ran 2 times"},
+		"a rejected request ran":      {observe: func(j *oracle) { j.recordRun("once-1", "b0-1"); j.checkResponse("once-1", 503, "", true) }, final: all, want: "was rejected but ran"},
 		"an accepted lot is gone":     {observe: func(j *oracle) { j.checkRead("l", 0, time.Now().Add(time.Minute), 404, nil) }, final: all, want: "is not found"},
 		"a result changes": {observe: func(j *oracle) {
 			j.checkRead("l", 0, time.Now(), 200, all[:1])
 			j.checkRead("l", 0, time.Now(), 200, all[1:2])
 		}, final: all, want: "result at position 0 changed"},
-		"a result is gone":         {observe: func(j *oracle) { j.checkRead("l", 0, time.Now(), 200, all) }, final: all[:1], want: "remain"},
-		"an item is not listed":    {observe: func(*oracle) {}, final: all[1:], want: "item 0 is listed 0 times"},
-		"an item is listed twice":  {observe: func(*oracle) {}, final: append(all[:len(all):len(all)], all[0]), want: "item 0 is listed 2 times"},
-		"an item has another text": {observe: func(*oracle) {}, final: append([]string{all[0] + "x"}, all[1:]...), want: "has the wrong text"},
+		"a result is gone":                   {observe: func(j *oracle) { j.checkRead("l", 0, time.Now(), 200, all) }, final: all[:1], want: "remain"},
+		"an item is not listed":              {observe: func(*oracle) {}, final: all[1:], want: "item 0 is listed 0 times"},
+		"an item is listed twice":            {observe: func(*oracle) {}, final: append(all[:len(all):len(all)], all[0]), want: "item 0 is listed 2 times"},
+		"an item has another text":           {observe: func(*oracle) {}, final: append([]string{all[0] + "x"}, all[1:]...), want: "has the wrong text"},
+		"a request reaches a leaving server": {observe: func(j *oracle) { leave(j, 1, 1, "b0-1") }, final: all, want: "reached b0-1"},
+		"a request is sent before the answer": {observe: func(j *oracle) {
+			j.recordSent("a", 1)
+			j.recordLeaving("b0-1", 1)
+			j.recordRun("a", "b0-1")
+		}, final: all},
+		"a request reaches the server by another entry": {observe: func(j *oracle) { leave(j, 1, 2, "b0-1") }, final: all},
+		"a request reaches another run of the server":   {observe: func(j *oracle) { leave(j, 1, 1, "b0-2") }, final: all},
+		"a request reaches it by an entry that restarts": {observe: func(j *oracle) {
+			j.recordLeaving("b0-1", 1)
+			j.excuse(1)
+			j.sent["a"] = sentRequest{1, time.Now().Add(leavingBound + time.Millisecond)}
+			j.recordRun("a", "b0-1")
+		}, final: all},
 	} {
 		t.Run(name, func(t *testing.T) {
 			j := newOracle()
--- a/daemon/soak_test.go
+++ b/daemon/soak_test.go
@@ -40,6 +40,7 @@
 	settings   string // Path of the settings file.
 	folder     string // Data directory; empty for an entry.
 	log        string
+	entry      int         // Index of the entry; -1 for a process with a disk.
 	storeProxy *faultProxy // Between the process and the key-value service.
 	mu         sync.Mutex
 	command    *exec.Cmd // Nil while the process is down.
@@ -53,14 +54,43 @@
 	processes    []*childProcess // Data processes first.
 	entries      []string        // Addresses for callers.
 	backends     []*faultProxy
+	servers      []*soakBackend
 	rng          *rand.Rand
 	lastDiskLoss time.Time // Time of the last loss of a disk.
 }
 
 // soakBackend is a backend server that responds with events that contain the request's identifier.
 type soakBackend struct {
-	id     string
-	oracle *oracle
+	id       string
+	oracle   *oracle
+	register func(start int) // Writes the entry of the run that started at the given time.
+	mu       sync.Mutex
+	starts   int  // Number of the current run.
+	leaving  bool // All answers say that the server is leaving.
+}
+
+// start begins the next run of the server.
+func (s *soakBackend) start() {
+	s.mu.Lock()
+	s.starts++
+	s.leaving = false
+	n := s.starts
+	s.mu.Unlock()
+	s.register(n)
+}
+
+// leave makes the server say in its answers that it is leaving; its entry does not change.
+func (s *soakBackend) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// state returns the name of the current run and whether it is leaving.
+func (s *soakBackend) state() (run string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint(s.id, "-", s.starts), s.leaving
 }
 
 func (s *soakBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -69,9 +99,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	s.oracle.recordRun(id)
+	run, leaving := s.state()
+	s.oracle.recordRun(id, run)
 	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set("X-Server-Stamp", s.id+"-stamp")
+	w.Header().Set("X-Server-Stamp", run)
+	if leaving {
+		sayLeaving(w)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := after + 1; n <= soakEvents; n++ {
@@ -90,6 +124,7 @@
 	if p.command != nil {
 		return
 	}
+	s.oracle.excuse(p.entry)
 	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		s.t.Error(err)
@@ -149,9 +184,13 @@
 	}
 	for i := range 3 {
 		id := fmt.Sprint("b", i)
-		g, a := newFaultProxy(t, serveHTTP(t, "127.0.0.1:0", &soakBackend{id: id, oracle: s.oracle}))
-		s.backends = append(s.backends, g)
-		put("servers/"+id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"callSeq":1,"born":1}`, a))
+		b := &soakBackend{id: id, oracle: s.oracle}
+		g, a := newFaultProxy(t, serveHTTP(t, "127.0.0.1:0", b))
+		s.backends, s.servers = append(s.backends, g), append(s.servers, b)
+		b.register = func(start int) {
+			put("servers/"+id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"callSeq":1,"born":%d}`, a, start))
+		}
+		b.start()
 	}
 	put("op/config", `{"version":1,"routes":[
 {"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":4000,"service":"s","maxAttempts":3,"resumable":true},
@@ -159,7 +198,7 @@
 {"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":600,"service":"s","maxAttempts":3}],
 "services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"o","apiKeys":["k1"]}]}`)
 	for i := range 5 {
-		p := &childProcess{settings: filepath.Join(folder, fmt.Sprint("p", i, ".json")), log: filepath.Join(folder, fmt.Sprint("p", i, ".log"))}
+		p := &childProcess{settings: filepath.Join(folder, fmt.Sprint("p", i, ".json")), log: filepath.Join(folder, fmt.Sprint("p", i, ".log")), entry: i - 3}
 		var a string
 		p.storeProxy, a = newFaultProxy(t, store)
 		b := fmt.Sprintf(`"vm":"p%d","region":"r","zone":"z%d","listen":%q,"store":%q,"toleratedDisks":1,"graceSeconds":4`, i, i%3, freeAddress(), a)
@@ -184,7 +223,8 @@
 func (s *soak) call(method, path, id, body string) (status int, b string, complete bool) {
 	c, stop := context.WithTimeout(context.Background(), 6*time.Second)
 	defer stop()
-	r, err := http.NewRequestWithContext(c, method, "http://"+s.entries[rand.IntN(len(s.entries))]+path, strings.NewReader(body))
+	entry := rand.IntN(len(s.entries))
+	r, err := http.NewRequestWithContext(c, method, "http://"+s.entries[entry]+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Error(err)
 		return 0, "", false
@@ -193,11 +233,15 @@
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Api-Key", "k1")
 	r.Header.Set("X-Deadline-Ms", "4000")
+	s.oracle.recordSent(id, entry)
 	w, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, "", false
 	}
 	defer func() { _ = w.Body.Close() }()
+	if w.Header.Get("Server-Leaving") != "" {
+		s.oracle.recordLeaving(w.Header.Get("X-Server-Stamp"), entry)
+	}
 	x, err := io.ReadAll(w.Body)
 	return w.StatusCode, string(x), err == nil
 }
@@ -258,6 +302,16 @@
 	}
 }
 
+// replaceServers has one server after the other leave and start again until c ends.
+func (s *soak) replaceServers(c context.Context) {
+	for n := 0; bulrushlug.Sleep(c, time.Second) == nil; n++ {
+		b := s.servers[n%len(s.servers)]
+		b.leave()
+		_ = bulrushlug.Sleep(c, leavingBound+time.Second)
+		b.start()
+	}
+}
+
 // injectFaults injects random faults, one after the other, for d; the seed determines the sequence.
 func (s *soak) injectFaults(d time.Duration) {
 	var names []string
@@ -299,6 +353,7 @@
 	}
 	w.Go(func() { s.submitLots(c) })
 	w.Go(func() { s.readLots(c) })
+	w.Go(func() { s.replaceServers(c) })
 	time.Sleep(3 * time.Second)
 	s.injectFaults(d)
 	time.Sleep(quietDuration)
@@ -314,9 +369,9 @@
 		}
 	}
 	s.oracle.checkFinal(l)
-	t.Logf("seed %d: %d requests served, %d lots, logs in %s", seed, s.oracle.served, len(s.oracle.accepted), folder)
-	if s.oracle.served == 0 || len(s.oracle.accepted) == 0 {
-		return append(s.oracle.violations, "no request or lot was served")
+	t.Logf("seed %d: %d requests served, %d lots, %d answers of leaving servers, logs in %s", seed, s.oracle.served, len(s.oracle.accepted), s.oracle.answers, folder)
+	if s.oracle.served == 0 || len(s.oracle.accepted) == 0 || s.oracle.answers == 0 {
+		return append(s.oracle.violations, "no request, lot or answer of a leaving server was seen")
 	}
 	if len(s.oracle.violations) == 0 {
 		_ = os.RemoveAll(folder)
