--- a/conns/fuzz_test.go
+++ b/conns/fuzz_test.go
@@ -33,7 +33,7 @@
 		c := newConn(canned{in: strings.NewReader(b)})
 		c.reused = reused
 		r := &http.Request{Method: "POST", URL: &url.URL{Opaque: "/p"}, Host: "h", Header: http.Header{header: {"a"}}}
-		w, err := p.exchange(c, r, []byte("body"))
+		w, err := p.exchange(c, r, []byte("body"), noHead)
 		if err != nil {
 			return
 		}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -36,6 +37,7 @@
 	maxRefused        = 32                     // Requests without success after which a connection is closed.
 	maxHeadBytes      = 64 << 10               // Bytes of the status line and header fields of one response.
 	bufferSize        = 4 << 10
+	closedTimeout     = 10 * time.Minute // Longer than a connection is in use by one request.
 )
 
 // Pool holds idle connections by address, sharded by address.
@@ -46,8 +48,9 @@
 }
 
 type shard struct {
-	mu   sync.Mutex
-	idle map[string][]*conn // By address, least recently used first.
+	mu     sync.Mutex
+	idle   map[string][]*conn   // By address, least recently used first.
+	closed map[string]time.Time // Last CloseIdle by address, for closedTimeout; connections opened before it are not reused.
 }
 
 // conn is a connection; at most one request uses it at a time.
@@ -55,6 +58,7 @@
 	net.Conn
 	in      *bufio.Reader
 	head    headLimit   // What in reads from.
+	opened  time.Time   // When the connection was made.
 	reused  bool        // An earlier request used the connection; its response had the identifier of that request.
 	refused []string    // Requests that were answered without success; a second copy would pass for the answer if they came again.
 	expires time.Time   // The connection is not reused after this time.
@@ -84,7 +88,7 @@
 
 // newConn returns the connection n, which no request used yet.
 func newConn(n net.Conn) *conn {
-	c := &conn{Conn: n, head: headLimit{Conn: n}}
+	c := &conn{Conn: n, head: headLimit{Conn: n}, opened: time.Now()}
 	c.in = bufio.NewReaderSize(&c.head, bufferSize)
 	return c
 }
@@ -102,6 +106,7 @@
 	p := &Pool{idHeader: h, onDial: f}
 	for i := range p.shards {
 		p.shards[i].idle = map[string][]*conn{}
+		p.shards[i].closed = map[string]time.Time{}
 	}
 	return p
 }
@@ -176,11 +181,15 @@
 	return err == nil && silent
 }
 
-// putIdle returns c to the pool until it expires.
+// putIdle returns c to the pool until it expires, or closes it if CloseIdle was called while it was in use.
 func (p *Pool) putIdle(a string, c *conn) {
 	s := p.shard(a)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.opened.Before(s.closed[a]) {
+		_ = c.Close()
+		return
+	}
 	s.idle[a] = append(s.idle[a], c)
 	d := time.Until(c.expires)
 	if c.timer == nil {
@@ -205,17 +214,35 @@
 	_ = c.Close()
 }
 
+// CloseIdle closes the idle connections to address a, and those in use once their responses were read.
+func (p *Pool) CloseIdle(a string) {
+	s := p.shard(a)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.closed, func(_ string, t time.Time) bool { return now.Sub(t) > closedTimeout })
+	s.closed[a] = now
+	for _, c := range s.idle[a] {
+		c.timer.Stop()
+		_ = c.Close()
+	}
+	delete(s.idle, a)
+}
+
 // Send sends r with body b to address a once, and returns the response, whose body the caller must close.
 //
+// It calls onHead with the head of each response that arrives, which is stale if it is one to an earlier request on the
+// same connection. onHead may set Close, so that the connection is not used again.
+//
 // KindUnplaceable means that no connection was made, so nothing was sent; after KindUncertain the server may have
 // received the request.
-func (p *Pool) Send(x context.Context, a string, r *http.Request, b []byte) (*http.Response, error) {
+func (p *Pool) Send(x context.Context, a string, r *http.Request, b []byte, onHead func(w *http.Response, stale bool)) (*http.Response, error) {
 	c, err := p.connect(x, a, r.Header.Get(p.idHeader))
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(x, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	w, err := p.exchange(c, r, b)
+	w, err := p.exchange(c, r, b, onHead)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -269,9 +296,10 @@
 // exchange writes the request and reads the head of its response, skipping stale responses to other requests.
 //
 // On a reused connection a response without an identifier is a stale one too: the server repeats identifiers.
-func (p *Pool) exchange(c *conn, r *http.Request, b []byte) (*http.Response, error) {
+func (p *Pool) exchange(c *conn, r *http.Request, b []byte, onHead func(w *http.Response, stale bool)) (*http.Response, error) {
 	werr := write(c, r, b)
 	id := r.Header.Get(p.idHeader)
+	last := false // The connection ends after a stale response.
 	for range maxStaleResponses {
 		w, err := c.readHead(r)
 		if err != nil {
@@ -283,14 +311,18 @@
 		if w.StatusCode < http.StatusOK {
 			continue
 		}
-		if x := w.Header.Get(p.idHeader); x == id || x == "" && !c.reused {
-			w.Close = w.Close || werr != nil || x == ""
+		x := w.Header.Get(p.idHeader)
+		stale := x != id && (x != "" || c.reused)
+		onHead(w, stale)
+		if !stale {
+			w.Close = w.Close || last || werr != nil || x == ""
 			c.reused = true
 			if w.StatusCode >= http.StatusMultipleChoices {
 				c.refused = append(c.refused, id)
 			}
 			return w, nil
 		}
+		last = last || w.Close
 		if _, err := io.CopyN(io.Discard, w.Body, maxStaleBytes); err != io.EOF {
 			return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "a stale response to another request is too long to skip")
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,7 @@
 	settings       atomic.Pointer[setup.Settings]
 	logger         log.Logger
 	counters       *expvar.Map
+	leavingCounts  *expvar.Map // What told this process that backend servers are leaving.
 	platform       *platform.Platform
 	lotLog         *lotlog.Log // Nil without a data directory.
 	membership     *peers.Membership
@@ -87,6 +88,8 @@
 	x.recorder = newRecorder(x.logger)
 	x.guard = guard.New(x.logger)
 	x.detector = poison.New(p.Refuses, x.announceCrash, x.logger, x.counters)
+	x.leavingCounts = new(expvar.Map).Init()
+	x.counters.Set("serversLeaving", x.leavingCounts)
 	disk := ""
 	if d := s.DataFolder(); d != "" {
 		g, err := lotlog.Open(d)
@@ -212,6 +215,7 @@
 		bulrushlug.ReportUsages(s.slotTable.Usages()),
 		bulrushlug.ReportStoreLost(s.storeLost()),
 		bulrushlug.ReportSuspects(s.detector.Suspects()),
+		bulrushlug.ReportLeaving(s.slotTable.Leaving()),
 	}
 	return append(o, s.roleHandler.reportOptions()...)
 }
@@ -232,14 +236,16 @@
 	return s.operatorMirror.OutageDuration() > 0 || s.backendMirror.OutageDuration() > 0 || s.membership.StoreLost()
 }
 
-// handleRelayedReport applies usage, admission counts and lots of a relayed report whose origin is not heard from
-// directly. It does not update the membership, since a relayed report is no evidence that its origin is reachable.
+// handleRelayedReport applies usage, leaving servers, admission counts and lots of a relayed report whose origin is not
+// heard from directly. It does not update the membership, since a relayed report is no evidence that its origin is
+// reachable.
 func (s *Daemon) handleRelayedReport(r bulrushlug.Report) {
 	if p, ok := s.membership.ByVM(r.Member().Name()); ok && p.Alive() {
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
 	s.detector.Merge(r.Suspects())
+	s.applyLeaving(r)
 	s.roleHandler.handleReport(r)
 }
 
@@ -260,6 +266,7 @@
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
 	s.detector.Merge(r.Suspects())
+	s.applyLeaving(*r)
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
--- a/report.go
+++ b/report.go
@@ -59,6 +59,7 @@
 	forwardTo        []string  // Addresses of processes that the sender does not hear from; the receiver relays the report to them.
 	relayed          bool      // The report was relayed by another process.
 	suspects         []Suspect // Parts of prompts on which servers may have ended.
+	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
 }
 
 // ReportOption sets fields of a Report.
@@ -97,6 +98,9 @@
 // ReportLots sets the lots of which the process recently became the primary.
 func ReportLots(l []string) ReportOption { return func(r *Report) { r.lots = l } }
 
+// ReportLeaving sets the backend servers that told the process that they are leaving.
+func ReportLeaving(l []Backend) ReportOption { return func(r *Report) { r.leaving = l } }
+
 // ReportForwardTo sets the addresses to which the receiver relays the report.
 func ReportForwardTo(l []string) ReportOption { return func(r *Report) { r.forwardTo = l } }
 
@@ -154,3 +158,6 @@
 
 // Suspects returns the parts of prompts on which servers may have ended.
 func (r Report) Suspects() []Suspect { return r.suspects }
+
+// Leaving returns the backend servers that told the process that they are leaving, without zone and slots.
+func (r Report) Leaving() []Backend { return r.leaving }
