test(meter): contended organisations while all entries restart

Two load patterns are new in TestManyProcesses, both through 88 entries with restarts of all: a crest just below the rate with two restarts, and twice the rate until a restart, then within it. Three quarters have to be admitted, as in the case of a large one that was there.

The loop that restarts all processes of two existing cases is a function now.

--- a/meter/many_test.go
+++ b/meter/many_test.go
@@ -16,6 +16,20 @@
 		}
 		return admitted / 3
 	}
+	nearRate := func(g *group, rate float64) (admitted float64) {
+		g.run(3*time.Second, 0.95*rate)
+		for range 2 {
+			g.restartAll()
+			admitted += g.run(5*time.Second, 0.95*rate) / 2
+		}
+		return admitted
+	}
+	contended := func(g *group, rate float64) float64 {
+		g.run(3*time.Second, 0.95*rate)
+		g.run(3*time.Second, 2*rate)
+		g.restartAll()
+		return g.run(5*time.Second, 0.7*rate)
+	}
 	for name, x := range map[string]struct {
 		processes int
 		rate      float64
@@ -55,16 +69,20 @@
 		}},
 		"a large one in waves, all restart": {processes: 88, rate: 118, burst: 118, least: 0.75, run: func(g *group) float64 {
 			wave(g, 0.5*118)
-			for i := range g.limiters {
-				g.restart(i)
-			}
+			g.restartAll()
 			return g.run(3600*time.Millisecond, 0.5*118)
 		}},
+		// Load pattern: a crest just below the rate while all entries restart, twice. The organisation is contended all the
+		// time, and few of its requests meet at one entry.
+		"a small one near its rate, all restart twice":  {processes: 88, rate: 8, burst: 8, least: 0.75, run: func(g *group) float64 { return nearRate(g, 8) }},
+		"a middle one near its rate, all restart twice": {processes: 88, rate: 68, burst: 68, least: 0.75, run: func(g *group) float64 { return nearRate(g, 68) }},
+		"a large one near its rate, all restart twice":  {processes: 88, rate: 118, burst: 118, least: 0.75, run: func(g *group) float64 { return nearRate(g, 118) }},
+		// Load pattern: twice the rate until all entries restart, then within it.
+		"a small contended one, all restart": {processes: 88, rate: 8, burst: 8, least: 0.75, run: func(g *group) float64 { return contended(g, 8) }},
+		"a large contended one, all restart": {processes: 88, rate: 118, burst: 118, least: 0.75, run: func(g *group) float64 { return contended(g, 118) }},
 		"all restart and it turns hot": {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 {
 			wave(g, 0.5*118)
-			for i := range g.limiters {
-				g.restart(i)
-			}
+			g.restartAll()
 			return g.run(8*time.Second, 7.5*118)
 		}},
 	} {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -73,6 +73,13 @@
 	g.limiters[i] = g.newLimiter(i, false)
 }
 
+// restartAll replaces all limiters by ones with a later boot.
+func (g *group) restartAll() {
+	for i := range g.limiters {
+		g.restart(i)
+	}
+}
+
 // split partitions the processes before n from the others; they notice after g.notice.
 func (g *group) split(n int) {
 	for i := range g.limiters {
