fix(meter): a bucket that is known from reports only is capped at its burst

Cause, from the admissions in steps of 0.25 s: an entry that knows an organisation from reports only deducted what the others admitted, and added the tokens of all the time since the first report at its first own request. In between nothing capped the level at the burst, so calm seconds were saved up: at half the rate for 10 s, five bursts. The organisation turned hot, the others stopped at a level of -41 of 20, and each entry that got a first request of it admitted more for seconds. With 88 entries and 4 requests a second most are such entries; with four there is none, so other tests did not see it.

A bucket gets its first tokens with the first report or request, whichever is earlier, and is refilled and capped from then on. Its level in reports is right too: an entry without a request reported minus what the others had admitted.

Evidence: TestLearnedFromReports, two of four cases failed before.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -105,10 +105,7 @@
 	}
 	heard, all := m.heard()
 	part := float64(heard) / float64(all)
-	if !b.initialised {
-		b.initialise(m.initialLevel(g, all), m.startFull)
-	}
-	b.refill(g, part)
+	m.refill(b, g, part, all)
 	if b.level >= 1 && b.roundAdmitted+1 <= b.share(g, heard, all) {
 		b.level--
 		b.roundAdmitted++
@@ -145,11 +142,22 @@
 	return restartShare * m.tolerance.Requests(g.Rate(), float64(g.Burst())) / float64(n)
 }
 
+// refill adds the tokens since the last call to b, the bucket of g at one of n processes, or its first ones; part is the
+// share of rate and burst that this process may use. A bucket is filled from the first request or report on, as its level
+// never exceeds the burst.
+func (m *Limiter) refill(b *bucket, g bulrushlug.Organisation, part float64, n int) {
+	if !b.initialised {
+		b.initialise(m.initialLevel(g, n), m.startFull)
+	}
+	b.refill(g, part)
+}
+
 // initialise adds the first tokens to a new bucket; full says that nothing was admitted before the start.
 func (b *bucket) initialise(level float64, full bool) {
 	b.initialised = true
 	b.merged = full
 	b.level += level
+	b.refilledAt = time.Now()
 }
 
 // refill adds the tokens since the last call; part is the share of rate and burst that this process may use.
@@ -169,7 +177,7 @@
 		if c != nil {
 			g, _ = c.Organisation(x.Organisation())
 		}
-		m.shard(x.Organisation()).applyAdmissions(r.Member().Name(), r.Boot(), x, m.startFull || r.Boot() > m.boot, g, float64(heard)/float64(all))
+		m.applyCount(r, x, g, float64(heard)/float64(all), all)
 	}
 	for i := range m.shards {
 		m.shards[i].advanceRound(r.Member().Name(), heard-1)
@@ -190,15 +198,22 @@
 	}
 }
 
-// applyAdmissions deducts x of the process on VM vm from the bucket of g; later says that all of it was admitted after the
-// start of this process, and part is the share of rate and burst that this process may use.
-func (s *shard) applyAdmissions(vm string, boot uint64, x bulrushlug.AdmissionCount, later bool, g bulrushlug.Organisation, part float64) {
+// applyCount deducts x, which r reports, from the bucket of g; part is the share of rate and burst that this one of n
+// processes may use.
+func (m *Limiter) applyCount(r bulrushlug.Report, x bulrushlug.AdmissionCount, g bulrushlug.Organisation, part float64, n int) {
+	s := m.shard(x.Organisation())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(x.Organisation())
-	if b.initialised {
-		b.refill(g, part)
+	if g.Rate() > 0 {
+		m.refill(b, g, part, n)
 	}
+	s.deduct(b, r.Member().Name(), r.Boot(), x, m.startFull || r.Boot() > m.boot)
+}
+
+// deduct deducts x of the process on VM vm from b; later says that all of it was admitted after the start of this process.
+// The caller holds the lock.
+func (s *shard) deduct(b *bucket, vm string, boot uint64, x bulrushlug.AdmissionCount, later bool) {
 	if old, ok := s.boots[vm]; ok && old != boot {
 		for _, c := range s.buckets {
 			delete(c.remoteAdmitted, vm)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -200,6 +200,41 @@
 	}
 }
 
+// TestLearnedFromReports takes a first request of an organisation whose other process was within its rate for long and
+// then beyond it.
+func TestLearnedFromReports(t *testing.T) {
+	for name, x := range map[string]struct {
+		full bool   // The processes start with full buckets; otherwise both restarted before.
+		late uint32 // Requests at the other process just before, beyond those within the rate.
+		ok   bool
+	}{
+		"within the rate":                  {full: true, ok: true},
+		"beyond the rate":                  {full: true, late: 2 * burst},
+		"within the rate, after a restart": {ok: true},
+		"beyond the rate, after a restart": {late: 2 * burst},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(2, x.full)
+				admitted := uint64(0)
+				report := func(n uint32) {
+					admitted += uint64(n)
+					r := bulrushlug.NewReport(bulrushlug.NewMember("e1", "", "", "", ""), 2, 1, bulrushlug.ReportAdmissionCounts([]bulrushlug.AdmissionCount{bulrushlug.NewAdmissionCount("o", admitted, burst)}))
+					g.limiters[0].ApplyReport(r)
+				}
+				for range 100 {
+					report(1)
+					time.Sleep(reportInterval)
+				}
+				report(x.late)
+				if err := g.limiters[0].Take(t.Context(), "o"); (err == nil) != x.ok {
+					t.Errorf("Take returned %v", err)
+				}
+			})
+		})
+	}
+}
+
 func TestRequestsWithinRate(t *testing.T) {
 	for name, x := range map[string]struct {
 		run   func(g *group) float64
