fix(meter): processes that restart together deduct each other's first admissions

After a restart of all 88 entries, an organisation that asks for many times its rate got 78 admissions in 5 s where 73 are tolerated (8 a second), and 497 of 469 (68 a second).

Cause, from the admissions in steps of 0.25 s: all admitted in the first round of reports and again in the second. A process takes the level of one that started earlier instead of deducting what that one admitted, as it may be from before its own start. Where all start together, nobody's level has the others' admissions yet, so those of the first round were deducted by half of the processes at most, and by none where the starts are in the same millisecond.

Processes that started within a second of each other now deduct each other's counts.

The tests' processes have the time of their start as boot, as real ones do; it was 1 and 2.

--- a/meter/many_test.go
+++ b/meter/many_test.go
@@ -80,6 +80,24 @@
 		// Load pattern: twice the rate until all entries restart, then within it.
 		"a small contended one, all restart": {processes: 88, rate: 8, burst: 8, least: 0.75, run: func(g *group) float64 { return contended(g, 8) }},
 		"a large contended one, all restart": {processes: 88, rate: 118, burst: 118, least: 0.75, run: func(g *group) float64 { return contended(g, 118) }},
+		"all restart and a small one turns hot": {processes: 88, rate: 8, burst: 8, run: func(g *group) float64 {
+			g.run(4*time.Second, 0.5*8)
+			g.restartAll()
+			return g.run(8*time.Second, 7.5*8)
+		}},
+		"all restart and a middle one turns hot": {processes: 88, rate: 68, burst: 68, run: func(g *group) float64 {
+			g.run(4*time.Second, 0.5*68)
+			g.restartAll()
+			return g.run(8*time.Second, 7.5*68)
+		}},
+		"all restart one after the other and a small one is hot": {processes: 88, rate: 8, burst: 8, run: func(g *group) float64 {
+			g.run(4*time.Second, 0.5*8)
+			for i := range g.limiters {
+				g.restart(i)
+				g.run(10*time.Millisecond, 7.5*8)
+			}
+			return g.run(8*time.Second, 7.5*8)
+		}},
 		"all restart and it turns hot": {processes: 88, rate: 118, burst: 118, run: func(g *group) float64 {
 			wave(g, 0.5*118)
 			g.restartAll()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -17,6 +17,9 @@
 	// restartShare is the part of the tolerance that all processes together may admit right after a restart; a second
 	// restart within the same window still stays inside the tolerance.
 	restartShare = 0.25
+	// restartSpan is the time between the starts of processes that counts as one restart of all: each began with its part of
+	// the same tokens.
+	restartSpan = time.Second
 	// recentTime is the time after its last request for which an organisation is in every report, so that its count
 	// arrives even if a few reports are lost.
 	recentTime = 2 * time.Second
@@ -199,7 +202,10 @@
 }
 
 // applyCount deducts x, which r reports, from the bucket of g; part is the share of rate and burst that this one of n
-// processes may use.
+// processes may use. The first tokens of a process that started together with this one are added once.
+//
+// Load pattern: all processes restart while an organisation asks for many times its rate. Before their first reports all
+// admit; a process that started a little earlier cannot know yet what the others did, so its level says nothing.
 func (m *Limiter) applyCount(r bulrushlug.Report, x bulrushlug.AdmissionCount, g bulrushlug.Organisation, part float64, n int) {
 	s := m.shard(x.Organisation())
 	s.mu.Lock()
@@ -208,10 +214,15 @@
 	if g.Rate() > 0 {
 		m.refill(b, g, part, n)
 	}
-	s.deduct(b, r.Member().Name(), r.Boot(), x, m.startFull || r.Boot() > m.boot)
+	later := m.startFull || r.Boot()+uint64(restartSpan.Milliseconds()) > m.boot
+	if _, ok := b.remoteAdmitted[r.Member().Name()]; !ok && later && !m.startFull {
+		b.level += m.initialLevel(g, n)
+	}
+	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
 }
 
-// deduct deducts x of the process on VM vm from b; later says that all of it was admitted after the start of this process.
+// deduct deducts x of the process on VM vm from b; later says that all of it was admitted after the start of this process or
+// in the same restart of all.
 // The caller holds the lock.
 func (s *shard) deduct(b *bucket, vm string, boot uint64, x bulrushlug.AdmissionCount, later bool) {
 	if old, ok := s.boots[vm]; ok && old != boot {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -56,7 +56,7 @@
 	for i := range n {
 		g.heard = append(g.heard, &atomic.Int64{})
 		g.heard[i].Store(int64(n))
-		g.boots = append(g.boots, 1)
+		g.boots = append(g.boots, uint64(time.Now().UnixMilli()))
 		g.cut = append(g.cut, make([]bool, n))
 		g.limiters = append(g.limiters, g.newLimiter(i, full))
 	}
@@ -69,7 +69,7 @@
 
 // restart replaces the limiter of process i by one with a later boot.
 func (g *group) restart(i int) {
-	g.boots[i]++
+	g.boots[i] = uint64(time.Now().UnixMilli())
 	g.limiters[i] = g.newLimiter(i, false)
 }
 
@@ -219,7 +219,7 @@
 				admitted := uint64(0)
 				report := func(n uint32) {
 					admitted += uint64(n)
-					r := bulrushlug.NewReport(bulrushlug.NewMember("e1", "", "", "", ""), 2, 1, bulrushlug.ReportAdmissionCounts([]bulrushlug.AdmissionCount{bulrushlug.NewAdmissionCount("o", admitted, burst)}))
+					r := bulrushlug.NewReport(bulrushlug.NewMember("e1", "", "", "", ""), g.boots[1], 1, bulrushlug.ReportAdmissionCounts([]bulrushlug.AdmissionCount{bulrushlug.NewAdmissionCount("o", admitted, burst)}))
 					g.limiters[0].ApplyReport(r)
 				}
 				for range 100 {
