test(meter): an organisation that turns hot in a partition, known red

Two cases of TestManyProcesses fail on this code and on: 20 and 40 requests a second of rate through 88 entries in two halves, 154 of 152 and 294 of 284 admissions in 5 s (155 and 300). Each half deducts only its own part of what all entries admitted before the organisation counted as contended, and admits again too early.

--- a/meter/many_test.go
+++ b/meter/many_test.go
@@ -56,6 +56,16 @@
 			g.split(44)
 			return g.run(8*time.Second, 7.5*8)
 		}},
+		"one of 20 a second turns hot in a partition": {processes: 88, rate: 20, burst: 20, run: func(g *group) float64 {
+			g.run(4*time.Second, 0.5*20)
+			g.split(44)
+			return g.run(8*time.Second, 7.5*20)
+		}},
+		"one of 40 a second turns hot in a partition": {processes: 88, rate: 40, burst: 40, run: func(g *group) float64 {
+			g.run(4*time.Second, 0.5*40)
+			g.split(44)
+			return g.run(8*time.Second, 7.5*40)
+		}},
 		"tens, one turns hot in a partition": {processes: 17, rate: 60, burst: 60, run: func(g *group) float64 {
 			wave(g, 0.5*60)
 			g.split(8)
