--- a/meter/meter.go
+++ b/meter/meter.go
@@ -17,6 +17,9 @@
 	// restartShare is the part of the tolerance that all processes together may admit right after a restart; a second
 	// restart within the same window still stays inside the tolerance.
 	restartShare = 0.25
+	// restartSpan is the time between the starts of processes that counts as one restart of all: each began with its part of
+	// the same tokens.
+	restartSpan = time.Second
 	// recentTime is the time after its last request for which an organisation is in every report, so that its count
 	// arrives even if a few reports are lost.
 	recentTime = 2 * time.Second
@@ -105,10 +108,7 @@
 	}
 	heard, all := m.heard()
 	part := float64(heard) / float64(all)
-	if !b.initialised {
-		b.initialise(m.initialLevel(g, all), m.startFull)
-	}
-	b.refill(g, part)
+	m.refill(b, g, part, all)
 	if b.level >= 1 && b.roundAdmitted+1 <= b.share(g, heard, all) {
 		b.level--
 		b.roundAdmitted++
@@ -145,11 +145,22 @@
 	return restartShare * m.tolerance.Requests(g.Rate(), float64(g.Burst())) / float64(n)
 }
 
+// refill adds the tokens since the last call to b, the bucket of g at one of n processes, or its first ones; part is the
+// share of rate and burst that this process may use. A bucket is filled from the first request or report on, as its level
+// never exceeds the burst.
+func (m *Limiter) refill(b *bucket, g bulrushlug.Organisation, part float64, n int) {
+	if !b.initialised {
+		b.initialise(m.initialLevel(g, n), m.startFull)
+	}
+	b.refill(g, part)
+}
+
 // initialise adds the first tokens to a new bucket; full says that nothing was admitted before the start.
 func (b *bucket) initialise(level float64, full bool) {
 	b.initialised = true
 	b.merged = full
 	b.level += level
+	b.refilledAt = time.Now()
 }
 
 // refill adds the tokens since the last call; part is the share of rate and burst that this process may use.
@@ -169,7 +180,7 @@
 		if c != nil {
 			g, _ = c.Organisation(x.Organisation())
 		}
-		m.shard(x.Organisation()).applyAdmissions(r.Member().Name(), r.Boot(), x, m.startFull || r.Boot() > m.boot, g, float64(heard)/float64(all))
+		m.applyCount(r, x, g, float64(heard)/float64(all), all)
 	}
 	for i := range m.shards {
 		m.shards[i].advanceRound(r.Member().Name(), heard-1)
@@ -190,15 +201,30 @@
 	}
 }
 
-// applyAdmissions deducts x of the process on VM vm from the bucket of g; later says that all of it was admitted after the
-// start of this process, and part is the share of rate and burst that this process may use.
-func (s *shard) applyAdmissions(vm string, boot uint64, x bulrushlug.AdmissionCount, later bool, g bulrushlug.Organisation, part float64) {
+// applyCount deducts x, which r reports, from the bucket of g; part is the share of rate and burst that this one of n
+// processes may use. The first tokens of a process that started together with this one are added once.
+//
+// Load pattern: all processes restart while an organisation asks for many times its rate. Before their first reports all
+// admit; a process that started a little earlier cannot know yet what the others did, so its level says nothing.
+func (m *Limiter) applyCount(r bulrushlug.Report, x bulrushlug.AdmissionCount, g bulrushlug.Organisation, part float64, n int) {
+	s := m.shard(x.Organisation())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(x.Organisation())
-	if b.initialised {
-		b.refill(g, part)
+	if g.Rate() > 0 {
+		m.refill(b, g, part, n)
 	}
+	later := m.startFull || r.Boot()+uint64(restartSpan.Milliseconds()) > m.boot
+	if _, ok := b.remoteAdmitted[r.Member().Name()]; !ok && later && !m.startFull {
+		b.level += m.initialLevel(g, n)
+	}
+	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
+}
+
+// deduct deducts x of the process on VM vm from b; later says that all of it was admitted after the start of this process or
+// in the same restart of all.
+// The caller holds the lock.
+func (s *shard) deduct(b *bucket, vm string, boot uint64, x bulrushlug.AdmissionCount, later bool) {
 	if old, ok := s.boots[vm]; ok && old != boot {
 		for _, c := range s.buckets {
 			delete(c.remoteAdmitted, vm)
