fix(lots): replicas do not keep the progress of lots that ended

Callers saw nothing: memory was held until a lot expires, half a minute after the end of its retention.

Cause: the progress of an item was only deleted with its result; items of an ended lot get none.

Evidence: TestProgressOfEndedLot failed before in both cases. The memory was not measured.

--- a/lots/lot.go
+++ b/lots/lot.go
@@ -97,7 +97,7 @@
 			t = text{id: x.Text()}
 		}
 		known := uint64(len(t.events))
-		if x.First() <= known+1 && x.Last() > known && !l.done[x.Item()] {
+		if x.First() <= known+1 && x.Last() > known && !l.ended && !l.done[x.Item()] {
 			t.events = append(t.events, x.Data()[known+1-x.First():]...)
 			l.progress[x.Item()] = t
 		}
@@ -115,7 +115,7 @@
 // recoverProgress adopts the texts in p that are longer than the known ones.
 func (l *lot) recoverProgress(p []bulrushlug.LotProgress) {
 	for _, x := range p {
-		if x.First() == 1 && len(x.Data()) > len(l.progress[x.Item()].events) && !l.done[x.Item()] {
+		if x.First() == 1 && len(x.Data()) > len(l.progress[x.Item()].events) && !l.ended && !l.done[x.Item()] {
 			l.progress[x.Item()] = text{x.Text(), x.Data()}
 		}
 	}
@@ -143,6 +143,7 @@
 			}
 		case e.Ended():
 			l.ended = true
+			clear(l.progress)
 		}
 	}
 }
--- a/lots/progress_test.go
+++ b/lots/progress_test.go
@@ -51,6 +51,29 @@
 	}
 }
 
+// TestProgressOfEndedLot ends a lot on a replica that knows the progress of its items: it keeps none.
+func TestProgressOfEndedLot(t *testing.T) {
+	progress := []bulrushlug.LotProgress{bulrushlug.NewLotProgress(0, 7, 1, []string{"a1", "a2"})}
+	for name, late := range map[string][]bulrushlug.LotProgress{"no more progress": nil, "late progress": progress} {
+		t.Run(name, func(t *testing.T) {
+			p := peers.New(bulrushlug.NewMember("r", "r", "r", "z", "data"), 1, "r", memtxn.New(), "vm/", time.Second, log.NewNopLogger())
+			k := New(newDisk("r"), nil, memtxn.New(), "lot/", p, log.NewNopLogger())
+			l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
+			for _, u := range []bulrushlug.LotUpdate{
+				bulrushlug.NewLotUpdate("lot", 1, []string{"p", "r"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, true).WithProgress(progress),
+				bulrushlug.NewLotUpdate("lot", 1, []string{"p", "r"}, 1, []bulrushlug.LotEntry{bulrushlug.NewLotEndEntry()}, true).WithProgress(late),
+			} {
+				if s, err := k.Append(u); err != nil || !s.OK() {
+					t.Fatal(s, err)
+				}
+			}
+			if got := k.Progress("lot", 0); len(got) > 0 {
+				t.Errorf("events %q", got)
+			}
+		})
+	}
+}
+
 // TestProgressOnDisk sends a replica an entry with the progress of another item: only the entry is written to its disk.
 func TestProgressOnDisk(t *testing.T) {
 	for name, x := range map[string]struct {
