--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -262,23 +262,29 @@
 }
 
 // late delivers u after d, even if the caller waits no longer; the response may get lost.
-func (l link) late(c context.Context, a string, u bulrushlug.LotUpdate, d time.Duration, lost bool) (s bulrushlug.LotReplicaState, err error) {
-	done := make(chan struct{})
+func (l link) late(c context.Context, a string, u bulrushlug.LotUpdate, d time.Duration, lost bool) (bulrushlug.LotReplicaState, error) {
+	type response struct {
+		state bulrushlug.LotReplicaState
+		err   error
+	}
+	done := make(chan response, 1)
 	go func() {
-		defer close(done)
 		time.Sleep(d)
-		var k *lots.ReplicaManager
-		if k, err = l.group.reach(&process{alive: true}, a); err == nil {
-			s, err = k.Append(u)
+		k, err := l.group.reach(&process{alive: true}, a)
+		if err != nil {
+			done <- response{err: err}
+			return
 		}
+		s, err := k.Append(u)
+		done <- response{s, err}
 	}()
 	if lost {
 		<-c.Done()
 		return bulrushlug.LotReplicaState{}, c.Err()
 	}
 	select {
-	case <-done:
-		return s, err
+	case r := <-done:
+		return r.state, r.err
 	case <-c.Done():
 		return bulrushlug.LotReplicaState{}, c.Err()
 	}
