test(daemon): the tests of leaving servers choose each server first

A server that an entry has not used yet got none of its requests on a slow machine, and one that is to be used again had a neighbour that was preferred: each entry now completes a request at each server before, and the neighbour drains. No bound changes.

--- a/daemon/leaving_test.go
+++ b/daemon/leaving_test.go
@@ -29,6 +29,27 @@
 	return b.total() > before
 }
 
+// warmUp has each entry complete a request at each server, so that all servers look alike to it.
+func (s *testSystem) warmUp() {
+	for _, b := range s.backends {
+		s.register(b, "ready")
+		for _, x := range s.backends {
+			if x != b {
+				s.register(x, "draining")
+			}
+		}
+		for i := range s.entries {
+			s.waitUntil("only "+b.id+" is ready", func() bool { return s.entries[i].daemon.slotTable.Available("s") == 1 && s.reached(b, i, 1) })
+		}
+	}
+	for _, b := range s.backends {
+		s.register(b, "ready")
+	}
+	for _, p := range s.entries {
+		s.waitUntil("all are ready", func() bool { return p.daemon.slotTable.Available("s") == len(s.backends) })
+	}
+}
+
 // TestRequestsReachLeavingServer guards against requests to a server that said in an answer that it is leaving, while
 // the list of servers still shows it as ready.
 func TestRequestsReachLeavingServer(t *testing.T) {
@@ -44,14 +65,15 @@
 		"a list that is read again":          {answer: func(*fakeBackend) {}, reread: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSystem(t, 2, 1, 2)
+			s := newSystem(t, 2, 1, 3)
 			b := s.backends[0]
+			s.warmUp()
 			s.store.SetOutage(x.outage)
 			b.set(func(b *fakeBackend) {
 				b.leaving = true
 				x.answer(b)
 			})
-			s.waitUntil("the server has answered", func() bool { return s.reached(b, 0, 4) })
+			s.waitUntil("the server has answered", func() bool { return s.reached(b, 0, 8) })
 			if x.reread {
 				s.register(b, "ready")
 				s.store.Compact()
@@ -93,6 +115,7 @@
 	}
 	b.set(func(b *fakeBackend) { b.leaving = false })
 	s.registerStart(b, "ready", 2)
+	s.register(s.backends[1], "draining")
 	s.waitUntil("its next start is used", func() bool { return s.reached(b, 0, 8) })
 }
 
