perf(poison): reports tell of changes, and now and then of convicted parts

Change: a change is reported for 3 s, a convicted part in a window of each 2 s, so that a process that restarted learns of it; only new evidence is judged.

--- a/poison/detector.go
+++ b/poison/detector.go
@@ -15,6 +15,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,11 @@
 	shardCount   = 8
 	maxReported  = 24                     // Suspects in one report.
 	probeTimeout = 100 * time.Millisecond // Time in which a server that ended refuses a connection.
+	spreadTime   = 3 * time.Second        // Time for which a change is reported.
+	// refreshPeriod is the time between two reports of parts that did not change. They are in all reports of a window that
+	// is longer than the longest interval between reports.
+	refreshPeriod = 2 * time.Second
+	refreshWindow = 600 * time.Millisecond
 )
 
 // Detector holds the suspected parts of prompts, sharded by the scope of the prompts: parts of one scope are compared.
@@ -35,7 +41,9 @@
 	changed  func()                                       // Called when this process has found a crash.
 	logger   log.Logger
 	counters *expvar.Map
-	shards   [shardCount]shard
+	// changedAt is the Unix time in nanoseconds of the last change of what is known of a part; zero for none.
+	changedAt atomic.Int64
+	shards    [shardCount]shard
 }
 
 // New returns a detector without suspects. A server that refuses connections according to r has ended; f is called when
@@ -70,7 +78,8 @@
 	if s.size.Load() == 0 {
 		return
 	}
-	d.log(s.clear(p, time.Now()))
+	now := time.Now()
+	d.apply(now, s.clear(p, now))
 }
 
 // RecordBroken suspects the parts of p if server b has ended. A connection that breaks while b goes on is no evidence.
@@ -85,17 +94,24 @@
 	}
 	d.counters.Add("serverCrashes", 1)
 	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
-	d.log(d.shard(p.Scope()).suspect(p, server, time.Now()))
+	now := time.Now()
+	d.apply(now, d.shard(p.Scope()).suspect(p, server, now))
 	d.changed()
 }
 
-// Suspects returns what this process knows of suspected parts: those with the most crashes, and those that it cleared last.
+// Suspects returns what the next report of this process says of suspected parts: what changed lately, and from time to
+// time the convicted parts, from which a process that restarted learns. Of too many it has those with the most crashes,
+// and those that this process cleared last.
 func (d *Detector) Suspects() []bulrushlug.Suspect {
-	var l []bulrushlug.Suspect
 	now := time.Now()
+	changed := now.UnixNano()-d.changedAt.Load() < int64(spreadTime)
+	if !changed && now.UnixMilli()%refreshPeriod.Milliseconds() >= refreshWindow.Milliseconds() {
+		return nil
+	}
+	var l []bulrushlug.Suspect
 	for i := range d.shards {
 		if s := &d.shards[i]; s.size.Load() > 0 {
-			m, c := s.report(now)
+			m, c := s.report(now, !changed)
 			l = append(l, m...)
 			d.log(c)
 		}
@@ -132,11 +148,20 @@
 			}
 		}
 		if len(m) > 0 {
-			d.log(d.shards[i].merge(m, now))
+			d.apply(now, d.shards[i].merge(m, now))
 		}
 	}
 }
 
+// apply has the next reports tell of a verdict that was reached at time now, and logs what changed by it.
+func (d *Detector) apply(now time.Time, v verdict) {
+	if !v.reached {
+		return
+	}
+	d.changedAt.Store(now.UnixNano())
+	d.log(v.changes)
+}
+
 // log writes a line for each part whose quarantine began or ended.
 func (d *Detector) log(l []change) {
 	for _, x := range l {
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -14,6 +14,7 @@
 	// clearedLifetime is how long a part without crashes is kept, so that late reports of crashes before its last success
 	// change nothing.
 	clearedLifetime = 10 * time.Second
+	judgeInterval   = time.Second // Time after which what has expired is forgotten, if nothing else changes.
 )
 
 // shard holds the suspected parts of some scopes.
@@ -21,6 +22,7 @@
 	mu       sync.Mutex
 	suspects map[key]*suspect
 	size     atomic.Int64 // Number of suspects; written under mu.
+	judged   time.Time    // Last call of judge.
 }
 
 type key struct{ scope, part uint64 }
@@ -34,6 +36,12 @@
 	alternatives int           // Other parts that may be at fault instead.
 }
 
+// verdict is the outcome of new evidence.
+type verdict struct {
+	reached bool // The evidence was new.
+	changes []change
+}
+
 // quarantined returns a part of p for which p is held back and the end of its quarantine, which is zero if there is none.
 func (s *shard) quarantined(p bulrushlug.Prompt, now time.Time) (part uint64, until time.Time) {
 	s.mu.Lock()
@@ -52,25 +60,24 @@
 }
 
 // clear records that a server began to respond to p.
-func (s *shard) clear(p bulrushlug.Prompt, now time.Time) []change {
+func (s *shard) clear(p bulrushlug.Prompt, now time.Time) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := false
+	changed := false
 	for _, x := range p.Parts() {
 		if q := s.suspects[key{p.Scope(), x}]; q != nil {
-			q.succeed(now)
+			changed = q.succeed(now) || changed
 			q.ownSuccess = now
-			found = true
 		}
 	}
-	if !found {
-		return nil
+	if !changed {
+		return verdict{}
 	}
-	return s.judge(now)
+	return verdict{true, s.judge(now)}
 }
 
 // suspect records that a server ended as it began to respond to p.
-func (s *shard) suspect(p bulrushlug.Prompt, server uint64, now time.Time) []change {
+func (s *shard) suspect(p bulrushlug.Prompt, server uint64, now time.Time) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := p.Parts()
@@ -78,13 +85,14 @@
 	for i, x := range l {
 		s.find(key{p.Scope(), x}, i == last).add(crash{server, l[last], now}, now)
 	}
-	return s.judge(now)
+	return verdict{true, s.judge(now)}
 }
 
 // merge adds what another process reported.
-func (s *shard) merge(l []bulrushlug.Suspect, now time.Time) []change {
+func (s *shard) merge(l []bulrushlug.Suspect, now time.Time) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changed := false
 	for _, x := range l {
 		k := key{x.Scope(), x.Part()}
 		q := s.suspects[k]
@@ -95,13 +103,16 @@
 			q = s.find(k, x.Own())
 		}
 		if d, ok := x.Success(); ok {
-			q.succeed(now.Add(-d))
+			changed = q.succeed(now.Add(-d)) || changed
 		}
 		for _, y := range x.Crashes() {
-			q.add(crash{y.Server(), y.Request(), now.Add(-y.Age())}, now)
+			changed = q.add(crash{y.Server(), y.Request(), now.Add(-y.Age())}, now) || changed
 		}
 	}
-	return s.judge(now)
+	if !changed {
+		return verdict{}
+	}
+	return verdict{true, s.judge(now)}
 }
 
 // find returns the suspect k, which is new if there is none. If there is no room for it, the one whose last crash is the
@@ -141,6 +152,7 @@
 		}
 	}
 	s.size.Store(int64(len(s.suspects)))
+	s.judged = now
 	for k, p := range s.suspects {
 		was := p.quarantined
 		p.until, p.alternatives = time.Time{}, nil
@@ -169,13 +181,18 @@
 	return l
 }
 
-// report returns what this process knows of its suspects, and what changed by the passage of time.
-func (s *shard) report(now time.Time) (l []bulrushlug.Suspect, c []change) {
+// report returns what this process knows of its suspects, or of the convicted ones only, and what changed by the passage of
+// time.
+func (s *shard) report(now time.Time, convicted bool) (l []bulrushlug.Suspect, c []change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c = s.judge(now)
+	if now.Sub(s.judged) >= judgeInterval {
+		c = s.judge(now)
+	}
 	for k, p := range s.suspects {
-		l = append(l, p.report(k, now))
+		if !convicted || p.convictable() {
+			l = append(l, p.report(k, now))
+		}
 	}
 	return l, c
 }
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -38,22 +38,25 @@
 	at      time.Time
 }
 
-// add adds x, unless it is known, came before the last success or is too old.
-func (p *suspect) add(x crash, now time.Time) {
+// add adds x, unless it is known, came before the last success or is too old, and reports whether it did.
+func (p *suspect) add(x crash, now time.Time) bool {
 	known := slices.ContainsFunc(p.crashes, func(y crash) bool { return x.server == y.server && x.request == y.request })
 	if known || len(p.crashes) == maxCrashes || !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
-		return
+		return false
 	}
 	p.crashes = append(p.crashes, x)
+	return true
 }
 
-// succeed records a success at time t, which clears the crashes before it.
-func (p *suspect) succeed(t time.Time) {
+// succeed records a success at time t, which clears the crashes before it, and reports whether there were any.
+func (p *suspect) succeed(t time.Time) bool {
 	if !t.After(p.success) {
-		return
+		return false
 	}
 	p.success = t
+	n := len(p.crashes)
 	p.crashes = slices.DeleteFunc(p.crashes, func(x crash) bool { return !x.at.After(t) })
+	return len(p.crashes) < n
 }
 
 // expire forgets crashes that are too old.
