fix(poison): a prompt with many crashes is still quarantined

Callers saw: a part on which servers end was never quarantined if many requests with it broke at the first two servers, and no longer after its sixteenth crash once that crash's quarantine had ended: every request with it reached a server, until crashes expire after half an hour.

Cause: a part keeps 16 crashes, one for each request that broke with a server, and dropped every further one. Sixteen requests on two servers filled it, so the third server never counted; when it was full, no crash renewed the quarantine.

Evidence: the two new cases of TestCheck failed before ('the part: error <nil>').

Change: of each server two requests are kept, as many as a conviction needs; if there is no room the oldest crash goes. Both counts that convict are the same with two requests of each server: two distinct ones of all exist if and only if two of those kept are distinct. An older crash than all that are kept is not added, so two processes do not repeat dropped ones to each other.

Ruled out: a larger bound, which a higher rate of requests fills as well.

--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -130,6 +130,17 @@
 			time.Sleep(10 * time.Second)
 			x.Merge(x.other.Suspects())
 		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
+		"many requests on each of the first servers": {during: func(x *fixture) {
+			for i := range 2 * maxCrashes {
+				endServer(x.Detector, fmt.Sprint("server-", i%2), "d", fmt.Sprint("own-", i))
+			}
+			crashes(x.Detector, 2, 3, "d")
+		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
+		"a crash after many, beyond the quarantine": {during: func(x *fixture) {
+			crashes(x.Detector, 0, maxCrashes, "d")
+			time.Sleep(maxQuarantine + time.Second)
+			crashes(x.Detector, maxCrashes, maxCrashes+1, "d")
+		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
 		"many other crashes": {during: func(x *fixture) {
 			crashes(x.Detector, 0, 3, "d")
 			for i := range 2 * maxSuspects {
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -21,7 +21,7 @@
 // suspect is a part of prompts that may end servers.
 type suspect struct {
 	own         bool      // It is the last part of a prompt.
-	crashes     []crash   // Crashes after success, at most maxCrashes, in the order in which they became known.
+	crashes     []crash   // Crashes after success: the newest maxCrashes, at most minRequests of each server.
 	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
 	ownSuccess  time.Time // The same by a request of this process.
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
@@ -38,12 +38,29 @@
 	at      time.Time
 }
 
-// add adds x, unless it is known, came before the last success or is too old.
+// add adds x, unless it is known, came before the last success or is too old, or enough requests that broke with the same
+// server are known. If there is no room for x, the oldest crash goes.
 func (p *suspect) add(x crash, now time.Time) {
-	known := slices.ContainsFunc(p.crashes, func(y crash) bool { return x.server == y.server && x.request == y.request })
-	if known || len(p.crashes) == maxCrashes || !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
+	if !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
 		return
 	}
+	requests, oldest := 0, 0
+	for i, y := range p.crashes {
+		if y.server == x.server {
+			if requests++; y.request == x.request || requests == minRequests {
+				return
+			}
+		}
+		if y.at.Before(p.crashes[oldest].at) {
+			oldest = i
+		}
+	}
+	if len(p.crashes) == maxCrashes {
+		if !x.at.After(p.crashes[oldest].at) {
+			return
+		}
+		p.crashes = slices.Delete(p.crashes, oldest, oldest+1)
+	}
 	p.crashes = append(p.crashes, x)
 }
 
