fix(poison): processes tell each other of new crashes beside many old ones

Callers saw: servers went on to end on a part of prompts although three had ended on it, each seen by another process, if these processes had many other suspects.

Cause: a report has the 12 parts with the most crashes and 12 others, of which those that were cleared last came first and the rest in the order of their hashes. A new crash of a part with a high hash stayed out of all reports while 24 other parts had as many crashes, and a crash is kept for half an hour.

Evidence: the case 'many' of TestSharedCrashOutOfReport failed before ('the part passes'); the other two passed.

Change: the 12 others are those with the latest news, a crash or a clearing.

What remains: more than 24 parts whose last crash is the same instant.

--- a/poison/detector.go
+++ b/poison/detector.go
@@ -89,7 +89,7 @@
 	d.changed()
 }
 
-// Suspects returns what this process knows of suspected parts: those with the most crashes, and those that it cleared last.
+// Suspects returns what this process knows of suspected parts: those with the most crashes, and those with the latest news.
 func (d *Detector) Suspects() []bulrushlug.Suspect {
 	var l []bulrushlug.Suspect
 	now := time.Now()
@@ -108,17 +108,21 @@
 	})
 	most, rest := l[:maxReported/2], l[maxReported/2:]
 	slices.SortFunc(rest, func(a, b bulrushlug.Suspect) int {
-		return cmp.Or(cmp.Compare(clearedAge(a), clearedAge(b)), cmp.Compare(a.Part(), b.Part()))
+		return cmp.Or(cmp.Compare(newsAge(a), newsAge(b)), cmp.Compare(a.Part(), b.Part()))
 	})
 	return append(most, rest[:maxReported/2]...)
 }
 
-// clearedAge returns the time since the process cleared the part, and the longest time if it did not.
-func clearedAge(s bulrushlug.Suspect) time.Duration {
+// newsAge returns the time since the last known crash on the part or since the process cleared it, whichever is less.
+func newsAge(s bulrushlug.Suspect) time.Duration {
+	d := time.Duration(math.MaxInt64)
 	if t, ok := s.Success(); ok {
-		return t
+		d = t
 	}
-	return math.MaxInt64
+	for _, x := range s.Crashes() {
+		d = min(d, x.Age())
+	}
+	return d
 }
 
 // Merge adds what another process reported.
--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// TestSharedCrashOutOfReport has three processes that each see one server end on a part while other parts have as many
+// crashes: the newest crashes are reported.
+func TestSharedCrashOutOfReport(t *testing.T) {
+	for name, others := range map[string]int{"few other crashes": 3, "as many as in a report": maxReported, "many": 3 * maxReported} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				third := New(f.refuses, func() {}, log.NewNopLogger(), new(expvar.Map).Init())
+				for i, d := range []*Detector{f.Detector, f.other, third} {
+					for j := range others {
+						crashes(d, 0, 2, fmt.Sprint("other-", i, "-", j))
+					}
+					time.Sleep(time.Second)
+					crashes(d, i, i+1, "a")
+				}
+				f.Merge(f.other.Suspects())
+				f.Merge(third.Suspects())
+				if f.Check(prompt("a", "o")) == nil {
+					t.Error("the part passes")
+				}
+			})
+		})
+	}
+}
+
 // TestReportsEnd has two processes repeat to each other what they know: neither a crash nor a success gets newer by it.
 func TestReportsEnd(t *testing.T) {
 	for name, during := range map[string]func(x *fixture){
