fix(proxy): a prompt is not cleared by a server that rejects it

Callers saw: servers ended again on a quarantined part, or it was never quarantined, while servers rejected other requests with it, for example with 400 or 404.

Cause: each complete response cleared the parts of its prompt. One that reports an error says nothing of whether the server can run the prompt; items of lots count only 200.

Evidence: the cases 'not found', 'moved', 'failed' and 'failed as a stream' of TestRefusalClearsPrompt failed before ('begun 1 times').

Change: only responses that report success clear parts.

Ruled out: errors between the first and the second event of a stream; these have status 200 and count as broken.

--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -28,6 +28,7 @@
 	responseTimeout = 1200 * time.Millisecond
 
 	statusOK          = 200
+	statusRedirection = 300                 // Lowest status that does not report success.
 	statusServerError = 500                 // Lowest status that reports a failure of the server.
 	eventStream       = "text/event-stream" // Media type of server-sent events.
 )
@@ -152,7 +153,9 @@
 	n, err := a.forward(p, w)
 	if err == nil {
 		l.RecordSuccess(eventInterval(t, n))
-		a.detector.RecordBegun(a.request.Prompt())
+		if p.Status() < statusRedirection {
+			a.detector.RecordBegun(a.request.Prompt())
+		}
 		return false, nil
 	}
 	if n < begunEvents && x.Err() == nil && !a.sink.callerGone {
