fix(poison): requests with a quarantined part are not released all at once

Callers saw: as a quarantine ended, every request with the part passed until the first server had ended on one and the others had heard of it. Of a lot whose items waited, one started in each idle slot, so all servers of the service could end at the same moment.

Cause: a quarantine that had ended let all requests pass; the outcome of the first one was not awaited.

Change: after a quarantine a process lets one request with the part pass every 5 s, until a response clears the part or a crash renews the quarantine. Requests that tell two suspected parts apart pass as before.

What remains: each process has a request of its own, so several may reach servers before the first crash is known.

--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -167,6 +167,46 @@
 	}
 }
 
+// TestAllReleasedAtOnce counts the requests that pass at the end of a quarantine.
+func TestAllReleasedAtOnce(t *testing.T) {
+	for name, x := range map[string]struct {
+		then func(x *fixture) // Happens after the first request has passed.
+		want int              // Further requests that pass.
+	}{
+		"nothing":                       {then: func(*fixture) {}},
+		"it runs":                       {then: func(x *fixture) { x.RecordBegun(prompt("d", "own")) }, want: 100},
+		"it runs at another process":    {then: func(x *fixture) { x.other.RecordBegun(prompt("d", "own")); x.Merge(x.other.Suspects()) }, want: 100},
+		"a server ends":                 {then: func(x *fixture) { crashes(x.Detector, 3, 4, "d"); time.Sleep(minQuarantine) }},
+		"it is lost":                    {then: func(*fixture) { time.Sleep(probeInterval) }, want: 1},
+		"requests without the part run": {then: func(x *fixture) { x.RecordBegun(prompt("a", "own")) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				crashes(f.Detector, 0, 3, "d")
+				f.other.Merge(f.Suspects())
+				time.Sleep(minQuarantine + time.Second)
+				if err := f.Check(prompt("d", "own")); err != nil {
+					t.Errorf("the first request: error %v", err)
+				}
+				time.Sleep(100 * time.Millisecond)
+				x.then(f)
+				n := 0
+				for i := range 100 {
+					if err := f.Check(prompt("d", fmt.Sprint("own-", i))); err == nil {
+						n++
+					} else if bulrushlug.RetryAfterOf(err) <= 0 {
+						t.Errorf("error %v", err)
+					}
+				}
+				if n != x.want {
+					t.Errorf("%d further requests pass", n)
+				}
+			})
+		})
+	}
+}
+
 // TestSharedCrashOutOfReport has three processes that each see one server end on a part while other parts have as many
 // crashes: the newest crashes are reported.
 func TestSharedCrashOutOfReport(t *testing.T) {
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -34,18 +34,28 @@
 	alternatives int           // Other parts that may be at fault instead.
 }
 
-// quarantined returns a part of p for which p is held back and the end of its quarantine, which is zero if there is none.
+// quarantined returns a part of p for which p is held back and the time until it is, which is zero if there is none. After
+// a quarantine one request passes in each probeInterval, until the part is cleared or a further server ends.
 func (s *shard) quarantined(p bulrushlug.Prompt, now time.Time) (part uint64, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lacks := func(y uint64) bool { return !slices.Contains(p.Parts(), y) }
+	var probed []*suspect
 	for _, x := range p.Parts() {
 		q := s.suspects[key{p.Scope(), x}]
-		if q == nil || !q.quarantined || !now.Before(q.until) || !q.until.After(until) {
+		if q == nil || q.until.IsZero() || slices.ContainsFunc(q.alternatives, lacks) {
 			continue
 		}
-		lacks := func(y uint64) bool { return !slices.Contains(p.Parts(), y) }
-		if !slices.ContainsFunc(q.alternatives, lacks) {
-			part, until = x, q.until
+		switch t := q.heldUntil(); {
+		case !now.Before(t):
+			probed = append(probed, q)
+		case t.After(until):
+			part, until = x, t
+		}
+	}
+	if until.IsZero() {
+		for _, q := range probed {
+			q.nextProbe = now.Add(probeInterval)
 		}
 	}
 	return part, until
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -16,6 +16,7 @@
 	minQuarantine = time.Minute
 	maxQuarantine = 10 * time.Minute
 	crashLifetime = 30 * time.Minute // Age at which a crash is forgotten.
+	probeInterval = 5 * time.Second  // Time between requests with a part after its quarantine, until it is cleared.
 )
 
 // suspect is a part of prompts that may end servers.
@@ -25,7 +26,8 @@
 	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
 	ownSuccess  time.Time // The same by a request of this process.
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
-	until       time.Time // End of the quarantine.
+	until       time.Time // End of the quarantine, which may have passed; zero if too few servers ended.
+	nextProbe   time.Time // Time of the next request with the part after the quarantine; passed or zero if it may come now.
 	// alternatives are the other parts on which each of the servers ended as well. A request without one of them tells
 	// which of them is at fault: it ends a server, or clears the part.
 	alternatives []uint64
@@ -110,6 +112,14 @@
 	return p.lastCrash().Add(d)
 }
 
+// heldUntil returns the time before which requests with a convicted part are held back.
+func (p *suspect) heldUntil() time.Time {
+	if p.nextProbe.After(p.until) {
+		return p.nextProbe
+	}
+	return p.until
+}
+
 func (p *suspect) lastCrash() (t time.Time) {
 	for _, x := range p.crashes {
 		if x.at.After(t) {
