--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -130,6 +130,17 @@
 			time.Sleep(10 * time.Second)
 			x.Merge(x.other.Suspects())
 		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
+		"many requests on each of the first servers": {during: func(x *fixture) {
+			for i := range 2 * maxCrashes {
+				endServer(x.Detector, fmt.Sprint("server-", i%2), "d", fmt.Sprint("own-", i))
+			}
+			crashes(x.Detector, 2, 3, "d")
+		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
+		"a crash after many, beyond the quarantine": {during: func(x *fixture) {
+			crashes(x.Detector, 0, maxCrashes, "d")
+			time.Sleep(maxQuarantine + time.Second)
+			crashes(x.Detector, maxCrashes, maxCrashes+1, "d")
+		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
 		"many other crashes": {during: func(x *fixture) {
 			crashes(x.Detector, 0, 3, "d")
 			for i := range 2 * maxSuspects {
@@ -156,6 +167,71 @@
 	}
 }
 
+// TestAllReleasedAtOnce counts the requests that pass at the end of a quarantine.
+func TestAllReleasedAtOnce(t *testing.T) {
+	for name, x := range map[string]struct {
+		then func(x *fixture) // Happens after the first request has passed.
+		want int              // Further requests that pass.
+	}{
+		"nothing":                       {then: func(*fixture) {}},
+		"it runs":                       {then: func(x *fixture) { x.RecordBegun(prompt("d", "own")) }, want: 100},
+		"it runs at another process":    {then: func(x *fixture) { x.other.RecordBegun(prompt("d", "own")); x.Merge(x.other.Suspects()) }, want: 100},
+		"a server ends":                 {then: func(x *fixture) { crashes(x.Detector, 3, 4, "d"); time.Sleep(minQuarantine) }},
+		"it is lost":                    {then: func(*fixture) { time.Sleep(probeInterval) }, want: 1},
+		"requests without the part run": {then: func(x *fixture) { x.RecordBegun(prompt("a", "own")) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				crashes(f.Detector, 0, 3, "d")
+				f.other.Merge(f.Suspects())
+				time.Sleep(minQuarantine + time.Second)
+				if err := f.Check(prompt("d", "own")); err != nil {
+					t.Errorf("the first request: error %v", err)
+				}
+				time.Sleep(100 * time.Millisecond)
+				x.then(f)
+				n := 0
+				for i := range 100 {
+					if err := f.Check(prompt("d", fmt.Sprint("own-", i))); err == nil {
+						n++
+					} else if bulrushlug.RetryAfterOf(err) <= 0 {
+						t.Errorf("error %v", err)
+					}
+				}
+				if n != x.want {
+					t.Errorf("%d further requests pass", n)
+				}
+			})
+		})
+	}
+}
+
+// TestSharedCrashOutOfReport has three processes that each see one server end on a part while other parts have as many
+// crashes: the newest crashes are reported.
+func TestSharedCrashOutOfReport(t *testing.T) {
+	for name, others := range map[string]int{"few other crashes": 3, "as many as in a report": maxReported, "many": 3 * maxReported} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				third := New(f.refuses, func() {}, log.NewNopLogger(), new(expvar.Map).Init())
+				for i, d := range []*Detector{f.Detector, f.other, third} {
+					for j := range others {
+						crashes(d, 0, 2, fmt.Sprint("other-", i, "-", j))
+					}
+					time.Sleep(time.Second)
+					crashes(d, i, i+1, "a")
+				}
+				f.Merge(f.other.Suspects())
+				f.Merge(third.Suspects())
+				if f.Check(prompt("a", "o")) == nil {
+					t.Error("the part passes")
+				}
+			})
+		})
+	}
+}
+
 // TestReportsEnd has two processes repeat to each other what they know: neither a crash nor a success gets newer by it.
 func TestReportsEnd(t *testing.T) {
 	for name, during := range map[string]func(x *fixture){
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -16,16 +16,18 @@
 	minQuarantine = time.Minute
 	maxQuarantine = 10 * time.Minute
 	crashLifetime = 30 * time.Minute // Age at which a crash is forgotten.
+	probeInterval = 5 * time.Second  // Time between requests with a part after its quarantine, until it is cleared.
 )
 
 // suspect is a part of prompts that may end servers.
 type suspect struct {
 	own         bool      // It is the last part of a prompt.
-	crashes     []crash   // Crashes after success, at most maxCrashes, in the order in which they became known.
+	crashes     []crash   // Crashes after success: the newest maxCrashes, at most minRequests of each server.
 	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
 	ownSuccess  time.Time // The same by a request of this process.
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
-	until       time.Time // End of the quarantine.
+	until       time.Time // End of the quarantine, which may have passed; zero if too few servers ended.
+	nextProbe   time.Time // Time of the next request with the part after the quarantine; passed or zero if it may come now.
 	// alternatives are the other parts on which each of the servers ended as well. A request without one of them tells
 	// which of them is at fault: it ends a server, or clears the part.
 	alternatives []uint64
@@ -38,12 +40,29 @@
 	at      time.Time
 }
 
-// add adds x, unless it is known, came before the last success or is too old, and reports whether it did.
+// add adds x, unless it is known, came before the last success or is too old, or enough requests that broke with the same
+// server are known; it reports whether it did. If there is no room for x, the oldest crash goes.
 func (p *suspect) add(x crash, now time.Time) bool {
-	known := slices.ContainsFunc(p.crashes, func(y crash) bool { return x.server == y.server && x.request == y.request })
-	if known || len(p.crashes) == maxCrashes || !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
+	if !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
 		return false
 	}
+	requests, oldest := 0, 0
+	for i, y := range p.crashes {
+		if y.server == x.server {
+			if requests++; y.request == x.request || requests == minRequests {
+				return false
+			}
+		}
+		if y.at.Before(p.crashes[oldest].at) {
+			oldest = i
+		}
+	}
+	if len(p.crashes) == maxCrashes {
+		if !x.at.After(p.crashes[oldest].at) {
+			return false
+		}
+		p.crashes = slices.Delete(p.crashes, oldest, oldest+1)
+	}
 	p.crashes = append(p.crashes, x)
 	return true
 }
@@ -96,6 +115,14 @@
 	return p.lastCrash().Add(d)
 }
 
+// heldUntil returns the time before which requests with a convicted part are held back.
+func (p *suspect) heldUntil() time.Time {
+	if p.nextProbe.After(p.until) {
+		return p.nextProbe
+	}
+	return p.until
+}
+
 func (p *suspect) lastCrash() (t time.Time) {
 	for _, x := range p.crashes {
 		if x.at.After(t) {
