fix(lots): published results survive a reconfiguration that fails

Callers saw: another result at a position that had been read, and an item that runs again (TWICE, LOST).

Cause: a replica that promises an epoch to a reconfiguration takes the claimant's log at once, before the record decides. The claimant may act on an old record and have a shorter log: it was left out by a reconfiguration that wrote the record meanwhile. Its own write fails then, but the replica has lost the entries that were published in the record's epoch, and its next reconfiguration copies the shorter log to all replicas. Class of fault: as for joined texts, state that is replaced by position, whichever epoch it belongs to.

Ruled out: refusing claimants with a shorter log, as entries that were never published may be missing there, and both disks would refuse each other.

Cost: while an epoch is unconfirmed a replica holds two logs of the lot in memory.

--- a/lots/lot.go
+++ b/lots/lot.go
@@ -17,6 +17,7 @@
 	replicas        []string              // Disks that hold the lot in this epoch, the primary's first.
 	confirmed       bool                  // The record names this epoch and these replicas.
 	entries         []bulrushlug.LotEntry // Synced on this disk; the first is the head entry.
+	former          []formerLog           // Logs of earlier epochs, until a later one is confirmed.
 	committed       int                   // Commit index: entries that all replicas have. Rises within one epoch, never above len(entries); zero while unknown.
 	pending         []bulrushlug.LotEntry // Entries not synced on this disk yet.
 	results         []int                 // Positions of the results in entries.
@@ -39,6 +40,13 @@
 	writeMu         sync.Mutex            // Serializes writes to the log.
 }
 
+// formerLog is the log that the disk had in an earlier epoch.
+type formerLog struct {
+	epoch    uint64
+	replicas []string
+	entries  []bulrushlug.LotEntry
+}
+
 // text holds the events of one text, from the first one on.
 type text struct {
 	id     uint64
@@ -73,6 +81,9 @@
 			l.entries = append(l.entries, u.Entries()[n:]...)
 		}
 	} else {
+		if !l.sameEpoch(u) && len(l.entries) > 0 {
+			l.former = append(l.former, formerLog{l.epoch, l.replicas, l.entries})
+		}
 		l.entries = append(l.entries[:u.Offset():u.Offset()], u.Entries()...)
 		l.verifiedAt = time.Time{}
 		l.committed = 0
@@ -84,10 +95,23 @@
 		l.pending = nil
 	}
 	l.epoch, l.replicas, l.confirmed = u.Epoch(), u.Replicas(), u.Confirmed() || l.confirmed && l.sameEpoch(u)
+	if u.Confirmed() {
+		l.former = nil
+	}
 	l.rebuildIndex()
 	l.notify()
 }
 
+// logOf returns the log that the disk had in the epoch of the record r, and false if that is its present one.
+func (l *lot) logOf(r bulrushlug.LotRecord) ([]bulrushlug.LotEntry, bool) {
+	for _, f := range slices.Backward(l.former) {
+		if f.epoch == r.Epoch() && slices.Equal(f.replicas, r.Replicas()) {
+			return f.entries, true
+		}
+	}
+	return nil, false
+}
+
 // addProgress adds events that continue the known ones of their text; parts that leave a gap are ignored. Another text
 // replaces the known one from its first event on, even within one epoch: a primary that restarted runs its items again.
 func (l *lot) addProgress(p []bulrushlug.LotProgress) {
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -34,13 +34,17 @@
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, max(l.epoch, r.Epoch())+1, to, len(l.entries), nil, false)
+		// What this disk got with a promise to a reconfiguration that failed may lack published results.
+		if e, ok := l.logOf(r); ok {
+			u = bulrushlug.NewLotUpdate(i, u.Epoch(), to, 0, e, false)
+		}
 	})
 	s, err := k.persist(u, func(l *lot) bool { return l.epoch < u.Epoch() })
 	if err != nil || !s.OK() {
 		return bulrushlug.Errorf(bulrushlug.KindConflict, "lot %s: cannot promise epoch %d: %v", i, u.Epoch(), err)
 	}
 	k.withLot(i, func(l *lot) { l.stale = false })
-	_ = k.logger.Log("event", "lotClaim", "lot", i, "epoch", u.Epoch(), "entries", u.Offset(), "disks", strings.Join(to, ","), "after", strings.Join(r.Replicas(), ","))
+	_ = k.logger.Log("event", "lotClaim", "lot", i, "epoch", u.Epoch(), "entries", u.Offset()+len(u.Entries()), "disks", strings.Join(to, ","), "after", strings.Join(r.Replicas(), ","))
 	err = parallel(to, func(d string) error {
 		if d == k.disk {
 			return nil
