test(items): joined texts with replicas that return no progress

A primary that restarts now recovers the progress from its replicas, so the cases with a restart passed with the old rule as well. Each case runs with replicas of an earlier version too, which return none: with the old rule the two cases that failed before fail there again.

--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -141,6 +141,7 @@
 	processes map[string]*process // By VM, which is also the name of the disk.
 	boots     uint64
 	random    *rand.Rand // Makes updates late; nil for none.
+	earlier   bool       // Replicas return no progress, as those of an earlier version.
 }
 
 func newGroup(c context.Context, names ...string) *group {
@@ -258,7 +259,11 @@
 	if d, lost := l.group.fault(); d > 0 {
 		return l.late(c, a, u, d, lost)
 	}
-	return k.Append(u)
+	s, err := k.Append(u)
+	if l.group.earlier {
+		s = s.WithProgress(nil)
+	}
+	return s, err
 }
 
 // late delivers u after d, even if the caller waits no longer; the response may get lost.
@@ -411,38 +416,44 @@
 			g.kill(g.primary())
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c, stop := context.WithCancel(t.Context())
-				g := newGroup(c, "a", "b", "c")
-				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
-				if err := g.processes["a"].manager.Submit(c, l); err != nil {
-					t.Fatal(err)
-				}
-				during(g)
-				time.Sleep(20 * time.Second)
-				found := false
-				for n, p := range g.processes {
-					r, err := p.manager.Read(c, bulrushlug.NewLotQuery("lot", "o"))
-					if !p.alive || err != nil {
-						continue
-					}
-					found = true
-					if len(r.Results()) != 1 || !r.Results()[0].Completed() {
-						t.Fatalf("results at %s: %v", n, r.Results())
-					}
-					if err := g.server.check("i0", r.Results()[0].Text()); err != nil {
-						t.Errorf("text at %s: %v", n, err)
-					}
-				}
-				if !found {
-					t.Error("no process answers for the lot")
-				}
-				stop()
-				synctest.Wait()
+		for version, earlier := range map[string]bool{"replicas of this version": false, "replicas of an earlier version": true} {
+			t.Run(name+"/"+version, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { textAfter(t, during, earlier) })
 			})
-		})
+		}
+	}
+}
+
+// textAfter checks the text of an item that runs while during is called; earlier says that replicas return no progress.
+func textAfter(t *testing.T, during func(g *group), earlier bool) {
+	c, stop := context.WithCancel(t.Context())
+	g := newGroup(c, "a", "b", "c")
+	g.earlier = earlier
+	l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+	if err := g.processes["a"].manager.Submit(c, l); err != nil {
+		t.Fatal(err)
+	}
+	during(g)
+	time.Sleep(20 * time.Second)
+	found := false
+	for n, p := range g.processes {
+		r, err := p.manager.Read(c, bulrushlug.NewLotQuery("lot", "o"))
+		if !p.alive || err != nil {
+			continue
+		}
+		found = true
+		if len(r.Results()) != 1 || !r.Results()[0].Completed() {
+			t.Fatalf("results at %s: %v", n, r.Results())
+		}
+		if err := g.server.check("i0", r.Results()[0].Text()); err != nil {
+			t.Errorf("text at %s: %v", n, err)
+		}
+	}
+	if !found {
+		t.Error("no process answers for the lot")
 	}
+	stop()
+	synctest.Wait()
 }
 
 // TestProgressOfRestartedReplica restarts the replica of an item while it runs, then ends the primary: the next run goes on
