--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -297,7 +297,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var seen, answered sync.Map
+		var seen, answered, failed sync.Map
 		s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			seen.Store(r.URL.Path, true)
 			_, _ = io.WriteString(w, r.URL.Path)
@@ -312,6 +312,7 @@
 					c.send("GET " + id + " HTTP/1.1\r\nHost: h\r\n\r\n")
 					got, closes, err := c.response()
 					if err != nil {
+						failed.Store(id, err)
 						return
 					}
 					if got != id {
@@ -332,7 +333,8 @@
 		w.Wait()
 		seen.Range(func(id, _ any) bool {
 			if _, ok := answered.Load(id); !ok {
-				t.Errorf("request %s reached the handler and got no response", id)
+				err, _ := failed.Load(id)
+				t.Errorf("request %s reached the handler and got no response: %v", id, err)
 			}
 			return true
 		})
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -100,7 +100,7 @@
 }
 
 // Suspects returns what the next report of this process says of suspected parts: what changed lately, and from time to
-// time the convicted parts, from which a process that restarted learns. Of too many it has those with the most crashes,
+// time the parts with conclusive evidence, from which a process that restarted learns. Of too many it has those with the most crashes,
 // and those with the latest news.
 func (d *Detector) Suspects() []bulrushlug.Suspect {
 	now := time.Now()
@@ -157,8 +157,8 @@
 	}
 }
 
-// apply has the next reports tell of a verdict that was reached at time now, and logs what changed by it.
-func (d *Detector) apply(now time.Time, v verdict) {
+// apply has the next reports tell of new evidence at time now, and logs what changed by it.
+func (d *Detector) apply(now time.Time, v outcome) {
 	if !v.reached {
 		return
 	}
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -13,16 +13,16 @@
 	maxSuspects = 256 // Suspects in one shard.
 	// clearedLifetime is how long a part without crashes is kept, so that late reports of crashes before its last success
 	// change nothing.
-	clearedLifetime = 10 * time.Second
-	judgeInterval   = time.Second // Time after which what has expired is forgotten, if nothing else changes.
+	clearedLifetime    = 10 * time.Second
+	evaluationInterval = time.Second // Time after which what has expired is forgotten, if nothing else changes.
 )
 
 // shard holds the suspected parts of some scopes.
 type shard struct {
-	mu       sync.Mutex
-	suspects map[key]*suspect
-	size     atomic.Int64 // Number of suspects; written under mu.
-	judged   time.Time    // Last call of judge.
+	mu        sync.Mutex
+	suspects  map[key]*suspect
+	size      atomic.Int64 // Number of suspects; written under mu.
+	evaluated time.Time    // Last call of evaluate.
 }
 
 type key struct{ scope, part uint64 }
@@ -36,8 +36,8 @@
 	alternatives int           // Other parts that may be at fault instead.
 }
 
-// verdict is the outcome of new evidence.
-type verdict struct {
+// outcome is the outcome of new evidence.
+type outcome struct {
 	reached bool // The evidence was new.
 	changes []change
 }
@@ -70,7 +70,7 @@
 }
 
 // clear records that a server began to respond to p.
-func (s *shard) clear(p bulrushlug.Prompt, now time.Time) verdict {
+func (s *shard) clear(p bulrushlug.Prompt, now time.Time) outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
@@ -81,13 +81,13 @@
 		}
 	}
 	if !changed {
-		return verdict{}
+		return outcome{}
 	}
-	return verdict{true, s.judge(now)}
+	return outcome{true, s.evaluate(now)}
 }
 
 // suspect records that a server ended as it began to respond to p.
-func (s *shard) suspect(p bulrushlug.Prompt, server uint64, now time.Time) verdict {
+func (s *shard) suspect(p bulrushlug.Prompt, server uint64, now time.Time) outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := p.Parts()
@@ -95,11 +95,11 @@
 	for i, x := range l {
 		s.find(key{p.Scope(), x}, i == last).add(crash{server, l[last], now}, now)
 	}
-	return verdict{true, s.judge(now)}
+	return outcome{true, s.evaluate(now)}
 }
 
 // merge adds what another process reported.
-func (s *shard) merge(l []bulrushlug.Suspect, now time.Time) verdict {
+func (s *shard) merge(l []bulrushlug.Suspect, now time.Time) outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
@@ -120,9 +120,9 @@
 		}
 	}
 	if !changed {
-		return verdict{}
+		return outcome{}
 	}
-	return verdict{true, s.judge(now)}
+	return outcome{true, s.evaluate(now)}
 }
 
 // find returns the suspect k, which is new if there is none. If there is no room for it, the one whose last crash is the
@@ -153,8 +153,8 @@
 	delete(s.suspects, oldest)
 }
 
-// judge decides which parts are quarantined, forgets what is too old, and returns what changed.
-func (s *shard) judge(now time.Time) (l []change) {
+// evaluate decides which parts are quarantined, forgets what is too old, and returns what changed.
+func (s *shard) evaluate(now time.Time) (l []change) {
 	for k, p := range s.suspects {
 		p.expire(now)
 		if len(p.crashes) == 0 && now.Sub(p.success) > clearedLifetime {
@@ -162,11 +162,11 @@
 		}
 	}
 	s.size.Store(int64(len(s.suspects)))
-	s.judged = now
+	s.evaluated = now
 	for k, p := range s.suspects {
 		was := p.quarantined
 		p.until, p.alternatives = time.Time{}, nil
-		if p.convictable() {
+		if p.conclusive() {
 			p.until, p.alternatives = p.quarantineEnd(), s.alternatives(k, p)
 		}
 		p.quarantined = now.Before(p.until)
@@ -191,16 +191,16 @@
 	return l
 }
 
-// report returns what this process knows of its suspects, or of the convicted ones only, and what changed by the passage of
+// report returns what this process knows of its suspects, or of those with conclusive evidence only, and what changed by the passage of
 // time.
-func (s *shard) report(now time.Time, convicted bool) (l []bulrushlug.Suspect, c []change) {
+func (s *shard) report(now time.Time, conclusive bool) (l []bulrushlug.Suspect, c []change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.judged) >= judgeInterval {
-		c = s.judge(now)
+	if now.Sub(s.evaluated) >= evaluationInterval {
+		c = s.evaluate(now)
 	}
 	for k, p := range s.suspects {
-		if !convicted || p.convictable() {
+		if !conclusive || p.conclusive() {
 			l = append(l, p.report(k, now))
 		}
 	}
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -9,7 +9,7 @@
 
 const (
 	minServers  = 3  // Servers that end on a part before it is quarantined.
-	minRequests = 2  // Requests with a shared part on which they end; retries of one request don't convict what it shares with others.
+	minRequests = 2  // Requests with a shared part on which they end; retries of one request are no evidence against what it shares with others.
 	maxCrashes  = 16 // Crashes that are kept of a part.
 	// minQuarantine is the time from the last crash until requests with a part are tried again. It doubles with each crash
 	// beyond minServers, up to maxQuarantine.
@@ -92,8 +92,8 @@
 	return len(s), len(r)
 }
 
-// convictable reports whether enough servers ended on the part.
-func (p *suspect) convictable() bool {
+// conclusive reports whether enough servers ended on the part to hold requests with it back.
+func (p *suspect) conclusive() bool {
 	if len(p.crashes) < minServers {
 		return false
 	}
@@ -108,14 +108,14 @@
 	})
 }
 
-// quarantineEnd returns the end of the quarantine of a convicted part.
+// quarantineEnd returns the end of the quarantine of a part with conclusive evidence.
 func (p *suspect) quarantineEnd() time.Time {
 	servers, _ := p.counts()
 	d := min(maxQuarantine, minQuarantine<<(servers-minServers))
 	return p.lastCrash().Add(d)
 }
 
-// heldUntil returns the time before which requests with a convicted part are held back.
+// heldUntil returns the time before which requests with a part are held back on conclusive evidence.
 func (p *suspect) heldUntil() time.Time {
 	if p.nextProbe.After(p.until) {
 		return p.nextProbe
