--- /dev/null
+++ b/items/run.go
@@ -0,0 +1,148 @@
+package items
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/slots"
+	"bulrushlug.dev/bulrushlug/stream"
+)
+
+const (
+	eventTimeout        = 3 * time.Second     // Time without an event after which a run is cancelled and resumed, maybe at another server.
+	begunEvents         = 2                   // Events of a run after which its item is not what ends the server.
+	eventStream         = "text/event-stream" // Media type of server-sent events.
+	statusOK            = 200
+	statusUnprocessable = 422 // The item can never be completed.
+	statusError         = 500 // The run failed; a later one may succeed.
+)
+
+// run makes one run of an item, then records its result or sets the back-off of the next run.
+func (r *Runner) run(c context.Context, w task, x *item, s *slots.Reservation) {
+	k := key{w.lot.ID(), w.item}
+	h := r.shard(k)
+	i := w.lot.Items()[w.item]
+	h.mu.Lock()
+	q := bulrushlug.NewRequest(i.ID(), bulrushlug.WithOrganisation(w.lot.Organisation()), bulrushlug.WithBatch(w.lot.ID()),
+		bulrushlug.WithCall("POST", i.Path(), "", i.Body()), bulrushlug.WithFields(w.lot.Host(), i.Fields()),
+		bulrushlug.WithIdempotent(true), bulrushlug.WithStream(true), bulrushlug.WithResumeFrom(uint64(len(x.events))),
+		bulrushlug.WithPrompt(r.prompt(w.route.Name(), i.Fields())))
+	h.mu.Unlock()
+	begun := time.Now()
+	status := 0
+	err := r.guard.Run("item", func() (err error) {
+		status, err = r.exchange(c, h, x, s, q)
+		return err
+	})
+	if err == nil && status == statusOK {
+		h.mu.Lock()
+		text := strings.Join(x.events, "\n")
+		n := len(x.events)
+		h.mu.Unlock()
+		r.pace(w.route.Name()).observe(n, n-int(q.ResumeFrom()), time.Since(begun))
+		r.recordResult(c, k, bulrushlug.NewLotResult(w.item, true, text), "")
+		return
+	}
+	h.mu.Lock()
+	preempted := x.preempted
+	if !preempted {
+		x.backoff = min(max(initialBackoff, 2*x.backoff), maxBackoff)
+		x.notBefore = time.Now().Add(x.backoff)
+	}
+	if status == statusError {
+		x.failures++
+	}
+	failures, events := x.failures, len(x.events)
+	h.mu.Unlock()
+	online, batch, age := s.Load()
+	r.endings.record(cause(preempted, c.Err() != nil, status, err), "lot", k.lot, "request", i.ID(), "server", s.Backend().ID(), "status", status,
+		"failed", failures, "resumedAfter", q.ResumeFrom(), "events", events, "ran", time.Since(begun), "online", online, "batch", batch, "age", age, "err", err)
+	if preempted || c.Err() != nil {
+		return
+	}
+	if status == statusUnprocessable || status == statusError && failures >= max(1, w.route.Attempts()) {
+		r.recordResult(c, k, bulrushlug.NewLotResult(w.item, false, ""), "the backend server rejected it or failed too often")
+	}
+}
+
+// cause names why a run ended without a result.
+func cause(preempted, stopped bool, status int, err error) string {
+	switch {
+	case preempted:
+		return "preempted"
+	case stopped:
+		return "stopped"
+	case err != nil:
+		return bulrushlug.KindOf(err).String()
+	}
+	return "status" + strconv.Itoa(status)
+}
+
+// exchange sends q to the server of s and collects the events; it returns the HTTP status of the response.
+func (r *Runner) exchange(c context.Context, h *shard, x *item, s *slots.Reservation, q *bulrushlug.Request) (int, error) {
+	c, stop := context.WithCancel(c)
+	defer stop()
+	t := time.AfterFunc(eventTimeout, stop)
+	defer t.Stop()
+	p, err := r.client.Call(c, s.Backend(), q)
+	if err != nil {
+		if c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
+			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+		}
+		if k := bulrushlug.KindOf(err); k == bulrushlug.KindUnplaceable || k == bulrushlug.KindMisdirected || k == bulrushlug.KindUncertain {
+			s.RecordFailure()
+		}
+		return 0, err
+	}
+	defer p.Close()
+	if p.Status() != statusOK {
+		_, err := io.Copy(io.Discard, p)
+		return p.Status(), err
+	}
+	if t := bulrushlug.FieldValue(p.Fields(), "Content-Type"); t != "" && !strings.HasPrefix(t, eventStream) {
+		return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the response has type %s", s.Backend().ID(), t)
+	}
+	n, err := r.receive(h, x, s.Backend(), q, stream.New(p), t)
+	if err != nil {
+		if n < begunEvents && c.Err() == nil {
+			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+		}
+		return 0, err
+	}
+	s.RecordSuccess(0)
+	r.detector.RecordBegun(q.Prompt())
+	return statusOK, nil
+}
+
+// receive adds the events of e to x until the stream ends, and returns their number; each restarts the timer t.
+func (r *Runner) receive(h *shard, x *item, b bulrushlug.Backend, q *bulrushlug.Request, e *stream.Reader, t *time.Timer) (n int, err error) {
+	for {
+		if _, err := e.Next(); errors.Is(err, io.EOF) {
+			if n == 0 && q.ResumeFrom() == 0 {
+				return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the stream ended without an event", b.ID())
+			}
+			return n, nil
+		} else if err != nil {
+			return n, bulrushlug.WrapError(bulrushlug.KindBroken, b.ID(), err)
+		}
+		if !e.Progress() {
+			continue
+		}
+		t.Reset(eventTimeout)
+		id, ok := e.ID()
+		if !ok {
+			return n, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: an event has no id field", b.ID())
+		}
+		if err := h.appendEvent(x, id, e.Data()); err != nil {
+			return n, err
+		}
+		if n++; n == begunEvents {
+			r.detector.RecordBegun(q.Prompt())
+		}
+	}
+}
