test(daemon): odd entries: waits for the change, within the time for draining servers

The second was no bound of anything, and began once another entry had started. The test now waits until each entry has the change and checks that this takes at most 2 s from the registration, the time in which a draining server may get requests; the entry that starts later is checked as before.

--- a/daemon/oddentries_test.go
+++ b/daemon/oddentries_test.go
@@ -24,6 +24,9 @@
 	"a service in bytes": "{\"service\":\"\xff\",\"address\":\"127.0.0.1:1\",\"zone\":\"z0\",\"version\":\"v1\",\"slots\":4000,\"state\":\"ready\",\"coldLeftMs\":0,\"callSeq\":1,\"born\":1}",
 }
 
+// drainBound is the time after its registration in which a draining server gets no more requests.
+const drainBound = 2 * time.Second
+
 // TestOddEntries has another writer leave odd entries among those of the backend servers. The processes that watch the
 // list, one that follows them and one that starts later go on and use the others.
 func TestOddEntries(t *testing.T) {
@@ -38,9 +41,17 @@
 		s.write("servers/odd "+name, v)
 	}
 	s.register(s.backends[0], "draining")
+	registered := time.Now()
+	usesOne := func(i int) bool { return s.entries[i].daemon.slotTable.Available("s") == 1 }
+	for i := range s.entries {
+		s.waitUntil("the entry has the change", func() bool { return usesOne(i) })
+	}
+	if d := time.Since(registered); d > drainBound {
+		t.Errorf("the entries had the change after %v", d)
+	}
 	s.entries = append(s.entries, s.start(map[string]string{"vm": "e3", "zone": "z0", "role": "entry", "http": freeAddress(), "ready": freeAddress()}))
 	s.waitUntil("the new entry is ready", func() bool { return s.ready(3) })
-	time.Sleep(time.Second) // All entries have the change.
+	s.waitUntil("the new entry has the change", func() bool { return usesOne(3) })
 	for i := range s.entries {
 		for n := range 5 {
 			id := fmt.Sprintf("e%d-%d", i, n)
