--- a/poison/detector.go
+++ b/poison/detector.go
@@ -100,8 +100,8 @@
 }
 
 // Suspects returns what the next report of this process says of suspected parts: what changed lately, and from time to
-// time the parts with conclusive evidence, from which a process that restarted learns. Of too many it has those with the most crashes,
-// and those with the latest news.
+// time the parts with conclusive evidence, from which a process that restarted learns. Of too many it has those with the
+// most crashes, and those with the latest news.
 func (d *Detector) Suspects() []bulrushlug.Suspect {
 	now := time.Now()
 	changed := now.UnixNano()-d.changedAt.Load() < int64(spreadTime)
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -191,8 +191,8 @@
 	return l
 }
 
-// report returns what this process knows of its suspects, or of those with conclusive evidence only, and what changed by the passage of
-// time.
+// report returns what this process knows of its suspects, or of those with conclusive evidence only, and what changed by
+// the passage of time.
 func (s *shard) report(now time.Time, conclusive bool) (l []bulrushlug.Suspect, c []change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
