--- a/review/stand/retention.go
+++ b/review/stand/retention.go
@@ -1,19 +1,21 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"strconv"
 	"time"
 )
 
-// caseRetention submits a lot with one item that no runner can do, so that the lot is open until its retention ends.
+// caseRetention submits lots of which one has an item that no runner can do, so that it is open until its retention ends.
 func caseRetention(s *system) int {
 	s.status = 55
 	if n, err := strconv.Atoi(os.Getenv("STATUS")); err == nil {
 		s.status = float64(n)
 	}
 	retention := s.status + 60
+	const count = 20 // Batch submissions; one of them has an item that can't be done, a share of 0.05.
 	s.plainRunners(func(r *http.Request) reply {
 		if s.trouble && r.Header.Get("X-Token-Usage") == "100,199900" {
 			return reply{refuse: true} // Larger than the runner's memory: refused as if the runner were full.
@@ -24,15 +26,21 @@
 	if !s.start() {
 		return failed
 	}
-	l := items("lot1", "/lotroute/", 10, 300)
-	l[4].Headers["X-Token-Usage"] = "100,199900"
-	l[4].Tokens = 200000
 	sent := time.Now()
-	if s.submit(s.entries[0], "/lotroute/", "lot1", l) != http.StatusAccepted {
-		return failed
+	for i := range count {
+		id := fmt.Sprintf("lot%d", i)
+		l := items(id, "/lotroute/", 10, 300)
+		if i == 1 {
+			l[4].Headers["X-Token-Usage"] = "100,199900"
+			l[4].Tokens = 200000
+			sent = time.Now()
+		}
+		if s.submit(s.entries[i%2], "/lotroute/", id, l) != http.StatusAccepted {
+			return failed
+		}
 	}
 	_, r := s.readAll("lot1", 15*time.Second)
-	s.record.line("%d of 10 results listed", len(r))
+	s.record.line("%d of 10 results of lot1 listed", len(r))
 	if len(r) < 9 {
 		return failed
 	}
