--- a/lots/lot.go
+++ b/lots/lot.go
@@ -24,6 +24,7 @@
 	done            map[uint32]bool       // Items with a result, synced or pending.
 	ended           bool                  // The end of the lot is among entries or pending.
 	busy            bool                  // A goroutine runs the tasks of the lot.
+	dropped         bool                  // The log is being removed; the lot accepts nothing and counts as absent.
 	epochChanged    bool                  // The record has to be read again: a replica follows another epoch, or a caller took this replica for the primary.
 	stale           bool                  // The entries were received in another epoch; the primary has to resend all of them or reconfigure the lot.
 	recheck         bool                  // A replica may lack the lot.
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -121,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, ok := s.lots[i]
-	if ok {
+	if ok = ok && !l.dropped; ok {
 		f(l)
 	}
 	return ok
@@ -255,41 +255,44 @@
 
 // Forget removes the replica of lot i, unless it follows an epoch after n.
 func (k *ReplicaManager) Forget(i string, n uint64) {
-	drop := false
-	k.withLot(i, func(l *lot) { drop = l.epoch <= n })
-	if drop {
-		k.drop(i, "forgotten")
-	}
+	k.drop(i, "forgotten", upToEpoch(n))
 }
 
 // Withdraw removes the replica of lot i if it is an unconfirmed draft of the primary on disk d.
 func (k *ReplicaManager) Withdraw(i, d string) {
-	drop := false
-	k.withLot(i, func(l *lot) { drop = !l.confirmed && l.isPrimary(d) })
-	if drop {
-		k.drop(i, "withdrawn")
-	}
+	k.drop(i, "withdrawn", func(l *lot) bool { return l.epoch == firstEpoch && !l.confirmed && l.isPrimary(d) })
 }
 
-// drop removes the replica of lot i from this disk.
-func (k *ReplicaManager) drop(i, reason string) {
-	s := k.shard(i)
-	s.mu.Lock()
-	l := s.lots[i]
-	delete(s.lots, i)
-	s.mu.Unlock()
+// drop removes the replica of lot i from this disk if the condition f still holds. The lot counts as absent from then on,
+// but its place is taken until the log is removed, so that no new log of the lot goes with it.
+func (k *ReplicaManager) drop(i, reason string, f func(l *lot) bool) {
+	l := k.getLot(i, false)
 	if l == nil {
 		return
 	}
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
+	s := k.shard(i)
+	s.mu.Lock()
+	ok := s.lots[i] == l && f(l)
+	l.dropped = l.dropped || ok
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
 	if err := k.log.Drop(i); err != nil {
 		_ = k.logger.Log("event", "lotNotDropped", "lot", i, "err", err)
 	}
+	s.mu.Lock()
+	delete(s.lots, i)
+	s.mu.Unlock()
 	_ = k.logger.Log("event", "lotDropped", "lot", i, "reason", reason, "epoch", l.epoch)
 	k.onWork()
 }
 
+// upToEpoch is a condition of drop: the replica follows epoch n or an earlier one.
+func upToEpoch(n uint64) func(l *lot) bool { return func(l *lot) bool { return l.epoch <= n } }
+
 // markPromoted records that this disk became the primary of lot i.
 func (k *ReplicaManager) markPromoted(i string) {
 	k.mu.Lock()
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -115,7 +115,7 @@
 		u := bulrushlug.NewLotUpdate(i, now.Epoch(), now.Replicas(), 0, nil, true)
 		k.withLot(i, func(l *lot) { u = bulrushlug.NewLotUpdate(i, now.Epoch(), now.Replicas(), len(l.entries), nil, true) })
 		err = parallel(now.Replicas(), func(d string) error { return k.replicateTo(c, d, u, replicaTimeout) })
-		k.drop(i, "handed over to other replicas")
+		k.drop(i, "handed over to other replicas", upToEpoch(now.Epoch()))
 	}
 	var out []string
 	for _, d := range old.Replicas() {
--- a/lots/record.go
+++ b/lots/record.go
@@ -92,7 +92,7 @@
 		return bulrushlug.Errorf(bulrushlug.KindUncertain, "lot %s has no record", i)
 	}
 	if !slices.Contains(r.Replicas(), k.disk) {
-		k.drop(i, "the record has other replicas")
+		k.drop(i, "the record has other replicas", upToEpoch(max(r.Epoch(), placed.Epoch())))
 		return nil
 	}
 	if placed.Epoch() == r.Epoch() && slices.Equal(placed.Replicas(), r.Replicas()) {
--- a/lots/task.go
+++ b/lots/task.go
@@ -161,7 +161,7 @@
 		l.nextTaskAt = time.Now().Add(draftTimeout)
 	})
 	if old || confirmed {
-		k.drop(i, "no record found")
+		k.drop(i, "no record found", func(l *lot) bool { return l.confirmed == confirmed })
 	}
 	return nil
 }
@@ -175,7 +175,7 @@
 		return k.adoptRecord(c, i, bulrushlug.LotUpdate{})
 	}
 	if !slices.Contains(r.Replicas(), k.disk) {
-		k.drop(i, "reconfiguration unfinished and the record has other replicas")
+		k.drop(i, "reconfiguration unfinished and the record has other replicas", func(l *lot) bool { return !l.confirmed })
 		return nil
 	}
 	return k.reconfigure(c, i)
@@ -316,6 +316,6 @@
 			return err
 		}
 	}
-	k.drop(i, "lot expired")
+	k.drop(i, "lot expired", func(*lot) bool { return true })
 	return nil
 }
