--- a/codec/lot.go
+++ b/codec/lot.go
@@ -92,7 +92,7 @@
 // EncodeLotUpdate encodes an append that the primary sends to the replicas of a lot.
 func EncodeLotUpdate(u bulrushlug.LotUpdate) *wire.LotAppend {
 	return &wire.LotAppend{Progress: encodeProgress(u.Progress()), WantsProgress: u.WantsProgress(), Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.Offset()),
-		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed()}
+		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed(), Sender: u.Sender()}
 }
 
 // DecodeLotUpdate decodes an append to the log of a lot; it fails with KindBadRequest if an entry is empty or
@@ -106,7 +106,7 @@
 		return bulrushlug.LotUpdate{}, err
 	}
 	u := bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed)
-	return u.WithProgress(decodeProgress(w.Progress)).WithProgressWanted(w.WantsProgress), nil
+	return u.WithProgress(decodeProgress(w.Progress)).WithProgressWanted(w.WantsProgress).WithSender(w.Sender), nil
 }
 
 // EncodeLotReplicaState encodes the state of a replica.
--- a/lot.go
+++ b/lot.go
@@ -242,7 +242,8 @@
 	entries   []LotEntry
 	confirmed bool // The record in the key-value service has this epoch and replica set.
 	progress  []LotProgress
-	wants     bool // The response is to contain the progress that the replica knows.
+	sender    string // Disk of the process that sent the update; empty if unknown.
+	wants     bool   // The response is to contain the progress that the replica knows.
 }
 
 // WithProgressWanted returns a copy that asks the replicas for the progress that they know.
@@ -254,6 +255,15 @@
 // WantsProgress reports whether the response is to contain the progress that the replica knows.
 func (u LotUpdate) WantsProgress() bool { return u.wants }
 
+// WithSender returns a copy that names disk d as that of the process that sends the update.
+func (u LotUpdate) WithSender(d string) LotUpdate {
+	u.sender = d
+	return u
+}
+
+// Sender returns the disk of the process that sent the update, which is not always that of a replica; empty if unknown.
+func (u LotUpdate) Sender() string { return u.sender }
+
 // WithProgress returns a copy that adds the progress of running items, which replicas keep in memory only.
 func (u LotUpdate) WithProgress(l []LotProgress) LotUpdate {
 	u.progress = l
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -100,8 +100,9 @@
 	refused           map[string]bool           // Lots of which every attempt was told that no part of them runs.
 	ended             map[string]bool
 	boots             uint64
-	replicationFactor int  // Disks that hold accepted lots.
-	slow              bool // The key-value service is slow.
+	replicationFactor int           // Disks that hold accepted lots.
+	slow              bool          // The key-value service is slow.
+	writeDelay        time.Duration // How long a write is on its way to the key-value service beyond that.
 	logger            log.Logger
 }
 
@@ -159,6 +160,10 @@
 
 func (t vmStore) Commit(c context.Context, l []bulrushlug.Condition, w []bulrushlug.Write) (uint64, error) {
 	t.wait(c)
+	t.cluster.mu.Lock()
+	d := t.cluster.writeDelay
+	t.cluster.mu.Unlock()
+	_ = bulrushlug.Sleep(c, d)
 	defer t.wait(c)
 	if t.cluster.isPartitioned(t.vm) {
 		return 0, bulrushlug.Errorf(bulrushlug.KindStoreDown, "VM is partitioned")
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -16,6 +16,7 @@
 	epoch           uint64
 	replicas        []string              // Disks that hold the lot in this epoch, the primary's first.
 	confirmed       bool                  // The record names this epoch and these replicas.
+	coordinator     string                // Disk of the process that runs the reconfiguration to this epoch; empty if unknown.
 	entries         []bulrushlug.LotEntry // Synced on this disk; the first is the head entry.
 	former          []formerLog           // Logs of earlier epochs, until a later one is confirmed.
 	committed       int                   // Commit index: entries that all replicas have. Rises within one epoch, never above len(entries); zero while unknown.
@@ -34,6 +35,7 @@
 	recordReadAt    time.Time             // Last time at which the record named this epoch.
 	verifiedAt      time.Time             // Last time at which all replicas followed this epoch.
 	nextTaskAt      time.Time             // Earliest time of the next task.
+	promisedAt      time.Time             // When this disk promised the epoch.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
@@ -89,7 +91,11 @@
 		l.verifiedAt = time.Time{}
 		l.committed = 0
 		clear(l.acked)
-		l.promiseDeadline = time.Now().Add(promiseTimeout + rand.N(promiseTimeout/2))
+		l.promisedAt = time.Now()
+		l.promiseDeadline = l.promisedAt.Add(promiseTimeout + rand.N(promiseTimeout/2))
+		if !l.sameEpoch(u) {
+			l.coordinator = u.Sender()
+		}
 		l.epochChanged, l.stale = false, u.Offset() > 0
 	}
 	if len(l.replicas) > 0 && len(u.Replicas()) > 0 && l.replicas[0] != u.Replicas()[0] {
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -40,6 +40,7 @@
 	// replicas takes, and shorter than the time after which nothing of an ended lot may run.
 	runStaleness    = 2 * time.Second
 	draftTimeout    = 2 * time.Second  // Age at which the record of an unconfirmed lot is read.
+	orphanTimeout   = 10 * time.Second // Age at which the log of a reconfiguration that has not written its record is given up.
 	noRecordTimeout = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
 	expiryDelay     = 30 * time.Second // Time after the end of its retention at which a lot is dropped.
 	// promotionReportTime is how long other processes are told that this disk became the primary of a lot: a few
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -39,6 +39,7 @@
 			u = bulrushlug.NewLotUpdate(i, u.Epoch(), to, 0, e, false)
 		}
 	})
+	u = u.WithSender(k.disk)
 	s, err := k.persist(u, func(l *lot) bool { return l.epoch < u.Epoch() })
 	if err != nil || !s.OK() {
 		return bulrushlug.Errorf(bulrushlug.KindConflict, "lot %s: cannot promise epoch %d: %v", i, u.Epoch(), err)
@@ -108,14 +109,15 @@
 }
 
 // finishReconfiguration completes a reconfiguration that wrote the record now: the new replicas learn that it is
-// confirmed, and the removed ones forget the lot.
+// confirmed, and the removed ones forget the lot once that is done.
 func (k *ReplicaManager) finishReconfiguration(c context.Context, i string, old, now bulrushlug.LotRecord) error {
-	err := k.confirm(i, now)
+	if err := k.confirm(i, now); err != nil {
+		return err
+	}
 	if !slices.Contains(now.Replicas(), k.disk) {
-		u := bulrushlug.NewLotUpdate(i, now.Epoch(), now.Replicas(), 0, nil, true)
-		k.withLot(i, func(l *lot) { u = bulrushlug.NewLotUpdate(i, now.Epoch(), now.Replicas(), len(l.entries), nil, true) })
-		err = parallel(now.Replicas(), func(d string) error { return k.replicateTo(c, d, u, replicaTimeout) })
-		k.drop(i, "handed over to other replicas", upToEpoch(now.Epoch()))
+		if err := k.leave(c, i, now, now.Epoch()); err != nil {
+			return err
+		}
 	}
 	var out []string
 	for _, d := range old.Replicas() {
@@ -124,5 +126,5 @@
 		}
 	}
 	k.forget(c, i, now.Epoch()-1, out)
-	return err
+	return nil
 }
--- a/lots/record.go
+++ b/lots/record.go
@@ -92,8 +92,7 @@
 		return bulrushlug.Errorf(bulrushlug.KindUncertain, "lot %s has no record", i)
 	}
 	if !slices.Contains(r.Replicas(), k.disk) {
-		k.drop(i, "the record has other replicas", upToEpoch(max(r.Epoch(), placed.Epoch())))
-		return nil
+		return k.leave(c, i, r, max(r.Epoch(), placed.Epoch()))
 	}
 	if placed.Epoch() == r.Epoch() && slices.Equal(placed.Replicas(), r.Replicas()) {
 		return k.confirm(i, r)
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -136,13 +136,7 @@
 }
 
 func (k *ReplicaManager) verifyReplica(c context.Context, d, i string, epoch uint64) error {
-	p, ok := k.peers.ByDisk(d)
-	if !ok {
-		return bulrushlug.Errorf(bulrushlug.KindUnplaceable, "no known process serves disk %s", d)
-	}
-	c, stop := context.WithTimeout(c, replicaTimeout)
-	defer stop()
-	s, err := k.remote.Verify(c, p.Member().Address(), i, epoch)
+	s, err := k.verify(c, d, i, epoch)
 	if err != nil || s.OK() {
 		return err
 	}
@@ -201,3 +195,14 @@
 		}
 	}
 }
+
+// verify returns the state of the replica of lot i on disk d, which should follow epoch n.
+func (k *ReplicaManager) verify(c context.Context, d, i string, n uint64) (bulrushlug.LotReplicaState, error) {
+	p, ok := k.peers.ByDisk(d)
+	if !ok {
+		return bulrushlug.LotReplicaState{}, bulrushlug.Errorf(bulrushlug.KindUnplaceable, "no known process serves disk %s", d)
+	}
+	c, stop := context.WithTimeout(c, replicaTimeout)
+	defer stop()
+	return k.remote.Verify(c, p.Member().Address(), i, n)
+}
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -117,7 +117,7 @@
 	}
 	c, stop := context.WithTimeout(c, wait)
 	defer stop()
-	s, err := k.remote.Append(c, p.Member().Address(), u)
+	s, err := k.remote.Append(c, p.Member().Address(), u.WithSender(k.disk))
 	if err == nil && s.OK() {
 		k.withLot(u.Lot(), func(l *lot) { l.recoverProgress(s.Progress()) })
 	}
--- a/lots/task.go
+++ b/lots/task.go
@@ -83,7 +83,7 @@
 	switch {
 	case l.head != nil && now.After(l.head.ReceivedAt().Add(k.retention+expiryDelay)):
 		return taskDrop
-	case l.epochChanged, k.confirmationOverdue(l):
+	case l.epochChanged, k.confirmationOverdue(l), l.confirmed && !slices.Contains(l.replicas, k.disk):
 		return taskReadRecord
 	case !l.confirmed:
 		return taskNone
@@ -97,8 +97,8 @@
 	return taskNone
 }
 
-// confirmationOverdue reports whether a draft or a reconfiguration should have led to a record by now, or its
-// primary is unavailable.
+// confirmationOverdue reports whether a draft or a reconfiguration should have led to a record by now, or the process
+// that runs it is this one, which no longer does, or is unavailable.
 func (k *ReplicaManager) confirmationOverdue(l *lot) bool {
 	switch {
 	case l.confirmed:
@@ -106,7 +106,7 @@
 	case l.epoch == firstEpoch:
 		return time.Since(l.firstSeen) > draftTimeout
 	}
-	return l.isPrimary(k.disk) || time.Now().After(l.promiseDeadline) || k.unavailable(l.replicas[0])
+	return l.coordinator == k.disk || time.Now().After(l.promiseDeadline) || l.coordinator != "" && k.unavailable(l.coordinator)
 }
 
 // needsNewReplicas reports whether the primary should change the replicas of l.
@@ -153,7 +153,7 @@
 		return err
 	}
 	if n != 0 {
-		return k.followRecord(c, i, r)
+		return k.followRecord(c, i, r, n)
 	}
 	var old, confirmed bool
 	k.withLot(i, func(l *lot) {
@@ -166,17 +166,16 @@
 	return nil
 }
 
-// followRecord makes this disk follow the record r. If it promised a later epoch to an unfinished reconfiguration,
-// it starts one itself, or drops the lot if r has other replicas.
-func (k *ReplicaManager) followRecord(c context.Context, i string, r bulrushlug.LotRecord) error {
+// followRecord makes this disk follow the record r, at revision n. If it promised a later epoch to an unfinished
+// reconfiguration, it starts one itself, or gives that one up in the end if r has other replicas.
+func (k *ReplicaManager) followRecord(c context.Context, i string, r bulrushlug.LotRecord, n uint64) error {
 	later := false
 	k.withLot(i, func(l *lot) { later = l.epoch > r.Epoch() && !l.confirmed })
 	if !later {
 		return k.adoptRecord(c, i, bulrushlug.LotUpdate{})
 	}
 	if !slices.Contains(r.Replicas(), k.disk) {
-		k.drop(i, "reconfiguration unfinished and the record has other replicas", func(l *lot) bool { return !l.confirmed })
-		return nil
+		return k.giveUpPromise(c, i, r, n)
 	}
 	return k.reconfigure(c, i)
 }
