--- a/lots/lot.go
+++ b/lots/lot.go
@@ -36,6 +36,8 @@
 	verifiedAt      time.Time             // Last time at which all replicas followed this epoch.
 	nextTaskAt      time.Time             // Earliest time of the next task.
 	promisedAt      time.Time             // When this disk promised the epoch.
+	primaryBoot     uint64                // Start of the primary's process that sent an update of this epoch; zero before one did.
+	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
@@ -94,7 +96,7 @@
 		l.promisedAt = time.Now()
 		l.promiseDeadline = l.promisedAt.Add(promiseTimeout + rand.N(promiseTimeout/2))
 		if !l.sameEpoch(u) {
-			l.coordinator = u.Sender()
+			l.coordinator, l.primaryBoot = u.Sender(), 0
 		}
 		l.epochChanged, l.stale = false, u.Offset() > 0
 	}
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -41,6 +41,7 @@
 	runStaleness    = 2 * time.Second
 	draftTimeout    = 2 * time.Second  // Age at which the record of an unconfirmed lot is read.
 	orphanTimeout   = 10 * time.Second // Age at which the log of a reconfiguration that has not written its record is given up.
+	probeDelay      = 2 * time.Second  // Shortest time after which a silent primary that has restarted or is new is asked for the lot.
 	noRecordTimeout = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
 	expiryDelay     = 30 * time.Second // Time after the end of its retention at which a lot is dropped.
 	// promotionReportTime is how long other processes are told that this disk became the primary of a lot: a few
@@ -217,6 +218,7 @@
 	}
 	if err == nil && s.OK() {
 		k.withLot(u.Lot(), func(l *lot) {
+			k.observePrimary(l, u.Sender())
 			l.addProgress(u.Progress())
 			if u.WantsProgress() {
 				s = s.WithProgress(l.knownProgress())
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -195,14 +195,3 @@
 		}
 	}
 }
-
-// verify returns the state of the replica of lot i on disk d, which should follow epoch n.
-func (k *ReplicaManager) verify(c context.Context, d, i string, n uint64) (bulrushlug.LotReplicaState, error) {
-	p, ok := k.peers.ByDisk(d)
-	if !ok {
-		return bulrushlug.LotReplicaState{}, bulrushlug.Errorf(bulrushlug.KindUnplaceable, "no known process serves disk %s", d)
-	}
-	c, stop := context.WithTimeout(c, replicaTimeout)
-	defer stop()
-	return k.remote.Verify(c, p.Member().Address(), i, n)
-}
--- a/lots/task.go
+++ b/lots/task.go
@@ -18,6 +18,7 @@
 	taskReadRecord  // The record may be newer than the state on this disk.
 	taskCommit      // Entries have to be synced or replicated, or the replicas verified.
 	taskReconfigure // The replicas have to change.
+	taskProbe       // The primary may have lost the lot.
 )
 
 // schedule starts the next task of lot i unless one is running.
@@ -69,6 +70,8 @@
 		return k.commit(c, i)
 	case taskReconfigure:
 		return k.reconfigure(c, i)
+	case taskProbe:
+		return k.probe(c, i)
 	}
 	return nil
 }
@@ -93,6 +96,8 @@
 		return taskCommit
 	case own && !l.finished() && now.Sub(l.verifiedAt) > startStaleness/2:
 		return taskCommit
+	case !own && k.probeDue(l):
+		return taskProbe
 	}
 	return taskNone
 }
