--- a/codec/lot.go
+++ b/codec/lot.go
@@ -17,6 +17,7 @@
 		Route:        l.Route(),
 		Host:         l.Host(),
 		SentMs:       uint64(l.ReceivedAt().UnixMilli()),
+		Revision:     l.Revision(),
 	}
 	for _, i := range l.Items() {
 		x := &wire.LotItem{Id: i.ID(), Path: i.Path(), Body: i.Body()}
@@ -38,7 +39,7 @@
 		}
 		l = append(l, bulrushlug.NewLotItem(x.Id, x.Path, f, x.Body))
 	}
-	return bulrushlug.NewLot(w.Id, w.Organisation, w.Route, w.Host, time.UnixMilli(int64(w.SentMs)), l)
+	return bulrushlug.NewLot(w.Id, w.Organisation, w.Route, w.Host, time.UnixMilli(int64(w.SentMs)), l).WithRevision(w.Revision)
 }
 
 // EncodeLotEntries encodes entries of a lot's log in order.
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -34,6 +34,26 @@
 	}
 }
 
+// TestOrigin encodes and decodes under which configuration a lot was accepted and who sent an update.
+func TestOrigin(t *testing.T) {
+	for name, x := range map[string]struct {
+		revision uint64
+		sender   string
+	}{
+		"unknown": {},
+		"known":   {revision: 1<<63 + 1, sender: "disk"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := bulrushlug.NewLot("l", "o", "r", "h", time.UnixMilli(5), nil).WithRevision(x.revision)
+			u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, true).WithSender(x.sender)
+			got, err := DecodeLotUpdate(EncodeLotUpdate(u))
+			if err != nil || !reflect.DeepEqual(got, u) {
+				t.Errorf("got %+v, %v", got, err)
+			}
+		})
+	}
+}
+
 // TestProgress encodes and decodes what is known of the running items of a lot.
 func TestProgress(t *testing.T) {
 	for name, p := range map[string][]bulrushlug.LotProgress{
--- /dev/null
+++ b/items/behind_test.go
@@ -0,0 +1,58 @@
+package items
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// TestConfigurationBehindLot guards against items that are given up by a process which does not know the configuration
+// yet under which their lot was accepted.
+func TestConfigurationBehindLot(t *testing.T) {
+	route := func(retention time.Duration) bulrushlug.Change {
+		return bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
+			bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(18*time.Second, retention)))
+	}
+	for name, x := range map[string]struct {
+		lot    uint64              // Revision under which the lot was accepted.
+		known  uint64              // Revision that the process has at first.
+		before []bulrushlug.Change // Configuration of that revision.
+		later  uint64              // Revision that the process gets later; zero for none.
+		after  []bulrushlug.Change // Configuration of that revision.
+		want   string              // Result of the item in the end; empty for none.
+	}{
+		"the route was just added":                   {lot: 5, known: 3, later: 5, after: []bulrushlug.Change{route(time.Minute)}, want: whole()},
+		"the route was just added, and a newer":      {lot: 5, known: 3, later: 9, after: []bulrushlug.Change{route(time.Minute)}, want: whole()},
+		"the retention was just made longer":         {lot: 5, known: 3, before: []bulrushlug.Change{route(time.Millisecond)}, later: 5, after: []bulrushlug.Change{route(time.Minute)}, want: whole()},
+		"the revision does not come":                 {lot: 5, known: 3},
+		"the route is removed later":                 {lot: 5, known: 3, later: 6, want: "given up"},
+		"the process knew the removal already":       {lot: 5, known: 6, want: "given up"},
+		"a lot that names no revision":               {known: 3, want: "given up"},
+		"a lot that names no revision, on its route": {known: 3, before: []bulrushlug.Change{route(time.Minute)}, want: whole()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				s := newSystem(c, nil)
+				s.routes.setRevision(x.known, x.before...)
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+				if err := s.manager.Submit(c, l.WithRevision(x.lot)); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				if x.later > 0 {
+					s.routes.setRevision(x.later, x.after...)
+				}
+				time.Sleep(5 * time.Second)
+				if got := s.listed(t)["i0"]; got != x.want {
+					t.Errorf("result of the item is %q, not %q", got, x.want)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/items/runner.go
+++ b/items/runner.go
@@ -125,13 +125,13 @@
 }
 
 // collect returns the startable items, gives up those whose route is gone or whose retention has ended, and cancels
-// runs of lots that this process may no longer run.
+// runs of lots that this process may no longer run. Lots that were accepted under a newer configuration than its own wait.
 func (r *Runner) collect(c context.Context) (l []task) {
 	now := time.Now()
 	f := r.source.Config()
 	held := int64(0)
 	r.manager.EachRunnable(func(x bulrushlug.Lot, left []uint32) {
-		if f == nil {
+		if f == nil || f.Revision() < x.Revision() {
 			return
 		}
 		t, ok := f.RouteNamed(x.Route())
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -49,10 +49,12 @@
 func (r *routes) Fresh() bool      { return true }
 func (r *routes) Accepted() uint64 { return 1 }
 
-func (r *routes) set(l ...bulrushlug.Change) {
+func (r *routes) set(l ...bulrushlug.Change) { r.setRevision(1, l...) }
+
+func (r *routes) setRevision(n uint64, l ...bulrushlug.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.config = bulrushlug.RestoreConfig(1, l)
+	r.config = bulrushlug.RestoreConfig(n, l)
 }
 
 // server is a fake client of all backend servers.
--- a/lot.go
+++ b/lot.go
@@ -37,6 +37,7 @@
 	route        string // Name of the route whose limits apply.
 	host         string // Host of the submitting request.
 	receivedAt   time.Time
+	revision     uint64 // Revision of the configuration under which the lot was accepted; zero if unknown.
 	items        []LotItem
 }
 
@@ -60,6 +61,16 @@
 // ReceivedAt returns the time at which the first process received the lot.
 func (l Lot) ReceivedAt() time.Time { return l.receivedAt }
 
+// WithRevision returns a copy that names n as the revision of the configuration under which the lot is accepted.
+func (l Lot) WithRevision(n uint64) Lot {
+	l.revision = n
+	return l
+}
+
+// Revision returns the revision of the configuration under which the lot was accepted; zero if unknown. A process with an
+// older one can't know what became of the lot's route.
+func (l Lot) Revision() uint64 { return l.revision }
+
 // Items returns the items.
 func (l Lot) Items() []LotItem { return l.items }
 
