--- a/lot.go
+++ b/lot.go
@@ -365,7 +365,7 @@
 	epoch        uint64    // Increases with each change of the replica set.
 	replicas     []string  // Disks of the replica set, the primary's first.
 	organisation string    // Organisation that owns the lot.
-	expires      time.Time // The lot is no longer readable after this time.
+	expires      time.Time // The lot is not dropped before this time.
 }
 
 // NewLotRecord returns the record of a lot whose replica set has epoch n.
@@ -382,5 +382,5 @@
 // Organisation returns the organisation that owns the lot.
 func (r LotRecord) Organisation() string { return r.organisation }
 
-// Expires returns the time after which the lot is no longer readable.
+// Expires returns the time before which the lot is not dropped.
 func (r LotRecord) Expires() time.Time { return r.expires }
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -99,6 +99,7 @@
 	submitted         map[string]int            // Items of each submitted lot.
 	refused           map[string]bool           // Lots of which every attempt was told that no part of them runs.
 	ended             map[string]bool
+	undone            map[string]bool // Identifiers of items that no run completes.
 	boots             uint64
 	replicationFactor int           // Disks that hold accepted lots.
 	slow              bool          // The key-value service is slow.
@@ -110,7 +111,7 @@
 
 func newCluster(t *testing.T, c context.Context, n, factor int) *cluster {
 	k := &cluster{t: t, c: c, replicationFactor: factor, store: memtxn.New(), vms: map[string]*vm{}, partitioned: map[string]bool{}, isolated: map[string]bool{}, retiring: map[string]bool{},
-		readResults: map[string]map[int]string{}, accepted: map[string]int{}, submitted: map[string]int{}, refused: map[string]bool{}, ended: map[string]bool{}, logger: log.NewNopLogger()}
+		readResults: map[string]map[int]string{}, accepted: map[string]int{}, submitted: map[string]int{}, refused: map[string]bool{}, ended: map[string]bool{}, undone: map[string]bool{}, logger: log.NewNopLogger()}
 	if os.Getenv("LOTS_LOG") != "" {
 		k.logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
 	}
@@ -221,7 +222,11 @@
 			if k.refused[l.ID()] {
 				k.t.Errorf("lot %s runs, of which every attempt was refused", l.ID())
 			}
+			undone := k.undone[l.Items()[n].ID()]
 			k.mu.Unlock()
+			if undone {
+				return
+			}
 			v.manager.RecordResult(c, l.ID(), bulrushlug.NewLotResult(n, true, fmt.Sprint(l.ID(), " ", n, " run ", v.runs, " at boot ", v.boot)))
 		})
 	}
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -35,6 +35,7 @@
 	recordReadAt    time.Time             // Last time at which the record named this epoch.
 	verifiedAt      time.Time             // Last time at which all replicas followed this epoch.
 	nextTaskAt      time.Time             // Earliest time of the next task.
+	finishedAt      time.Time             // When this process saw that no item is left to run; zero before.
 	promisedAt      time.Time             // When this disk promised the epoch.
 	primaryBoot     uint64                // Start of the primary's process that sent an update of this epoch; zero before one did.
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
@@ -179,6 +180,9 @@
 			clear(l.progress)
 		}
 	}
+	if l.finishedAt.IsZero() && l.finished() {
+		l.finishedAt = time.Now()
+	}
 }
 
 // isPrimary reports whether disk d is the primary of the lot.
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -43,7 +43,7 @@
 	orphanTimeout   = 10 * time.Second // Age at which the log of a reconfiguration that has not written its record is given up.
 	probeDelay      = 2 * time.Second  // Shortest time after which a silent primary that has restarted or is new is asked for the lot.
 	noRecordTimeout = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
-	expiryDelay     = 30 * time.Second // Time after the end of its retention at which a lot is dropped.
+	expiryDelay     = 30 * time.Second // Time after the end of its retention, and after its last result, at which a lot is dropped.
 	// promotionReportTime is how long other processes are told that this disk became the primary of a lot: a few
 	// reports.
 	promotionReportTime = time.Second
@@ -54,7 +54,7 @@
 type ReplicaManager struct {
 	disk              string
 	replicationFactor int           // Number of disks that hold acknowledged data.
-	retention         time.Duration // Time after its receipt for which a lot can be read.
+	retention         time.Duration // Time after its receipt for which a lot can be read at least; one that is open can be read longer.
 	log               bulrushlug.LotLog
 	remote            bulrushlug.LotReplicaClient
 	store             bulrushlug.TxnStore
@@ -84,7 +84,7 @@
 // WithReplicationFactor keeps acknowledged data on n disks; the default is one.
 func WithReplicationFactor(n int) option { return func(k *ReplicaManager) { k.replicationFactor = n } }
 
-// WithRetention keeps lots readable for d after their receipt.
+// WithRetention keeps lots readable for d after their receipt, and while they are open.
 func WithRetention(d time.Duration) option { return func(k *ReplicaManager) { k.retention = d } }
 
 // WithRetiring moves lots away from VMs for which f returns true.
--- a/lots/task.go
+++ b/lots/task.go
@@ -84,7 +84,7 @@
 	}
 	own := l.isPrimary(k.disk)
 	switch {
-	case l.head != nil && now.After(l.head.ReceivedAt().Add(k.retention+expiryDelay)):
+	case k.expired(l):
 		return taskDrop
 	case l.epochChanged, k.confirmationOverdue(l), l.confirmed && !slices.Contains(l.replicas, k.disk):
 		return taskReadRecord
@@ -310,16 +310,3 @@
 	k.withLot(u.Lot(), func(l *lot) { e = slices.Clone(l.entries[min(n, len(l.entries)):min(end, len(l.entries))]) })
 	return bulrushlug.NewLotUpdate(u.Lot(), u.Epoch(), u.Replicas(), n, e, u.Confirmed()).WithProgress(u.Progress()).WithProgressWanted(u.WantsProgress())
 }
-
-// expire removes lot i from this disk; the primary deletes its record first.
-func (k *ReplicaManager) expire(c context.Context, i string) error {
-	own := false
-	k.withLot(i, func(l *lot) { own = l.confirmed && l.isPrimary(k.disk) })
-	if own {
-		if _, err := k.store.Commit(c, nil, []bulrushlug.Write{bulrushlug.RemoveWrite(k.prefix + i)}); err != nil {
-			return err
-		}
-	}
-	k.drop(i, "lot expired", func(*lot) bool { return true })
-	return nil
-}
