--- a/codec/call.go
+++ b/codec/call.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"strings"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -57,7 +58,7 @@
 	k := bulrushlug.KindOf(err)
 	return &wire.Problem{
 		Kind:         k.String(),
-		Message:      err.Error(),
+		Message:      strings.ToValidUTF8(err.Error(), "\uFFFD"),
 		Ran:          k.Response().MayHaveRun(),
 		RetryAfterMs: uint64(bulrushlug.RetryAfterOf(err).Milliseconds()),
 	}
--- a/codec/lot.go
+++ b/codec/lot.go
@@ -51,7 +51,7 @@
 			x.Lot = EncodeLot(*h)
 		}
 		if r := e.Result(); r != nil {
-			x.Result = &wire.LotResult{Item: r.Item(), Completed: r.Completed(), Text: r.Text()}
+			x.Result = &wire.LotResult{Item: r.Item(), Completed: r.Completed(), Text: []byte(r.Text())}
 		}
 		w = append(w, x)
 	}
@@ -66,7 +66,7 @@
 		case x.Lot != nil:
 			l = append(l, bulrushlug.NewLotHeadEntry(DecodeLot(x.Lot)))
 		case x.Result != nil:
-			l = append(l, bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(x.Result.Item, x.Result.Completed, x.Result.Text)))
+			l = append(l, bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(x.Result.Item, x.Result.Completed, string(x.Result.Text))))
 		case x.Ended:
 			l = append(l, bulrushlug.NewLotEndEntry())
 		default:
@@ -78,14 +78,29 @@
 
 func encodeProgress(p []bulrushlug.LotProgress) (l []*wire.LotProgress) {
 	for _, x := range p {
-		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: x.Data()})
+		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: encodeTexts(x.Data())})
 	}
 	return l
 }
 
 func decodeProgress(w []*wire.LotProgress) (l []bulrushlug.LotProgress) {
 	for _, x := range w {
-		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, x.Data))
+		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, decodeTexts(x.Data)))
+	}
+	return l
+}
+
+// encodeTexts encodes strings that may have any bytes.
+func encodeTexts(l []string) (w [][]byte) {
+	for _, x := range l {
+		w = append(w, []byte(x))
+	}
+	return w
+}
+
+func decodeTexts(w [][]byte) (l []string) {
+	for _, x := range w {
+		l = append(l, string(x))
 	}
 	return l
 }
@@ -124,7 +139,7 @@
 func EncodeLotPage(p bulrushlug.LotPage) *wire.LotPage {
 	w := &wire.LotPage{Total: uint32(p.Total()), Next: uint32(p.Next())}
 	for _, r := range p.Results() {
-		w.Results = append(w.Results, &wire.LotListed{Id: r.ID(), Completed: r.Completed(), Text: r.Text()})
+		w.Results = append(w.Results, &wire.LotListed{Id: r.ID(), Completed: r.Completed(), Text: []byte(r.Text())})
 	}
 	return w
 }
@@ -133,7 +148,7 @@
 func DecodeLotPage(w *wire.LotPage) bulrushlug.LotPage {
 	var l []bulrushlug.LotListedResult
 	for _, r := range w.Results {
-		l = append(l, bulrushlug.NewLotListedResult(r.Id, r.Completed, r.Text))
+		l = append(l, bulrushlug.NewLotListedResult(r.Id, r.Completed, string(r.Text)))
 	}
 	return bulrushlug.NewLotPage(int(w.Total), int(w.Next), l)
 }
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/wire"
 )
@@ -54,6 +56,44 @@
 	}
 }
 
+// TestBytesOfServers puts what a server may send into each message that carries it: any bytes are encoded and decoded.
+func TestBytesOfServers(t *testing.T) {
+	for name, s := range map[string]string{"empty": "", "text": "å", "not UTF-8": "a\xffb", "half a character": "\xe2\x82", "zero": "\x00"} {
+		t.Run(name, func(t *testing.T) {
+			u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(1, true, s))}, true).
+				WithProgress([]bulrushlug.LotProgress{bulrushlug.NewLotProgress(0, 1, 1, []string{s, "x"})})
+			a := &wire.LotAppend{}
+			transfer(t, EncodeLotUpdate(u), a)
+			if got, err := DecodeLotUpdate(a); err != nil || !reflect.DeepEqual(got, u) {
+				t.Errorf("update %+v, %v", got, err)
+			}
+			p := bulrushlug.NewLotPage(1, 1, []bulrushlug.LotListedResult{bulrushlug.NewLotListedResult("i", true, s)})
+			w := &wire.LotPage{}
+			transfer(t, EncodeLotPage(p), w)
+			if got := DecodeLotPage(w); !reflect.DeepEqual(got, p) {
+				t.Errorf("page %+v", got)
+			}
+			e := &wire.Problem{}
+			transfer(t, EncodeError(bulrushlug.Errorf(bulrushlug.KindBroken, "server said %s", s)), e)
+			if got := DecodeError(e); bulrushlug.KindOf(got) != bulrushlug.KindBroken {
+				t.Errorf("error %v", got)
+			}
+		})
+	}
+}
+
+// transfer encodes a and decodes it into b.
+func transfer(t *testing.T, a, b proto.Message) {
+	t.Helper()
+	x, err := proto.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := proto.Unmarshal(x, b); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestProgress encodes and decodes what is known of the running items of a lot.
 func TestProgress(t *testing.T) {
 	for name, p := range map[string][]bulrushlug.LotProgress{
--- a/items/item.go
+++ b/items/item.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/lots"
@@ -51,13 +52,17 @@
 	}
 }
 
-// appendEvent adds event id to x; identifiers must be consecutive.
+// appendEvent adds event id to x; identifiers must be consecutive, and the data UTF-8, as callers read it in JSON.
 func (s *shard) appendEvent(x *item, id uint64, data []string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if id != uint64(len(x.events))+1 {
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, len(x.events))
 	}
-	x.events = append(x.events, strings.Join(data, "\n"))
+	d := strings.Join(data, "\n")
+	if !utf8.ValidString(d) {
+		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d is not UTF-8", id)
+	}
+	x.events = append(x.events, d)
 	return nil
 }
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,8 +15,10 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lots"
 	"bulrushlug.dev/bulrushlug/memtxn"
@@ -28,10 +31,13 @@
 	eventInterval = 50 * time.Millisecond
 )
 
-// discardLog discards all updates; these tests restart no process.
+// discardLog encodes all updates and discards them; these tests restart no process.
 type discardLog struct{}
 
-func (discardLog) Append(bulrushlug.LotUpdate) error     { return nil }
+func (discardLog) Append(u bulrushlug.LotUpdate) error {
+	_, err := proto.Marshal(codec.EncodeLotUpdate(u))
+	return err
+}
 func (discardLog) Load(func(bulrushlug.LotUpdate)) error { return nil }
 func (discardLog) Drop(string) error                     { return nil }
 
@@ -97,12 +103,13 @@
 
 // Faults of a stream with status 200.
 const (
-	breaksOff  = iota // After three events.
-	noEvents          // The stream ends at once.
-	halfEvent         // The stream ends cleanly within its fourth event.
-	asText            // An error's text with an empty line, and no events.
-	fromStart         // The stream begins with event 1, whatever event it was to follow.
-	losesEvent        // The stream has no second event.
+	breaksOff   = iota // After three events.
+	noEvents           // The stream ends at once.
+	halfEvent          // The stream ends cleanly within its fourth event.
+	asText             // An error's text with an empty line, and no events.
+	fromStart          // The stream begins with event 1, whatever event it was to follow.
+	losesEvent         // The stream has no second event.
+	spoilsEvent        // A byte of the third event is not UTF-8.
 )
 
 func events(c context.Context, w io.Writer, status int, after uint64) error {
@@ -128,7 +135,11 @@
 		if err := bulrushlug.Sleep(c, eventInterval); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n); err != nil {
+		d := strconv.FormatUint(n, 10)
+		if status == spoilsEvent && n == after+3 {
+			d = "\xff" + d[1:]
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, d); err != nil {
 			return err
 		}
 	}
@@ -262,6 +273,7 @@
 		"resumed as a failure":         {status: map[string][]int{"i0": {breaksOff, 500}}, want: whole(), runs: 3, resume: 3},
 		"resumed as not found":         {status: map[string][]int{"i0": {breaksOff, 404}}, want: whole(), runs: 3, resume: 3},
 		"resumed from the start":       {status: map[string][]int{"i0": {breaksOff, fromStart}}, want: whole(), runs: 3, resume: 3},
+		"an event is not UTF-8":        {status: map[string][]int{"i0": {spoilsEvent, spoilsEvent}}, want: whole(), runs: 3, resume: 4},
 		"an event is lost":             {status: map[string][]int{"i0": {losesEvent}}, want: whole(), runs: 2, resume: 1},
 		"fails twice":                  {status: map[string][]int{"i0": {500, 500}}, want: whole(), runs: 3},
 		"always fails":                 {status: map[string][]int{"i0": {500, 500, 500, 500, 500}}, want: "given up", runs: 3},
