--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -100,6 +100,7 @@
 	s.version++
 	s.write("op/config", fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":5000,"service":"s","maxAttempts":2,"resumable":true},
+{"name":"once","host":"h.example","prefix":"/once/","kind":"streaming","timeoutMs":20000,"service":"s","maxAttempts":1},
 {"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":60,"service":"s","maxAttempts":3}],
 "services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"o","apiKeys":[%q]}]}`, s.version, k))
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -11,6 +11,7 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/authn"
 	"bulrushlug.dev/bulrushlug/drain"
+	"bulrushlug.dev/bulrushlug/grace"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/locate"
 	"bulrushlug.dev/bulrushlug/lotsrv"
@@ -21,7 +22,8 @@
 
 const (
 	readinessGrace        = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
-	shutdownMargin        = 500 * time.Millisecond  // Time before the end of the grace period at which open requests are aborted.
+	shutdownMargin        = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
+	answerMargin          = 300 * time.Millisecond  // Time before that at which open requests are answered.
 	defaultMaxHeaderBytes = 16 << 10                // Used if the manifest sets no limit.
 	defaultIdleTimeout    = 15 * time.Second
 	defaultHeaderTimeout  = 3 * time.Second
@@ -31,16 +33,17 @@
 type entry struct {
 	*Daemon
 	router    *locate.Router
+	grace     *grace.Filter
 	handler   http.Handler
 	listening atomic.Bool // Connections of callers are queued.
 	leaving   atomic.Bool
 }
 
 func newEntry(s *Daemon) *entry {
-	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger)}
+	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger), grace: grace.New()}
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector)
 	a := authn.New(s)
-	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, a, limit.New(s.limiter))
+	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
 	e.handler = s.platform.Handler(s.manifest.Load, p, a, e.router)
 	return e
 }
@@ -126,16 +129,19 @@
 }
 
 // drain shuts f down gracefully: it fails the readiness probe, waits until the load balancer has noticed, and then waits
-// for open requests.
+// for open requests. From then on requests that may last longer than the process are rejected.
 func (e *entry) drain(f *drain.Server) error {
 	t := time.Now()
 	e.leaving.Store(true)
 	e.broadcaster.Leave()
 	_ = e.logger.Log("event", "leave")
 	f.Leave()
-	c, stop := context.WithDeadline(context.Background(), t.Add(e.settings.Load().Grace()-shutdownMargin))
+	cut := t.Add(e.settings.Load().Grace() - shutdownMargin)
+	e.grace.Leave(cut.Add(-answerMargin))
+	c, stop := context.WithDeadline(context.Background(), cut)
 	defer stop()
 	_ = bulrushlug.Sleep(c, readinessGrace)
+	e.grace.Restrict()
 	if err := f.Shutdown(c); err != nil {
 		_ = e.logger.Log("event", "requestsCut", "err", err)
 		return nil
--- a/node/entry.go
+++ b/node/entry.go
@@ -13,6 +13,7 @@
 	"bulrushlug.dev/bulrushlug/dedup"
 	"bulrushlug.dev/bulrushlug/drain"
 	"bulrushlug.dev/bulrushlug/front"
+	"bulrushlug.dev/bulrushlug/grace"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/place"
@@ -24,24 +25,30 @@
 // takeoverWait is the time for other entries to take over the organisations of a leaving one.
 const takeoverWait = 2 * time.Second
 
+// answerMargin is the time before the end of the drain time at which open requests are answered.
+const answerMargin = 300 * time.Millisecond
+
 // entry is the role of the processes behind the load balancer that callers and operators connect to.
 type entry struct {
 	*Node
 	revoke *revoke.Filter
 	dedup  *dedup.Filter
+	grace  *grace.Filter
 	http   *drain.Server // Nil before start.
 }
 
 func newEntry(n *Node) *entry {
-	e := &entry{Node: n, revoke: revoke.New(n.control.State()), dedup: dedup.New(n.store)}
+	e := &entry{Node: n, revoke: revoke.New(n.control.State()), dedup: dedup.New(n.store), grace: grace.New()}
 	n.control.State().OnChange(func(*bulrushlug.Config) { go e.revoke.CancelUnauthorised() })
 	return e
 }
 
-// filters returns the filters that come first in every pipe: metrics, authentication, revocation and rate limits.
+// filters returns the filters that come first in every pipe: metrics, the grace period, authentication, revocation and rate
+// limits.
 func (e *entry) filters() []bulrushlug.Filter {
 	return []bulrushlug.Filter{
 		tally.New(e.counters("requests"), e.events),
+		e.grace,
 		authn.New(e.control.State()),
 		e.revoke,
 		limit.New(e.control.Quota()),
@@ -89,13 +96,17 @@
 }
 
 // drain leaves the ring so that other entries become homes, waits until the load balancer has noticed, and shuts the
-// HTTP server down once open requests have ended.
+// HTTP server down once open requests have ended. From then on requests that may last longer than the process are rejected.
 func (e *entry) drain(c context.Context) {
 	t := time.Now()
 	e.http.Leave()
+	if d, ok := c.Deadline(); ok {
+		e.grace.Leave(d.Add(-answerMargin))
+	}
 	if err := e.control.LeaveRing(c); err == nil {
 		_ = bulrushlug.Sleep(c, takeoverWait)
 	}
 	_ = bulrushlug.Sleep(c, lameDuckTime-time.Since(t))
+	e.grace.Restrict()
 	_ = e.http.Shutdown(c)
 }
