--- a/daemon/data.go
+++ b/daemon/data.go
@@ -36,6 +36,7 @@
 	s.counters.Set("itemRunsEnded", counts)
 	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(s), s, s.detector, platform.Prompt, s.guard, s.logger, counts)
 	s.counters.Set("itemsQuarantined", expvar.Func(func() any { return d.runner.Held() }))
+	s.counters.Set("itemsWaiting", expvar.Func(func() any { return d.runner.Waiting() }))
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
 	}
--- a/items/runner.go
+++ b/items/runner.go
@@ -45,6 +45,7 @@
 	detector bulrushlug.PoisonDetector
 	prompt   func(route string, l []bulrushlug.Field) bulrushlug.Prompt
 	held     atomic.Int64 // Items that the detector held back at the last check.
+	waits    *waits
 }
 
 // New returns a runner that takes lots from k, slots from t and routes from f, and sends items with c, unless d holds them
@@ -52,7 +53,7 @@
 func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, d bulrushlug.PoisonDetector,
 	p func(route string, l []bulrushlug.Field) bulrushlug.Prompt, g *guard.Guard, l log.Logger, counts *expvar.Map) *Runner {
 	r := &Runner{manager: k, table: t, client: c, source: f, guard: g, logger: l, endings: newEndings(counts, l), wake: make(chan struct{}, 1), paces: map[string]*pace{},
-		detector: d, prompt: p}
+		detector: d, prompt: p, waits: newWaits(l)}
 	for i := range r.shards {
 		r.shards[i].items = map[key]*item{}
 	}
@@ -107,31 +108,40 @@
 
 // schedule starts startable items in their order while their service has idle slots.
 func (r *Runner) schedule(c context.Context) {
-	l := r.collect(c)
+	n := r.waits.begin(time.Now())
+	l := r.collect(c, n)
 	slices.SortStableFunc(l, order)
 	full := map[string]bool{}
 	for _, w := range l {
 		v := heaviestService(w.route)
 		if full[v] {
+			n.add(waitSlot, key{w.lot.ID(), w.item})
 			continue
 		}
 		s := r.table.AcquireBatch(v)
 		if s == nil {
 			full[v] = true
+			n.add(waitSlot, key{w.lot.ID(), w.item})
 			continue
 		}
 		r.startRun(c, w, s)
 	}
+	n.end()
 }
 
 // collect returns the startable items, gives up those whose route is gone or whose retention has ended, and cancels
 // runs of lots that this process may no longer run. Lots that were accepted under a newer configuration than its own wait.
-func (r *Runner) collect(c context.Context) (l []task) {
+// Items that are not startable are added to m.
+func (r *Runner) collect(c context.Context, m *count) (l []task) {
 	now := time.Now()
 	f := r.source.Config()
 	held := int64(0)
+	if m != nil {
+		r.manager.EachHeld(func(i string, left []uint32) { m.addAll(waitReplicas, i, left) })
+	}
 	r.manager.EachRunnable(func(x bulrushlug.Lot, left []uint32) {
 		if f == nil || f.Revision() < x.Revision() {
+			m.addAll(waitConfiguration, x.ID(), left)
 			return
 		}
 		t, ok := f.RouteNamed(x.Route())
@@ -141,10 +151,14 @@
 				continue
 			}
 			if !r.startable(key{x.ID(), n}, now) {
+				if !r.running(key{x.ID(), n}) {
+					m.add(waitBackoff, key{x.ID(), n})
+				}
 				continue
 			}
 			if r.detector.Check(r.prompt(t.Name(), x.Items()[n].Fields())) != nil {
 				held++
+				m.add(waitQuarantine, key{x.ID(), n})
 				continue
 			}
 			l = append(l, r.newTask(x, n, t, now))
@@ -157,6 +171,9 @@
 	return l
 }
 
+// Waiting returns the number of items that wait, by cause.
+func (r *Runner) Waiting() map[string]int { return r.waits.byCause() }
+
 // Held returns the number of items that wait because servers ended on their prompts.
 func (r *Runner) Held() int64 { return r.held.Load() }
 
@@ -194,6 +211,15 @@
 	return !ok || x.server == "" && !now.Before(x.notBefore)
 }
 
+// running reports whether a run of an item is in progress.
+func (r *Runner) running(k key) bool {
+	s := r.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.items[k]
+	return ok && x.server != ""
+}
+
 // heaviestService returns the service of t with the largest weight, or the name of t if it has no shares.
 func heaviestService(t bulrushlug.Route) string {
 	l := t.Shares()
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -193,6 +193,21 @@
 	return l.confirmed && l.isPrimary(d) && l.head != nil && !l.epochChanged
 }
 
+// runnable reports whether disk d may start items of the lot: the other replicas verified its epoch lately.
+func (l *lot) runnable(d string) bool {
+	return l.serving(d) && time.Since(l.verifiedAt) <= startStaleness
+}
+
+// left returns the items without a result.
+func (l *lot) left() (n []uint32) {
+	for i := range uint32(len(l.head.Items())) {
+		if !l.done[i] {
+			n = append(n, i)
+		}
+	}
+	return n
+}
+
 // finished reports whether no item of the lot is left to run.
 func (l *lot) finished() bool { return l.ended || l.head != nil && len(l.done) == len(l.head.Items()) }
 
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -25,20 +25,32 @@
 	}
 }
 
+// EachHeld calls f for each lot of which this disk is the primary but that it may not run now, with the items that have no
+// result.
+func (k *ReplicaManager) EachHeld(f func(i string, left []uint32)) {
+	for i := range k.shards {
+		s := &k.shards[i]
+		var all []runnable
+		s.mu.Lock()
+		for _, l := range s.lots {
+			if l.head != nil && l.isPrimary(k.disk) && !l.finished() && !l.runnable(k.disk) {
+				all = append(all, runnable{*l.head, l.left()})
+			}
+		}
+		s.mu.Unlock()
+		for _, o := range all {
+			f(o.lot.ID(), o.left)
+		}
+	}
+}
+
 func (s *shard) runnable(disk string) (all []runnable) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.lots {
-		if !l.serving(disk) || l.finished() || time.Since(l.verifiedAt) > startStaleness {
-			continue
-		}
-		o := runnable{lot: *l.head}
-		for n := range uint32(len(l.head.Items())) {
-			if !l.done[n] {
-				o.left = append(o.left, n)
-			}
+		if !l.finished() && l.runnable(disk) {
+			all = append(all, runnable{*l.head, l.left()})
 		}
-		all = append(all, o)
 	}
 	return all
 }
