--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -37,6 +37,7 @@
 type memDisk struct {
 	mu      sync.Mutex
 	name    string
+	full    bool // Writes fail.
 	updates map[string][]bulrushlug.LotUpdate
 }
 
@@ -47,6 +48,9 @@
 func (d *memDisk) Append(u bulrushlug.LotUpdate) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.full {
+		return errors.New("disk is full")
+	}
 	d.updates[u.Lot()] = append(d.updates[u.Lot()], u)
 	return nil
 }
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -41,6 +41,7 @@
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
+	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
 	writeMu         sync.Mutex            // Serializes writes to the log.
@@ -63,7 +64,7 @@
 type position struct{ text, last uint64 }
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, changed: make(chan struct{}), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]time.Time{}, changed: make(chan struct{}), firstSeen: time.Now()}
 }
 
 // notify wakes all goroutines that wait for a change.
@@ -193,6 +194,33 @@
 	return l.confirmed && l.isPrimary(d) && l.head != nil && !l.epochChanged
 }
 
+// recordAttempt records whether an update reached the replica on disk d; a replica in another epoch does not fail.
+func (l *lot) recordAttempt(d string, err error) {
+	_, failing := l.failing[d]
+	switch {
+	case err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict:
+		delete(l.failing, d)
+	case !failing:
+		l.failing[d] = time.Now()
+	}
+}
+
+// fails reports whether the replica on disk d fails for so long that another one should take its place.
+func (l *lot) fails(d string) bool {
+	t, ok := l.failing[d]
+	return ok && time.Since(t) > replicaPatience && time.Since(t) < failureLifetime
+}
+
+// failingDisks returns the disks whose replicas fail.
+func (l *lot) failingDisks() (f []string) {
+	for d := range l.failing {
+		if l.fails(d) {
+			f = append(f, d)
+		}
+	}
+	return f
+}
+
 // runnable reports whether disk d may start items of the lot: the other replicas verified its epoch lately.
 func (l *lot) runnable(d string) bool {
 	return l.serving(d) && time.Since(l.verifiedAt) <= startStaleness
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -27,7 +27,9 @@
 		k.withLot(i, func(l *lot) { l.nextTaskAt = time.Now().Add(retryDelay/2 + rand.N(retryDelay)) })
 		return nil
 	}
-	to := k.nextReplicas(r)
+	var failing []string
+	k.withLot(i, func(l *lot) { failing = l.failingDisks() })
+	to := k.nextReplicas(r, failing)
 	if len(to) < k.replicationFactor {
 		return bulrushlug.Errorf(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks available", i, len(to), k.replicationFactor)
 	}
@@ -74,19 +76,19 @@
 }
 
 // nextReplicas returns the replicas that succeed those of r: this disk first unless its VM is retiring, then the
-// available ones of r, then new ones.
-func (k *ReplicaManager) nextReplicas(r bulrushlug.LotRecord) []string {
+// available ones of r, then new ones, but none of the failing ones.
+func (k *ReplicaManager) nextReplicas(r bulrushlug.LotRecord, failing []string) []string {
 	var l []string
 	if !k.retiring(k.peers.Self().Name()) {
 		l = append(l, k.disk)
 	}
 	for _, d := range r.Replicas() {
 		p, ok := k.peers.ByDisk(d)
-		if d != k.disk && ok && !k.unavailable(d) && !k.retiring(p.Member().Name()) {
+		if d != k.disk && ok && !k.unavailable(d) && !k.retiring(p.Member().Name()) && !slices.Contains(failing, d) {
 			l = append(l, d)
 		}
 	}
-	return k.selectReplicas(l[:min(len(l), k.replicationFactor)])
+	return k.selectReplicas(l[:min(len(l), k.replicationFactor)], failing)
 }
 
 // replaceRecord writes the record of the reconfiguration u, whose replicas hold the log; r is the previous record,
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -24,7 +24,7 @@
 	if k.storeLost() {
 		return bulrushlug.Errorf(bulrushlug.KindStoreDown, "lot %s: key-value service unreachable", x.ID())
 	}
-	r := k.selectReplicas([]string{k.disk})
+	r := k.selectReplicas([]string{k.disk}, nil)
 	if len(r) < k.replicationFactor || k.retiring(k.peers.Self().Name()) {
 		return bulrushlug.Errorf(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks available", x.ID(), len(r), k.replicationFactor)
 	}
@@ -171,8 +171,8 @@
 }
 
 // selectReplicas adds disks to l up to the replication factor, preferring zones without a replica (zone
-// anti-affinity).
-func (k *ReplicaManager) selectReplicas(l []string) []string {
+// anti-affinity), and none of skip.
+func (k *ReplicaManager) selectReplicas(l, skip []string) []string {
 	zones := map[string]bool{}
 	for _, d := range l {
 		if p, ok := k.peers.ByDisk(d); ok {
@@ -190,7 +190,7 @@
 	for _, used := range []bool{true, false} {
 		for _, p := range free {
 			z := p.Member().Zone()
-			if len(l) < k.replicationFactor && !slices.Contains(l, p.DiskID()) && !k.retiring(p.Member().Name()) && zones[z] != used {
+			if len(l) < k.replicationFactor && !slices.Contains(l, p.DiskID()) && !slices.Contains(skip, p.DiskID()) && !k.retiring(p.Member().Name()) && zones[z] != used {
 				l = append(l, p.DiskID())
 				zones[z] = true
 			}
--- a/lots/task.go
+++ b/lots/task.go
@@ -121,13 +121,24 @@
 	}
 	for _, d := range l.replicas[1:] {
 		p, ok := k.peers.ByDisk(d)
-		if k.unavailable(d) || ok && k.retiring(p.Member().Name()) {
+		if k.unavailable(d) || ok && k.retiring(p.Member().Name()) || l.fails(d) && k.canReplace(l) {
 			return true
 		}
 	}
 	return false
 }
 
+// canReplace reports whether enough disks are available besides those that fail for l.
+func (k *ReplicaManager) canReplace(l *lot) bool {
+	n := 1
+	for _, p := range k.peers.LiveDataPeers() {
+		if !l.fails(p.DiskID()) && !k.retiring(p.Member().Name()) {
+			n++
+		}
+	}
+	return n >= k.replicationFactor
+}
+
 // shouldTakeOver reports whether this replica should take over l: all replicas before it are unavailable.
 func (k *ReplicaManager) shouldTakeOver(l *lot) bool {
 	for _, d := range l.replicas {
@@ -205,7 +216,12 @@
 	})
 	u = u.WithProgress(k.unsentProgress(i))
 	n := u.Offset() + len(u.Entries())
-	if err := parallel(u.Replicas()[1:], func(d string) error { return k.catchUp(c, d, u) }); err != nil {
+	err := parallel(u.Replicas()[1:], func(d string) error {
+		err := k.catchUp(c, d, u)
+		k.withLot(i, func(l *lot) { l.recordAttempt(d, err) })
+		return err
+	})
+	if err != nil {
 		return err
 	}
 	k.withLot(i, func(l *lot) {
