--- a/slots/batch.go
+++ b/slots/batch.go
@@ -7,7 +7,7 @@
 
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
-// Only slots that online requests leave idle are taken, and none of the reserve. A server that ranks another
+// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot. A server that ranks another
 // process first is used only if there is no other, so that processes rarely start items in the same slot. Leaving
 // servers are a last resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
@@ -18,7 +18,7 @@
 		f.leaving = true
 		best, free, all = t.bestIdle(f, o)
 	}
-	if best.shard == nil || float64(free-1) < batchReserve*float64(all) {
+	if best.shard == nil || float64(free-1) < min(batchReserve*float64(all), float64(all-1)) {
 		return nil
 	}
 	return t.reserve(best, f, true)
--- a/slots/table_test.go
+++ b/slots/table_test.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -73,21 +74,25 @@
 
 func TestAcquireBatchKeepsReserve(t *testing.T) {
 	for name, x := range map[string]struct {
-		servers, online int // Servers of 8 slots, and online requests at each of them.
+		servers, online int // Servers, and online requests at each of them.
+		slots           int // Slots of a server; zero for 8.
 		want            int // Items that are started.
 	}{
-		"one server":       {servers: 1, online: 4, want: 3},
-		"no requests":      {servers: 10, want: 72},
-		"a few idle slots": {servers: 10, online: 6, want: 12},
-		"only the reserve": {servers: 10, online: 7, want: 2},
-		"none idle":        {servers: 10, online: 8},
+		"one server":              {servers: 1, online: 4, want: 3},
+		"no requests":             {servers: 10, want: 72},
+		"a few idle slots":        {servers: 10, online: 6, want: 12},
+		"only the reserve":        {servers: 10, online: 7, want: 2},
+		"none idle":               {servers: 10, online: 8},
+		"a single slot":           {servers: 1, slots: 1, want: 1},
+		"two slots":               {servers: 1, slots: 2, want: 1},
+		"its only slot is in use": {servers: 1, slots: 1, online: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := New("d", alone)
 			var l []bulrushlug.Backend
 			var u []bulrushlug.Usage
 			for i := range x.servers {
-				l = append(l, backend(fmt.Sprint("s", i), 8))
+				l = append(l, backend(fmt.Sprint("s", i), uint32(cmp.Or(x.slots, 8))))
 				u = append(u, bulrushlug.NewUsage(fmt.Sprint("s", i), uint32(x.online), 0))
 			}
 			b.Update(l)
