--- a/items/runner.go
+++ b/items/runner.go
@@ -113,14 +113,8 @@
 	slices.SortStableFunc(l, order)
 	full := map[string]bool{}
 	for _, w := range l {
-		v := heaviestService(w.route)
-		if full[v] {
-			n.add(waitSlot, key{w.lot.ID(), w.item})
-			continue
-		}
-		s := r.table.AcquireBatch(v)
+		s := r.acquire(w.route, full)
 		if s == nil {
-			full[v] = true
 			n.add(waitSlot, key{w.lot.ID(), w.item})
 			continue
 		}
@@ -129,6 +123,20 @@
 	n.end()
 }
 
+// acquire reserves a slot at the first service of t that has one, and adds those without one to full.
+func (r *Runner) acquire(t bulrushlug.Route, full map[string]bool) *slots.Reservation {
+	for _, v := range services(t) {
+		if full[v] {
+			continue
+		}
+		if s := r.table.AcquireBatch(v); s != nil {
+			return s
+		}
+		full[v] = true
+	}
+	return nil
+}
+
 // collect returns the startable items, gives up those whose route is gone or whose retention has ended, and cancels
 // runs of lots that this process may no longer run. Lots that were accepted under a newer configuration than its own wait.
 // Items that are not startable are added to m.
@@ -220,13 +228,21 @@
 	return ok && x.server != ""
 }
 
-// heaviestService returns the service of t with the largest weight, or the name of t if it has no shares.
-func heaviestService(t bulrushlug.Route) string {
-	l := t.Shares()
+// services returns the services of t that take requests, those with the larger weights first; if all weights are zero, the
+// first one, and without shares the name of t.
+func services(t bulrushlug.Route) (l []string) {
+	if len(t.Shares()) == 0 {
+		return []string{t.Name()}
+	}
+	for _, s := range slices.SortedStableFunc(slices.Values(t.Shares()), func(a, b bulrushlug.Share) int { return cmp.Compare(b.Weight(), a.Weight()) }) {
+		if s.Weight() > 0 {
+			l = append(l, s.Service())
+		}
+	}
 	if len(l) == 0 {
-		return t.Name()
+		l = []string{t.Shares()[0].Service()}
 	}
-	return slices.MaxFunc(l, func(a, b bulrushlug.Share) int { return cmp.Compare(a.Weight(), b.Weight()) }).Service()
+	return l
 }
 
 // startRun runs w in the reserved slot s, resuming after the events that are known.
