--- a/items/runner.go
+++ b/items/runner.go
@@ -115,7 +115,7 @@
 	for _, w := range l {
 		s := r.acquire(w.route, full)
 		if s == nil {
-			n.add(waitSlot, key{w.lot.ID(), w.item})
+			n.add(waitSlot, w.lot, w.item)
 			continue
 		}
 		r.startRun(c, w, s)
@@ -145,11 +145,11 @@
 	f := r.source.Config()
 	held := int64(0)
 	if m != nil {
-		r.manager.EachHeld(func(i string, left []uint32) { m.addAll(waitReplicas, i, left) })
+		r.manager.EachHeld(func(x bulrushlug.Lot, left []uint32) { m.addAll(waitReplicas, x, left) })
 	}
 	r.manager.EachRunnable(func(x bulrushlug.Lot, left []uint32) {
 		if f == nil || f.Revision() < x.Revision() {
-			m.addAll(waitConfiguration, x.ID(), left)
+			m.addAll(waitConfiguration, x, left)
 			return
 		}
 		t, ok := f.RouteNamed(x.Route())
@@ -160,13 +160,13 @@
 			}
 			if !r.startable(key{x.ID(), n}, now) {
 				if !r.running(key{x.ID(), n}) {
-					m.add(waitBackoff, key{x.ID(), n})
+					m.add(waitBackoff, x, n)
 				}
 				continue
 			}
 			if r.detector.Check(r.prompt(t.Name(), x.Items()[n].Fields())) != nil {
 				held++
-				m.add(waitQuarantine, key{x.ID(), n})
+				m.add(waitQuarantine, x, n)
 				continue
 			}
 			l = append(l, r.newTask(x, n, t, now))
--- a/items/waits.go
+++ b/items/waits.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 
+	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/lines"
 )
 
@@ -61,12 +62,13 @@
 	return &count{waits: w, now: now, since: map[key]waitTime{}, counts: map[string]int{}}
 }
 
-// add counts item k, which waits for the given cause.
-func (n *count) add(cause string, k key) {
+// add counts item i of lot x, which waits for the given cause.
+func (n *count) add(cause string, x bulrushlug.Lot, i uint32) {
 	if n == nil {
 		return
 	}
 	n.counts[cause]++
+	k := key{x.ID(), i}
 	n.waits.mu.Lock()
 	t, ok := n.waits.since[k]
 	n.waits.mu.Unlock()
@@ -76,16 +78,16 @@
 	if d := n.now.Sub(t.begun); d > waitLineAfter && !t.logged && cause != waitSlot {
 		if omitted, ok := n.waits.limiter.Take(); ok {
 			t.logged = true
-			_ = n.waits.logger.Log("event", "itemWaits", "lot", k.lot, "item", k.item, "cause", cause, "for", d, "omitted", omitted)
+			_ = n.waits.logger.Log("event", "itemWaits", "lot", k.lot, "request", x.Items()[i].ID(), "cause", cause, "for", d, "omitted", omitted)
 		}
 	}
 	n.since[k] = t
 }
 
-// addAll counts the given items of lot i.
-func (n *count) addAll(cause, i string, items []uint32) {
-	for _, x := range items {
-		n.add(cause, key{i, x})
+// addAll counts the given items of lot x.
+func (n *count) addAll(cause string, x bulrushlug.Lot, items []uint32) {
+	for _, i := range items {
+		n.add(cause, x, i)
 	}
 }
 
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -27,7 +27,7 @@
 
 // EachHeld calls f for each lot of which this disk is the primary but that it may not run now, with the items that have no
 // result.
-func (k *ReplicaManager) EachHeld(f func(i string, left []uint32)) {
+func (k *ReplicaManager) EachHeld(f func(l bulrushlug.Lot, left []uint32)) {
 	for i := range k.shards {
 		s := &k.shards[i]
 		var all []runnable
@@ -39,7 +39,7 @@
 		}
 		s.mu.Unlock()
 		for _, o := range all {
-			f(o.lot.ID(), o.left)
+			f(o.lot, o.left)
 		}
 	}
 }
