--- a/codec/lot.go
+++ b/codec/lot.go
@@ -155,12 +155,12 @@
 
 // EncodeLotQuery encodes q, with its wait in milliseconds.
 func EncodeLotQuery(q bulrushlug.LotQuery) *wire.LotRef {
-	return &wire.LotRef{Id: q.ID(), Organisation: q.Organisation(), Item: q.Item(), After: uint64(q.After()), WaitMs: uint64(q.Wait().Milliseconds())}
+	return &wire.LotRef{Id: q.ID(), Organisation: q.Organisation(), Item: q.Item(), After: uint64(q.After()), WaitMs: uint64(q.Wait().Milliseconds()), Host: q.Host()}
 }
 
 // DecodeLotQuery decodes a query for a lot.
 func DecodeLotQuery(w *wire.LotRef) bulrushlug.LotQuery {
-	return bulrushlug.NewLotQuery(w.Id, w.Organisation).WithItem(w.Item).
+	return bulrushlug.NewLotQuery(w.Id, w.Organisation).WithItem(w.Item).WithHost(w.Host).
 		WithAfter(int(w.After), time.Duration(w.WaitMs)*time.Millisecond)
 }
 
--- a/lot.go
+++ b/lot.go
@@ -167,6 +167,7 @@
 	id           string
 	organisation string
 	item         string        // Identifier of an item; empty if the query is about the whole lot.
+	host         string        // Host that the caller named; empty for any.
 	after        int           // Position of the first result to return.
 	wait         time.Duration // How long to wait for a first result (long polling).
 }
@@ -180,6 +181,12 @@
 	return q
 }
 
+// WithHost returns a copy for lots that were submitted to host h, without its port.
+func (q LotQuery) WithHost(h string) LotQuery {
+	q.host = h
+	return q
+}
+
 // WithAfter returns a copy that selects the results from position n onwards and waits up to d for the first one.
 func (q LotQuery) WithAfter(n int, d time.Duration) LotQuery {
 	q.after, q.wait = n, d
@@ -195,6 +202,9 @@
 // Item returns the identifier of the item; empty if the query is about the whole lot.
 func (q LotQuery) Item() string { return q.item }
 
+// Host returns the host to which the lot was submitted, without its port; empty for any.
+func (q LotQuery) Host() string { return q.host }
+
 // After returns the position of the first result to return.
 func (q LotQuery) After() int { return q.after }
 
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -94,6 +96,8 @@
 			err = bulrushlug.Errorf(bulrushlug.KindMisdirected, "this disk does not serve lot %s", q.ID())
 		case l.head.Organisation() != q.Organisation():
 			err = bulrushlug.Errorf(bulrushlug.KindNotFound, "lot %s belongs to another organisation", q.ID())
+		case q.Host() != "" && !strings.EqualFold(hostname(l.head.Host()), q.Host()):
+			err = bulrushlug.Errorf(bulrushlug.KindNotFound, "lot %s was submitted to host %s", q.ID(), l.head.Host())
 		case l.committed == 0:
 			err = bulrushlug.Errorf(bulrushlug.KindStale, "lot %s: the replicas have not reported their entries yet", q.ID())
 		default:
@@ -103,6 +107,14 @@
 	return err
 }
 
+// hostname returns the host h without its port.
+func hostname(h string) string {
+	if n, _, err := net.SplitHostPort(h); err == nil {
+		return n
+	}
+	return h
+}
+
 // Read returns results of a lot; if there are none yet, it waits for one as long as q allows.
 func (k *ReplicaManager) Read(c context.Context, q bulrushlug.LotQuery) (bulrushlug.LotPage, error) {
 	until := time.After(q.Wait())
