--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -15,9 +15,12 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/locate"
+	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/memtxn"
 	"bulrushlug.dev/bulrushlug/peers"
 )
@@ -107,6 +110,8 @@
 	boots             uint64
 	replicationFactor int           // Disks that hold accepted lots.
 	slow              bool          // The key-value service is slow.
+	resultSize        int           // Bytes that each result has at least.
+	largest           int           // Bytes of the largest update that was sent.
 	writeDelay        time.Duration // How long a write is on its way to the key-value service beyond that.
 	logger            log.Logger
 }
@@ -231,7 +236,7 @@
 			if undone {
 				return
 			}
-			v.manager.RecordResult(c, l.ID(), bulrushlug.NewLotResult(n, true, fmt.Sprint(l.ID(), " ", n, " run ", v.runs, " at boot ", v.boot)))
+			v.manager.RecordResult(c, l.ID(), bulrushlug.NewLotResult(n, true, fmt.Sprint(l.ID(), " ", n, " run ", v.runs, " at boot ", v.boot)+strings.Repeat(".", k.resultSize)))
 		})
 	}
 }
@@ -292,6 +297,13 @@
 }
 
 func (n network) Append(c context.Context, a string, u bulrushlug.LotUpdate) (bulrushlug.LotReplicaState, error) {
+	size := proto.Size(codec.EncodeLotUpdate(u))
+	n.cluster.mu.Lock()
+	n.cluster.largest = max(n.cluster.largest, size)
+	n.cluster.mu.Unlock()
+	if size > lotcli.MaxMessageSize {
+		return bulrushlug.LotReplicaState{}, bulrushlug.Errorf(bulrushlug.KindUncertain, "message of %d bytes", size)
+	}
 	k, err := n.manager(c, a)
 	if err != nil {
 		return bulrushlug.LotReplicaState{}, err
--- a/lots/leave.go
+++ b/lots/leave.go
@@ -46,7 +46,7 @@
 	}
 	s, err := k.send(c, d, u, replicaTimeout)
 	if err == nil && !s.OK() && s.Epoch() <= r.Epoch() {
-		s, err = k.send(c, d, k.withEntriesFrom(u, 0), logTransferTimeout)
+		s, err = k.sendLog(c, d, k.withEntriesFrom(u, 0))
 	}
 	if err == nil && !s.OK() && s.Epoch() <= r.Epoch() {
 		err = bulrushlug.Errorf(bulrushlug.KindConflict, "replica on disk %s has %d entries of epoch %d", d, s.Length(), s.Epoch())
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -17,6 +17,8 @@
 	replicas        []string              // Disks that hold the lot in this epoch, the primary's first.
 	confirmed       bool                  // The record names this epoch and these replicas.
 	coordinator     string                // Disk of the process that runs the reconfiguration to this epoch; empty if unknown.
+	whole           bool                  // This disk runs that reconfiguration, and has the whole log.
+	refused         bool                  // A replica refused it: it needs a later epoch.
 	entries         []bulrushlug.LotEntry // Synced on this disk; the first is the head entry.
 	former          []formerLog           // Logs of earlier epochs, until a later one is confirmed.
 	committed       int                   // Commit index: entries that all replicas have. Rises within one epoch, never above len(entries); zero while unknown.
@@ -86,6 +88,7 @@
 	if l.sameEpoch(u) && !l.stale {
 		if n := len(l.entries) - u.Offset(); n < len(u.Entries()) {
 			l.entries = append(l.entries, u.Entries()[n:]...)
+			l.promiseDeadline = time.Now().Add(promiseTimeout + rand.N(promiseTimeout/2))
 		}
 	} else {
 		if !l.sameEpoch(u) && len(l.entries) > 0 {
@@ -98,7 +101,7 @@
 		l.promisedAt = time.Now()
 		l.promiseDeadline = l.promisedAt.Add(promiseTimeout + rand.N(promiseTimeout/2))
 		if !l.sameEpoch(u) {
-			l.coordinator, l.primaryBoot = u.Sender(), 0
+			l.coordinator, l.whole, l.refused, l.primaryBoot = u.Sender(), false, false, 0
 		}
 		l.epochChanged, l.stale = false, u.Offset() > 0
 	}
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -67,12 +67,13 @@
 	logger            log.Logger
 	// progress returns the events of a running item after event n of the given text, or all events if the item has
 	// another text.
-	progress func(lot string, item uint32, text, n uint64) bulrushlug.LotProgress
-	onWork   func() // Called when items may have to be started or stopped.
-	started  time.Time
-	shards   [shardCount]shard
-	mu       sync.Mutex
-	promoted map[string]time.Time // When this disk became the primary of a lot; entries expire after promotionReportTime.
+	progress  func(lot string, item uint32, text, n uint64) bulrushlug.LotProgress
+	onWork    func() // Called when items may have to be started or stopped.
+	started   time.Time
+	shards    [shardCount]shard
+	transfers chan struct{} // Holds a token for each transfer of a log in parts.
+	mu        sync.Mutex
+	promoted  map[string]time.Time // When this disk became the primary of a lot; entries expire after promotionReportTime.
 }
 
 type shard struct {
@@ -107,7 +108,7 @@
 // New returns the manager of the logs in g, whose placement records are the entries of t under prefix.
 func New(g bulrushlug.LotLog, r bulrushlug.LotReplicaClient, t bulrushlug.TxnStore, prefix string, p *peers.Membership, l log.Logger, o ...option) *ReplicaManager {
 	k := &ReplicaManager{disk: p.DiskID(), replicationFactor: 1, log: g, remote: r, store: t, prefix: prefix, peers: p, logger: l,
-		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, onWork: func() {}, progress: func(string, uint32, uint64, uint64) bulrushlug.LotProgress { return bulrushlug.LotProgress{} }, started: time.Now(), promoted: map[string]time.Time{}}
+		retiring: func(string) bool { return false }, storeLost: func() bool { return false }, onWork: func() {}, progress: func(string, uint32, uint64, uint64) bulrushlug.LotProgress { return bulrushlug.LotProgress{} }, started: time.Now(), promoted: map[string]time.Time{}, transfers: make(chan struct{}, maxTransfers)}
 	for i := range k.shards {
 		k.shards[i].lots = map[string]*lot{}
 	}
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -29,35 +29,82 @@
 	}
 	var failing []string
 	k.withLot(i, func(l *lot) { failing = l.failingDisks() })
-	to := k.nextReplicas(r, failing)
+	u, ok := k.unfinishedReconfiguration(i, r, failing)
+	if !ok {
+		if u, err = k.beginReconfiguration(i, r, k.nextReplicas(r, failing)); err != nil {
+			return err
+		}
+	}
+	if err := k.transferLog(c, u); err != nil {
+		return err
+	}
+	return k.replaceRecord(c, u, n, r)
+}
+
+// beginReconfiguration promises a new epoch of lot i with the replicas to, which succeeds the record r, on this disk. It
+// returns the update that the other replicas need, without its entries.
+func (k *ReplicaManager) beginReconfiguration(i string, r bulrushlug.LotRecord, to []string) (u bulrushlug.LotUpdate, err error) {
 	if len(to) < k.replicationFactor {
-		return bulrushlug.Errorf(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks available", i, len(to), k.replicationFactor)
+		return u, bulrushlug.Errorf(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks available", i, len(to), k.replicationFactor)
 	}
-	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, max(l.epoch, r.Epoch())+1, to, len(l.entries), nil, false)
 		// What this disk got with a promise to a reconfiguration that failed may lack published results.
-		if e, ok := l.logOf(r); ok {
+		if e, ok := l.logOf(r); ok && !l.whole {
 			u = bulrushlug.NewLotUpdate(i, u.Epoch(), to, 0, e, false)
 		}
 	})
 	u = u.WithSender(k.disk)
-	s, err := k.persist(u, func(l *lot) bool { return l.epoch < u.Epoch() })
+	s, err := k.persistParts(u, func(l *lot) bool { return l.epoch < u.Epoch() })
 	if err != nil || !s.OK() {
-		return bulrushlug.Errorf(bulrushlug.KindConflict, "lot %s: cannot promise epoch %d: %v", i, u.Epoch(), err)
+		return u, bulrushlug.Errorf(bulrushlug.KindConflict, "lot %s: cannot promise epoch %d: %v", i, u.Epoch(), err)
+	}
+	n := u.Offset() + len(u.Entries())
+	k.withLot(i, func(l *lot) { l.stale, l.whole = false, l.sameEpoch(u) })
+	_ = k.logger.Log("event", "lotClaim", "lot", i, "epoch", u.Epoch(), "entries", n, "disks", strings.Join(to, ","), "after", strings.Join(r.Replicas(), ","))
+	return bulrushlug.NewLotUpdate(i, u.Epoch(), to, n, nil, false), nil
+}
+
+// unfinishedReconfiguration returns the update of a reconfiguration of lot i that this disk began after the record r, and
+// whose replicas are still good, so that what they have need not be sent again.
+func (k *ReplicaManager) unfinishedReconfiguration(i string, r bulrushlug.LotRecord, failing []string) (u bulrushlug.LotUpdate, ok bool) {
+	k.withLot(i, func(l *lot) {
+		if l.confirmed || !l.whole || l.refused || l.epoch <= r.Epoch() {
+			return
+		}
+		ok = true
+		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, false)
+	})
+	for _, d := range u.Replicas() {
+		p, known := k.peers.ByDisk(d)
+		switch {
+		case d == k.disk:
+			ok = ok && !k.retiring(k.peers.Self().Name())
+		case !known || k.unavailable(d) || k.retiring(p.Member().Name()) || slices.Contains(failing, d):
+			ok = false
+		}
 	}
-	k.withLot(i, func(l *lot) { l.stale = false })
-	_ = k.logger.Log("event", "lotClaim", "lot", i, "epoch", u.Epoch(), "entries", u.Offset()+len(u.Entries()), "disks", strings.Join(to, ","), "after", strings.Join(r.Replicas(), ","))
-	err = parallel(to, func(d string) error {
+	return u, ok
+}
+
+// transferLog makes all replicas of u have the whole log. One that refused it follows another epoch, so the next attempt
+// needs a later one.
+func (k *ReplicaManager) transferLog(c context.Context, u bulrushlug.LotUpdate) error {
+	return parallel(u.Replicas(), func(d string) error {
 		if d == k.disk {
 			return nil
 		}
-		return k.replicateTo(c, d, k.withEntriesFrom(u.WithProgressWanted(true), 0), logTransferTimeout)
-	})
-	if err != nil {
+		from := 0
+		if s, err := k.verify(c, d, u.Lot(), u.Epoch()); err == nil && s.OK() {
+			from = s.Length()
+		}
+		s, err := k.sendLog(c, d, k.withEntriesFrom(u.WithProgressWanted(true), from))
+		if err == nil && !s.OK() {
+			k.withLot(u.Lot(), func(l *lot) { l.refused = l.refused || l.sameEpoch(u) })
+			err = bulrushlug.Errorf(bulrushlug.KindConflict, "replica on disk %s follows epoch %d", d, s.Epoch())
+		}
 		return err
-	}
-	return k.replaceRecord(c, u, n, r)
+	})
 }
 
 // promisePending reports whether this disk promised an epoch of lot i to a reconfiguration that may still
--- a/lots/task.go
+++ b/lots/task.go
@@ -204,7 +204,8 @@
 	}
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
-		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(l.entries[min(max(l.committed, 1), len(l.entries)):]), true)
+		e := l.entries[min(max(l.committed, 1), len(l.entries)):]
+		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(e[:partLength(e)]), true)
 		u = u.WithProgressWanted(l.committed == 0)
 	})
 	b := k.boots(u.Replicas()[1:])
@@ -248,7 +249,7 @@
 	return b
 }
 
-// unsentProgress returns the progress of the items of lot i that the replicas have not acknowledged.
+// unsentProgress returns the progress of the items of lot i that the replicas have not acknowledged, or part of it.
 func (k *ReplicaManager) unsentProgress(i string) (p []bulrushlug.LotProgress) {
 	acked := map[uint32]position{}
 	k.withLot(i, func(l *lot) {
@@ -261,19 +262,27 @@
 			}
 		}
 	})
+	size := 0
 	for n, a := range acked {
-		if x := k.progress(i, n, a.text, a.last); len(x.Data()) > 0 {
-			p = append(p, x)
+		x := k.progress(i, n, a.text, a.last)
+		if len(x.Data()) == 0 {
+			continue
+		}
+		for _, d := range x.Data() {
+			size += entryBytes + len(d)
+		}
+		if p = append(p, x); size > maxPartBytes {
+			break
 		}
 	}
 	return p
 }
 
-// syncPending writes the pending entries of lot i to the log on this disk.
+// syncPending writes the first part of the pending entries of lot i to the log on this disk.
 func (k *ReplicaManager) syncPending(i string) error {
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
-		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), slices.Clone(l.pending), true)
+		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), slices.Clone(l.pending[:partLength(l.pending)]), true)
 	})
 	if len(u.Entries()) == 0 {
 		return nil
@@ -299,7 +308,7 @@
 		return err
 	}
 	if !s.OK() && k.needsCatchUp(u, s) {
-		s, err = k.send(c, d, k.withEntriesFrom(u, s.Length()), logTransferTimeout)
+		s, err = k.sendLog(c, d, k.withEntriesFrom(u, s.Length()))
 	}
 	if err != nil {
 		return err
