--- a/codec/call.go
+++ b/codec/call.go
@@ -11,14 +11,14 @@
 // EncodeCall encodes r; its deadline becomes the remaining time in milliseconds, at least one, since zero stands for none.
 func EncodeCall(r *bulrushlug.Request) *wire.Call {
 	w := &wire.Call{
-		Id:           r.ID(),
+		Id:           []byte(r.ID()),
 		Attempt:      r.Attempt(),
 		Organisation: r.Organisation(),
-		Model:        r.Model(),
+		Model:        []byte(r.Model()),
 		Route:        r.Route(),
 		Method:       r.Method(),
-		Path:         r.Path(),
-		ContentType:  r.ContentType(),
+		Path:         []byte(r.Path()),
+		ContentType:  []byte(r.ContentType()),
 		Body:         r.Body(),
 		Stream:       r.Stream(),
 		Batch:        r.Batch(),
@@ -37,9 +37,9 @@
 	o := []bulrushlug.RequestOption{
 		bulrushlug.WithAttempt(w.Attempt),
 		bulrushlug.WithOrganisation(w.Organisation),
-		bulrushlug.WithModel(w.Model),
+		bulrushlug.WithModel(string(w.Model)),
 		bulrushlug.WithRoute(w.Route),
-		bulrushlug.WithCall(w.Method, w.Path, w.ContentType, w.Body),
+		bulrushlug.WithCall(w.Method, string(w.Path), string(w.ContentType), w.Body),
 		bulrushlug.WithStream(w.Stream),
 		bulrushlug.WithIdempotent(w.Idempotent),
 		bulrushlug.WithResumeFrom(w.ResumeFrom),
@@ -50,7 +50,7 @@
 	if w.DeadlineMs > 0 {
 		o = append(o, bulrushlug.WithDeadline(time.Now().Add(time.Duration(w.DeadlineMs)*time.Millisecond)))
 	}
-	return bulrushlug.NewRequest(w.Id, o...)
+	return bulrushlug.NewRequest(string(w.Id), o...)
 }
 
 // EncodeError encodes the kind, message and retry delay of err.
@@ -58,7 +58,7 @@
 	k := bulrushlug.KindOf(err)
 	return &wire.Problem{
 		Kind:         k.String(),
-		Message:      strings.ToValidUTF8(err.Error(), "\uFFFD"),
+		Message:      validText(err.Error()),
 		Ran:          k.Response().MayHaveRun(),
 		RetryAfterMs: uint64(bulrushlug.RetryAfterOf(err).Milliseconds()),
 	}
@@ -70,16 +70,19 @@
 	return f.WithRetryAfter(time.Duration(w.GetRetryAfterMs()) * time.Millisecond)
 }
 
+// validText returns s with a replacement character for each run of bytes that is not UTF-8, for texts that people read.
+func validText(s string) string { return strings.ToValidUTF8(s, "\uFFFD") }
+
 // EncodeEvent encodes e.
 func EncodeEvent(e bulrushlug.Event) *wire.Event {
 	return &wire.Event{
 		Stamp:        e.Timestamp(),
 		Vm:           e.VM(),
 		What:         e.Name(),
-		Request:      e.Request(),
-		Job:          e.Job(),
-		Organisation: e.Organisation(),
-		Detail:       e.Detail(),
+		Request:      validText(e.Request()),
+		Job:          validText(e.Job()),
+		Organisation: validText(e.Organisation()),
+		Detail:       validText(e.Detail()),
 	}
 }
 
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -122,6 +122,7 @@
 		"line lacks custom_id":     {"POST", "/v1/files", file(`{"method":"POST"}`), k, 400, "badRequest", "line 1 has no custom_id"},
 		"custom_id repeats":        {"POST", "/v1/files", file(item + "\n" + item), k, 400, "badRequest", "line 2 repeats"},
 		"empty file":               {"POST", "/v1/files", file(""), k, 400, "badRequest", "empty"},
+		"file name not UTF-8":      {"POST", "/v1/files", strings.Replace(file(item), `"f"`, "\"\xff\"", 1), k, 400, "badRequest", "not UTF-8"},
 		"unknown input file":       {"POST", "/v1/batches", `{"input_file_id":"file-x","endpoint":"/v1/chat/completions"}`, k, 404, "notFound", "file-x"},
 		"batch field unknown":      {"POST", "/v1/batches", `{"input":"x"}`, k, 400, "badRequest", "input"},
 		"unsupported endpoint":     {"POST", "/v1/batches", `{"input_file_id":"file-x","endpoint":"/v1/none"}`, k, 400, "badRequest", "/v1/none"},
--- a/front/files.go
+++ b/front/files.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/upload"
@@ -46,6 +47,9 @@
 			}
 			purpose = string(b)
 		case "file":
+			if !utf8.ValidString(p.FileName()) || !utf8.ValidString(purpose) {
+				return bulrushlug.Errorf(bulrushlug.KindBadRequest, "file name %q or purpose %q is not UTF-8", p.FileName(), purpose)
+			}
 			f, err := s.upload.Save(r.Context(), o, p.FileName(), purpose, p)
 			if err != nil {
 				return err
--- a/lotcli/client.go
+++ b/lotcli/client.go
@@ -158,7 +158,7 @@
 		return nil, 0, 0, bulrushlug.WrapError(bulrushlug.KindUncertain, a, err)
 	}
 	for _, i := range x.Items {
-		l = append(l, bulrushlug.NewKVEntry(i.Key, i.Value, i.Revision).WithRetention(time.Duration(i.RetentionMs)*time.Millisecond))
+		l = append(l, bulrushlug.NewKVEntry(string(i.Key), i.Value, i.Revision).WithRetention(time.Duration(i.RetentionMs)*time.Millisecond))
 	}
 	return l, x.ManifestRevision, x.BackendRevision, nil
 }
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -49,7 +49,7 @@
 	l, m, b := s.snapshot(c, q.Operated, q.Servers)
 	w := &wire.Known{ManifestRevision: m, BackendRevision: b}
 	for _, i := range l {
-		w.Items = append(w.Items, &wire.KnownItem{Key: i.Key(), Value: i.Value(), Revision: i.Revision(),
+		w.Items = append(w.Items, &wire.KnownItem{Key: []byte(i.Key()), Value: i.Value(), Revision: i.Revision(),
 			RetentionMs: uint32(i.Retention().Milliseconds())})
 	}
 	return w, nil
--- a/rpccli/rpccli.go
+++ b/rpccli/rpccli.go
@@ -132,7 +132,7 @@
 // forward writes the message m to s; an empty message is a keep-alive.
 func forward(m *wire.Piece, s bulrushlug.Sink) error {
 	if m.Status != 0 {
-		if err := s.Head(int(m.Status), m.ContentType); err != nil {
+		if err := s.Head(int(m.Status), string(m.ContentType)); err != nil {
 			return err
 		}
 	}
--- a/rpcsrv/sink.go
+++ b/rpcsrv/sink.go
@@ -45,7 +45,7 @@
 
 // Head sends the status n and the content type t.
 func (s *sink) Head(n int, t string) error {
-	return s.send(&wire.Piece{Status: uint32(n), ContentType: t})
+	return s.send(&wire.Piece{Status: uint32(n), ContentType: []byte(t)})
 }
 
 // Write sends p.
