--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -44,7 +44,7 @@
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector)
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
-	e.handler = s.platform.Handler(s.manifest.Load, p, a, e.router)
+	e.handler = s.platform.Handler(s.manifest.Load, s.operatorMirror.Behind, p, a, e.router)
 	return e
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -212,6 +212,13 @@
 	return m.newest
 }
 
+// Behind reports whether another process, which reaches the service, saw a newer change.
+func (m *Mirror) Behind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peerRevision > m.newest
+}
+
 // cancelLaggingWatch cancels the current watch if it did not deliver a change that other processes saw.
 func (m *Mirror) cancelLaggingWatch() {
 	m.mu.Lock()
