--- a/conns/pool.go
+++ b/conns/pool.go
@@ -338,7 +338,7 @@
 		r.Body = io.NopCloser(strings.NewReader(string(b)))
 	}
 	o := bufio.NewWriterSize(c, bufferSize)
-	if err := r.Write(o); err != nil {
+	if err := r.Write(withSlashes(o, r)); err != nil {
 		return err
 	}
 	return o.Flush()
