--- a/config.go
+++ b/config.go
@@ -150,6 +150,16 @@
 	return Route{}, false
 }
 
+// Keyless reports whether no request needs a key: there are no organisations, and all routes are open.
+func (f *Config) Keyless() bool {
+	for _, c := range f.latest {
+		if c.organisation != nil || c.route != nil && !c.route.open {
+			return false
+		}
+	}
+	return true
+}
+
 // HasLots reports whether any route of host h accepts lots.
 func (f *Config) HasLots(h string) bool {
 	return slices.ContainsFunc(f.routes, func(r Route) bool {
