--- a/locate/router.go
+++ b/locate/router.go
@@ -117,7 +117,8 @@
 // Submit offers x to processes with disks until one accepts it or c ends; it fails at once if no such process is
 // known to be alive and x is not accepted already. An accepted lot is only offered to its primary.
 //
-// An error that promises that no part of x runs means that x is known not to be accepted.
+// An error that promises that no part of x runs means that x is known not to be accepted. KindConflict means that another
+// organisation has a lot with the identifier of x.
 func (l *Router) Submit(c context.Context, x bulrushlug.Lot) error {
 	return l.logFailure("submit", x.ID(), l.submit(c, x))
 }
@@ -126,8 +127,8 @@
 	var s submission
 	for {
 		err := l.submitRound(c, x, &s)
-		if err == nil {
-			return nil
+		if err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict {
+			return err
 		}
 		if !s.uncertain && len(l.peers.LiveDataPeers()) == 0 {
 			err = l.refusal(c, x.ID(), err, noDiskRetryAfter)
@@ -170,6 +171,9 @@
 			l.cachePrimary(x.ID(), p.DiskID())
 			return nil
 		}
+		if bulrushlug.KindOf(err) == bulrushlug.KindConflict {
+			return err
+		}
 		s.uncertain = s.uncertain || bulrushlug.KindOf(err).Response().MayHaveRun()
 		if bulrushlug.KindOf(err) != bulrushlug.KindMisdirected {
 			continue
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -18,7 +18,7 @@
 // Only the primary acknowledges a lot; KindMisdirected means that another disk may be its primary. Once the lot may be
 // accepted, no error promises that it does not run.
 func (k *ReplicaManager) Submit(c context.Context, x bulrushlug.Lot) error {
-	if accepted, err := k.awaitAccepted(c, x.ID()); accepted || err != nil {
+	if accepted, err := k.awaitAccepted(c, x); accepted || err != nil {
 		return err
 	}
 	if k.storeLost() {
@@ -39,28 +39,32 @@
 	if err := k.createRecord(c, x.ID(), u); err != nil {
 		return err
 	}
-	if accepted, err := k.awaitAccepted(c, x.ID()); accepted || err != nil {
+	if accepted, err := k.awaitAccepted(c, x); accepted || err != nil {
 		return err
 	}
 	k.withdraw(c, x.ID(), r)
 	return bulrushlug.Errorf(bulrushlug.KindMisdirected, "lot %s was accepted by another primary", x.ID())
 }
 
-// awaitAccepted reports whether lot i is accepted with this disk as its primary. It waits while another call on
-// this disk is accepting the lot.
-func (k *ReplicaManager) awaitAccepted(c context.Context, i string) (bool, error) {
+// awaitAccepted reports whether x is accepted with this disk as its primary. It waits while another call on
+// this disk is accepting the lot, and fails with KindConflict if another organisation has a lot of that identifier.
+func (k *ReplicaManager) awaitAccepted(c context.Context, x bulrushlug.Lot) (bool, error) {
+	i := x.ID()
 	for {
-		var accepted, primary, committed, recent bool
+		var accepted, primary, committed, recent, taken bool
 		var change chan struct{}
 		if !k.withLot(i, func(l *lot) {
 			accepted, primary, committed, change = l.confirmed, l.isPrimary(k.disk), l.committed > 0, l.changed
 			recent = time.Since(l.firstSeen) < draftTimeout
+			taken = l.head != nil && l.head.Organisation() != x.Organisation()
 		}) {
 			return false, nil
 		}
 		switch {
 		case accepted && !primary:
 			return false, bulrushlug.Errorf(bulrushlug.KindMisdirected, "lot %s has another primary", i)
+		case accepted && taken:
+			return false, bulrushlug.Errorf(bulrushlug.KindConflict, "another organisation has a lot with the identifier %s", i)
 		case accepted && committed:
 			return true, k.verifyAccepted(c, i)
 		case !primary && recent:
