--- a/lots/expire_test.go
+++ b/lots/expire_test.go
@@ -34,6 +34,13 @@
 			time.Sleep(2 * expiryDelay)
 			k.setIsolated("d1", false)
 		}},
+		"the primary is replaced when the lot is dropped": {after: retention + 4*expiryDelay, gone: true, during: func(k *cluster) {
+			time.Sleep(retention + expiryDelay/2)
+			p := k.primary("lot")
+			k.setPartitioned(p, true)
+			time.Sleep(expiryDelay)
+			k.setPartitioned(p, false)
+		}},
 		"a restart while open": {openFor: time.Hour, after: 3 * retention, results: 2, during: func(k *cluster) {
 			time.Sleep(2 * retention)
 			for _, n := range []string{"d0", "d1", "d2"} {
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -29,13 +29,13 @@
 	}
 	var failing []string
 	k.withLot(i, func(l *lot) { failing = l.failingDisks() })
-	u, ok := k.unfinishedReconfiguration(i, r, failing)
-	if !ok {
+	u, resumed := k.unfinishedReconfiguration(i, r, failing)
+	if !resumed {
 		if u, err = k.beginReconfiguration(i, r, k.nextReplicas(r, failing)); err != nil {
 			return err
 		}
 	}
-	if err := k.transferLog(c, u); err != nil {
+	if err := k.transferLog(c, u, resumed); err != nil {
 		return err
 	}
 	return k.replaceRecord(c, u, n, r)
@@ -87,16 +87,18 @@
 	return u, ok
 }
 
-// transferLog makes all replicas of u have the whole log. One that refused it follows another epoch, so the next attempt
-// needs a later one.
-func (k *ReplicaManager) transferLog(c context.Context, u bulrushlug.LotUpdate) error {
+// transferLog makes all replicas of u have the whole log; after an earlier attempt in this epoch, resumed, it sends what they
+// lack. One that refuses it follows another epoch, so the next attempt needs a later one.
+func (k *ReplicaManager) transferLog(c context.Context, u bulrushlug.LotUpdate, resumed bool) error {
 	return parallel(u.Replicas(), func(d string) error {
 		if d == k.disk {
 			return nil
 		}
 		from := 0
-		if s, err := k.verify(c, d, u.Lot(), u.Epoch()); err == nil && s.OK() {
-			from = s.Length()
+		if resumed {
+			if s, err := k.verify(c, d, u.Lot(), u.Epoch()); err == nil && s.OK() {
+				from = s.Length()
+			}
 		}
 		s, err := k.sendLog(c, d, k.withEntriesFrom(u.WithProgressWanted(true), from))
 		if err == nil && !s.OK() {
--- a/lots/task.go
+++ b/lots/task.go
@@ -84,10 +84,10 @@
 	}
 	own := l.isPrimary(k.disk)
 	switch {
-	case k.expired(l):
-		return taskDrop
 	case l.epochChanged, k.confirmationOverdue(l), l.confirmed && !slices.Contains(l.replicas, k.disk):
 		return taskReadRecord
+	case k.expired(l):
+		return taskDrop
 	case !l.confirmed:
 		return taskNone
 	case own && (l.stale || k.needsNewReplicas(l)), !own && k.shouldTakeOver(l):
