--- a/items/behind_test.go
+++ b/items/behind_test.go
@@ -12,10 +12,11 @@
 // TestConfigurationBehindLot guards against items that are given up by a process which does not know the configuration
 // yet under which their lot was accepted.
 func TestConfigurationBehindLot(t *testing.T) {
-	route := func(retention time.Duration) bulrushlug.Change {
-		return bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
+	routeTo := func(service string, retention time.Duration) bulrushlug.Change {
+		return bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare(service, 1)),
 			bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(18*time.Second, retention)))
 	}
+	route := func(retention time.Duration) bulrushlug.Change { return routeTo("s", retention) }
 	for name, x := range map[string]struct {
 		lot    uint64              // Revision under which the lot was accepted.
 		known  uint64              // Revision that the process has at first.
@@ -30,6 +31,8 @@
 		"the revision does not come":                 {lot: 5, known: 3},
 		"the route is removed later":                 {lot: 5, known: 3, later: 6, want: "given up"},
 		"the process knew the removal already":       {lot: 5, known: 6, want: "given up"},
+		"the route was just moved to the service":    {lot: 5, known: 3, before: []bulrushlug.Change{routeTo("t", time.Minute)}, later: 5, after: []bulrushlug.Change{route(time.Minute)}, want: whole()},
+		"the route was just moved away from it":      {lot: 5, known: 3, before: []bulrushlug.Change{route(time.Minute)}, later: 5, after: []bulrushlug.Change{routeTo("t", time.Minute)}},
 		"a lot that names no revision":               {known: 3, want: "given up"},
 		"a lot that names no revision, on its route": {known: 3, before: []bulrushlug.Change{route(time.Minute)}, want: whole()},
 	} {
@@ -38,7 +41,7 @@
 				c, stop := context.WithCancel(t.Context())
 				s := newSystem(c, nil)
 				s.routes.setRevision(x.known, x.before...)
-				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now().Add(-2*maxClockSkew), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
 				if err := s.manager.Submit(c, l.WithRevision(x.lot)); err != nil {
 					t.Fatal(err)
 				}
@@ -50,6 +53,11 @@
 				if got := s.listed(t)["i0"]; got != x.want {
 					t.Errorf("result of the item is %q, not %q", got, x.want)
 				}
+				s.server.mu.Lock()
+				if n := s.server.runs["i0"]; n > 0 && x.want != whole() {
+					t.Errorf("the item ran %d times at a service that its route does not name", n)
+				}
+				s.server.mu.Unlock()
 				stop()
 				synctest.Wait()
 			})
