--- a/lots/manager.go
+++ b/lots/manager.go
@@ -7,6 +7,9 @@
 // without a record is a draft. A reconfiguration copies the whole log to the new replicas before it replaces the
 // record, so every later primary has all published results. A primary answers a caller only after all replicas
 // confirmed that they still follow its epoch, so a replaced primary returns no stale results.
+//
+// A disk never drops acknowledged data on its own guess: it does so once no record can name it any more and the disks that
+// the record names have shown that they have the lot (leave), or once the lot has expired and its record is gone (expire).
 package lots
 
 import (
