--- a/lots/leave.go
+++ b/lots/leave.go
@@ -12,19 +12,20 @@
 const leaveRetryDelay = time.Second
 
 // leave drops lot i, as the record r has other replicas. Acknowledged data is dropped only after all of them have
-// shown that they have it, and never if this disk follows an epoch after n, as another disk relies on that.
-func (k *ReplicaManager) leave(c context.Context, i string, r bulrushlug.LotRecord, n uint64) error {
+// shown that they have it, and never if this disk follows an epoch after n, as another disk relies on that. It reports
+// whether all replicas have it; if not, the lot is kept, and the record is read again later.
+func (k *ReplicaManager) leave(c context.Context, i string, r bulrushlug.LotRecord, n uint64) bool {
 	acknowledged := false
 	k.withLot(i, func(l *lot) { acknowledged = l.confirmed || len(l.former) > 0 })
 	if acknowledged {
 		if err := parallel(r.Replicas(), func(d string) error { return k.ensureHeld(c, d, i, r) }); err != nil {
 			_ = k.logger.Log("event", "lotKept", "lot", i, "epoch", r.Epoch(), "err", err)
 			k.withLot(i, func(l *lot) { l.epochChanged, l.nextTaskAt = true, time.Now().Add(leaveRetryDelay) })
-			return nil
+			return false
 		}
 	}
 	k.drop(i, "the record has other replicas", upToEpoch(n))
-	return nil
+	return true
 }
 
 // ensureHeld fails unless the replica on disk d has lot i in the epoch of the record r or a later one. A disk whose own
@@ -75,5 +76,6 @@
 	if _, err := k.store.Commit(c, []bulrushlug.Condition{bulrushlug.NewCondition(k.prefix+i, n)}, []bulrushlug.Write{bulrushlug.PutWrite(k.prefix+i, b, 0)}); err != nil {
 		return err
 	}
-	return k.leave(c, i, r, epoch)
+	k.leave(c, i, r, epoch)
+	return nil
 }
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -165,10 +165,8 @@
 	if err := k.confirm(i, now); err != nil {
 		return err
 	}
-	if !slices.Contains(now.Replicas(), k.disk) {
-		if err := k.leave(c, i, now, now.Epoch()); err != nil {
-			return err
-		}
+	if !slices.Contains(now.Replicas(), k.disk) && !k.leave(c, i, now, now.Epoch()) {
+		return nil
 	}
 	var out []string
 	for _, d := range old.Replicas() {
--- a/lots/record.go
+++ b/lots/record.go
@@ -92,7 +92,8 @@
 		return bulrushlug.Errorf(bulrushlug.KindUncertain, "lot %s has no record", i)
 	}
 	if !slices.Contains(r.Replicas(), k.disk) {
-		return k.leave(c, i, r, max(r.Epoch(), placed.Epoch()))
+		k.leave(c, i, r, max(r.Epoch(), placed.Epoch()))
+		return nil
 	}
 	if placed.Epoch() == r.Epoch() && slices.Equal(placed.Replicas(), r.Replicas()) {
 		return k.confirm(i, r)
