--- a/items/runner.go
+++ b/items/runner.go
@@ -90,9 +90,11 @@
 	lot   bulrushlug.Lot
 	item  uint32
 	route bulrushlug.Route
-	due   time.Time
-	late  bool // The item can't be completed by its due time.
-	begun bool // Some of its events are there.
+	// services are those that may run the item, the preferred ones first.
+	services []string
+	due      time.Time
+	late     bool // The item can't be completed by its due time.
+	begun    bool // Some of its events are there.
 }
 
 // pace returns the pace of the items of route n.
@@ -114,7 +116,7 @@
 	slices.SortStableFunc(l, order)
 	full := map[string]bool{}
 	for _, w := range l {
-		s := r.acquire(w.route, full)
+		s := r.acquire(w.services, full)
 		if s == nil {
 			n.add(waitSlot, w.lot, w.item)
 			continue
@@ -124,9 +126,9 @@
 	n.end()
 }
 
-// acquire reserves a slot at the first service of t that has one, and adds those without one to full.
-func (r *Runner) acquire(t bulrushlug.Route, full map[string]bool) *slots.Reservation {
-	for _, v := range services(t) {
+// acquire reserves a slot at the first service in l that has one, and adds those without one to full.
+func (r *Runner) acquire(l []string, full map[string]bool) *slots.Reservation {
+	for _, v := range l {
 		if full[v] {
 			continue
 		}
@@ -154,13 +156,14 @@
 			return
 		}
 		t, ok := f.RouteNamed(x.Route())
+		v := services(t)
 		for _, n := range left {
 			if !ok || t.Retention() > 0 && now.After(x.ReceivedAt().Add(t.Retention()+maxClockSkew)) {
 				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), "its route was removed or its retention has ended")
 				continue
 			}
 			if !r.startable(key{x.ID(), n}, now) {
-				if !r.running(key{x.ID(), n}) {
+				if m != nil && !r.running(key{x.ID(), n}) {
 					m.add(waitBackoff, x, n)
 				}
 				continue
@@ -170,7 +173,9 @@
 				m.add(waitQuarantine, x, n)
 				continue
 			}
-			l = append(l, r.newTask(x, n, t, now))
+			w := r.newTask(x, n, t, now)
+			w.services = v
+			l = append(l, w)
 		}
 	})
 	r.held.Store(held)
--- a/items/waits.go
+++ b/items/waits.go
@@ -26,13 +26,14 @@
 )
 
 // waits counts the items that wait by cause, and writes a line for each that has waited long for something else than a slot.
+// One goroutine counts.
 type waits struct {
 	logger  log.Logger
 	limiter *lines.Limiter
-	mu      sync.Mutex
 	counted time.Time        // Begin of the last count.
 	since   map[key]waitTime // Items that waited at the last count.
-	counts  map[string]int   // By cause, at the last count.
+	mu      sync.Mutex
+	counts  map[string]int // By cause, at the last count; guarded by mu.
 }
 
 // waitTime is how long an item has waited without a run.
@@ -53,8 +54,6 @@
 
 // begin returns a new count, or nil if the last one was made less than countInterval ago.
 func (w *waits) begin(now time.Time) *count {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if now.Sub(w.counted) < countInterval {
 		return nil
 	}
@@ -69,9 +68,7 @@
 	}
 	n.counts[cause]++
 	k := key{x.ID(), i}
-	n.waits.mu.Lock()
 	t, ok := n.waits.since[k]
-	n.waits.mu.Unlock()
 	if !ok {
 		t.begun = n.now
 	}
@@ -96,9 +93,10 @@
 	if n == nil {
 		return
 	}
+	n.waits.since = n.since
 	n.waits.mu.Lock()
 	defer n.waits.mu.Unlock()
-	n.waits.since, n.waits.counts = n.since, n.counts
+	n.waits.counts = n.counts
 }
 
 // byCause returns the number of items that waited at the last count, by cause.
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -76,17 +76,21 @@
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, false)
 	})
 	for _, d := range u.Replicas() {
-		p, known := k.peers.ByDisk(d)
-		switch {
-		case d == k.disk:
-			ok = ok && !k.retiring(k.peers.Self().Name())
-		case !known || k.unavailable(d) || k.retiring(p.Member().Name()) || slices.Contains(failing, d):
-			ok = false
-		}
+		ok = ok && k.usable(d, failing)
 	}
 	return u, ok
 }
 
+// usable reports whether the disk d may hold a lot: its process is available, its VM is not retiring, and it is not
+// failing.
+func (k *ReplicaManager) usable(d string, failing []string) bool {
+	if d == k.disk {
+		return !k.retiring(k.peers.Self().Name())
+	}
+	p, ok := k.peers.ByDisk(d)
+	return ok && !k.unavailable(d) && !k.retiring(p.Member().Name()) && !slices.Contains(failing, d)
+}
+
 // transferLog makes all replicas of u have the whole log; after an earlier attempt in this epoch, resumed, it sends what they
 // lack. One that refuses it follows another epoch, so the next attempt needs a later one.
 func (k *ReplicaManager) transferLog(c context.Context, u bulrushlug.LotUpdate, resumed bool) error {
@@ -128,12 +132,11 @@
 // available ones of r, then new ones, but none of the failing ones.
 func (k *ReplicaManager) nextReplicas(r bulrushlug.LotRecord, failing []string) []string {
 	var l []string
-	if !k.retiring(k.peers.Self().Name()) {
+	if k.usable(k.disk, failing) {
 		l = append(l, k.disk)
 	}
 	for _, d := range r.Replicas() {
-		p, ok := k.peers.ByDisk(d)
-		if d != k.disk && ok && !k.unavailable(d) && !k.retiring(p.Member().Name()) && !slices.Contains(failing, d) {
+		if d != k.disk && k.usable(d, failing) {
 			l = append(l, d)
 		}
 	}
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -10,48 +9,40 @@
 	"bulrushlug.dev/bulrushlug"
 )
 
-// runnable is a lot that this disk may run.
-type runnable struct {
+// openLot is a lot with items that have no result.
+type openLot struct {
 	lot  bulrushlug.Lot
 	left []uint32 // Items without a result.
 }
 
 // EachRunnable calls f for each lot that this disk may run now, with the items that have no result.
 func (k *ReplicaManager) EachRunnable(f func(l bulrushlug.Lot, left []uint32)) {
-	var all []runnable
-	for i := range k.shards {
-		all = append(all, k.shards[i].runnable(k.disk)...)
-	}
-	for _, o := range all {
-		f(o.lot, o.left)
-	}
+	k.eachOpen(func(l *lot) bool { return l.runnable(k.disk) }, f)
 }
 
 // EachHeld calls f for each lot of which this disk is the primary but that it may not run now, with the items that have no
 // result.
 func (k *ReplicaManager) EachHeld(f func(l bulrushlug.Lot, left []uint32)) {
+	k.eachOpen(func(l *lot) bool { return l.isPrimary(k.disk) && !l.runnable(k.disk) }, f)
+}
+
+// eachOpen calls f for each lot that has items without a result and meets the condition, under no lock.
+func (k *ReplicaManager) eachOpen(condition func(l *lot) bool, f func(l bulrushlug.Lot, left []uint32)) {
+	var all []openLot
 	for i := range k.shards {
-		s := &k.shards[i]
-		var all []runnable
-		s.mu.Lock()
-		for _, l := range s.lots {
-			if l.head != nil && l.isPrimary(k.disk) && !l.finished() && !l.runnable(k.disk) {
-				all = append(all, runnable{*l.head, l.left()})
-			}
-		}
-		s.mu.Unlock()
-		for _, o := range all {
-			f(o.lot, o.left)
-		}
+		all = append(all, k.shards[i].open(condition)...)
+	}
+	for _, o := range all {
+		f(o.lot, o.left)
 	}
 }
 
-func (s *shard) runnable(disk string) (all []runnable) {
+func (s *shard) open(condition func(l *lot) bool) (all []openLot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.lots {
-		if !l.finished() && l.runnable(disk) {
-			all = append(all, runnable{*l.head, l.left()})
+		if l.head != nil && !l.finished() && condition(l) {
+			all = append(all, openLot{*l.head, l.left()})
 		}
 	}
 	return all
@@ -96,7 +87,7 @@
 			err = bulrushlug.Errorf(bulrushlug.KindMisdirected, "this disk does not serve lot %s", q.ID())
 		case l.head.Organisation() != q.Organisation():
 			err = bulrushlug.Errorf(bulrushlug.KindNotFound, "lot %s belongs to another organisation", q.ID())
-		case q.Host() != "" && !strings.EqualFold(hostname(l.head.Host()), q.Host()):
+		case q.Host() != "" && !strings.EqualFold(bulrushlug.Hostname(l.head.Host()), q.Host()):
 			err = bulrushlug.Errorf(bulrushlug.KindNotFound, "lot %s was submitted to host %s", q.ID(), l.head.Host())
 		case l.committed == 0:
 			err = bulrushlug.Errorf(bulrushlug.KindStale, "lot %s: the replicas have not reported their entries yet", q.ID())
@@ -107,14 +98,6 @@
 	return err
 }
 
-// hostname returns the host h without its port.
-func hostname(h string) string {
-	if n, _, err := net.SplitHostPort(h); err == nil {
-		return n
-	}
-	return h
-}
-
 // Read returns results of a lot; if there are none yet, it waits for one as long as q allows.
 func (k *ReplicaManager) Read(c context.Context, q bulrushlug.LotQuery) (bulrushlug.LotPage, error) {
 	until := time.After(q.Wait())
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -94,7 +94,7 @@
 func (k *ReplicaManager) replicate(c context.Context, u bulrushlug.LotUpdate) error {
 	return parallel(u.Replicas(), func(d string) error {
 		if d != k.disk {
-			return k.replicateTo(c, d, u, replicaTimeout)
+			return k.replicateTo(c, d, u)
 		}
 		s, err := k.persist(u, func(l *lot) bool { return follows(l, u) })
 		if err == nil && !s.OK() {
@@ -105,8 +105,8 @@
 }
 
 // replicateTo sends u to the replica on disk d; it fails with KindConflict if the replica follows another epoch.
-func (k *ReplicaManager) replicateTo(c context.Context, d string, u bulrushlug.LotUpdate, wait time.Duration) error {
-	s, err := k.send(c, d, u, wait)
+func (k *ReplicaManager) replicateTo(c context.Context, d string, u bulrushlug.LotUpdate) error {
+	s, err := k.send(c, d, u, replicaTimeout)
 	if err == nil && !s.OK() {
 		err = bulrushlug.Errorf(bulrushlug.KindConflict, "replica on disk %s follows epoch %d", d, s.Epoch())
 	}
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -7,9 +7,9 @@
 
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
-// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot. A server that ranks another
-// process first is used only if there is no other, so that processes rarely start items in the same slot. Leaving
-// servers are a last resort, used only if the service has no other server.
+// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot. A server
+// that ranks another process first is used only if there is no other, so that processes rarely start items in the same
+// slot. Leaving servers are a last resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
 	f := filter{service: v, now: time.Now()}
 	o := t.ranking()
