--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -95,14 +95,21 @@
 	s.write("servers/"+b.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"callSeq":1,"born":%d}`, b.address, state, start))
 }
 
+// Routes of the manifest.
+const (
+	onlineRoutes = `{"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":5000,"service":"s","maxAttempts":2,"resumable":true},
+{"name":"once","host":"h.example","prefix":"/once/","kind":"streaming","timeoutMs":20000,"service":"s","maxAttempts":1}`
+	lotRoute = `{"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":60,"service":"s","maxAttempts":3}`
+)
+
 // manifest writes the next version of the manifest, in which organisation o has API key k.
-func (s *testSystem) manifest(k string) {
+func (s *testSystem) manifest(k string) { s.manifestWith(k, onlineRoutes, lotRoute) }
+
+// manifestWith writes the next version of the manifest, which has the given routes.
+func (s *testSystem) manifestWith(k string, routes ...string) {
 	s.version++
-	s.write("op/config", fmt.Sprintf(`{"version":%d,"routes":[
-{"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":5000,"service":"s","maxAttempts":2,"resumable":true},
-{"name":"once","host":"h.example","prefix":"/once/","kind":"streaming","timeoutMs":20000,"service":"s","maxAttempts":1},
-{"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":60,"service":"s","maxAttempts":3}],
-"services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"o","apiKeys":[%q]}]}`, s.version, k))
+	s.write("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],
+"services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"o","apiKeys":[%q]}]}`, s.version, strings.Join(routes, ","), k))
 }
 
 // start starts a process with the given settings.
