fix(proxy): what all responses hold together fits the memory of the smallest VM

A faulty server sends a body, a failure's body or comments without end, to callers that do not read: an entry kept up to 8 MB for each, and the requests of all others ended with it when its VM had no memory left.

Cause: a response had a bound (maxBuffered, 8 MB; comments before the first event likewise; 1 MB for an event), the process had none. 64 such responses are 512 MB before copies; an entry has 184 to 536 MB.

Ruled out, each by a case that held before: heads and interim heads (64 KB, conns), extensions of chunks (net/http), refusals (4 KB).

Change: package memory, a budget of 24 MB for what all responses of a process hold. A response may hold as much as is left for others (dynamic threshold), so one alone gets half, n of them equal parts, and there is always room for a short one; 16 KB of each are free. A body is held up to 1 MB, not 8, so that another server can answer in its place; one that is longer, or that the budget refuses, is passed on as it arrives. Events above 16 KB take from the budget, comments before the first event end at 64 KB; a server that goes beyond is avoided like one that does not answer (ErrOversized). The reader of events copies their data only for who asks.

Ways that were weighed: breaking the response that holds most needs a list of all of them, and ends large responses that are sound; a fixed share for each is too small for any response or too large for all.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/lotlog"
 	"bulrushlug.dev/bulrushlug/lotsrv"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/meter"
 	"bulrushlug.dev/bulrushlug/mirror"
 	"bulrushlug.dev/bulrushlug/peers"
@@ -36,6 +37,7 @@
 	leaseTTL       = 9 * time.Second // TTL of the lease on the process's membership entry, in which it is renewed three times or more.
 	watcherCount   = 2               // Number of processes that watch the key-value service; the others fetch changes from them when a report announces one.
 	announceDelay  = 5 * time.Millisecond
+	responseMemory = 24 << 20        // Bytes that all responses of backend servers hold together; an eighth of the smallest VM's memory.
 	watcherTimeout = 2 * time.Second // Timeout of each watch; shorter than the time after an outage of the service for which time limits are suspended.
 )
 
@@ -56,6 +58,7 @@
 	recorder       *recorder
 	guard          *guard.Guard
 	detector       *poison.Detector
+	memory         *memory.Budget                      // For what responses of backend servers hold.
 	announcing     atomic.Bool                         // A report about a crash is about to be sent.
 	manifest       atomic.Pointer[bulrushlug.Manifest] // Nil before the first one; its version never decreases.
 	retiring       atomic.Pointer[map[string]bool]     // VMs that operators are retiring; nil before the first read.
@@ -88,6 +91,7 @@
 	x.recorder = newRecorder(x.logger)
 	x.guard = guard.New(x.logger)
 	x.detector = poison.New(p.Refuses, x.announceCrash, x.logger, x.counters)
+	x.memory = memory.New(responseMemory)
 	x.leavingCounts = new(expvar.Map).Init()
 	x.counters.Set("serversLeaving", x.leavingCounts)
 	disk := ""
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -34,7 +34,7 @@
 		}))
 	counts := new(expvar.Map).Init()
 	s.counters.Set("itemRunsEnded", counts)
-	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(s), s, s.detector, platform.Prompt, s.guard, s.logger, counts)
+	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(s), s, s.detector, platform.Prompt, s.guard, s.logger, counts, s.memory)
 	s.counters.Set("itemsQuarantined", expvar.Func(func() any { return d.runner.Held() }))
 	s.counters.Set("itemsWaiting", expvar.Func(func() any { return d.runner.Waiting() }))
 	if err := d.replicas.Load(); err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -41,7 +41,7 @@
 
 func newEntry(s *Daemon) *entry {
 	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger), grace: grace.New()}
-	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector)
+	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
 	e.handler = s.platform.Handler(s.manifest.Load, s.operatorMirror.Behind, p, a, e.router)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,6 +17,8 @@
 	m.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
 		s.counters.Set("storeCalls", counterValue(s.platform.StoreCalls()))
+		s.counters.Set("responseBytesHeld", counterValue(s.memory.Used()))
+		s.counters.Set("responseBytesRefused", counterValue(s.memory.Refused()))
 		s.leavingCounts.Set("lastResorts", counterValue(s.slotTable.LastResorts()))
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
--- a/daemon/soak_test.go
+++ b/daemon/soak_test.go
@@ -119,33 +119,39 @@
 
 // start starts p if it is down.
 func (s *soak) start(p *childProcess) {
+	if err := p.start(s.binary, func() { s.oracle.excuse(p.entry) }); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// start runs the program in the file binary, unless p is running; it calls f before that.
+func (p *childProcess) start(binary string, f func()) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil {
-		return
+		return nil
 	}
-	s.oracle.excuse(p.entry)
-	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f()
+	o, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		s.t.Error(err)
-		return
+		return err
 	}
-	c := exec.Command(s.binary, "serve", "--settings", p.settings)
-	c.Stdout, c.Stderr = f, f
+	c := exec.Command(binary, "serve", "--settings", p.settings)
+	c.Stdout, c.Stderr = o, o
 	if err := c.Start(); err != nil {
-		s.t.Error(err)
-		return
+		return err
 	}
 	p.command = c
 	go func() {
 		_ = c.Wait()
-		_ = f.Close()
+		_ = o.Close()
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.command == c {
 			p.command = nil
 		}
 	}()
+	return nil
 }
 
 // signal sends x to p if it is running.
@@ -379,6 +385,16 @@
 	return s.oracle.violations
 }
 
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "bulrushlug")
+	if b, err := exec.Command("go", "build", "-o", binary, "../cmd/bulrushlug").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, b)
+	}
+	return binary
+}
+
 // TestSoak injects faults into a system of separate processes. SOAK_SEEDS is the number of seeds to run and SOAK_FIRST
 // the first of them.
 func TestSoak(t *testing.T) {
@@ -390,10 +406,7 @@
 			seeds = append(seeds, first+uint64(i))
 		}
 	}
-	binary := filepath.Join(t.TempDir(), "bulrushlug")
-	if b, err := exec.Command("go", "build", "-o", binary, "../cmd/bulrushlug").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, b)
-	}
+	binary := buildProgram(t)
 	for _, x := range seeds {
 		t.Run(fmt.Sprint(x), func(t *testing.T) {
 			if len(seeds) > len(soakSeeds) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -13,6 +13,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/stream"
 	"bulrushlug.dev/bulrushlug/wire"
 )
@@ -20,6 +21,7 @@
 const (
 	controlTimeout = 2 * time.Second // Timeout of load reports and load commands.
 	bufferBytes    = 64 * 1024       // Bytes of a response without events that are read at once; also the limit on error bodies and load reports.
+	eventMemory    = 8 << 20         // Bytes of the incomplete events of all responses.
 )
 
 var doneEvent = []byte("data: [DONE]")
@@ -29,6 +31,7 @@
 	base    string // URL without a trailing slash.
 	client  *http.Client
 	control *http.Client // For load reports and load commands.
+	memory  *memory.Budget
 }
 
 // New returns the client of the engine at URL u, which has no trailing slash.
@@ -39,6 +42,7 @@
 		base:    u,
 		client:  &http.Client{Transport: t},
 		control: &http.Client{Transport: t, Timeout: controlTimeout},
+		memory:  memory.New(eventMemory),
 	}
 }
 
@@ -62,7 +66,7 @@
 		return noResponse(c, connected, err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	return relay(c, a, s)
+	return e.relay(c, a, s)
 }
 
 // noResponse classifies the error of a call without a response; without a connection the request can't have run.
@@ -76,7 +80,7 @@
 	return bulrushlug.WrapError(bulrushlug.KindUncertain, "engine", err)
 }
 
-func relay(c context.Context, a *http.Response, s bulrushlug.Sink) error {
+func (e *Client) relay(c context.Context, a *http.Response, s bulrushlug.Sink) error {
 	if a.StatusCode >= http.StatusInternalServerError {
 		b, _ := io.ReadAll(io.LimitReader(a.Body, bufferBytes))
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "engine: status %d: %s", a.StatusCode, bytes.TrimSpace(b))
@@ -86,7 +90,7 @@
 		return err
 	}
 	if strings.HasPrefix(t, "text/event-stream") {
-		return relayEvents(c, a.Body, s)
+		return e.relayEvents(c, a.Body, s)
 	}
 	return relayBody(c, a.Body, s)
 }
@@ -111,17 +115,18 @@
 }
 
 // relayEvents relays server-sent events one by one; the response is complete only after the [DONE] event.
-func relayEvents(c context.Context, b io.Reader, s bulrushlug.Sink) error {
-	r := stream.New(b)
+func (e *Client) relayEvents(c context.Context, b io.Reader, s bulrushlug.Sink) error {
+	r := stream.New(b, e.memory)
+	defer r.Close()
 	for {
-		e, err := r.Next()
+		x, err := r.Next()
 		if err != nil {
 			return broken(c, err)
 		}
-		if err := s.Write(e); err != nil {
+		if err := s.Write(x); err != nil {
 			return err
 		}
-		if bytes.HasPrefix(e, doneEvent) {
+		if bytes.HasPrefix(x, doneEvent) {
 			return nil
 		}
 	}
--- a/error.go
+++ b/error.go
@@ -9,6 +9,10 @@
 	"github.com/zeebo/errs"
 )
 
+// ErrOversized is wrapped by the error of a response that has more bytes than its request can call for, or than its process
+// can hold: its server may go on without end.
+var ErrOversized = errors.New("more bytes than a response may have")
+
 // Error is an error with a kind, which decides how it is reported to the caller.
 type Error struct {
 	kind       Kind          // One of Kinds.
--- a/items/run.go
+++ b/items/run.go
@@ -107,7 +107,9 @@
 	if t := bulrushlug.FieldValue(p.Fields(), "Content-Type"); t != "" && !strings.HasPrefix(t, eventStream) {
 		return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the response has type %s", s.Backend().ID(), t)
 	}
-	n, err := r.receive(h, x, s.Backend(), q, stream.New(p), t)
+	e := stream.New(p, r.memory)
+	defer e.Close()
+	n, err := r.receive(h, x, s.Backend(), q, e, t)
 	if err != nil {
 		if n < begunEvents && c.Err() == nil {
 			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
--- a/items/runner.go
+++ b/items/runner.go
@@ -17,6 +17,7 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lots"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/slots"
 )
 
@@ -47,14 +48,16 @@
 	prompt   func(route string, l []bulrushlug.Field) bulrushlug.Prompt
 	held     atomic.Int64 // Items that the detector held back at the last check.
 	waits    *waits
+	memory   *memory.Budget
 }
 
 // New returns a runner that takes lots from k, slots from t and routes from f, and sends items with c, unless d holds them
 // back; p returns the prompt of an item with the given header fields, and counts holds the runs without a result by cause.
+// Responses hold what m allows.
 func New(k *lots.ReplicaManager, t *slots.Table, c bulrushlug.BackendClient, f bulrushlug.ConfigSource, d bulrushlug.PoisonDetector,
-	p func(route string, l []bulrushlug.Field) bulrushlug.Prompt, g *guard.Guard, l log.Logger, counts *expvar.Map) *Runner {
+	p func(route string, l []bulrushlug.Field) bulrushlug.Prompt, g *guard.Guard, l log.Logger, counts *expvar.Map, m *memory.Budget) *Runner {
 	r := &Runner{manager: k, table: t, client: c, source: f, guard: g, logger: l, endings: newEndings(counts, l), wake: make(chan struct{}, 1), paces: map[string]*pace{},
-		detector: d, prompt: p, waits: newWaits(l)}
+		detector: d, prompt: p, waits: newWaits(l), memory: m}
 	for i := range r.shards {
 		r.shards[i].items = map[key]*item{}
 	}
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -21,6 +21,7 @@
 	"bulrushlug.dev/bulrushlug/codec"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lots"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/memtxn"
 	"bulrushlug.dev/bulrushlug/peers"
 	"bulrushlug.dev/bulrushlug/slots"
@@ -201,7 +202,7 @@
 	s.manager = lots.New(discardLog{}, nil, m, "lot/", p, log.NewNopLogger(), lots.WithReplicationFactor(1), lots.WithRetention(time.Hour), lots.WithWorkCallback(func() { s.runner.Wake() }))
 	s.lines = &lineCount{}
 	s.counts = new(expvar.Map).Init()
-	s.runner = New(s.manager, s.table, s.server, s.routes, d, noPrompt, guard.New(s.lines), s.lines, s.counts)
+	s.runner = New(s.manager, s.table, s.server, s.routes, d, noPrompt, guard.New(s.lines), s.lines, s.counts, memory.New(1<<30))
 	go func() { _ = s.manager.Run(c) }()
 	go func() { _ = s.runner.Run(c) }()
 	return s
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -18,6 +18,7 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/lots"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/memtxn"
 	"bulrushlug.dev/bulrushlug/peers"
 	"bulrushlug.dev/bulrushlug/slots"
@@ -176,7 +177,7 @@
 		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
 			return p.runner.Progress(i, n, text, after)
 		}))
-	p.runner = New(p.manager, t, g.server, f, noDetector{}, noPrompt, guard.New(log.NewNopLogger()), log.NewNopLogger(), new(expvar.Map).Init())
+	p.runner = New(p.manager, t, g.server, f, noDetector{}, noPrompt, guard.New(log.NewNopLogger()), log.NewNopLogger(), new(expvar.Map).Init(), memory.New(1<<30))
 	_ = p.manager.Load()
 	g.processes[n] = p
 	go func() { _ = p.manager.Run(c) }()
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/poison"
 	"bulrushlug.dev/bulrushlug/slots"
 )
@@ -168,7 +169,7 @@
 	t.Update(f.backends())
 	e := &crashEntry{}
 	e.detector = poison.New(f.isDown, func() { time.AfterFunc(announceTime, func() { l.report(e) }) }, log.NewNopLogger(), new(expvar.Map).Init())
-	e.stage = New(t, f, noRecorder{}, func([]string) {}, e.detector)
+	e.stage = New(t, f, noRecorder{}, func([]string) {}, e.detector, memory.New(1<<30))
 	return e
 }
 
--- a/proxy/evidence_test.go
+++ b/proxy/evidence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 )
 
 // countingDetector counts what the stage tells it.
@@ -42,7 +43,7 @@
 			route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTraffic(bulrushlug.TrafficCall, false, false))
 			d := &countingDetector{}
 			r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(time.Second)))
-			_ = New(table(), &servers{steps: []step{steps[name]}}, noRecorder{}, func([]string) {}, d).Run(t.Context(), r, &caller{})
+			_ = New(table(), &servers{steps: []step{steps[name]}}, noRecorder{}, func([]string) {}, d, memory.New(1<<30)).Run(t.Context(), r, &caller{})
 			if d.begun != x.begun || d.broken != x.broken {
 				t.Errorf("begun %d times, broken %d times", d.begun, d.broken)
 			}
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/slots"
 )
 
@@ -57,7 +58,7 @@
 	route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 		bulrushlug.RouteTraffic(bulrushlug.TrafficStream, true, true), bulrushlug.RouteLimits(3, 0, time.Second))
 	k := &caller{}
-	err := New(v.table, v, noRecorder{}, func([]string) {}, noDetector{}).Run(t.Context(), bulrushlug.NewRequest(id, bulrushlug.WithTarget(route)), k)
+	err := New(v.table, v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30)).Run(t.Context(), bulrushlug.NewRequest(id, bulrushlug.WithTarget(route)), k)
 	return k, err
 }
 
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -5,22 +5,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/slots"
-	"bulrushlug.dev/bulrushlug/stream"
 )
 
 const (
 	maxServers  = 4                      // Backend servers tried for one request, those that refuse it included.
 	retryAfter  = 300 * time.Millisecond // Retry-After of a service without capacity; about the duration of a short response.
 	begunEvents = 2                      // Events of a response after which its request is not what ends the server.
-	maxBuffered = 8 << 20                // Bytes of a response that are buffered until it is complete.
-	readSize    = 16 << 10
 	// suspectTimeout is the time without a response after which other requests avoid a server: three times the 99th
 	// percentile of the time to the first event at peak load.
 	suspectTimeout = 600 * time.Millisecond
@@ -28,9 +24,8 @@
 	responseTimeout = 1200 * time.Millisecond
 
 	statusOK          = 200
-	statusRedirection = 300                 // Lowest status that does not report success.
-	statusServerError = 500                 // Lowest status that reports a failure of the server.
-	eventStream       = "text/event-stream" // Media type of server-sent events.
+	statusRedirection = 300 // Lowest status that does not report success.
+	statusServerError = 500 // Lowest status that reports a failure of the server.
 )
 
 // Stage forwards each request to a backend server and retries it where that is safe.
@@ -40,12 +35,13 @@
 	recorder bulrushlug.Recorder
 	notify   func(vms []string) // Tells the processes on these VMs that a request runs on the same server as their batch items.
 	detector bulrushlug.PoisonDetector
+	memory   *memory.Budget // For what all responses hold.
 }
 
 // New returns a stage that takes slots from t and sends requests by c, unless d holds them back; f tells the processes on
-// the given VMs that a request runs on the same server as their batch items.
-func New(t *slots.Table, c bulrushlug.BackendClient, e bulrushlug.Recorder, f func(vms []string), d bulrushlug.PoisonDetector) *Stage {
-	return &Stage{table: t, client: c, recorder: e, notify: f, detector: d}
+// the given VMs that a request runs on the same server as their batch items. Responses hold what m allows.
+func New(t *slots.Table, c bulrushlug.BackendClient, e bulrushlug.Recorder, f func(vms []string), d bulrushlug.PoisonDetector, m *memory.Budget) *Stage {
+	return &Stage{table: t, client: c, recorder: e, notify: f, detector: d, memory: m}
 }
 
 // exchange is one request with its response, over all attempts.
@@ -161,6 +157,9 @@
 	if n < begunEvents && x.Err() == nil && !a.sink.callerGone {
 		a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
 	}
+	if errors.Is(err, bulrushlug.ErrOversized) {
+		l.RecordFailure()
+	}
 	a.recordBroken(l.Backend(), n, err)
 	if c.Err() != nil || a.sink.callerGone {
 		return false, err
@@ -241,123 +240,6 @@
 	a.recorder.Record(bulrushlug.NewEvent("answerBroken", bulrushlug.ForRequest(a.request), bulrushlug.WithDetail(d)))
 }
 
-// forward copies the response p to the caller and returns the number of events.
-func (a *exchange) forward(p bulrushlug.Reply, w *watchdog) (int, error) {
-	if isEventStream(p) {
-		return a.forwardEvents(p, w)
-	}
-	return 0, a.forwardBody(p)
-}
-
-// isEventStream reports whether p is a stream of server-sent events.
-func isEventStream(p bulrushlug.Reply) bool {
-	return p.Status() == statusOK && strings.HasPrefix(bulrushlug.FieldValue(p.Fields(), "Content-Type"), eventStream)
-}
-
-// forwardEvents copies whole events as they arrive, so that a broken stream can resume between events.
-func (a *exchange) forwardEvents(p bulrushlug.Reply, w *watchdog) (n int, err error) {
-	r := stream.New(p)
-	for {
-		w.start(a.mayRetry() && a.canResume())
-		e, err := a.nextEvent(r, w)
-		ended := errors.Is(err, io.EOF)
-		if err != nil && !ended {
-			return n, brokenError(err)
-		}
-		if err := a.checkSequence(r, n, ended); err != nil {
-			return n, err
-		}
-		if err := a.sink.head(p); err != nil {
-			return n, err
-		}
-		if err := a.sink.write(e); err != nil || ended {
-			return n, err
-		}
-		if n++; n == begunEvents {
-			a.detector.RecordBegun(a.request.Prompt())
-		}
-		if id, ok := r.ID(); ok {
-			a.request.SkipEvents(id)
-			a.sink.resumable = true
-		}
-	}
-}
-
-// checkSequence fails if the last event of r does not follow the last one that the caller has, or if the stream ended
-// without any event; a resumed one may have ended before.
-func (a *exchange) checkSequence(r *stream.Reader, n int, ended bool) error {
-	last := a.request.ResumeFrom()
-	if ended {
-		if n == 0 && last == 0 {
-			return bulrushlug.Errorf(bulrushlug.KindBroken, "the stream ended without an event")
-		}
-		return nil
-	}
-	if id, _ := r.ID(); r.Identified() && id != last+1 {
-		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, last)
-	}
-	return nil
-}
-
-// nextEvent reads the next event with data, and returns it behind the events without any that came before it. These are
-// no progress: a server that sends only comments has stalled.
-func (a *exchange) nextEvent(r *stream.Reader, w *watchdog) (b []byte, err error) {
-	defer w.stop()
-	for {
-		e, err := r.Next()
-		if err == nil && r.Progress() && len(b) == 0 {
-			return e, nil
-		}
-		b = append(b, e...)
-		switch {
-		case err != nil || r.Progress():
-			return b, err
-		case len(b) > maxBuffered:
-			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "%d bytes without an event", len(b))
-		case a.sink.headSent:
-			if err := a.sink.write(b); err != nil {
-				return nil, err
-			}
-			b = b[:0]
-		}
-	}
-}
-
-// forwardBody copies a response once it is complete; one of maxBuffered bytes or more is copied in parts.
-func (a *exchange) forwardBody(p bulrushlug.Reply) error {
-	var b []byte
-	q := make([]byte, readSize)
-	for {
-		n, err := p.Read(q)
-		b = append(b, q[:n]...)
-		switch {
-		case errors.Is(err, io.EOF):
-			if err := a.sink.head(p); err != nil {
-				return err
-			}
-			return a.sink.write(b)
-		case err != nil:
-			return brokenError(err)
-		case len(b) < maxBuffered:
-			continue
-		}
-		if err := a.sink.head(p); err != nil {
-			return err
-		}
-		if err := a.sink.write(b); err != nil {
-			return err
-		}
-		b = b[:0]
-	}
-}
-
-func brokenError(err error) error {
-	if bulrushlug.KindOf(err) == bulrushlug.KindInternal {
-		return bulrushlug.WrapError(bulrushlug.KindBroken, "the response is incomplete", err)
-	}
-	return err
-}
-
 // sink forwards the parts of several responses to the caller as one response.
 type sink struct {
 	sink       bulrushlug.Sink
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/slots"
 )
 
@@ -189,7 +190,7 @@
 					v := &servers{steps: []step{a, b, steps["ok"]}, of: k}
 					r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(time.Second)))
 					x := table()
-					err := New(x, v, noRecorder{}, func([]string) {}, noDetector{}).Run(t.Context(), r, k)
+					err := New(x, v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30)).Run(t.Context(), r, k)
 					check(t, v, r, k, err, whole)
 					if n := len(x.Usages()); n != 0 {
 						t.Errorf("%d servers still have requests", n)
@@ -258,7 +259,7 @@
 					t.Errorf("notified %v", vms)
 				}
 				notified++
-			}, noDetector{}).Run(t.Context(), bulrushlug.NewRequest("r", bulrushlug.WithTarget(route)), &caller{})
+			}, noDetector{}, memory.New(1<<30)).Run(t.Context(), bulrushlug.NewRequest("r", bulrushlug.WithTarget(route)), &caller{})
 			if notified != x.notified || (err != nil) != (x.kind != bulrushlug.KindInternal) {
 				t.Errorf("notified %d times, error %v", notified, err)
 			}
@@ -354,7 +355,7 @@
 				r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(20*time.Second)))
 				k := &slowCaller{pause: x.slow}
 				t0 := time.Now()
-				err := New(table(), v, noRecorder{}, func([]string) {}, noDetector{}).Run(t.Context(), r, k)
+				err := New(table(), v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30)).Run(t.Context(), r, k)
 				if (err == nil) != x.ok || k.data != x.want || v.calls != x.calls || time.Since(t0) > x.within {
 					t.Errorf("%v after %v at %d servers, the caller got %q", err, time.Since(t0), v.calls, k.data)
 				}
@@ -408,7 +409,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := slots.New("e", func() []string { return nil })
 				b.Update([]bulrushlug.Backend{bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendZoneSlots("z", 8))})
-				g := New(b, &silent{&servers{steps: []step{steps["ok"]}}, "a"}, noRecorder{}, func([]string) {}, noDetector{})
+				g := New(b, &silent{&servers{steps: []step{steps["ok"]}}, "a"}, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30))
 				route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 					bulrushlug.RouteTraffic(bulrushlug.TrafficStream, false, x.resumable), bulrushlug.RouteLimits(2, 0, time.Second))
 				r := bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(3*time.Second)))
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -7,13 +7,17 @@
 	"errors"
 	"io"
 	"strconv"
-	"strings"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 )
 
-// maxEventBytes is the largest size of one event.
-const maxEventBytes = 1 << 20
+const (
+	maxEventBytes = 1 << 20 // Largest size of one event.
+	// freeEventBytes is the size of the events whose memory is not counted, so that streams of small ones always go on.
+	freeEventBytes = 16 << 10
+	readSize       = 4 << 10
+)
 
 // responseHead begins the head of another response, which a server wrote into a stream whose end is that of its
 // connection.
@@ -21,33 +25,59 @@
 
 // Reader splits a stream into whole events.
 type Reader struct {
-	in    *bufio.Reader
-	event bytes.Buffer // Lines of the incomplete event.
-	id    uint64       // Identifier of the last whole event that had one.
-	hasID bool         // Some event had an identifier.
-	named bool         // The last whole event has an identifier of its own.
-	data  []string     // Values of the data fields of the last whole event.
-	field bool         // The last whole event has an id or data field.
+	in       *bufio.Reader
+	memory   *memory.Budget
+	reserved int          // Bytes reserved from memory for event.
+	event    bytes.Buffer // Lines of the incomplete event.
+	id       uint64       // Identifier of the last whole event that had one.
+	hasID    bool         // Some event had an identifier.
+	named    bool         // The last whole event has an identifier of its own.
+	field    bool         // The last whole event has an id or data field.
+}
+
+// New returns a reader of the stream r, whose large events take memory from m until Close is called.
+func New(r io.Reader, m *memory.Budget) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, readSize), memory: m}
+}
+
+// Close gives the memory for events back.
+func (r *Reader) Close() {
+	r.memory.Release(r.reserved)
+	r.event, r.reserved = bytes.Buffer{}, 0
 }
 
-// New returns a reader of the stream r.
-func New(r io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(r, 4096)} }
+// write adds l to the event, unless it is too large or there is no memory for it.
+func (r *Reader) write(l []byte) error {
+	n := r.event.Len() + len(l)
+	if n > maxEventBytes {
+		return bulrushlug.WrapError(bulrushlug.KindBroken, "an event is larger than "+strconv.Itoa(maxEventBytes)+" bytes", bulrushlug.ErrOversized)
+	}
+	if n > freeEventBytes && n > r.event.Cap() {
+		size := max(n, 2*r.event.Cap())
+		if !r.memory.Reserve(r.reserved, size-r.reserved) {
+			return bulrushlug.WrapError(bulrushlug.KindBroken, "no memory for an event of "+strconv.Itoa(n)+" bytes or more", bulrushlug.ErrOversized)
+		}
+		r.reserved = size
+		r.event.Grow(size - r.event.Len())
+	}
+	r.event.Write(l)
+	return nil
+}
 
 // Next returns the next whole event with its closing blank line, which is valid until the next call.
 //
 // io.EOF means that the stream ended between events, io.ErrUnexpectedEOF that it ended within one.
 func (r *Reader) Next() ([]byte, error) {
 	r.event.Reset()
-	r.data, r.field, r.named = r.data[:0], false, false
+	r.field, r.named = false, false
 	for begin := 0; ; { // Offset of the line in the event.
 		l, err := r.in.ReadSlice('\n')
-		r.event.Write(l)
+		if err := r.write(l); err != nil {
+			return nil, err
+		}
 		if bytes.HasPrefix(r.event.Bytes()[begin:], responseHead) {
 			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "the head of a response within a stream")
 		}
-		if r.event.Len() > maxEventBytes {
-			return nil, bulrushlug.Errorf(bulrushlug.KindBroken, "an event is larger than %d bytes", maxEventBytes)
-		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -68,25 +98,27 @@
 	}
 }
 
-// parse reads the id and data fields of the whole event.
+// parse reads the fields of the whole event but for its data.
 func (r *Reader) parse() {
-	for l := range strings.Lines(r.event.String()) {
-		l = strings.TrimRight(l, "\r\n")
-		n, v, _ := strings.Cut(l, ":")
-		v = strings.TrimPrefix(v, " ")
-		switch n {
+	for l := range bytes.Lines(r.event.Bytes()) {
+		switch n, v := field(l); string(n) {
 		case "id":
-			if x, err := strconv.ParseUint(v, 10, 64); err == nil {
+			if x, err := strconv.ParseUint(string(v), 10, 64); err == nil {
 				r.id, r.hasID, r.named = x, true, true
 			}
 			r.field = true
 		case "data":
-			r.data = append(r.data, v)
 			r.field = true
 		}
 	}
 }
 
+// field returns the name and the value of the field in line l.
+func field(l []byte) (name, value []byte) {
+	name, value, _ = bytes.Cut(bytes.TrimRight(l, "\r\n"), []byte(":"))
+	return name, bytes.TrimPrefix(value, []byte(" "))
+}
+
 // Progress reports whether the last whole event has an id or data field; one without, such as a comment, only shows
 // that the server is there.
 func (r *Reader) Progress() bool { return r.field }
@@ -97,5 +129,12 @@
 // Identified reports whether the last whole event has an identifier of its own.
 func (r *Reader) Identified() bool { return r.named }
 
-// Data returns the values of the data fields of the last whole event; they are valid until Next is called.
-func (r *Reader) Data() []string { return r.data }
+// Data returns the values of the data fields of the last whole event, until Next is called.
+func (r *Reader) Data() (d []string) {
+	for l := range bytes.Lines(r.event.Bytes()) {
+		if n, v := field(l); string(n) == "data" {
+			d = append(d, string(v))
+		}
+	}
+	return d
+}
--- a/stream/reader_test.go
+++ b/stream/reader_test.go
@@ -9,6 +9,7 @@
 	"testing/iotest"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
 )
 
 func TestNext(t *testing.T) {
@@ -44,7 +45,7 @@
 				"at once":      strings.NewReader(x.in),
 				"byte by byte": iotest.OneByteReader(strings.NewReader(x.in)),
 			} {
-				r := New(in)
+				r := New(in, memory.New(1<<30))
 				var got, data []string
 				var err error
 				named := false
@@ -72,7 +73,7 @@
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Fuzz(func(t *testing.T, s string) {
-		r := New(strings.NewReader(s))
+		r := New(strings.NewReader(s), memory.New(1<<30))
 		for {
 			e, err := r.Next()
 			if err != nil {
