fix(items): a text without end is dropped, and no process holds it

A faulty server answers an item with whole events, with rising identifiers, without end: the process that runs it kept all of them and sent them to the replicas, until its VM had no memory left. A failure (500) or rejection (422) whose body has no end was read for 3 s, and counted like a whole one: three of them, or one, gave the item up.

Cause: appendEvent had no bound, and run looked at the status before the error. What broke off or has no end is no answer.

Change: a text ends at what a page of results holds (900 KB), at 16 events more than its request allows tokens (each event has one at least), or where the process's budget for responses refuses more. The text is then no answer and is dropped as a whole, as nobody knows from which event on it is wrong; the replicas are told to drop it too (LotProgress.Replacing), so that no successor resumes after it. The server is avoided like one that does not answer, and the item runs again, at a back-off of up to 3 s, until the end of its retention: the pages allow no earlier end. A result's text is held once, in the log.

--- a/codec/lot.go
+++ b/codec/lot.go
@@ -78,14 +78,14 @@
 
 func encodeProgress(p []bulrushlug.LotProgress) (l []*wire.LotProgress) {
 	for _, x := range p {
-		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: encodeTexts(x.Data())})
+		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: encodeTexts(x.Data()), Replaces: x.Replaces()})
 	}
 	return l
 }
 
 func decodeProgress(w []*wire.LotProgress) (l []bulrushlug.LotProgress) {
 	for _, x := range w {
-		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, decodeTexts(x.Data)))
+		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, decodeTexts(x.Data)).Replacing(x.Replaces))
 	}
 	return l
 }
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -107,6 +107,7 @@
 	for name, p := range map[string][]bulrushlug.LotProgress{
 		"none":      nil,
 		"one text":  {bulrushlug.NewLotProgress(3, 7, 5, []string{"a", "b"})},
+		"a dropped": {bulrushlug.NewLotProgress(3, 7, 1, nil).Replacing(1 << 63)},
 		"two items": {bulrushlug.NewLotProgress(0, 7, 1, []string{"a"}), bulrushlug.NewLotProgress(1, 1<<63, 9, []string{""})},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/items/run.go
+++ b/items/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -18,8 +19,9 @@
 	begunEvents         = 2                   // Events of a run after which its item is not what ends the server.
 	eventStream         = "text/event-stream" // Media type of server-sent events.
 	statusOK            = 200
-	statusUnprocessable = 422 // The item can never be completed.
-	statusError         = 500 // The run failed; a later one may succeed.
+	statusUnprocessable = 422      // The item can never be completed.
+	statusError         = 500      // The run failed; a later one may succeed.
+	maxFailureBytes     = 64 << 10 // Bytes of the body of a response without a result.
 )
 
 // run makes one run of an item, then records its result or sets the back-off of the next run.
@@ -46,6 +48,11 @@
 		h.mu.Unlock()
 		r.pace(w.route.Name()).observe(n, n-int(q.ResumeFrom()), time.Since(begun))
 		r.recordResult(c, k, bulrushlug.NewLotResult(w.item, true, text), "")
+		if r.manager.HasResult(k.lot, k.item) {
+			h.mu.Lock()
+			x.drop(r.memory)
+			h.mu.Unlock()
+		}
 		return
 	}
 	h.mu.Lock()
@@ -54,15 +61,19 @@
 		x.backoff = min(max(initialBackoff, 2*x.backoff), maxBackoff)
 		x.notBefore = time.Now().Add(x.backoff)
 	}
-	if status == statusError {
+	if err == nil && status == statusError {
 		x.failures++
 	}
 	failures, events := x.failures, len(x.events)
+	if errors.Is(err, bulrushlug.ErrOversized) {
+		x.drop(r.memory)
+		s.RecordFailure()
+	}
 	h.mu.Unlock()
 	online, batch, age := s.Load()
 	r.endings.record(cause(preempted, c.Err() != nil, status, err), "lot", k.lot, "request", i.ID(), "server", s.Backend().ID(), "status", status,
 		"failed", failures, "resumedAfter", q.ResumeFrom(), "events", events, "ran", time.Since(begun), "online", online, "batch", batch, "age", age, "err", err)
-	if preempted || c.Err() != nil {
+	if preempted || c.Err() != nil || err != nil {
 		return
 	}
 	if status == statusUnprocessable || status == statusError && failures >= max(1, w.route.Attempts()) {
@@ -101,8 +112,7 @@
 	}
 	defer p.Close()
 	if p.Status() != statusOK {
-		_, err := io.Copy(io.Discard, p)
-		return p.Status(), err
+		return p.Status(), discard(p)
 	}
 	if t := bulrushlug.FieldValue(p.Fields(), "Content-Type"); t != "" && !strings.HasPrefix(t, eventStream) {
 		return 0, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: the response has type %s", s.Backend().ID(), t)
@@ -121,6 +131,18 @@
 	return statusOK, nil
 }
 
+// discard reads the body of a response without a result; one that breaks off or has no end is no answer.
+func discard(p bulrushlug.Reply) error {
+	_, err := io.CopyN(io.Discard, p, maxFailureBytes)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("a failure of more than %d bytes", maxFailureBytes), bulrushlug.ErrOversized)
+	}
+	return bulrushlug.WrapError(bulrushlug.KindBroken, "a failure breaks off", err)
+}
+
 // receive adds the events of e to x until the stream ends, and returns their number; each restarts the timer t.
 func (r *Runner) receive(h *shard, x *item, b bulrushlug.Backend, q *bulrushlug.Request, e *stream.Reader, t *time.Timer) (n int, err error) {
 	for {
@@ -140,7 +162,7 @@
 		if !ok {
 			return n, bulrushlug.Errorf(bulrushlug.KindBroken, "%s: an event has no id field", b.ID())
 		}
-		if err := h.appendEvent(x, id, e.Data()); err != nil {
+		if err := h.appendEvent(x, id, e.Data(), q.Prompt(), r.memory); err != nil {
 			return n, err
 		}
 		if n++; n == begunEvents {
--- a/items/runner.go
+++ b/items/runner.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"expvar"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -183,7 +182,7 @@
 	})
 	r.held.Store(held)
 	for i := range r.shards {
-		r.shards[i].sweep(r.manager)
+		r.shards[i].sweep(r.manager, r.memory)
 	}
 	return l
 }
@@ -263,7 +262,8 @@
 	h.mu.Lock()
 	x, ok := h.items[k]
 	if !ok {
-		x = &item{text: rand.Uint64(), events: text}
+		x = newItem()
+		x.adopt(text, r.memory)
 		h.items[k] = x
 	}
 	x.server, x.started, x.cancel, x.preempted = s.Backend().ID(), time.Now(), stop, false
--- a/lot.go
+++ b/lot.go
@@ -231,6 +231,8 @@
 	text  uint64   // Identifies the text that the events belong to. Within one text an event never changes.
 	first uint64   // Event ID of the first event, at least one.
 	data  []string // Data of the first event and of those after it.
+
+	replaces uint64 // Identifies the text that was dropped in favour of this one; zero for none.
 }
 
 // NewLotProgress returns the events of item n that belong to the given text, starting with event ID first.
@@ -238,6 +240,15 @@
 	return LotProgress{item: n, text: text, first: first, data: data}
 }
 
+// Replacing returns a copy that says that the given text was dropped in favour of this one.
+func (p LotProgress) Replacing(text uint64) LotProgress {
+	p.replaces = text
+	return p
+}
+
+// Replaces returns the identifier of the text that was dropped in favour of this one; zero for none.
+func (p LotProgress) Replaces() uint64 { return p.replaces }
+
 // Item returns the index of the item in the lot.
 func (p LotProgress) Item() uint32 { return p.item }
 
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -127,15 +127,17 @@
 }
 
 // addProgress adds events that continue the known ones of their text; parts that leave a gap are ignored. Another text
-// replaces the known one from its first event on, even within one epoch: a primary that restarted runs its items again.
+// replaces the known one from its first event on, even within one epoch: a primary that restarted runs its items again. One
+// without events replaces only the text that it names.
 func (l *lot) addProgress(p []bulrushlug.LotProgress) {
 	for _, x := range p {
 		t := l.progress[x.Item()]
+		dropped := t.id != 0 && t.id == x.Replaces()
 		if t.id != x.Text() {
 			t = text{id: x.Text()}
 		}
 		known := uint64(len(t.events))
-		if x.First() <= known+1 && x.Last() > known && !l.ended && !l.done[x.Item()] {
+		if x.First() <= known+1 && (x.Last() > known || dropped) && !l.ended && !l.done[x.Item()] {
 			t.events = append(t.events, x.Data()[known+1-x.First():]...)
 			l.progress[x.Item()] = t
 		}
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -52,9 +52,11 @@
 	// promotionReportTime is how long other processes are told that this disk became the primary of a lot: a few
 	// reports.
 	promotionReportTime = time.Second
-	maxPageBytes        = 900 << 10 // Bytes of text in one page; a response has at most 1 MB.
 )
 
+// MaxPageBytes is the number of bytes of text in one page of results; a response has at most 1 MB.
+const MaxPageBytes = 900 << 10
+
 // ReplicaManager manages the replicas of lots on one disk.
 type ReplicaManager struct {
 	disk              string
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -108,7 +108,7 @@
 		var p bulrushlug.LotPage
 		var change chan struct{}
 		ended := false
-		k.withLot(q.ID(), func(l *lot) { p, change, ended = l.page(q.After(), maxPageBytes), l.changed, l.ended })
+		k.withLot(q.ID(), func(l *lot) { p, change, ended = l.page(q.After(), MaxPageBytes), l.changed, l.ended })
 		if len(p.Results()) > 0 || ended || q.Wait() == 0 || q.After() >= p.Total() {
 			return p, k.verifyReplicas(c, q.ID())
 		}
--- a/lots/task.go
+++ b/lots/task.go
@@ -265,7 +265,10 @@
 	size := 0
 	for n, a := range acked {
 		x := k.progress(i, n, a.text, a.last)
-		if len(x.Data()) == 0 {
+		if a.text != 0 && x.Text() != 0 && x.Text() != a.text {
+			x = x.Replacing(a.text)
+		}
+		if len(x.Data()) == 0 && x.Replaces() == 0 {
 			continue
 		}
 		for _, d := range x.Data() {
--- a/prompt.go
+++ b/prompt.go
@@ -9,6 +9,8 @@
 type Prompt struct {
 	scope uint64   // Hash of the route and model; parts of different scopes have nothing in common.
 	parts []uint64 // Hashes of the parts in order, at most maxPromptParts; the last one belongs to the request itself or to its session.
+
+	maxTokens uint64 // Most tokens that the response may have; zero if the request does not say.
 }
 
 // NewPrompt returns the prompt of a request to model m on route r that consists of the parts with the given identifiers.
@@ -28,3 +30,12 @@
 
 // Parts returns the hashes of the parts in order; empty if the request says nothing of its prompt.
 func (p Prompt) Parts() []uint64 { return p.parts }
+
+// WithMaxTokens returns a copy whose response may have at most n tokens.
+func (p Prompt) WithMaxTokens(n uint64) Prompt {
+	p.maxTokens = n
+	return p
+}
+
+// MaxTokens returns the most tokens that the response may have; zero if the request does not say. Each event has at least one.
+func (p Prompt) MaxTokens() uint64 { return p.maxTokens }
