fix(engine, plain): response heads of an engine or a plain service are bounded

An agent read heads of up to 10 MB of each response, net/http's default, from an engine or a plain service that sends one without end.

Change: 64 KB, as for the backend servers of the platform (conns).

--- a/engine/client.go
+++ b/engine/client.go
@@ -21,6 +21,7 @@
 const (
 	controlTimeout = 2 * time.Second // Timeout of load reports and load commands.
 	bufferBytes    = 64 * 1024       // Bytes of a response without events that are read at once; also the limit on error bodies and load reports.
+	maxHeadBytes   = 64 << 10        // Bytes of the heads of one response.
 	eventMemory    = 8 << 20         // Bytes of the incomplete events of all responses.
 )
 
@@ -37,7 +38,7 @@
 // New returns the client of the engine at URL u, which has no trailing slash.
 func New(u string) *Client {
 	// A stale response on a reused connection would pass for the next one: engines need not repeat identifiers.
-	t := &http.Transport{DisableKeepAlives: true}
+	t := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		base:    u,
 		client:  &http.Client{Transport: t},
--- a/engine/head_test.go
+++ b/engine/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"bulrushlug.dev/bulrushlug"
@@ -28,3 +29,24 @@
 		})
 	}
 }
+
+// TestLargeHead guards against an engine whose response heads take memory without bound.
+func TestLargeHead(t *testing.T) {
+	for name, x := range map[string]struct {
+		head string
+		err  bulrushlug.Kind // KindInternal for none.
+	}{
+		"one that fits": {head: "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: "+strings.Repeat("x", 1000)+"\r\n", 32)},
+		"many lines":    {head: "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: "+strings.Repeat("x", 1000)+"\r\n", 1000), err: bulrushlug.KindUncertain},
+		"one line":      {head: "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", 1<<20) + "\r\n", err: bulrushlug.KindUncertain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := &caller{}
+			r := bulrushlug.NewRequest("r", bulrushlug.WithCall(http.MethodPost, "/v1/completions", "application/json", []byte("{}")))
+			err := New(serve(t, x.head+"Content-Length: 2\r\n\r\nok")).Run(t.Context(), r, k)
+			if bulrushlug.KindOf(err) != x.err || (err == nil) != (x.err == bulrushlug.KindInternal) || (err == nil) != (k.data.String() == "ok") {
+				t.Errorf("%v, the caller got %q", err, k.data.String())
+			}
+		})
+	}
+}
--- a/plain/client.go
+++ b/plain/client.go
@@ -11,8 +11,10 @@
 	"bulrushlug.dev/bulrushlug"
 )
 
-// bufferBytes is the size of the read buffer of one response.
-const bufferBytes = 32 * 1024
+const (
+	bufferBytes  = 32 * 1024 // Size of the read buffer of one response.
+	maxHeadBytes = 64 << 10  // Bytes of the heads of one response.
+)
 
 // Client calls one plain service over HTTP.
 type Client struct {
@@ -23,7 +25,7 @@
 // New returns the client of the service at URL u, which has no trailing slash.
 func New(u string) *Client {
 	return &Client{base: u, client: &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
