feat(items): the line on an item that is given up tells why

The users' record has items that were given up before retentionS and had been at no server. The line could not tell the causes apart: "its route was removed or its retention has ended" are two reasons in one text, without a figure.

Change: one reason each, with the age and the retention, or with the revisions of the configuration that this process has and under which the lot was accepted; after an answer its status and count.

--- a/items/run.go
+++ b/items/run.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if status == statusUnprocessable || status == statusError && failures >= max(1, w.route.Attempts()) {
-		r.recordResult(c, k, bulrushlug.NewLotResult(w.item, false, ""), "the backend server rejected it or failed too often")
+		r.recordResult(c, k, bulrushlug.NewLotResult(w.item, false, ""), "the backend server rejected it or failed too often", "status", status, "failed", failures)
 	}
 }
 
--- a/items/runner.go
+++ b/items/runner.go
@@ -161,7 +161,12 @@
 		v := services(t)
 		for _, n := range left {
 			if !ok || t.Retention() > 0 && now.After(x.ReceivedAt().Add(t.Retention()+maxClockSkew)) {
-				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), "its route was removed or its retention has ended")
+				reason := "its retention has ended"
+				if !ok {
+					reason = "its route was removed"
+				}
+				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), reason, "age", now.Sub(x.ReceivedAt()), "retention", t.Retention(),
+					"route", x.Route(), "acceptedUnder", x.Revision(), "configuration", f.Revision())
 				continue
 			}
 			if !r.startable(key{x.ID(), n}, now) {
@@ -283,10 +288,10 @@
 	})
 }
 
-// recordResult stores a result in the lot's log.
-func (r *Runner) recordResult(c context.Context, k key, x bulrushlug.LotResult, reason string) {
+// recordResult stores a result in the lot's log; l is the rest of the line on an item that is given up.
+func (r *Runner) recordResult(c context.Context, k key, x bulrushlug.LotResult, reason string, l ...any) {
 	if !x.Completed() {
-		_ = r.logger.Log("event", "itemGivenUp", "lot", k.lot, "item", k.item, "reason", reason)
+		_ = r.logger.Log(append([]any{"event", "itemGivenUp", "lot", k.lot, "item", k.item, "reason", reason}, l...)...)
 	}
 	r.manager.RecordResult(context.WithoutCancel(c), k.lot, x)
 }
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -217,11 +217,17 @@
 	counts  *expvar.Map
 }
 
-// lineCount is a logger that counts its lines.
-type lineCount struct{ count atomic.Int64 }
+// lineCount is a logger that counts its lines and keeps the last one on an item that was given up.
+type lineCount struct {
+	count   atomic.Int64
+	givenUp atomic.Pointer[[]any]
+}
 
-func (l *lineCount) Log(...any) error {
+func (l *lineCount) Log(x ...any) error {
 	l.count.Add(1)
+	if x[1] == "itemGivenUp" {
+		l.givenUp.Store(&x)
+	}
 	return nil
 }
 
