fix(lots): the age of a lot does not depend on the clocks of two machines

Items were given up before retentionS although they had been at no server ("dead too soon ... at node -", the users' record: ten cases).

Cause: a lot carried the time of day at which an entry received it, and the process that runs its items compared that with its own. The end of a lot's own time (statusTtlS) was compared likewise.

Change: processes tell each other ages; each adds its own steady time. A process that does not know more takes a lot for younger than it is, never for older: ages are in lots, updates and responses of replicas, and records on disk, and the oldest one known holds. The margin is gone. The time of day in a lot's record in the key-value service is gone too: nothing read it.

--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -85,7 +85,7 @@
 // FuzzLots checks that arbitrary lots, updates, queries, pages and records of lots decode without a panic.
 func FuzzLots(f *testing.F) {
 	u := EncodeLotUpdate(bulrushlug.NewLotUpdate("i", 1, []string{"d"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotEndEntry()}, true))
-	r, err := EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"d"}, "o", time.UnixMilli(5)))
+	r, err := EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"d"}, "o"))
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/codec/lot.go
+++ b/codec/lot.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,7 +17,7 @@
 		Organisation: l.Organisation(),
 		Route:        l.Route(),
 		Host:         l.Host(),
-		SentMs:       uint64(l.ReceivedAt().UnixMilli()),
+		AgeMs:        ageMillis(l.ReceivedAt()),
 		Revision:     l.Revision(),
 	}
 	for _, i := range l.Items() {
@@ -39,9 +40,34 @@
 		}
 		l = append(l, bulrushlug.NewLotItem(x.Id, x.Path, f, x.Body))
 	}
-	return bulrushlug.NewLot(w.Id, w.Organisation, w.Route, w.Host, time.UnixMilli(int64(w.SentMs)), l).WithRevision(w.Revision)
+	return bulrushlug.NewLot(w.Id, w.Organisation, w.Route, w.Host, timeFromAge(w.AgeMs), l).WithRevision(w.Revision)
 }
 
+// ageMillis returns the time since t in milliseconds; zero if t is zero or in the future. Processes tell each other ages,
+// since a time of day is read differently by a process whose clock is wrong.
+func ageMillis(t time.Time) uint64 {
+	if t.IsZero() {
+		return 0
+	}
+	return uint64(max(0, time.Since(t).Milliseconds()))
+}
+
+// receiptFromAge returns the time that was n milliseconds ago, or the zero time if n is zero: nothing is known.
+func receiptFromAge(n uint64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return timeFromAge(n)
+}
+
+// timeFromAge returns the time that was n milliseconds ago, by the steady clock of this process.
+func timeFromAge(n uint64) time.Time {
+	return time.Now().Add(-time.Duration(min(n, maxAgeMs)) * time.Millisecond)
+}
+
+// maxAgeMs is the longest age in milliseconds that a message can tell.
+const maxAgeMs = uint64(math.MaxInt64 / time.Millisecond / 2)
+
 // EncodeLotEntries encodes entries of a lot's log in order.
 func EncodeLotEntries(l []bulrushlug.LotEntry) []*wire.LotEntry {
 	var w []*wire.LotEntry
@@ -108,7 +134,7 @@
 // EncodeLotUpdate encodes an append that the primary sends to the replicas of a lot.
 func EncodeLotUpdate(u bulrushlug.LotUpdate) *wire.LotAppend {
 	return &wire.LotAppend{Progress: encodeProgress(u.Progress()), WantsProgress: u.WantsProgress(), Lot: u.Lot(), Epoch: u.Epoch(), Replicas: u.Replicas(), From: uint64(u.Offset()),
-		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed(), Sender: u.Sender()}
+		Entries: EncodeLotEntries(u.Entries()), Confirmed: u.Confirmed(), Sender: u.Sender(), AgeMs: ageMillis(u.ReceivedAt())}
 }
 
 // DecodeLotUpdate decodes an append to the log of a lot; it fails with KindBadRequest if an entry is empty or
@@ -122,17 +148,17 @@
 		return bulrushlug.LotUpdate{}, err
 	}
 	u := bulrushlug.NewLotUpdate(w.Lot, w.Epoch, w.Replicas, int(w.From), l, w.Confirmed)
-	return u.WithProgress(decodeProgress(w.Progress)).WithProgressWanted(w.WantsProgress).WithSender(w.Sender), nil
+	return u.WithProgress(decodeProgress(w.Progress)).WithProgressWanted(w.WantsProgress).WithSender(w.Sender).WithReceivedAt(receiptFromAge(w.AgeMs)), nil
 }
 
 // EncodeLotReplicaState encodes the state of a replica.
 func EncodeLotReplicaState(s bulrushlug.LotReplicaState) *wire.LotState {
-	return &wire.LotState{Ok: s.OK(), Epoch: s.Epoch(), Length: uint64(s.Length()), Progress: encodeProgress(s.Progress())}
+	return &wire.LotState{Ok: s.OK(), Epoch: s.Epoch(), Length: uint64(s.Length()), Progress: encodeProgress(s.Progress()), AgeMs: ageMillis(s.ReceivedAt())}
 }
 
 // DecodeLotReplicaState decodes the state of a replica.
 func DecodeLotReplicaState(w *wire.LotState) bulrushlug.LotReplicaState {
-	return bulrushlug.NewLotReplicaState(w.Ok, w.Epoch, int(w.Length)).WithProgress(decodeProgress(w.Progress))
+	return bulrushlug.NewLotReplicaState(w.Ok, w.Epoch, int(w.Length)).WithProgress(decodeProgress(w.Progress)).WithReceivedAt(receiptFromAge(w.AgeMs))
 }
 
 // EncodeLotPage encodes a page of results.
@@ -166,7 +192,7 @@
 
 // EncodeLotRecord encodes r as the value of its entry in the key-value service.
 func EncodeLotRecord(r bulrushlug.LotRecord) ([]byte, error) {
-	b, err := proto.Marshal(&wire.LotRecord{Epoch: r.Epoch(), Replicas: r.Replicas(), Organisation: r.Organisation(), ExpiresMs: uint64(r.Expires().UnixMilli())})
+	b, err := proto.Marshal(&wire.LotRecord{Epoch: r.Epoch(), Replicas: r.Replicas(), Organisation: r.Organisation()})
 	if err != nil {
 		return nil, bulrushlug.WrapError(bulrushlug.KindInternal, "lot record", err)
 	}
@@ -182,5 +208,5 @@
 	if len(w.Replicas) == 0 {
 		return bulrushlug.LotRecord{}, bulrushlug.Errorf(bulrushlug.KindInternal, "lot record of epoch %d has no replicas", w.Epoch)
 	}
-	return bulrushlug.NewLotRecord(w.Epoch, w.Replicas, w.Organisation, time.UnixMilli(int64(w.ExpiresMs))), nil
+	return bulrushlug.NewLotRecord(w.Epoch, w.Replicas, w.Organisation), nil
 }
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -1,8 +1,10 @@
 package codec
 
 import (
+	"math"
 	"reflect"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -22,7 +24,7 @@
 		"two":  {replicas: []string{"a", "b"}, ok: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b, err := EncodeLotRecord(bulrushlug.NewLotRecord(1, x.replicas, "o", time.UnixMilli(1)))
+			b, err := EncodeLotRecord(bulrushlug.NewLotRecord(1, x.replicas, "o"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -46,16 +48,68 @@
 		"known":   {revision: 1<<63 + 1, sender: "disk"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := bulrushlug.NewLot("l", "o", "r", "h", time.UnixMilli(5), nil).WithRevision(x.revision)
-			u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, true).WithSender(x.sender)
-			got, err := DecodeLotUpdate(EncodeLotUpdate(u))
-			if err != nil || !reflect.DeepEqual(got, u) {
-				t.Errorf("got %+v, %v", got, err)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				l := bulrushlug.NewLot("l", "o", "r", "h", time.Now().Add(-5*time.Millisecond), nil).WithRevision(x.revision)
+				u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, true).WithSender(x.sender)
+				got, err := DecodeLotUpdate(EncodeLotUpdate(u))
+				if err != nil || !reflect.DeepEqual(got, u) {
+					t.Errorf("got %+v, %v", got, err)
+				}
+			})
 		})
 	}
 }
 
+// TestAgeOfLot guards against a lot that is older for one process than for another whose clock is behind: no message about a
+// lot has a time of day in it. A clock that is ahead by some time is one that moved on by it between encoding and decoding.
+func TestAgeOfLot(t *testing.T) {
+	for name, x := range map[string]struct{ age, ahead, want time.Duration }{
+		"just received":             {},
+		"equal clocks":              {age: time.Minute, want: time.Minute},
+		"two seconds ahead":         {age: time.Minute, ahead: 2 * time.Second, want: time.Minute},
+		"an hour ahead":             {age: time.Minute, ahead: time.Hour, want: time.Minute},
+		"a part of a millisecond":   {age: time.Second + time.Microsecond, want: time.Second},
+		"received in the future":    {age: -time.Minute},
+		"much longer than any lot":  {age: 100 * 365 * 24 * time.Hour, want: 100 * 365 * 24 * time.Hour},
+		"less than it can be known": {age: time.Microsecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := bulrushlug.NewLot("l", "o", "r", "h", time.Now().Add(-x.age), nil)
+				u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, true).WithReceivedAt(l.ReceivedAt())
+				s := bulrushlug.NewLotReplicaState(true, 1, 1).WithReceivedAt(l.ReceivedAt())
+				a, b, c := &wire.Lot{}, &wire.LotAppend{}, &wire.LotState{}
+				transfer(t, EncodeLot(l), a)
+				transfer(t, EncodeLotUpdate(u), b)
+				transfer(t, EncodeLotReplicaState(s), c)
+				time.Sleep(x.ahead)
+				got, err := DecodeLotUpdate(b)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for what, r := range map[string]time.Time{"the lot": DecodeLot(a).ReceivedAt(), "an update's head": got.Entries()[0].Lot().ReceivedAt(),
+					"an update": got.ReceivedAt(), "a state": DecodeLotReplicaState(c).ReceivedAt()} {
+					if r.IsZero() && x.want == 0 {
+						continue
+					}
+					if d := time.Since(r); d != x.want {
+						t.Errorf("%s is %v old", what, d)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestAgeOutOfRange decodes ages that no process sends.
+func TestAgeOutOfRange(t *testing.T) {
+	for name, n := range map[string]uint64{"the largest": math.MaxUint64, "negative as a duration": 1 << 63, "too large for a duration": 1 << 50} {
+		if r := DecodeLot(&wire.Lot{AgeMs: n}).ReceivedAt(); r.After(time.Now()) {
+			t.Errorf("%s: received at %v", name, r)
+		}
+	}
+}
+
 // TestBytesFromOutside puts what a caller or a server may send into each message that carries it: any bytes are encoded.
 func TestBytesFromOutside(t *testing.T) {
 	for name, s := range map[string]string{"empty": "", "text": "å", "not UTF-8": "a\xffb", "half a character": "\xe2\x82", "zero": "\x00"} {
--- a/items/behind_test.go
+++ b/items/behind_test.go
@@ -41,7 +41,7 @@
 				c, stop := context.WithCancel(t.Context())
 				s := newSystem(c, nil)
 				s.routes.setRevision(x.known, x.before...)
-				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now().Add(-2*maxClockSkew), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
+				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now().Add(-10*time.Second), []bulrushlug.LotItem{bulrushlug.NewLotItem("i0", "/p", nil, nil)})
 				if err := s.manager.Submit(c, l.WithRevision(x.lot)); err != nil {
 					t.Fatal(err)
 				}
--- a/items/runner.go
+++ b/items/runner.go
@@ -25,7 +25,6 @@
 	pollInterval   = 200 * time.Millisecond // Time between checks for startable items; Wake triggers one at once.
 	initialBackoff = 200 * time.Millisecond // First delay after a failed run; doubles with each further failure.
 	maxBackoff     = 3 * time.Second
-	maxClockSkew   = 5 * time.Second // Most by which the clocks of the process that received a lot and of this one differ.
 )
 
 // Runner schedules the items of lots that this process is the primary of.
@@ -160,7 +159,7 @@
 		t, ok := f.RouteNamed(x.Route())
 		v := services(t)
 		for _, n := range left {
-			if !ok || t.Retention() > 0 && now.After(x.ReceivedAt().Add(t.Retention()+maxClockSkew)) {
+			if !ok || t.Retention() > 0 && now.Sub(x.ReceivedAt()) > t.Retention() {
 				reason := "its retention has ended"
 				if !ok {
 					reason = "its route was removed"
--- a/locate/router_test.go
+++ b/locate/router_test.go
@@ -90,7 +90,7 @@
 // writeRecord writes a record of lot that names the disk of d2 as its primary.
 func writeRecord(t *testing.T, m *memtxn.Store) {
 	t.Helper()
-	b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"disk-d2", "disk-d3"}, "o", time.Now()))
+	b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"disk-d2", "disk-d3"}, "o"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lot.go
+++ b/lot.go
@@ -34,10 +34,10 @@
 type Lot struct {
 	id           string // Chosen by the caller; makes submission idempotent.
 	organisation string
-	route        string // Name of the route whose limits apply.
-	host         string // Host of the submitting request.
-	receivedAt   time.Time
-	revision     uint64 // Revision of the configuration under which the lot was accepted; zero if unknown.
+	route        string    // Name of the route whose limits apply.
+	host         string    // Host of the submitting request.
+	receivedAt   time.Time // When the first process received the lot, or later, by the steady clock of this process.
+	revision     uint64    // Revision of the configuration under which the lot was accepted; zero if unknown.
 	items        []LotItem
 }
 
@@ -58,9 +58,16 @@
 // Host returns the host of the submitting request.
 func (l Lot) Host() string { return l.host }
 
-// ReceivedAt returns the time at which the first process received the lot.
+// ReceivedAt returns the time at which the first process received the lot, by the steady clock of this process. A process
+// that does not know it, as it has restarted, takes a later time: the lot may be older than it says, and is never younger.
 func (l Lot) ReceivedAt() time.Time { return l.receivedAt }
 
+// WithReceivedAt returns a copy that was received at t.
+func (l Lot) WithReceivedAt(t time.Time) Lot {
+	l.receivedAt = t
+	return l
+}
+
 // WithRevision returns a copy that names n as the revision of the configuration under which the lot is accepted.
 func (l Lot) WithRevision(n uint64) Lot {
 	l.revision = n
@@ -276,8 +283,19 @@
 	progress  []LotProgress
 	sender    string // Disk of the process that sent the update; empty if unknown.
 	wants     bool   // The response is to contain the progress that the replica knows.
+
+	receivedAt time.Time // When the lot was received, or later; zero if unknown.
+}
+
+// WithReceivedAt returns a copy of an update of a lot that was received at t, or earlier.
+func (u LotUpdate) WithReceivedAt(t time.Time) LotUpdate {
+	u.receivedAt = t
+	return u
 }
 
+// ReceivedAt returns when the lot was received, or a later time; zero if unknown.
+func (u LotUpdate) ReceivedAt() time.Time { return u.receivedAt }
+
 // WithProgressWanted returns a copy that asks the replicas for the progress that they know.
 func (u LotUpdate) WithProgressWanted(v bool) LotUpdate {
 	u.wants = v
@@ -334,8 +352,19 @@
 	epoch    uint64        // Epoch of the replica; zero if it has no copy of the lot.
 	length   int           // Number of log entries on the replica.
 	progress []LotProgress // Progress of running items, if the call wanted it.
+
+	receivedAt time.Time // When the lot was received, or later; zero if unknown.
 }
 
+// WithReceivedAt returns a copy of the state of a lot that was received at t, or earlier.
+func (s LotReplicaState) WithReceivedAt(t time.Time) LotReplicaState {
+	s.receivedAt = t
+	return s
+}
+
+// ReceivedAt returns when the lot was received, or a later time; zero if unknown.
+func (s LotReplicaState) ReceivedAt() time.Time { return s.receivedAt }
+
 // NewLotReplicaState returns the state of a replica.
 func NewLotReplicaState(ok bool, epoch uint64, length int) LotReplicaState {
 	return LotReplicaState{ok: ok, epoch: epoch, length: length}
@@ -383,15 +412,14 @@
 
 // LotRecord is the record of a lot's replica set in the key-value service; values are immutable.
 type LotRecord struct {
-	epoch        uint64    // Increases with each change of the replica set.
-	replicas     []string  // Disks of the replica set, the primary's first.
-	organisation string    // Organisation that owns the lot.
-	expires      time.Time // The lot is not dropped before this time.
+	epoch        uint64   // Increases with each change of the replica set.
+	replicas     []string // Disks of the replica set, the primary's first.
+	organisation string   // Organisation that owns the lot.
 }
 
 // NewLotRecord returns the record of a lot whose replica set has epoch n.
-func NewLotRecord(n uint64, replicas []string, organisation string, expires time.Time) LotRecord {
-	return LotRecord{epoch: n, replicas: replicas, organisation: organisation, expires: expires}
+func NewLotRecord(n uint64, replicas []string, organisation string) LotRecord {
+	return LotRecord{epoch: n, replicas: replicas, organisation: organisation}
 }
 
 // Epoch returns the epoch of the replica set.
@@ -402,6 +430,3 @@
 
 // Organisation returns the organisation that owns the lot.
 func (r LotRecord) Organisation() string { return r.organisation }
-
-// Expires returns the time before which the lot is not dropped.
-func (r LotRecord) Expires() time.Time { return r.expires }
--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -23,6 +23,7 @@
 	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/memtxn"
 	"bulrushlug.dev/bulrushlug/peers"
+	"bulrushlug.dev/bulrushlug/wire"
 )
 
 const (
@@ -42,10 +43,11 @@
 	name    string
 	full    bool // Writes fail.
 	updates map[string][]bulrushlug.LotUpdate
+	encoded map[string][][]byte // The same updates as they are on a disk.
 }
 
 func newDisk(n string) *memDisk {
-	return &memDisk{name: n, updates: map[string][]bulrushlug.LotUpdate{}}
+	return &memDisk{name: n, updates: map[string][]bulrushlug.LotUpdate{}, encoded: map[string][][]byte{}}
 }
 
 func (d *memDisk) Append(u bulrushlug.LotUpdate) error {
@@ -54,15 +56,28 @@
 	if d.full {
 		return errors.New("disk is full")
 	}
+	b, err := proto.Marshal(codec.EncodeLotUpdate(u))
+	if err != nil {
+		return err
+	}
 	d.updates[u.Lot()] = append(d.updates[u.Lot()], u)
+	d.encoded[u.Lot()] = append(d.encoded[u.Lot()], b)
 	return nil
 }
 
 func (d *memDisk) Load(f func(u bulrushlug.LotUpdate)) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, l := range d.updates {
-		for _, u := range l {
+	for _, l := range d.encoded {
+		for _, b := range l {
+			w := &wire.LotAppend{}
+			if err := proto.Unmarshal(b, w); err != nil {
+				return err
+			}
+			u, err := codec.DecodeLotUpdate(w)
+			if err != nil {
+				return err
+			}
 			f(u)
 		}
 	}
@@ -73,6 +88,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.updates, i)
+	delete(d.encoded, i)
 	return nil
 }
 
--- a/lots/expire.go
+++ b/lots/expire.go
@@ -20,7 +20,7 @@
 	} else if len(l.pending) > 0 || l.committed < len(l.entries) {
 		return false
 	}
-	return time.Since(l.finishedAt) > d && time.Now().After(l.head.ReceivedAt().Add(k.retention+d))
+	return time.Since(l.finishedAt) > d && time.Since(l.receivedAt) > k.retention+d
 }
 
 // expire drops lot i. The primary deletes its record first, unless that names another epoch by now; the other replicas
--- a/lots/former_test.go
+++ b/lots/former_test.go
@@ -62,7 +62,7 @@
 				l := []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), items)),
 					bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(0, true, "a")), bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(1, true, "b"))}
 				disks := []string{"p", "q", "s"} // Primaries by epoch.
-				b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(x.record, []string{disks[x.record-1], "r"}, "o", time.Now().Add(time.Hour)))
+				b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(x.record, []string{disks[x.record-1], "r"}, "o"))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/lots/kept_test.go
+++ b/lots/kept_test.go
@@ -61,8 +61,8 @@
 						t.Fatal(s, err)
 					}
 				}
-				old := bulrushlug.NewLotRecord(1, []string{"r", "o"}, "o", time.Now())
-				now := bulrushlug.NewLotRecord(2, []string{"q", "s"}, "o", time.Now())
+				old := bulrushlug.NewLotRecord(1, []string{"r", "o"}, "o")
+				now := bulrushlug.NewLotRecord(2, []string{"q", "s"}, "o")
 				if err := k.finishReconfiguration(t.Context(), "lot", old, now); err != nil {
 					t.Error(err)
 				}
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -33,6 +33,7 @@
 	recheck         bool                  // A replica may lack the lot.
 	maybeRecorded   bool                  // A write of the record was not answered and may have taken effect.
 	firstSeen       time.Time             // When this process first saw the lot.
+	receivedAt      time.Time             // The earliest time known to be the receipt of the lot or after it; zero while head is nil.
 	promiseDeadline time.Time             // When the reconfiguration to which this disk promised its epoch should be complete.
 	recordReadAt    time.Time             // Last time at which the record named this epoch.
 	verifiedAt      time.Time             // Last time at which all replicas followed this epoch.
@@ -108,6 +109,10 @@
 	if len(l.replicas) > 0 && len(u.Replicas()) > 0 && l.replicas[0] != u.Replicas()[0] {
 		l.pending = nil
 	}
+	if l.isReplacedBy(u) {
+		l.receivedAt = time.Time{}
+	}
+	l.observeReceipt(u.ReceivedAt())
 	l.epoch, l.replicas, l.confirmed = u.Epoch(), u.Replicas(), u.Confirmed() || l.confirmed && l.sameEpoch(u)
 	if u.Confirmed() {
 		l.former = nil
@@ -175,6 +180,7 @@
 		switch {
 		case e.Lot() != nil:
 			l.head = e.Lot()
+			l.observeReceipt(l.head.ReceivedAt())
 		case e.Result() != nil:
 			l.done[e.Result().Item()] = true
 			delete(l.progress, e.Result().Item())
@@ -191,6 +197,20 @@
 	}
 }
 
+// isReplacedBy reports whether u begins with the lot of another organisation, so that l is a draft which was not accepted.
+func (l *lot) isReplacedBy(u bulrushlug.LotUpdate) bool {
+	if l.head == nil || u.Offset() > 0 || len(u.Entries()) == 0 || u.Entries()[0].Lot() == nil {
+		return false
+	}
+	return u.Entries()[0].Lot().Organisation() != l.head.Organisation()
+}
+
+// observeReceipt notes that the lot was received at t or before; a zero t says nothing. A process that has restarted learns so
+// from the others how old the lot is.
+func (l *lot) observeReceipt(t time.Time) {
+	l.receivedAt = earlier(l.receivedAt, t)
+}
+
 // isPrimary reports whether disk d is the primary of the lot.
 func (l *lot) isPrimary(d string) bool { return len(l.replicas) > 0 && l.replicas[0] == d }
 
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -193,6 +193,9 @@
 	ok, duplicate := false, false
 	k.withLot(u.Lot(), func(x *lot) {
 		ok, duplicate = x == l && accept(l), l.contains(u)
+		if !l.isReplacedBy(u) {
+			u = u.WithReceivedAt(earlier(l.receivedAt, u.ReceivedAt()))
+		}
 		s = bulrushlug.NewLotReplicaState(ok && duplicate, l.epoch, len(l.entries))
 	})
 	if !ok || duplicate || u.Offset() > s.Length() {
@@ -208,6 +211,14 @@
 	return s, nil
 }
 
+// earlier returns the earlier one of a and b that is not zero.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Append applies an update that the primary of a lot sent.
 func (k *ReplicaManager) Append(u bulrushlug.LotUpdate) (bulrushlug.LotReplicaState, error) {
 	if k.retiring(k.peers.Self().Name()) && k.getLot(u.Lot(), false) == nil {
@@ -227,7 +238,9 @@
 	if err == nil && s.OK() {
 		k.withLot(u.Lot(), func(l *lot) {
 			k.observePrimary(l, u.Sender())
+			l.observeReceipt(u.ReceivedAt())
 			l.addProgress(u.Progress())
+			s = s.WithReceivedAt(l.receivedAt)
 			if u.WantsProgress() {
 				s = s.WithProgress(l.knownProgress())
 			}
--- a/lots/promise_test.go
+++ b/lots/promise_test.go
@@ -26,7 +26,7 @@
 				k := New(newDisk("r"), nil, m, "lot/", p, log.NewNopLogger())
 				x := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
 				l := []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(x)}
-				b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"p", "r"}, "o", time.Now().Add(time.Hour)))
+				b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(1, []string{"p", "r"}, "o"))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/lots/record.go
+++ b/lots/record.go
@@ -20,7 +20,7 @@
 	follows := false
 	k.withLot(i, func(l *lot) {
 		if follows = l.sameEpoch(u); follows {
-			r = bulrushlug.NewLotRecord(l.epoch, l.replicas, l.head.Organisation(), l.head.ReceivedAt().Add(k.retention+expiryDelay))
+			r = bulrushlug.NewLotRecord(l.epoch, l.replicas, l.head.Organisation())
 		}
 	})
 	if !follows {
--- a/lots/retire_test.go
+++ b/lots/retire_test.go
@@ -104,7 +104,7 @@
 				defer stop()
 				k := newCluster(t, c, 4, 2)
 				l := bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), []bulrushlug.LotItem{bulrushlug.NewLotItem("i", "/", nil, nil)})
-				b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(firstEpoch, []string{"disk-0", "disk-1"}, "o", time.Now().Add(time.Hour)))
+				b, err := codec.EncodeLotRecord(bulrushlug.NewLotRecord(firstEpoch, []string{"disk-0", "disk-1"}, "o"))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -42,7 +42,7 @@
 	defer s.mu.Unlock()
 	for _, l := range s.lots {
 		if l.head != nil && !l.finished() && condition(l) {
-			all = append(all, openLot{*l.head, l.left()})
+			all = append(all, openLot{l.head.WithReceivedAt(l.receivedAt), l.left()})
 		}
 	}
 	return all
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -121,13 +121,22 @@
 	}
 	c, stop := context.WithTimeout(c, wait)
 	defer stop()
-	s, err := k.remote.Append(c, p.Member().Address(), u.WithSender(k.disk))
+	s, err := k.remote.Append(c, p.Member().Address(), u.WithSender(k.disk).WithReceivedAt(k.receivedAt(u.Lot())))
 	if err == nil && s.OK() {
-		k.withLot(u.Lot(), func(l *lot) { l.recoverProgress(s.Progress()) })
+		k.withLot(u.Lot(), func(l *lot) {
+			l.recoverProgress(s.Progress())
+			l.observeReceipt(s.ReceivedAt())
+		})
 	}
 	return s, err
 }
 
+// receivedAt returns when lot i was received, or a later time; zero if unknown.
+func (k *ReplicaManager) receivedAt(i string) (t time.Time) {
+	k.withLot(i, func(l *lot) { t = l.receivedAt })
+	return t
+}
+
 // parallel calls f for all elements of l concurrently and returns the joined errors.
 func parallel(l []string, f func(d string) error) error {
 	e := make([]error, len(l))
