fix(items): a later configuration does not end the retention of a lot early

Items of an accepted lot were given up at once when a version shortened the retention of its route, or gave the route another name.

Cause: a lot carried only the name of its route, and the rest was looked up in the newest configuration.

Change: a lot carries the retention under which it was accepted, and the longer one holds; without a route of its name, the one that takes lots at the path of its items is its route.

Ruled out, cases that held before: a longer retention, none any more, routes of another host or prefix or that take no lots.

--- a/codec/lot.go
+++ b/codec/lot.go
@@ -19,6 +19,7 @@
 		Host:         l.Host(),
 		AgeMs:        ageMillis(l.ReceivedAt()),
 		Revision:     l.Revision(),
+		RetentionMs:  uint64(max(0, l.Retention().Milliseconds())),
 	}
 	for _, i := range l.Items() {
 		x := &wire.LotItem{Id: i.ID(), Path: i.Path(), Body: i.Body()}
@@ -40,7 +41,7 @@
 		}
 		l = append(l, bulrushlug.NewLotItem(x.Id, x.Path, f, x.Body))
 	}
-	return bulrushlug.NewLot(w.Id, w.Organisation, w.Route, w.Host, timeFromAge(w.AgeMs), l).WithRevision(w.Revision)
+	return bulrushlug.NewLot(w.Id, w.Organisation, w.Route, w.Host, timeFromAge(w.AgeMs), l).WithRevision(w.Revision).WithRetention(durationFromMillis(w.RetentionMs))
 }
 
 // ageMillis returns the time since t in milliseconds; zero if t is zero or in the future. Processes tell each other ages,
@@ -62,11 +63,16 @@
 
 // timeFromAge returns the time that was n milliseconds ago, by the steady clock of this process.
 func timeFromAge(n uint64) time.Time {
-	return time.Now().Add(-time.Duration(min(n, maxAgeMs)) * time.Millisecond)
+	return time.Now().Add(-durationFromMillis(n))
 }
 
-// maxAgeMs is the longest age in milliseconds that a message can tell.
-const maxAgeMs = uint64(math.MaxInt64 / time.Millisecond / 2)
+// durationFromMillis returns n milliseconds, or the longest duration that a message can tell.
+func durationFromMillis(n uint64) time.Duration {
+	return time.Duration(min(n, maxDurationMs)) * time.Millisecond
+}
+
+// maxDurationMs is the longest duration in milliseconds that a message can tell.
+const maxDurationMs = uint64(math.MaxInt64 / time.Millisecond / 2)
 
 // EncodeLotEntries encodes entries of a lot's log in order.
 func EncodeLotEntries(l []bulrushlug.LotEntry) []*wire.LotEntry {
--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -41,15 +41,16 @@
 // TestOrigin encodes and decodes under which configuration a lot was accepted and who sent an update.
 func TestOrigin(t *testing.T) {
 	for name, x := range map[string]struct {
-		revision uint64
-		sender   string
+		revision  uint64
+		retention time.Duration
+		sender    string
 	}{
 		"unknown": {},
-		"known":   {revision: 1<<63 + 1, sender: "disk"},
+		"known":   {revision: 1<<63 + 1, retention: time.Minute + time.Millisecond, sender: "disk"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := bulrushlug.NewLot("l", "o", "r", "h", time.Now().Add(-5*time.Millisecond), nil).WithRevision(x.revision)
+				l := bulrushlug.NewLot("l", "o", "r", "h", time.Now().Add(-5*time.Millisecond), nil).WithRevision(x.revision).WithRetention(x.retention)
 				u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(l)}, true).WithSender(x.sender)
 				got, err := DecodeLotUpdate(EncodeLotUpdate(u))
 				if err != nil || !reflect.DeepEqual(got, u) {
--- a/config.go
+++ b/config.go
@@ -167,6 +167,16 @@
 	})
 }
 
+// RouteOfLot returns the route of l: that of its name, or, as operators may rename a route, the one that takes lots at the
+// path of its items.
+func (f *Config) RouteOfLot(l Lot) (Route, bool) {
+	if r, ok := f.RouteNamed(l.route); ok || len(l.items) == 0 {
+		return r, ok
+	}
+	r, ok := f.RouteFor(Hostname(l.host), l.items[0].path)
+	return r, ok && r.traffic == TrafficLot
+}
+
 // RouteNamed returns the route called n.
 func (f *Config) RouteNamed(n string) (Route, bool) {
 	c, ok := f.latest["route/"+n]
--- a/items/runner.go
+++ b/items/runner.go
@@ -156,15 +156,16 @@
 			m.addAll(waitConfiguration, x, left)
 			return
 		}
-		t, ok := f.RouteNamed(x.Route())
+		t, ok := f.RouteOfLot(x)
 		v := services(t)
+		retention := max(t.Retention(), x.Retention())
 		for _, n := range left {
-			if !ok || t.Retention() > 0 && now.Sub(x.ReceivedAt()) > t.Retention() {
+			if !ok || t.Retention() > 0 && now.Sub(x.ReceivedAt()) > retention {
 				reason := "its retention has ended"
 				if !ok {
 					reason = "its route was removed"
 				}
-				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), reason, "age", now.Sub(x.ReceivedAt()), "retention", t.Retention(),
+				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), reason, "age", now.Sub(x.ReceivedAt()), "retention", retention,
 					"route", x.Route(), "acceptedUnder", x.Revision(), "configuration", f.Revision())
 				continue
 			}
--- a/lot.go
+++ b/lot.go
@@ -34,10 +34,11 @@
 type Lot struct {
 	id           string // Chosen by the caller; makes submission idempotent.
 	organisation string
-	route        string    // Name of the route whose limits apply.
-	host         string    // Host of the submitting request.
-	receivedAt   time.Time // When the first process received the lot, or later, by the steady clock of this process.
-	revision     uint64    // Revision of the configuration under which the lot was accepted; zero if unknown.
+	route        string        // Name of the route whose limits apply.
+	host         string        // Host of the submitting request.
+	receivedAt   time.Time     // When the first process received the lot, or later, by the steady clock of this process.
+	revision     uint64        // Revision of the configuration under which the lot was accepted; zero if unknown.
+	retention    time.Duration // Retention of its items by that configuration; zero if unknown.
 	items        []LotItem
 }
 
@@ -78,6 +79,16 @@
 // older one can't know what became of the lot's route.
 func (l Lot) Revision() uint64 { return l.revision }
 
+// WithRetention returns a copy whose items are not given up before d, whatever a later configuration says.
+func (l Lot) WithRetention(d time.Duration) Lot {
+	l.retention = d
+	return l
+}
+
+// Retention returns the time before which its items are not given up by the configuration under which the lot was accepted;
+// zero if unknown.
+func (l Lot) Retention() time.Duration { return l.retention }
+
 // Items returns the items.
 func (l Lot) Items() []LotItem { return l.items }
 
