refactor(memory): a holder says how large it is to be

The readers of events, the beginnings of bodies and the texts of items each counted what they may have without asking, and in which steps they ask. Budget.Hold does so for all: the first 16 KB of each holder are free, and memory is reserved in parts of that size. The texts of items had 64 KB free; 16 KB hold the mean text of the site files.

--- a/items/item.go
+++ b/items/item.go
@@ -16,8 +16,6 @@
 
 const (
 	maxTextBytes  = lots.MaxPageBytes // Bytes of the text of an item; a result that fits no page can't be read.
-	freeTextBytes = 64 << 10          // Bytes of each text that are not counted, so that short texts always go on.
-	textStep      = 16 << 10          // Least number of bytes that are reserved at once.
 	eventOverhead = 32                // Memory for an event besides its data.
 	// spareEvents is the number of events that a response may have beyond one for each token that its request allows.
 	spareEvents = 16
@@ -60,12 +58,8 @@
 	if n > maxTextBytes {
 		return bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("text of more than %d bytes", maxTextBytes), bulrushlug.ErrOversized)
 	}
-	if need := n + (len(x.events)+1)*eventOverhead - freeTextBytes - x.reserved; need > 0 {
-		need = max(need, textStep)
-		if !m.Reserve(x.reserved, need) {
-			return bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("no memory for a text of %d bytes or more", n), bulrushlug.ErrOversized)
-		}
-		x.reserved += need
+	if !m.Hold(&x.reserved, n+(len(x.events)+1)*eventOverhead) {
+		return bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("no memory for a text of %d bytes or more", n), bulrushlug.ErrOversized)
 	}
 	x.textBytes = n
 	x.events = append(x.events, d)
@@ -74,8 +68,8 @@
 
 // drop discards the text and gives its memory back to m; the next run begins another text.
 func (x *item) drop(m *memory.Budget) {
-	m.Release(x.reserved)
-	x.text, x.events, x.textBytes, x.reserved = rand.Uint64(), nil, 0, 0
+	m.Release(&x.reserved)
+	x.text, x.events, x.textBytes = rand.Uint64(), nil, 0
 }
 
 // adopt takes over the events l of another process, or none of them if there is no memory for all.
--- a/proxy/buffer.go
+++ b/proxy/buffer.go
@@ -9,7 +9,7 @@
 
 const (
 	maxBuffered = 1 << 20  // Bytes of a response that are held until it is complete.
-	readSize    = 16 << 10 // Bytes of one part of them. The first part is not counted, so that short responses are always held.
+	readSize    = 16 << 10 // Bytes of one part of them.
 )
 
 // buffer holds the beginning of a response in parts of readSize.
@@ -39,14 +39,11 @@
 // grow adds a part if the last one is full; it returns false if the buffer may not hold more.
 func (b *buffer) grow() bool {
 	n := len(b.parts)
-	if n > 0 {
-		if len(b.parts[n-1]) < readSize {
-			return true
-		}
-		if n*readSize >= maxBuffered || !b.memory.Reserve(b.reserved, readSize) {
-			return false
-		}
-		b.reserved += readSize
+	switch {
+	case n > 0 && len(b.parts[n-1]) < readSize:
+		return true
+	case n*readSize >= maxBuffered || !b.memory.Hold(&b.reserved, (n+1)*readSize):
+		return false
 	}
 	b.parts = append(b.parts, make([]byte, 0, readSize))
 	return true
@@ -64,6 +61,6 @@
 
 // release empties the buffer and gives its memory back.
 func (b *buffer) release() {
-	b.memory.Release(b.reserved)
-	b.parts, b.reserved = nil, 0
+	b.memory.Release(&b.reserved)
+	b.parts = nil
 }
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -14,9 +14,7 @@
 
 const (
 	maxEventBytes = 1 << 20 // Largest size of one event.
-	// freeEventBytes is the size of the events whose memory is not counted, so that streams of small ones always go on.
-	freeEventBytes = 16 << 10
-	readSize       = 4 << 10
+	readSize      = 4 << 10
 )
 
 // responseHead begins the head of another response, which a server wrote into a stream whose end is that of its
@@ -42,8 +40,8 @@
 
 // Close gives the memory for events back.
 func (r *Reader) Close() {
-	r.memory.Release(r.reserved)
-	r.event, r.reserved = bytes.Buffer{}, 0
+	r.memory.Release(&r.reserved)
+	r.event = bytes.Buffer{}
 }
 
 // write adds l to the event, unless it is too large or there is no memory for it.
@@ -52,12 +50,11 @@
 	if n > maxEventBytes {
 		return bulrushlug.WrapError(bulrushlug.KindBroken, "an event is larger than "+strconv.Itoa(maxEventBytes)+" bytes", bulrushlug.ErrOversized)
 	}
-	if n > freeEventBytes && n > r.event.Cap() {
+	if n > r.event.Cap() {
 		size := max(n, 2*r.event.Cap())
-		if !r.memory.Reserve(r.reserved, size-r.reserved) {
+		if !r.memory.Hold(&r.reserved, size) {
 			return bulrushlug.WrapError(bulrushlug.KindBroken, "no memory for an event of "+strconv.Itoa(n)+" bytes or more", bulrushlug.ErrOversized)
 		}
-		r.reserved = size
 		r.event.Grow(size - r.event.Len())
 	}
 	r.event.Write(l)
