fix(relay): what an entry of the own interface buffers of all responses is bounded

An entry of the own interface buffered up to 4 MB of each response that is no stream; 64 at once could hold 256 MB, plus what append copies (by reading; the same fault as in proxy).

Change: 24 MB for all of them, 1 MB for one; a longer one, or one for which there is no memory, is streamed.

--- a/relay/bufferedresponse.go
+++ b/relay/bufferedresponse.go
@@ -1,9 +1,12 @@
 package relay
 
-import "bulrushlug.dev/bulrushlug"
+import (
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/memory"
+)
 
 // maxBufferedBytes is the size in bytes up to which a response is buffered; a larger one is streamed.
-const maxBufferedBytes = 4 << 20
+const maxBufferedBytes = 1 << 20
 
 // bufferedResponse is a sink that buffers a response until it is complete or too large, so that a retry can still
 // replace it.
@@ -14,17 +17,42 @@
 	status      int  // HTTP status; zero before Head.
 	contentType string
 	data        []byte
+	reserved    int    // Bytes reserved for data.
 	headHook    func() // Called by Head.
+	memory      *memory.Budget
 }
 
-func newBufferedResponse(s bulrushlug.Sink, buffer bool) *bufferedResponse {
-	return &bufferedResponse{sink: s, buffering: buffer}
+func newBufferedResponse(s bulrushlug.Sink, buffer bool, m *memory.Budget) *bufferedResponse {
+	return &bufferedResponse{sink: s, buffering: buffer, memory: m}
+}
+
+// grow makes room for n more bytes; it returns false if the response may not hold them.
+func (h *bufferedResponse) grow(n int) bool {
+	size := len(h.data) + n
+	if size <= cap(h.data) {
+		return true
+	}
+	size = max(size, 2*cap(h.data))
+	if len(h.data)+n > maxBufferedBytes || !h.memory.Hold(&h.reserved, size) {
+		return false
+	}
+	h.data = append(make([]byte, 0, size), h.data...)
+	return true
+}
+
+// discard gives up what is buffered.
+func (h *bufferedResponse) discard() {
+	h.memory.Release(&h.reserved)
+	h.data = nil
 }
 
 func (h *bufferedResponse) onHead(f func()) { h.headHook = f }
 
 // reset discards what is buffered.
-func (h *bufferedResponse) reset() { h.status, h.contentType, h.data = 0, "", nil }
+func (h *bufferedResponse) reset() {
+	h.status, h.contentType = 0, ""
+	h.discard()
+}
 
 // Head stores the head until release.
 func (h *bufferedResponse) Head(n int, t string) error {
@@ -35,7 +63,7 @@
 
 // Write buffers p or writes it to the sink.
 func (h *bufferedResponse) Write(p []byte) error {
-	if h.buffering && len(h.data)+len(p) <= maxBufferedBytes {
+	if h.buffering && h.grow(len(p)) {
 		h.data = append(h.data, p...)
 		return nil
 	}
@@ -58,9 +86,8 @@
 	if len(h.data) == 0 {
 		return nil
 	}
-	b := h.data
-	h.data = nil
-	return h.sink.Write(b)
+	defer h.discard()
+	return h.sink.Write(h.data)
 }
 
 // flush writes the rest of a complete response.
--- a/relay/stage.go
+++ b/relay/stage.go
@@ -7,6 +7,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/fleet"
+	"bulrushlug.dev/bulrushlug/memory"
 )
 
 // Stage dispatches a request to its candidates in order, within a retry budget.
@@ -15,18 +16,23 @@
 	fleet      *fleet.Fleet
 	budget     *budget
 	recorder   bulrushlug.Recorder
+	memory     *memory.Budget // For what all responses hold.
 }
 
+// responseMemory is the number of bytes that all buffered responses hold together.
+const responseMemory = 24 << 20
+
 // New returns a stage that sends requests with d and reports outcomes to f and e.
 func New(d bulrushlug.Dispatcher, f *fleet.Fleet, e bulrushlug.Recorder) *Stage {
-	return &Stage{dispatcher: d, fleet: f, budget: newBudget(), recorder: e}
+	return &Stage{dispatcher: d, fleet: f, budget: newBudget(), recorder: e, memory: memory.New(responseMemory)}
 }
 
 // Run tries the candidates of r until one responds; a request that may have run is retried only if it is idempotent and
 // nothing of its response was sent to the caller.
 func (g *Stage) Run(c context.Context, r *bulrushlug.Request, s bulrushlug.Sink) error {
 	g.budget.deposit()
-	h := newBufferedResponse(s, !r.Stream())
+	h := newBufferedResponse(s, !r.Stream(), g.memory)
+	defer h.discard()
 	var err error
 	ran := false // An attempt before the last one may have run the request.
 	for i, d := range r.Candidates() {
