--- a/remote/client.go
+++ b/remote/client.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,8 +13,10 @@
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
-// callTimeout limits one command, including reading the response.
-const callTimeout = 15 * time.Second
+const (
+	callTimeout      = 15 * time.Second // Timeout of one command, including reading the response.
+	maxResponseBytes = 64 << 20         // Largest body of a response.
+)
 
 // Client sends commands authenticated by the operator credential.
 type Client struct {
@@ -44,7 +45,7 @@
 		return nil, bulrushlug.WrapError(bulrushlug.KindUncertain, x.base, err)
 	}
 	defer func() { _ = r.Body.Close() }()
-	a, err := io.ReadAll(r.Body)
+	a, err := bulrushlug.ReadAll(r.Body, maxResponseBytes)
 	if err != nil {
 		return nil, bulrushlug.WrapError(bulrushlug.KindUncertain, x.base, err)
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,8 +14,10 @@
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
-// callTimeout limits one HTTP call, including reading the body.
-const callTimeout = 2 * time.Second
+const (
+	callTimeout      = 2 * time.Second // Timeout of one HTTP call, including reading the response.
+	maxResponseBytes = 32 << 20        // Largest body of a response.
+)
 
 // Store calls the key-value service; it is safe for concurrent use.
 type Store struct {
@@ -93,7 +94,7 @@
 		return nil, nil, bulrushlug.WrapError(bulrushlug.KindStoreDown, p, err)
 	}
 	defer func() { _ = r.Body.Close() }()
-	b, err := io.ReadAll(r.Body)
+	b, err := bulrushlug.ReadAll(r.Body, maxResponseBytes)
 	if err != nil {
 		return nil, nil, bulrushlug.WrapError(bulrushlug.KindStoreDown, p, err)
 	}
--- a/vmlist/list.go
+++ b/vmlist/list.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,8 +11,10 @@
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
-// callTimeout limits one HTTP call, including reading the body.
-const callTimeout = 2 * time.Second
+const (
+	callTimeout      = 2 * time.Second // Timeout of one HTTP call, including reading the response.
+	maxResponseBytes = 8 << 20         // Largest body of a response.
+)
 
 // List calls the platform; it is safe for concurrent use.
 type List struct {
@@ -36,7 +37,7 @@
 		return nil, bulrushlug.WrapError(bulrushlug.KindStoreDown, u, err)
 	}
 	defer func() { _ = r.Body.Close() }()
-	b, err := io.ReadAll(r.Body)
+	b, err := bulrushlug.ReadAll(r.Body, maxResponseBytes)
 	if err != nil {
 		return nil, bulrushlug.WrapError(bulrushlug.KindStoreDown, u, err)
 	}
