--- a/items/runner.go
+++ b/items/runner.go
@@ -157,18 +157,17 @@
 			return
 		}
 		t, ok := f.RouteOfLot(x)
+		retention, age := max(t.Retention(), x.Retention()), now.Sub(x.ReceivedAt())
+		switch {
+		case !ok:
+			r.giveUp(c, x, left, "its route was removed", "route", x.Route(), "acceptedUnder", x.Revision(), "configuration", f.Revision())
+			return
+		case t.Retention() > 0 && age > retention:
+			r.giveUp(c, x, left, "its retention has ended", "age", age, "retention", retention, "route", x.Route(), "acceptedUnder", x.Revision(), "configuration", f.Revision())
+			return
+		}
 		v := services(t)
-		retention := max(t.Retention(), x.Retention())
 		for _, n := range left {
-			if !ok || t.Retention() > 0 && now.Sub(x.ReceivedAt()) > retention {
-				reason := "its retention has ended"
-				if !ok {
-					reason = "its route was removed"
-				}
-				r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), reason, "age", now.Sub(x.ReceivedAt()), "retention", retention,
-					"route", x.Route(), "acceptedUnder", x.Revision(), "configuration", f.Revision())
-				continue
-			}
 			if !r.startable(key{x.ID(), n}, now) {
 				if m != nil && !r.running(key{x.ID(), n}) {
 					m.add(waitBackoff, x, n)
@@ -192,6 +191,13 @@
 	return l
 }
 
+// giveUp gives up the given items of lot x; l is the rest of their lines.
+func (r *Runner) giveUp(c context.Context, x bulrushlug.Lot, items []uint32, reason string, l ...any) {
+	for _, n := range items {
+		r.recordResult(c, key{x.ID(), n}, bulrushlug.NewLotResult(n, false, ""), reason, l...)
+	}
+}
+
 // Waiting returns the number of items that wait, by cause.
 func (r *Runner) Waiting() map[string]int { return r.waits.byCause() }
 
