test(daemon): the servers of TestEndlessBytes leave the processors to the processes

The servers in the test wrote as fast as they could, on the machine of the processes under test. Beside a busy machine ordinary requests of one case were answered 502 (three, load 25), as both their servers did not answer within 1.2 s; without that load none was in any run. Each server pauses for 5 ms after 64 KB, 800 MB/s in all.

--- a/daemon/flood_test.go
+++ b/daemon/flood_test.go
@@ -26,6 +26,8 @@
 	floodTime     = 1500 * time.Millisecond // Time for which servers send bytes without end.
 	floodRequests = 64                      // Responses without end at the same time.
 	floodPart     = 64 << 10                // Bytes that a server sends at once, about.
+	// floodPause is the time between two parts of a response: 800 MB/s in all, so that the processors are left to the processes.
+	floodPause = 5 * time.Millisecond
 )
 
 // flood is a kind of response without end.
@@ -104,6 +106,7 @@
 				}
 				after, _ := strconv.ParseUint(r.Header.Get("Last-Event-Id"), 10, 64)
 				for n := after + 1; err == nil; n++ {
+					time.Sleep(floodPause)
 					_, err = io.WriteString(c, f.part(n))
 				}
 			}()
