--- a/meter/meter.go
+++ b/meter/meter.go
@@ -39,7 +39,8 @@
 // Each process has a token bucket for each organisation and deducts what it admits and what others report. In a
 // round of reports it admits its share of the level, and little more, so that partitioned processes do not admit the same
 // tokens twice. A bucket refills only at the share of the rate that belongs to the processes heard, as the others may use
-// the rest.
+// the rest. Once a process is not heard any more, its share of what was there at its last reports, and of the tokens since,
+// is deducted, as it may have used it.
 type Limiter struct {
 	source    bulrushlug.ConfigSource
 	heard     func() (heard, all int) // Numbers of processes that this one hears and of all processes, both including itself.
@@ -67,6 +68,10 @@
 	merged         bool              // The level includes what the others admitted before this process started.
 	roundAdmitted  float64           // Admissions of this process in this round.
 	contended      bool              // The level fell below contendedLevel and has not recovered since.
+	part           float64           // Share of rate and burst at the last refill.
+	sharedLevel    float64           // Level at sharedAt.
+	sharedAt       time.Time         // When all processes of part last reported, or the bucket was last full.
+	spent          float64           // Deducted since sharedAt.
 }
 
 // New returns a limiter that reads rates from f; full says that nothing was admitted before the start, and t is the
@@ -110,7 +115,7 @@
 	part := float64(heard) / float64(all)
 	m.refill(b, g, part, all)
 	if b.level >= 1 && b.roundAdmitted+1 <= b.share(g, heard, all) {
-		b.level--
+		b.spend(1)
 		b.roundAdmitted++
 		return nil
 	}
@@ -161,14 +166,44 @@
 	b.merged = full
 	b.level += level
 	b.refilledAt = time.Now()
+	b.startSpan()
+}
+
+// startSpan starts the span whose tokens are divided anew if fewer processes are heard.
+func (b *bucket) startSpan() { b.sharedLevel, b.sharedAt, b.spent = b.level, b.refilledAt, 0 }
+
+// spend deducts n admissions.
+func (b *bucket) spend(n float64) {
+	b.level -= n
+	b.spent += n
 }
 
 // refill adds the tokens since the last call; part is the share of rate and burst that this process may use.
 func (b *bucket) refill(g bulrushlug.Organisation, part float64) {
 	now := time.Now()
+	if part < b.part {
+		b.deductUnheard(g, part, now)
+	}
+	b.part = part
 	limit := max(1, float64(g.Burst())*part)
 	b.level = min(limit, b.level+g.Rate()*part*now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
+	if b.level == limit {
+		b.startSpan()
+	}
+}
+
+// deductUnheard adds the tokens since the last refill, as if all were still heard, and deducts what belongs to those that
+// are not: their share of the level when all reported and of the tokens since; part is the share of rate and burst that is
+// left.
+func (b *bucket) deductUnheard(g bulrushlug.Organisation, part float64, now time.Time) {
+	shared := b.sharedLevel * part / b.part
+	if b.sharedLevel >= 1 {
+		shared = max(1, shared)
+	}
+	left := shared + g.Rate()*part*now.Sub(b.sharedAt).Seconds() - b.spent
+	b.level = min(left, b.level+g.Rate()*b.part*now.Sub(b.refilledAt).Seconds())
+	b.refilledAt = now
 }
 
 // ApplyReport deducts what the reporting process admitted since its last report from the buckets.
@@ -183,12 +218,13 @@
 		m.applyCount(r, x, g, float64(heard)/float64(all), all)
 	}
 	for i := range m.shards {
-		m.shards[i].advanceRound(r.Member().Name(), heard-1)
+		m.shards[i].advanceRound(r.Member().Name(), heard-1, float64(heard)/float64(all))
 	}
 }
 
-// advanceRound starts a new round once n other processes have reported in this one.
-func (s *shard) advanceRound(vm string, n int) {
+// advanceRound starts a new round once n other processes have reported in this one; part is the share of rate and burst
+// that this process may use. A bucket that has not deducted yet what is not heard any more keeps its span.
+func (s *shard) advanceRound(vm string, n int, part float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roundReports[vm] = true
@@ -198,6 +234,9 @@
 	clear(s.roundReports)
 	for _, b := range s.buckets {
 		b.roundAdmitted = 0
+		if b.part <= part {
+			b.startSpan()
+		}
 	}
 }
 
@@ -217,6 +256,7 @@
 	later := m.startFull || r.Boot()+uint64(restartSpan.Milliseconds()) > m.boot
 	if _, ok := b.remoteAdmitted[r.Member().Name()]; !ok && later && !m.startFull {
 		b.level += m.initialLevel(g, n)
+		b.startSpan()
 	}
 	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
 }
@@ -236,7 +276,7 @@
 	if !ok && !later {
 		b.mergeRemote(x)
 	} else if x.Admitted() > n {
-		b.level -= float64(x.Admitted() - n)
+		b.spend(float64(x.Admitted() - n))
 	}
 	b.remoteAdmitted[vm] = max(n, x.Admitted())
 	b.contended = b.contended || b.initialised && b.level < contendedLevel
@@ -244,6 +284,7 @@
 
 // mergeRemote lowers the level to that of a process whose first report has admissions from before this one's start.
 func (b *bucket) mergeRemote(x bulrushlug.AdmissionCount) {
+	defer b.startSpan()
 	if !b.merged {
 		b.merged, b.initialised = true, true
 		b.refilledAt = time.Now()
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -235,6 +235,45 @@
 	}
 }
 
+// TestUnheardPart has two of four processes fall silent a second after a round, in which one of the others admitted 30
+// requests: what is left is half of the level and of the tokens since, less these.
+func TestUnheardPart(t *testing.T) {
+	for name, x := range map[string]struct {
+		counted bool // The report after it has a count of the organisation.
+	}{
+		"a report with the organisation":    {counted: true},
+		"a report without the organisation": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(4, true)
+				m := g.limiters[0]
+				report := func(vm string, l ...bulrushlug.AdmissionCount) {
+					m.ApplyReport(bulrushlug.NewReport(bulrushlug.NewMember(vm, "", "", "", ""), g.boots[1], 1, bulrushlug.ReportAdmissionCounts(l)))
+				}
+				for i := range 4 {
+					report(fmt.Sprint("e", i), bulrushlug.NewAdmissionCount("o", 0, burst))
+				}
+				report("e1", bulrushlug.NewAdmissionCount("o", 30, burst))
+				time.Sleep(time.Second)
+				g.heard[0].Store(2)
+				if x.counted {
+					report("e1", bulrushlug.NewAdmissionCount("o", 30, burst))
+				} else {
+					report("e1")
+				}
+				if err := m.Take(t.Context(), "o"); err != nil {
+					t.Fatal(err)
+				}
+				want := (burst+rate)/2.0 - 30 - 1
+				if l := m.AdmissionCounts()[0].Level(); l != want {
+					t.Errorf("the level is %g, want %g", l, want)
+				}
+			})
+		})
+	}
+}
+
 func TestRequestsWithinRate(t *testing.T) {
 	for name, x := range map[string]struct {
 		run   func(g *group) float64
