feat(items, lots): lines that tell why an accepted item is not listed

Cause: itemWaits came once a wait, after 10 s, for the cause at that moment, not for slots, and without an end. A result that not all replicas have, a run that does not end, and a lot for which no primary acts had no line. An item whose runs fail at once looked like one that had been in back-off all the time.

Change: a line after 5 s without an event and each 5 s from then on, whatever the cause, with the new causes running and unconfirmed; the wait goes on through runs without an event, and the line has the number of runs, how the last one ended and what hinders (reason and end of a quarantine, the lot's last error, the version that is missing, the servers of the service). itemWaitEnded at the end. At most 10 lines a second by cause, the longest waits first, and one line itemsWait on the rest. lotUnserved comes from a replica that has got no update from the primary for 5 s. itemRunEnded says which causes it left out. Metrics itemsWaitingLongest and lotsUnserved.

TestWaits expected no line on a wait for a slot and one line a wait; it now expects a line each 5 s for all causes, and reads a second before the next one is due. TestProgressOfRestartedPrimary takes the second value of eventCount; the group of processes got fields.

--- a/daemon/data.go
+++ b/daemon/data.go
@@ -37,6 +37,8 @@
 	d.runner = items.New(d.replicas, s.slotTable, s.platform.BackendClient(s), s, s.detector, platform.Prompt, s.guard, s.logger, counts, s.memory)
 	s.counters.Set("itemsQuarantined", expvar.Func(func() any { return d.runner.Held() }))
 	s.counters.Set("itemsWaiting", expvar.Func(func() any { return d.runner.Waiting() }))
+	s.counters.Set("itemsWaitingLongest", expvar.Func(func() any { return d.runner.LongestWaits() }))
+	s.counters.Set("lotsUnserved", expvar.Func(func() any { return d.replicas.Unserved() }))
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
 	}
--- a/items/item.go
+++ b/items/item.go
@@ -45,10 +45,19 @@
 	started   time.Time          // Start of the current run.
 	cancel    context.CancelFunc // Cancels the current run.
 	preempted bool               // The current run was cancelled for an online request.
+	eventAt   time.Time          // When this process received the last event; zero before the first one.
+	runs      int                // Runs that this process started.
+	ended     ending             // End of the last run.
 	due       time.Time          // When the item is due.
 	pace      *pace              // Pace of the items of its route.
 }
 
+// ending is the end of a run.
+type ending struct {
+	cause, server string
+	at            time.Time // Zero if no run has ended.
+}
+
 // newItem returns an item with no events.
 func newItem() *item { return &item{text: rand.Uint64()} }
 
@@ -114,5 +123,9 @@
 	if !utf8.ValidString(d) {
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d is not UTF-8", id)
 	}
-	return x.add(d, m)
+	if err := x.add(d, m); err != nil {
+		return err
+	}
+	x.eventAt = time.Now()
+	return nil
 }
--- a/items/run.go
+++ b/items/run.go
@@ -66,6 +66,7 @@
 	n := len(x.events)
 	h.mu.Unlock()
 	r.pace(a.task.route.Name()).observe(n, n-int(a.request.ResumeFrom()), time.Since(a.begun))
+	r.endRun(a, "completed")
 	r.recordResult(c, a.key(), bulrushlug.NewLotResult(a.task.item, true, text), "")
 	if r.manager.HasResult(a.task.lot.ID(), a.task.item) {
 		h.mu.Lock()
@@ -96,8 +97,10 @@
 		x.drop(r.memory)
 	}
 	h.mu.Unlock()
+	e := cause(preempted, c.Err() != nil, status, err)
+	r.endRun(a, e)
 	online, batch, age := a.slot.Load()
-	r.endings.record(cause(preempted, c.Err() != nil, status, err), "lot", a.task.lot.ID(), "request", a.request.ID(), "server", a.slot.Backend().ID(),
+	r.endings.record(e, "lot", a.task.lot.ID(), "request", a.request.ID(), "server", a.slot.Backend().ID(),
 		"status", status, "failed", failures, "resumedAfter", a.request.ResumeFrom(), "events", events, "ran", time.Since(a.begun),
 		"online", online, "batch", batch, "age", age, "err", err)
 	if preempted || c.Err() != nil || err != nil {
@@ -108,6 +111,14 @@
 	}
 }
 
+// endRun notes for which cause run a ended.
+func (r *Runner) endRun(a *attempt, cause string) {
+	h := r.shard(a.key())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.item.ended = ending{cause: cause, server: a.slot.Backend().ID(), at: time.Now()}
+}
+
 // cause names why a run ended without a result.
 func cause(preempted, stopped bool, status int, err error) string {
 	switch {
--- a/items/runner.go
+++ b/items/runner.go
@@ -94,8 +94,9 @@
 	// services are those that may run the item, the preferred ones first.
 	services []string
 	due      time.Time
-	late     bool // The item can't be completed by its due time.
-	begun    bool // Some of its events are there.
+	late     bool      // The item can't be completed by its due time.
+	begun    bool      // Some of its events are there.
+	eventAt  time.Time // When this process received its last event; zero for none.
 }
 
 // pace returns the pace of the items of route n.
@@ -119,12 +120,13 @@
 	for _, w := range l {
 		s := r.acquire(w.services, full)
 		if s == nil {
-			n.add(waitSlot, w.lot, w.item)
+			n.add(waitSlot, w.lot, w.item, w.eventAt, nil)
 			continue
 		}
 		r.startRun(c, w, s)
+		n.keep(w.lot, w.item)
 	}
-	n.end()
+	n.end(r.waitDetail, r.waitEnd)
 }
 
 // acquire reserves a slot at the first service in l that has one, and adds those without one to full.
@@ -150,6 +152,7 @@
 	held := int64(0)
 	if m != nil {
 		r.manager.EachHeld(func(x bulrushlug.Lot, left []uint32) { m.addAll(waitReplicas, x, left) })
+		r.manager.EachUnconfirmed(func(x bulrushlug.Lot, l []uint32) { m.addAll(waitUnconfirmed, x, l) })
 	}
 	r.manager.EachRunnable(func(x bulrushlug.Lot, left []uint32) {
 		if f == nil || f.Revision() < x.Revision() {
@@ -169,14 +172,12 @@
 		v := services(t)
 		for _, n := range left {
 			if !r.startable(key{x.ID(), n}, now) {
-				if m != nil && !r.running(key{x.ID(), n}) {
-					m.add(waitBackoff, x, n)
-				}
+				r.addUnstartable(m, x, n, now)
 				continue
 			}
-			if r.detector.Check(r.prompt(t.Name(), x.Items()[n].Fields())) != nil {
+			if err := r.detector.Check(r.prompt(t.Name(), x.Items()[n].Fields())); err != nil {
 				held++
-				m.add(waitQuarantine, x, n)
+				m.add(waitQuarantine, x, n, r.eventAt(m, key{x.ID(), n}), err)
 				continue
 			}
 			w := r.newTask(x, n, t, now)
@@ -201,25 +202,28 @@
 // Waiting returns the number of items that wait, by cause.
 func (r *Runner) Waiting() map[string]int { return r.waits.byCause() }
 
+// LongestWaits returns the seconds of the longest wait of an item, by cause.
+func (r *Runner) LongestWaits() map[string]float64 { return r.waits.longestByCause() }
+
 // Held returns the number of items that wait because servers ended on their prompts.
 func (r *Runner) Held() int64 { return r.held.Load() }
 
 // newTask returns the task of item n of lot x, which is on route t.
 func (r *Runner) newTask(x bulrushlug.Lot, n uint32, t bulrushlug.Route, now time.Time) task {
-	events := r.eventCount(key{x.ID(), n})
+	events, at := r.eventCount(key{x.ID(), n})
 	due := x.ReceivedAt().Add(t.Due())
-	return task{lot: x, item: n, route: t, due: due, late: r.pace(t.Name()).late(events, due, now), begun: events > 0}
+	return task{lot: x, item: n, route: t, due: due, late: r.pace(t.Name()).late(events, due, now), begun: events > 0, eventAt: at}
 }
 
-// eventCount returns the number of events of an item that are on this process.
-func (r *Runner) eventCount(k key) int {
+// eventCount returns the number of events of an item that are on this process, and when it received the last one.
+func (r *Runner) eventCount(k key) (int, time.Time) {
 	s := r.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if x, ok := s.items[k]; ok {
-		return len(x.events)
+		return len(x.events), x.eventAt
 	}
-	return 0
+	return 0, time.Time{}
 }
 
 // startable reports whether an item without a result is neither running nor in back-off.
@@ -238,15 +242,6 @@
 	return !ok || x.server == "" && !now.Before(x.notBefore)
 }
 
-// running reports whether a run of an item is in progress.
-func (r *Runner) running(k key) bool {
-	s := r.shard(k)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	x, ok := s.items[k]
-	return ok && x.server != ""
-}
-
 // services returns the services of t that take requests, those with the larger weights first; if all weights are zero, the
 // first one, and without shares the name of t.
 func services(t bulrushlug.Route) (l []string) {
@@ -277,6 +272,7 @@
 		x.adopt(text, r.memory)
 		h.items[k] = x
 	}
+	x.runs++
 	x.server, x.started, x.cancel, x.preempted = s.Backend().ID(), time.Now(), stop, false
 	x.due, x.pace = w.due, r.pace(w.route.Name())
 	h.mu.Unlock()
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -56,6 +56,13 @@
 func (r *routes) Fresh() bool      { return true }
 func (r *routes) Accepted() uint64 { return 1 }
 
+// clear leaves no configuration.
+func (r *routes) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config = nil
+}
+
 func (r *routes) set(l ...bulrushlug.Change) { r.setRevision(1, l...) }
 
 func (r *routes) setRevision(n uint64, l ...bulrushlug.Change) {
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -62,12 +62,20 @@
 
 // textServer is a fake client of all backend servers; each event names the run that made it.
 type textServer struct {
-	mu     sync.Mutex
-	resume map[string][]uint64 // Event after which each run of an item was asked to resume.
-	random *rand.Rand          // Breaks runs off; nil for none.
+	mu      sync.Mutex
+	resume  map[string][]uint64 // Event after which each run of an item was asked to resume.
+	random  *rand.Rand          // Breaks runs off; nil for none.
+	refuses bool                // Calls fail at once.
+	stuck   chan struct{}       // Calls return once it is closed, whatever their context says; nil for at once.
 }
 
 func (v *textServer) Call(c context.Context, _ bulrushlug.Backend, r *bulrushlug.Request) (bulrushlug.Reply, error) {
+	if v.stuck != nil {
+		<-v.stuck
+	}
+	if v.refuses {
+		return nil, bulrushlug.Errorf(bulrushlug.KindUnplaceable, "connection refused")
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n := len(v.resume[r.ID()])
@@ -124,11 +132,14 @@
 	vm       string
 	log      *memLog
 	isolated bool // It reaches no other process, and none reaches it.
+	mute     bool // It answers no other process, but reports go on.
 	boot     uint64
 	sequence uint64
 	alive    bool
 	stop     context.CancelFunc
 	peers    *peers.Membership
+	table    *slots.Table
+	routes   *routes
 	manager  *lots.ReplicaManager
 	runner   *Runner
 }
@@ -143,20 +154,33 @@
 	boots     uint64
 	random    *rand.Rand // Makes updates late; nil for none.
 	earlier   bool       // Replicas return no progress, as those of an earlier version.
+	detector  bulrushlug.PoisonDetector
+	logger    log.Logger
+	full      bool // No disk takes a result.
 }
 
 func newGroup(c context.Context, names ...string) *group {
-	g := &group{c: c, store: memtxn.New(), server: &textServer{resume: map[string][]uint64{}}, processes: map[string]*process{}}
+	g := newIdleGroup(c)
+	g.run(names...)
+	return g
+}
+
+// newIdleGroup returns a group without processes.
+func newIdleGroup(c context.Context) *group {
+	return &group{c: c, store: memtxn.New(), server: &textServer{resume: map[string][]uint64{}}, processes: map[string]*process{}, detector: noDetector{}, logger: log.NewNopLogger()}
+}
+
+// run starts processes on the given VMs and the reports between them.
+func (g *group) run(names ...string) {
 	for _, n := range names {
 		g.start(n, &memLog{})
 	}
 	go func() {
-		for bulrushlug.Sleep(c, reportInterval) == nil {
+		for bulrushlug.Sleep(g.c, reportInterval) == nil {
 			g.report()
 		}
 	}()
 	time.Sleep(2 * time.Second)
-	return g
 }
 
 // start starts a process on VM n with the log d.
@@ -165,19 +189,20 @@
 	defer g.mu.Unlock()
 	g.boots++
 	c, stop := context.WithCancel(g.c)
+	w := log.With(g.logger, "vm", n)
 	p := &process{vm: n, log: d, boot: g.boots, alive: true, stop: stop}
 	p.peers = peers.New(bulrushlug.NewMember(n, n, "r", "z"+n, "data").WithDataFolder(true), p.boot, n, g.store, "vm/", time.Second, log.NewNopLogger())
-	t := slots.New(n, func() []string { return nil })
-	t.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendZoneSlots("z", 4))})
-	f := &routes{}
-	f.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
+	p.table = slots.New(n, func() []string { return nil })
+	p.table.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendZoneSlots("z", 4))})
+	p.routes = &routes{}
+	p.routes.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(time.Minute, time.Minute))))
-	p.manager = lots.New(ownLog{d, g, p}, link{g, p}, ownStore{g.store, g, p}, "lot/", p.peers, log.NewNopLogger(), lots.WithReplicationFactor(2), lots.WithRetention(time.Hour),
+	p.manager = lots.New(ownLog{d, g, p}, link{g, p}, ownStore{g.store, g, p}, "lot/", p.peers, w, lots.WithReplicationFactor(2), lots.WithRetention(time.Hour),
 		lots.WithWorkCallback(func() { p.runner.Wake() }),
 		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
 			return p.runner.Progress(i, n, text, after)
 		}))
-	p.runner = New(p.manager, t, g.server, f, noDetector{}, prompt, guard.New(log.NewNopLogger()), log.NewNopLogger(), new(expvar.Map).Init(), memory.New(1<<30))
+	p.runner = New(p.manager, p.table, g.server, p.routes, g.detector, prompt, guard.New(log.NewNopLogger()), w, new(expvar.Map).Init(), memory.New(1<<30))
 	_ = p.manager.Load()
 	g.processes[n] = p
 	go func() { _ = p.manager.Run(c) }()
@@ -229,6 +254,12 @@
 	return ""
 }
 
+func (g *group) isFull() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.full
+}
+
 // link calls the other processes of a group.
 type link struct {
 	group *group
@@ -246,7 +277,7 @@
 func (g *group) reach(from *process, a string) (*lots.ReplicaManager, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p := g.processes[a]; p != nil && p.alive && from.alive && !p.isolated && !from.isolated {
+	if p := g.processes[a]; p != nil && p.alive && from.alive && !p.isolated && !p.mute && !from.isolated {
 		return p.manager, nil
 	}
 	return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "%s does not answer %s", a, from.vm)
@@ -307,6 +338,9 @@
 	if !o.group.isAlive(o.p) {
 		return bulrushlug.Errorf(bulrushlug.KindStorage, "the process on %s ended", o.p.vm)
 	}
+	if o.group.isFull() && u.Offset() > 0 && len(u.Entries()) > 0 {
+		return bulrushlug.Errorf(bulrushlug.KindStorage, "the disk of %s is full", o.p.vm)
+	}
 	return o.memLog.Append(u)
 }
 
@@ -527,7 +561,7 @@
 				for range x.restarts {
 					time.Sleep(2 * time.Second)
 					p := g.primary()
-					had = g.processes[p].runner.eventCount(key{"lot", 0})
+					had, _ = g.processes[p].runner.eventCount(key{"lot", 0})
 					g.restart(p)
 				}
 				time.Sleep(10 * time.Second)
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -46,6 +46,10 @@
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
 	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
+	taskErr         error                 // The last error of a task; nil for none.
+	taskErrAt       time.Time             // When that was.
+	heardAt         time.Time             // Last time at which the primary sent an update.
+	unservedLogged  time.Time             // Last line on it as a lot for which no primary acts.
 	changed         chan struct{}         // Closed at the next change.
 	writeMu         sync.Mutex            // Serializes writes to the log.
 }
@@ -261,6 +265,24 @@
 	return n
 }
 
+// unconfirmed returns the items with a result that is not among the committed entries.
+func (l *lot) unconfirmed() (n []uint32) {
+	for _, e := range slices.Concat(l.entries[min(max(l.committed, 0), len(l.entries)):], l.pending) {
+		if e.Result() != nil {
+			n = append(n, e.Result().Item())
+		}
+	}
+	return n
+}
+
+// lastError returns the last error of a task, nil for none.
+func (l *lot) lastError() error {
+	if l.taskErr == nil {
+		return nil
+	}
+	return bulrushlug.WrapError(bulrushlug.KindOf(l.taskErr), time.Since(l.taskErrAt).Round(time.Millisecond).String()+" ago", l.taskErr)
+}
+
 // finished reports whether no item of the lot is left to run.
 func (l *lot) finished() bool { return l.ended || l.head != nil && len(l.done) == len(l.head.Items()) }
 
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -16,6 +16,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,13 +73,15 @@
 	logger            log.Logger
 	// progress returns the events of a running item after event n of the given text, or all events if the item has
 	// another text.
-	progress  func(lot string, item uint32, text, n uint64) bulrushlug.LotProgress
-	onWork    func() // Called when items may have to be started or stopped.
-	started   time.Time
-	shards    [shardCount]shard
-	transfers chan struct{} // Holds a token for each transfer of a log in parts.
-	mu        sync.Mutex
-	promoted  map[string]time.Time // When this disk became the primary of a lot; entries expire after promotionReportTime.
+	progress   func(lot string, item uint32, text, n uint64) bulrushlug.LotProgress
+	unservedAt time.Time    // Last search for lots for which no primary acts; of the goroutine of Run.
+	unserved   atomic.Int64 // Lots that it found.
+	onWork     func()       // Called when items may have to be started or stopped.
+	started    time.Time
+	shards     [shardCount]shard
+	transfers  chan struct{} // Holds a token for each transfer of a log in parts.
+	mu         sync.Mutex
+	promoted   map[string]time.Time // When this disk became the primary of a lot; entries expire after promotionReportTime.
 }
 
 type shard struct {
@@ -174,6 +177,7 @@
 // Run checks all lots for pending tasks until c ends.
 func (k *ReplicaManager) Run(c context.Context) error {
 	for bulrushlug.Sleep(c, checkInterval) == nil {
+		k.logUnserved(time.Now())
 		for _, i := range k.lotIDs() {
 			k.schedule(c, i)
 		}
@@ -238,6 +242,9 @@
 	if err == nil && s.OK() {
 		k.withLot(u.Lot(), func(l *lot) {
 			k.observePrimary(l, u.Sender())
+			if l.isPrimary(u.Sender()) {
+				l.heardAt = time.Now()
+			}
 			l.observeReceipt(u.ReceivedAt())
 			l.addProgress(u.Progress())
 			s = s.WithReceivedAt(l.receivedAt)
--- a/lots/serve.go
+++ b/lots/serve.go
@@ -26,6 +26,45 @@
 	k.eachOpen(func(l *lot) bool { return l.isPrimary(k.disk) && !l.runnable(k.disk) }, f)
 }
 
+// EachUnconfirmed calls f for each lot of which this disk is the primary, with the items whose results are not on all replicas
+// as far as it knows, so that no caller can read them.
+func (k *ReplicaManager) EachUnconfirmed(f func(l bulrushlug.Lot, items []uint32)) {
+	var all []openLot
+	for i := range k.shards {
+		all = append(all, k.shards[i].unconfirmed(k.disk)...)
+	}
+	for _, o := range all {
+		f(o.lot, o.left)
+	}
+}
+
+func (s *shard) unconfirmed(disk string) (all []openLot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lots {
+		if l.head == nil || l.dropped || l.ended || !l.isPrimary(disk) || len(l.pending) == 0 && l.committed >= len(l.entries) {
+			continue
+		}
+		if n := l.unconfirmed(); len(n) > 0 {
+			all = append(all, openLot{l.head.WithReceivedAt(l.receivedAt), n})
+		}
+	}
+	return all
+}
+
+// LastError returns the last error of a task of lot i and says how long ago it was, or nil if no task failed.
+func (k *ReplicaManager) LastError(i string) (err error) {
+	k.withLot(i, func(l *lot) { err = l.lastError() })
+	return err
+}
+
+// IsPrimary reports whether this disk is the primary of lot i as far as it knows.
+func (k *ReplicaManager) IsPrimary(i string) bool {
+	own := false
+	k.withLot(i, func(l *lot) { own = l.isPrimary(k.disk) })
+	return own
+}
+
 // eachOpen calls f for each lot that has items without a result and meets the condition, under no lock.
 func (k *ReplicaManager) eachOpen(condition func(l *lot) bool, f func(l bulrushlug.Lot, left []uint32)) {
 	var all []openLot
--- a/lots/task.go
+++ b/lots/task.go
@@ -47,6 +47,7 @@
 		done := true
 		k.withLot(i, func(l *lot) {
 			if err != nil {
+				l.taskErr, l.taskErrAt = err, time.Now()
 				l.nextTaskAt = time.Now().Add(retryDelay/2 + rand.N(retryDelay))
 			}
 			t = k.nextTask(l)
--- /dev/null
+++ b/slots/usable.go
@@ -0,0 +1,33 @@
+package slots
+
+import "time"
+
+// Usable returns the number of servers of service v, those among them that are avoided after a failure, those that are
+// leaving or draining, and the idle slots at all others.
+func (t *Table) Usable(v string) (servers, avoided, leaving, idle int) {
+	now := time.Now()
+	for i := range t.shards {
+		t.shards[i].usable(v, now, &servers, &avoided, &leaving, &idle)
+	}
+	return servers, avoided, leaving, idle
+}
+
+func (s *shard) usable(v string, now time.Time, servers, avoided, leaving, idle *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.entries {
+		if e.backend.Service() != v {
+			continue
+		}
+		*servers++
+		switch d := s.leaving[id]; {
+		case d != nil || e.backend.Draining():
+			*leaving++
+		case now.Before(e.backoffUntil):
+			*avoided++
+		default:
+			online, batch := s.totalLoad(e, now)
+			*idle += max(0, int(e.backend.Slots())-online-batch)
+		}
+	}
+}
