fix(slots): batch items try servers in back-off where there is no other

Cause: online requests use servers in back-off where there is no other, batch items did not. If all servers of a service fail together, through a link that is cut for some seconds, items are held until the back-offs end, up to 8 s after the servers are well, and nothing that they could do would show it sooner.

Change: where all servers of a service are in back-off, one item of a process at a time may run at each of them, a second after the one before and after the last failure.

TestAvoidedServersAreTried bounds the trials.

--- a/slots/batch.go
+++ b/slots/batch.go
@@ -9,13 +9,16 @@
 //
 // Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot. A server
 // that ranks another process first is used only if there is no other, so that processes rarely start items in the same
-// slot. Leaving servers are a last resort, used only if the service has no other server.
+// slot. Servers in back-off are used only if there is no other, by one item of this process at a time, initialBackoff after
+// the one before and the last failure. Leaving servers are a last resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
 	f := filter{service: v, now: time.Now()}
 	o := t.ranking()
 	best, free, all := t.bestIdle(f, o)
-	if all == 0 && !t.staying(v) {
-		f.leaving = true
+	if all == 0 {
+		// Nothing else would show that a server is well again before its back-off ends.
+		f.leaving = !t.staying(v)
+		f.backoff = !f.leaving
 		best, free, all = t.bestIdle(f, o)
 	}
 	if best.shard == nil || float64(free-1) < min(batchReserve*float64(all), float64(all-1)) {
@@ -51,7 +54,7 @@
 		all += int(e.backend.Slots())
 		free += n
 		first := o.isFirst(id)
-		if n == 0 || !first && f.now.Sub(e.started) < startInterval {
+		if n == 0 || !first && f.now.Sub(e.started) < startInterval || !e.open(f.now) {
 			continue
 		}
 		c := candidate{shard: s, id: id, fallback: !first, score: -float64(n) - jitter*rand.Float64()}
@@ -62,6 +65,12 @@
 	return best, ok, free, all
 }
 
+// open reports whether a batch item may be started at the server: it is not in back-off, or the item is a trial.
+func (e *entry) open(now time.Time) bool {
+	failed := e.backoffUntil.Add(-e.backoff)
+	return !now.Before(e.backoffUntil) || e.batch == 0 && min(now.Sub(failed), now.Sub(e.started)) >= initialBackoff
+}
+
 // Preemptions returns the number of this process's batch items to preempt at each server, by identifier.
 //
 // Processes preempt in the order of their rank, so that no two of them end items for the same online request.
--- a/slots/failures_test.go
+++ b/slots/failures_test.go
@@ -21,7 +21,7 @@
 		"one request":                         {servers: []bulrushlug.Backend{backend("a", 8)}, inFlight: 1, least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
 		"four requests at once":               {servers: []bulrushlug.Backend{backend("a", 8)}, inFlight: 4, least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
 		"all servers, four requests at each":  {servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8), backend("c", 8)}, inFlight: 4, least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
-		"four requests, then two, one by one": {servers: []bulrushlug.Backend{backend("a", 8)}, inFlight: 4, trials: 2, least: 900 * time.Millisecond, most: 4100 * time.Millisecond},
+		"four requests, then two, one by one": {servers: []bulrushlug.Backend{backend("a", 8)}, inFlight: 4, trials: 2, least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -62,3 +62,58 @@
 		})
 	}
 }
+
+// TestAvoidedServersAreTried guards against batch items at a server in back-off while there is another one, and against more
+// than one of them at a time where there is none.
+func TestAvoidedServersAreTried(t *testing.T) {
+	for name, x := range map[string]struct {
+		well  bool // Another server has not failed.
+		held  bool // Each trial goes on.
+		after time.Duration
+		want  int // Items at the server in back-off within that time.
+	}{
+		"another one is well":           {well: true, after: 7 * time.Second},
+		"too soon":                      {after: 900 * time.Millisecond},
+		"a trial":                       {after: 7 * time.Second, held: true, want: 1},
+		"trials that end at once":       {after: 3900 * time.Millisecond, want: 3},
+		"its back-off is over, a trial": {after: 8200 * time.Millisecond, held: true, want: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := New("e", alone)
+				l := []bulrushlug.Backend{backend("a", 4)}
+				if x.well {
+					l = append(l, backend("b", 4))
+				}
+				b.Update(l)
+				for range 4 {
+					r, _ := b.AcquireOnline("s", map[string]bool{"b": true})
+					r.RecordFailure()
+					r.Release()
+					time.Sleep(10 * time.Second)
+				}
+				r, _ := b.AcquireOnline("s", map[string]bool{"b": true})
+				time.Sleep(time.Millisecond)
+				r.RecordFailure()
+				r.Release()
+				failed, n := time.Now(), 0
+				for time.Since(failed) < x.after {
+					time.Sleep(50 * time.Millisecond)
+					r := b.AcquireBatch("s")
+					if r == nil {
+						continue
+					}
+					if r.Backend().ID() == "a" {
+						n++
+					}
+					if !x.held || r.Backend().ID() == "b" {
+						r.Release()
+					}
+				}
+				if n != x.want {
+					t.Errorf("%d items at the server in back-off, want %d", n, x.want)
+				}
+			})
+		})
+	}
+}
