fix(lots): a lot runs on while there is no disk to which it could move

Callers saw items of accepted lots neither completed nor abandoned for as long as operators emptied a VM and fewer disks than the replication factor were left besides it: two VMs of which one is to be emptied, or three with one lost. All replicas were alive.

Cause: a primary with a replica on a retiring VM, or on one itself, changes the replicas before it commits or verifies. Without enough disks the change fails, is tried again for ever, and nothing is committed meanwhile. If a replica was lost too, the disks on retiring VMs were not taken for replicas, though they have the lot and are in its record.

Change: replicas that should be replaced are replaced if there are enough others; those on retiring VMs that the record names stay if there are not. A retiring VM takes no lot that it does not have, as before.

--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -573,6 +573,7 @@
 		k.start(n, newDisk(fmt.Sprint("disk-new-", k.boots)))
 		time.Sleep(5 * time.Second)
 	},
+	"loss of power with lost disks": wipeSome,
 	"cut": func(k *cluster, r *rand.Rand) {
 		n := randomVM(k, r)
 		k.mu.Lock()
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -29,9 +29,10 @@
 	}
 	var failing []string
 	k.withLot(i, func(l *lot) { failing = l.failingDisks() })
-	u, resumed := k.unfinishedReconfiguration(i, r, failing)
+	next := k.nextReplicas(r, failing)
+	u, resumed := k.unfinishedReconfiguration(i, r, next, failing)
 	if !resumed {
-		if u, err = k.beginReconfiguration(i, r, k.nextReplicas(r, failing)); err != nil {
+		if u, err = k.beginReconfiguration(i, r, next); err != nil {
 			return err
 		}
 	}
@@ -66,8 +67,8 @@
 }
 
 // unfinishedReconfiguration returns the update of a reconfiguration of lot i that this disk began after the record r, and
-// whose replicas are still good, so that what they have need not be sent again.
-func (k *ReplicaManager) unfinishedReconfiguration(i string, r bulrushlug.LotRecord, failing []string) (u bulrushlug.LotUpdate, ok bool) {
+// whose replicas are still good or no better than next, so that what they have need not be sent again.
+func (k *ReplicaManager) unfinishedReconfiguration(i string, r bulrushlug.LotRecord, next, failing []string) (u bulrushlug.LotUpdate, ok bool) {
 	k.withLot(i, func(l *lot) {
 		if l.confirmed || !l.whole || l.refused || l.epoch <= r.Epoch() {
 			return
@@ -76,7 +77,7 @@
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, false)
 	})
 	for _, d := range u.Replicas() {
-		ok = ok && k.usable(d, failing)
+		ok = ok && (k.usable(d, failing) || slices.Contains(next, d))
 	}
 	return u, ok
 }
@@ -88,7 +89,13 @@
 		return !k.retiring(k.peers.Self().Name())
 	}
 	p, ok := k.peers.ByDisk(d)
-	return ok && !k.unavailable(d) && !k.retiring(p.Member().Name()) && !slices.Contains(failing, d)
+	return ok && k.available(d) && !k.retiring(p.Member().Name()) && !slices.Contains(failing, d)
+}
+
+// available reports whether the process with the disk d is known and not unavailable.
+func (k *ReplicaManager) available(d string) bool {
+	_, ok := k.peers.ByDisk(d)
+	return d == k.disk || ok && !k.unavailable(d)
 }
 
 // transferLog makes all replicas of u have the whole log; after an earlier attempt in this epoch, resumed, it sends what they
@@ -128,19 +135,25 @@
 	return x
 }
 
-// nextReplicas returns the replicas that succeed those of r: this disk first unless its VM is retiring, then the
-// available ones of r, then new ones, but none of the failing ones.
+// nextReplicas returns the replicas that succeed those of r: this disk first, then the available ones of r, then new ones, but
+// none of the failing ones and none whose VM is retiring. If there are not enough, the replicas on retiring VMs stay.
 func (k *ReplicaManager) nextReplicas(r bulrushlug.LotRecord, failing []string) []string {
+	own := append([]string{k.disk}, r.Replicas()...)
 	var l []string
-	if k.usable(k.disk, failing) {
-		l = append(l, k.disk)
-	}
-	for _, d := range r.Replicas() {
-		if d != k.disk && k.usable(d, failing) {
-			l = append(l, d)
+	add := func(condition func(d string) bool) {
+		for _, d := range own {
+			if len(l) < k.replicationFactor && !slices.Contains(l, d) && condition(d) {
+				l = append(l, d)
+			}
 		}
 	}
-	return k.selectReplicas(l[:min(len(l), k.replicationFactor)], failing)
+	add(func(d string) bool { return k.usable(d, failing) })
+	l = k.selectReplicas(l, failing)
+	add(func(d string) bool { return k.available(d) && !slices.Contains(failing, d) })
+	if n := slices.Index(l, k.disk); n > 0 {
+		l = slices.Insert(slices.Delete(l, n, n+1), 0, k.disk)
+	}
+	return l
 }
 
 // replaceRecord writes the record of the reconfiguration u, whose replicas hold the log; r is the previous record,
--- a/lots/task.go
+++ b/lots/task.go
@@ -114,23 +114,29 @@
 	return l.coordinator == k.disk || time.Now().After(l.promiseDeadline) || l.coordinator != "" && k.unavailable(l.coordinator)
 }
 
-// needsNewReplicas reports whether the primary should change the replicas of l.
+// needsNewReplicas reports whether the primary should change the replicas of l: one is unavailable, or one should be replaced
+// and there are enough others. While there are not, the replicas that are there go on.
 func (k *ReplicaManager) needsNewReplicas(l *lot) bool {
-	if k.retiring(k.peers.Self().Name()) || len(l.replicas) < k.replicationFactor {
+	if len(l.replicas) < k.replicationFactor {
 		return true
 	}
+	replace := k.retiring(k.peers.Self().Name())
 	for _, d := range l.replicas[1:] {
-		p, ok := k.peers.ByDisk(d)
-		if k.unavailable(d) || ok && k.retiring(p.Member().Name()) || l.fails(d) && k.canReplace(l) {
+		if k.unavailable(d) {
 			return true
 		}
+		p, ok := k.peers.ByDisk(d)
+		replace = replace || ok && k.retiring(p.Member().Name()) || l.fails(d)
 	}
-	return false
+	return replace && k.canReplace(l)
 }
 
-// canReplace reports whether enough disks are available besides those that fail for l.
+// canReplace reports whether enough disks are available besides those that fail for l or whose VM is retiring.
 func (k *ReplicaManager) canReplace(l *lot) bool {
-	n := 1
+	n := 0
+	if !k.retiring(k.peers.Self().Name()) {
+		n++
+	}
 	for _, p := range k.peers.LiveDataPeers() {
 		if !l.fails(p.DiskID()) && !k.retiring(p.Member().Name()) {
 			n++
