fix(lots): a disk that failed is tried again if there are not enough others

A lot could not be read, and its items did not run, for up to a minute after the last fault: a replica had failed for some seconds and was well again when another disk was lost, and no further disk was there.

Cause: a disk whose replica fails for 3 s is left out of new replicas for a minute from the first failure. Nothing is sent to it meanwhile, so nothing can show that it has recovered.

Change: if there are not enough other disks, those that fail are chosen after all others; what they are sent shows whether they have recovered.

--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -59,3 +59,64 @@
 		})
 	}
 }
+
+// TestOtherReplicaFails has a disk that can't store what it is sent and that is not needed: another one can take its place.
+func TestOtherReplicaFails(t *testing.T) {
+	for name, x := range map[string]struct {
+		vms, replicas int
+		happens       func(k *cluster, r []string)
+	}{
+		"a replica, for a moment, as another one is lost": {vms: 4, replicas: 3, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(5 * time.Second)
+			k.setFull(r[1], false)
+			k.kill(r[2])
+		}},
+		"a replica that was replaced, for a moment, and the other is lost": {vms: 3, replicas: 2, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(8 * time.Second)
+			k.setFull(r[1], false)
+			k.kill(k.spareVM(r))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n := range 5 {
+				t.Run(fmt.Sprint(n), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						c, stop := context.WithCancel(t.Context())
+						defer stop()
+						k := newCluster(t, c, x.vms, x.replicas)
+						k.submit("lot", 600)
+						time.Sleep(time.Second)
+						x.happens(k, k.replicaVMs("lot"))
+						time.Sleep(finishTime)
+						k.checkProgress("lot", 3*time.Second)
+						stop()
+						synctest.Wait()
+					})
+				})
+			}
+		})
+	}
+}
+
+// setFull sets whether the disk of VM n fails each write.
+func (k *cluster) setFull(n string, v bool) {
+	d := k.vms[n].disk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = v
+}
+
+// checkProgress checks that more items of lot i are listed after d.
+func (k *cluster) checkProgress(i string, d time.Duration) {
+	k.t.Helper()
+	if err := k.read(i, 0); err != nil {
+		k.t.Errorf("lot %s cannot be read: %v", i, err)
+	}
+	before := len(k.readResults[i])
+	time.Sleep(d)
+	if err := k.read(i, 0); err != nil || len(k.readResults[i]) <= before {
+		k.t.Errorf("lot %s: %d of %d items have results, %d had %v before: %v", i, len(k.readResults[i]), k.accepted[i], before, d, err)
+	}
+}
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -136,7 +136,8 @@
 }
 
 // nextReplicas returns the replicas that succeed those of r: this disk first, then the available ones of r, then new ones, but
-// none of the failing ones and none whose VM is retiring. If there are not enough, the replicas on retiring VMs stay.
+// none of the failing ones and none whose VM is retiring. If there are not enough, the replicas on retiring VMs stay, and then
+// failing ones are tried again, as one that is not sent anything can't show that it has recovered.
 func (k *ReplicaManager) nextReplicas(r bulrushlug.LotRecord, failing []string) []string {
 	own := append([]string{k.disk}, r.Replicas()...)
 	var l []string
@@ -150,6 +151,8 @@
 	add(func(d string) bool { return k.usable(d, failing) })
 	l = k.selectReplicas(l, failing)
 	add(func(d string) bool { return k.available(d) && !slices.Contains(failing, d) })
+	l = k.selectReplicas(l, nil)
+	add(k.available)
 	if n := slices.Index(l, k.disk); n > 0 {
 		l = slices.Insert(slices.Delete(l, n, n+1), 0, k.disk)
 	}
