fix(lots): a new replica that can't store the log is given up for another one

A lot could not be read, and its items did not run, for as long as a disk was full or failed writes that had never held the lot: it had been chosen to take the place of a lost replica, while other disks had room.

Cause: a reconfiguration that did not finish is taken up again with the same replicas while they count as usable, and only updates of a confirmed epoch counted as failures of a replica.

Change: the transfer of the log counts as well.

--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,13 @@
 		vms, replicas int
 		happens       func(k *cluster, r []string)
 	}{
+		"each but one that may take the place of a lost replica": {vms: 6, replicas: 2, happens: func(k *cluster, r []string) {
+			spare := k.spareVM(r)
+			for n := range k.vms {
+				k.setFull(n, n != spare && !slices.Contains(r, n))
+			}
+			k.kill(r[1])
+		}},
 		"a replica, for a moment, as another one is lost": {vms: 4, replicas: 3, happens: func(k *cluster, r []string) {
 			k.setFull(r[1], true)
 			time.Sleep(5 * time.Second)
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -112,6 +112,7 @@
 			}
 		}
 		s, err := k.sendLog(c, d, k.withEntriesFrom(u.WithProgressWanted(true), from))
+		k.withLot(u.Lot(), func(l *lot) { l.recordAttempt(d, err) })
 		if err == nil && !s.OK() {
 			k.withLot(u.Lot(), func(l *lot) { l.refused = l.refused || l.sameEpoch(u) })
 			err = bulrushlug.Errorf(bulrushlug.KindConflict, "replica on disk %s follows epoch %d", d, s.Epoch())
