fix(lots): a replica that fails for over a minute is replaced once another disk is there

Items of a lot did not run, without an end: a replica had failed for over a minute while there was no other disk, and was not replaced by the disk that came then, although its process was alive.

Cause: the failures of a replica count from the first one, for a minute. After that they counted no more, as only a success let the time begin anew.

Change: a failure after that minute begins it anew.

--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -86,6 +86,19 @@
 			k.setFull(r[1], false)
 			k.kill(k.spareVM(r))
 		}},
+		"a replica, and another disk comes after a long time": {vms: 2, replicas: 2, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(failureLifetime + 10*time.Second)
+			k.start("d2", newDisk("disk-2"))
+		}},
+		"a replica that is chosen again after a long time": {vms: 4, replicas: 2, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(failureLifetime + 10*time.Second)
+			now := k.replicaVMs("lot")
+			for n := range k.vms {
+				k.setFull(n, n != now[0] && n != k.spareVM(append(now, r[1])))
+			}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for n := range 5 {
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -44,7 +44,7 @@
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
-	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them.
+	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them; begins anew after failureLifetime.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
 	writeMu         sync.Mutex            // Serializes writes to the log.
@@ -221,11 +221,11 @@
 
 // recordAttempt records whether an update reached the replica on disk d; a replica in another epoch does not fail.
 func (l *lot) recordAttempt(d string, err error) {
-	_, failing := l.failing[d]
+	t, failing := l.failing[d]
 	switch {
 	case err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict:
 		delete(l.failing, d)
-	case !failing:
+	case !failing || time.Since(t) >= failureLifetime:
 		l.failing[d] = time.Now()
 	}
 }
