fix(peers): a disk that goes to another VM belongs to the process that was heard last

Lots on a disk that was detached and attached to another VM had no primary for the others, or a replica that could not be reached: in the tests for as long as the former VM was known, which is 20 s from its last report until the next list of entries.

Cause: the process of a disk was the first one by name that had reported the disk, dead or not, if the new VM is sorted after it.

Ruled out: a VM that comes back with another disk under its name, and one that is sorted before.

Change: of several, the process that was heard last.

--- a/lots/power_test.go
+++ b/lots/power_test.go
@@ -190,6 +190,9 @@
 			time.Sleep(8 * time.Second)
 			k.start("d2", newDisk("disk-2"))
 		}},
+		"the replica's disk moves to another VM":         {vms: 2, replicas: 2, happens: func(k *cluster, r []string) { k.moveDisk(r[1], "d9") }},
+		"the primary's disk moves to another VM":         {vms: 2, replicas: 2, happens: func(k *cluster, r []string) { k.moveDisk(r[0], "d9") }},
+		"a disk moves to a VM sorted before":             {vms: 2, replicas: 2, happens: func(k *cluster, r []string) { k.moveDisk(r[0], "d-0") }},
 		"the replica is gone for good":                   {vms: 3, replicas: 2, happens: func(k *cluster, r []string) { k.kill(r[1]) }},
 		"the primary is gone for good":                   {vms: 3, replicas: 2, happens: func(k *cluster, r []string) { k.kill(r[0]) }},
 		"two of five are gone for good":                  {vms: 5, replicas: 3, happens: func(k *cluster, r []string) { k.kill(r[0]); k.kill(r[2]) }},
@@ -243,6 +246,13 @@
 	k.start(n, newDisk(fmt.Sprint("disk-empty-", n)))
 }
 
+// moveDisk ends the process on VM n and starts one with its disk on the VM to.
+func (k *cluster) moveDisk(n, to string) {
+	d := k.kill(n)
+	time.Sleep(time.Second)
+	k.start(to, d)
+}
+
 // wipeSome is a loss of power in which as many disks as are tolerated are lost.
 func wipeSome(k *cluster, r *rand.Rand) {
 	time.Sleep(5 * time.Second) // Keeps disk losses within the tolerance.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -337,14 +337,17 @@
 	return x.withTimeout(d), true
 }
 
-// ByDisk returns the process whose disk has identifier d.
+// ByDisk returns the process whose disk has identifier d. If several have reported it, as the disk went to another VM, it is the
+// one that was heard last.
 func (p *Membership) ByDisk(d string) (Peer, bool) {
+	var last Peer
+	found := false
 	for _, x := range p.All() {
-		if x.diskID == d {
-			return x, true
+		if x.diskID == d && (!found || x.lastHeard.After(last.lastHeard)) {
+			last, found = x, true
 		}
 	}
-	return Peer{}, false
+	return last, found
 }
 
 // CountHeard returns the number of processes of this one's role that report, and of all such processes; both include
