--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +60,84 @@
 		})
 	}
 }
+
+// TestOtherReplicaFails has a disk that can't store what it is sent and that is not needed: another one can take its place.
+func TestOtherReplicaFails(t *testing.T) {
+	for name, x := range map[string]struct {
+		vms, replicas int
+		happens       func(k *cluster, r []string)
+	}{
+		"each but one that may take the place of a lost replica": {vms: 6, replicas: 2, happens: func(k *cluster, r []string) {
+			spare := k.spareVM(r)
+			for n := range k.vms {
+				k.setFull(n, n != spare && !slices.Contains(r, n))
+			}
+			k.kill(r[1])
+		}},
+		"a replica, for a moment, as another one is lost": {vms: 4, replicas: 3, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(5 * time.Second)
+			k.setFull(r[1], false)
+			k.kill(r[2])
+		}},
+		"a replica that was replaced, for a moment, and the other is lost": {vms: 3, replicas: 2, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(8 * time.Second)
+			k.setFull(r[1], false)
+			k.kill(k.spareVM(r))
+		}},
+		"a replica, and another disk comes after a long time": {vms: 2, replicas: 2, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(failureLifetime + 10*time.Second)
+			k.start("d2", newDisk("disk-2"))
+		}},
+		"a replica that is chosen again after a long time": {vms: 4, replicas: 2, happens: func(k *cluster, r []string) {
+			k.setFull(r[1], true)
+			time.Sleep(failureLifetime + 10*time.Second)
+			now := k.replicaVMs("lot")
+			for n := range k.vms {
+				k.setFull(n, n != now[0] && n != k.spareVM(append(now, r[1])))
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n := range 5 {
+				t.Run(fmt.Sprint(n), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						c, stop := context.WithCancel(t.Context())
+						defer stop()
+						k := newCluster(t, c, x.vms, x.replicas)
+						k.submit("lot", 600)
+						time.Sleep(time.Second)
+						x.happens(k, k.replicaVMs("lot"))
+						time.Sleep(finishTime)
+						k.checkProgress("lot", 3*time.Second)
+						stop()
+						synctest.Wait()
+					})
+				})
+			}
+		})
+	}
+}
+
+// setFull sets whether the disk of VM n fails each write.
+func (k *cluster) setFull(n string, v bool) {
+	d := k.vms[n].disk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = v
+}
+
+// checkProgress checks that more items of lot i are listed after d.
+func (k *cluster) checkProgress(i string, d time.Duration) {
+	k.t.Helper()
+	if err := k.read(i, 0); err != nil {
+		k.t.Errorf("lot %s cannot be read: %v", i, err)
+	}
+	before := len(k.readResults[i])
+	time.Sleep(d)
+	if err := k.read(i, 0); err != nil || len(k.readResults[i]) <= before {
+		k.t.Errorf("lot %s: %d of %d items have results, %d had %v before: %v", i, len(k.readResults[i]), k.accepted[i], before, d, err)
+	}
+}
