fix(lots): a write that never ends holds no call for longer than its caller waits

Updates, withdrawals and requests to forget a lot waited for a lock that is held over the write to the disk. While a write does not end (a disk that hangs), each further call stayed in the process with what it carries, up to one each 0.3 s a lot from a primary that tries again, and a step of the primary that waited for it kept the lot's only worker.

Ruled out: the callers, which give up after 0.7 or 3 s (`lotcli`).

Change: the lock is a token that is waited for up to 3 s, the longest time that a caller waits; then the call fails, as for a disk that fails.

The disk of the tests can be slow, and their network ends a call with its context, as `lotcli` does; nothing of an existing test is changed beyond that.

--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -41,7 +41,8 @@
 type memDisk struct {
 	mu      sync.Mutex
 	name    string
-	full    bool // Writes fail.
+	full    bool          // Writes fail.
+	delay   time.Duration // How long a write takes; those in progress end at once when it is set to zero.
 	updates map[string][]bulrushlug.LotUpdate
 	encoded map[string][][]byte // The same updates as they are on a disk.
 }
@@ -50,7 +51,16 @@
 	return &memDisk{name: n, updates: map[string][]bulrushlug.LotUpdate{}, encoded: map[string][][]byte{}}
 }
 
+func (d *memDisk) writeDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delay
+}
+
 func (d *memDisk) Append(u bulrushlug.LotUpdate) error {
+	for begun := time.Now(); time.Since(begun) < d.writeDelay(); {
+		time.Sleep(100 * time.Millisecond)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.full {
@@ -324,8 +334,18 @@
 	if err != nil {
 		return bulrushlug.LotReplicaState{}, err
 	}
-	s, err := k.Append(u)
-	return s, errors.Join(err, n.response(c, a))
+	var s bulrushlug.LotReplicaState
+	done := make(chan struct{})
+	go func() {
+		s, err = k.Append(u)
+		close(done)
+	}()
+	select {
+	case <-done:
+		return s, errors.Join(err, n.response(c, a))
+	case <-c.Done():
+		return bulrushlug.LotReplicaState{}, bulrushlug.WrapError(bulrushlug.KindUncertain, a, c.Err())
+	}
 }
 
 func (n network) Verify(c context.Context, a, i string, e uint64) (bulrushlug.LotReplicaState, error) {
@@ -390,6 +410,19 @@
 	return n.response(c, a)
 }
 
+// setDisk sets whether writes to the disk n fail, and how long they take.
+func (k *cluster) setDisk(n string, full bool, delay time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, v := range k.vms {
+		if v.disk.name == n {
+			v.disk.mu.Lock()
+			v.disk.full, v.disk.delay = full, delay
+			v.disk.mu.Unlock()
+		}
+	}
+}
+
 // setIsolated sets whether VM n reaches no other VM.
 func (k *cluster) setIsolated(n string, v bool) {
 	k.mu.Lock()
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -3,13 +3,12 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
 )
 
-// lot is the replica of one lot on this disk; the lock of its shard guards all fields but writeMu.
+// lot is the replica of one lot on this disk; the lock of its shard guards all fields but writes.
 type lot struct {
 	id              string
 	head            *bulrushlug.Lot // Nil only until the first entry is synced.
@@ -47,7 +46,7 @@
 	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
-	writeMu         sync.Mutex            // Serializes writes to the log.
+	writes          chan struct{}         // Holds a token while the log is written, one write at a time.
 }
 
 // formerLog is the log that the disk had in an earlier epoch.
@@ -67,9 +66,24 @@
 type position struct{ text, last uint64 }
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]time.Time{}, changed: make(chan struct{}), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]time.Time{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
 }
 
+// beginWrite waits until no other write to the log is in progress; the caller calls endWrite. It fails if a write takes so long
+// that the process from which a call comes has given the call up.
+func (l *lot) beginWrite() error {
+	t := time.NewTimer(logTransferTimeout)
+	defer t.Stop()
+	select {
+	case l.writes <- struct{}{}:
+		return nil
+	case <-t.C:
+		return bulrushlug.Errorf(bulrushlug.KindStorage, "lot %s: a write to the log has not ended after %v", l.id, logTransferTimeout)
+	}
+}
+
+func (l *lot) endWrite() { <-l.writes }
+
 // notify wakes all goroutines that wait for a change.
 func (l *lot) notify() {
 	close(l.changed)
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -187,8 +187,10 @@
 	if l == nil {
 		return bulrushlug.LotReplicaState{}, nil
 	}
-	l.writeMu.Lock()
-	defer l.writeMu.Unlock()
+	if err := l.beginWrite(); err != nil {
+		return bulrushlug.LotReplicaState{}, err
+	}
+	defer l.endWrite()
 	var s bulrushlug.LotReplicaState
 	ok, duplicate := false, false
 	k.withLot(u.Lot(), func(x *lot) {
@@ -294,8 +296,11 @@
 	if l == nil {
 		return
 	}
-	l.writeMu.Lock()
-	defer l.writeMu.Unlock()
+	if err := l.beginWrite(); err != nil {
+		_ = k.logger.Log("event", "lotNotDropped", "lot", i, "err", err)
+		return
+	}
+	defer l.endWrite()
 	s := k.shard(i)
 	s.mu.Lock()
 	ok := s.lots[i] == l && f(l)
