fix(lots): a disk that fails is replaced in a change of replicas too, and as long as it fails

Callers saw: the items of a lot are neither listed nor run, and the lot can't be read, for ever.

After a minute with no other disk the replica counted as sound, and so did a disk that was chosen again and failed again. - With one replica gone and others failing, too few disks were "available" until the minute was over.

Ruled out: the choice itself; it can't know a disk that has never been written to. A conflict of epochs still is no failure.

Change: transfers count as attempts. A failure has a first and a last attempt; a replica fails if all attempts of more than 3 s failed, until a minute after the last one. If too few disks are left without the failing ones, the change goes on with those.

--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -59,3 +59,78 @@
 		})
 	}
 }
+
+// TestReplicaFailsAgain guards against a lot that nobody may run: the disk that takes the place of another one can't store it,
+// or a disk of it fails for longer than it takes until it may be chosen again.
+func TestReplicaFailsAgain(t *testing.T) {
+	for name, f := range map[string]func(k *cluster, l []string){
+		"the chosen disk is full as well": func(k *cluster, l []string) {
+			for _, v := range k.vms {
+				if d := v.disk.name; d != l[0] && d != "disk-5" {
+					k.setDisk(d, true, 0)
+				}
+			}
+			if l[0] == "disk-5" {
+				k.setDisk("disk-4", false, 0)
+			}
+			time.Sleep(time.Minute)
+		},
+		"the chosen disk never answers": func(k *cluster, l []string) {
+			for _, v := range k.vms {
+				if d := v.disk.name; d != l[0] && d != "disk-5" {
+					k.setDisk(d, false, time.Hour)
+				}
+			}
+			if l[0] == "disk-5" {
+				k.setDisk("disk-4", false, 0)
+			}
+			time.Sleep(2 * time.Minute)
+		},
+		"another disk comes after minutes": func(k *cluster, l []string) {
+			for _, v := range k.vms {
+				if d := v.disk.name; d != l[0] {
+					k.setDisk(d, true, 0)
+				}
+			}
+			time.Sleep(3 * time.Minute)
+			k.start("d6", newDisk("disk-6"))
+			time.Sleep(recoveryTime)
+		},
+		"a disk that failed is chosen again, and fails again": func(k *cluster, l []string) {
+			k.setDisk(l[1], true, 0)
+			time.Sleep(10 * time.Second)
+			for _, v := range k.vms {
+				if d := v.disk.name; d != l[0] && d != l[1] {
+					k.setDisk(d, true, 0)
+				}
+			}
+			k.setDisk(l[1], false, 0)
+			time.Sleep(2 * time.Minute)
+			k.submit("another", 1)
+			k.setDisk(l[1], true, 0)
+			k.start("d6", newDisk("disk-6"))
+			time.Sleep(recoveryTime)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, 6, 2)
+				k.submit("lot", 20)
+				time.Sleep(time.Second)
+				var l []string
+				k.vms[k.primary("lot")].manager.withLot("lot", func(o *lot) { l = o.replicas })
+				f(k, l)
+				time.Sleep(recoveryTime)
+				k.checkComplete()
+				for _, v := range k.vms {
+					k.setDisk(v.disk.name, false, 0)
+				}
+				stop()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -43,7 +43,7 @@
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
-	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them.
+	failing         map[string]failure    // Of the replicas on these disks, all updates to which have failed lately.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
 	writes          chan struct{}         // Holds a token while the log is written, one write at a time.
@@ -56,6 +56,9 @@
 	entries  []bulrushlug.LotEntry
 }
 
+// failure is a series of failed writes without a successful one in between.
+type failure struct{ first, last time.Time }
+
 // text holds the events of one text, from the first one on.
 type text struct {
 	id     uint64
@@ -66,7 +69,7 @@
 type position struct{ text, last uint64 }
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]time.Time{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]failure{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
 }
 
 // beginWrite waits until no other write to the log is in progress; the caller calls endWrite. It fails if a write takes so long
@@ -233,21 +236,24 @@
 	return l.confirmed && l.isPrimary(d) && l.head != nil && !l.epochChanged
 }
 
-// recordAttempt records whether an update reached the replica on disk d; a replica in another epoch does not fail.
+// recordAttempt records whether an update was stored on disk d; a replica in another epoch does not fail.
 func (l *lot) recordAttempt(d string, err error) {
-	_, failing := l.failing[d]
-	switch {
-	case err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict:
+	if err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict {
 		delete(l.failing, d)
-	case !failing:
-		l.failing[d] = time.Now()
+		return
+	}
+	f, now := l.failing[d], time.Now()
+	if now.Sub(f.last) > failureLifetime {
+		f.first = now
 	}
+	f.last = now
+	l.failing[d] = f
 }
 
 // fails reports whether the replica on disk d fails for so long that another one should take its place.
 func (l *lot) fails(d string) bool {
-	t, ok := l.failing[d]
-	return ok && time.Since(t) > replicaPatience && time.Since(t) < failureLifetime
+	f, ok := l.failing[d]
+	return ok && f.last.Sub(f.first) > replicaPatience && time.Since(f.last) < failureLifetime
 }
 
 // failingDisks returns the disks whose replicas fail.
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -45,7 +45,7 @@
 	draftTimeout    = 2 * time.Second  // Age at which the record of an unconfirmed lot is read.
 	orphanTimeout   = 10 * time.Second // Age at which the log of a reconfiguration that has not written its record is given up.
 	replicaPatience = 3 * time.Second  // Time for which updates to a replica fail, although its process is alive, after which another one takes its place.
-	failureLifetime = time.Minute      // Time after which such a replica may be chosen again.
+	failureLifetime = time.Minute      // Time after the last failure at which such a replica may be chosen again.
 	probeDelay      = 2 * time.Second  // Shortest time after which a silent primary that has restarted or is new is asked for the lot.
 	noRecordTimeout = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
 	expiryDelay     = 30 * time.Second // Time after the end of its retention, and after its last result, at which a lot is dropped.
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -28,7 +28,11 @@
 		return nil
 	}
 	var failing []string
-	k.withLot(i, func(l *lot) { failing = l.failingDisks() })
+	k.withLot(i, func(l *lot) {
+		if k.canReplace(l) {
+			failing = l.failingDisks()
+		}
+	})
 	u, resumed := k.unfinishedReconfiguration(i, r, failing)
 	if !resumed {
 		if u, err = k.beginReconfiguration(i, r, k.nextReplicas(r, failing)); err != nil {
@@ -109,6 +113,7 @@
 			k.withLot(u.Lot(), func(l *lot) { l.refused = l.refused || l.sameEpoch(u) })
 			err = bulrushlug.Errorf(bulrushlug.KindConflict, "replica on disk %s follows epoch %d", d, s.Epoch())
 		}
+		k.withLot(u.Lot(), func(l *lot) { l.recordAttempt(d, err) })
 		return err
 	})
 }
