fix(lots): replicas take a lot over from a primary that can't write to its log

Callers saw: an accepted item is neither listed nor run, for as long as the process of the lot's primary lives ("left lying", LOST); or, with three replicas, a lot whose primary has ended can't be read, as the disk of the next replica fails.

The primary can't change the replicas either, as it has to promise an epoch on that disk first. All others take it for available.

Ruled out: to say so in the reports, as a process that leaves does. One file that can't be written would empty the machine, and nothing would find out that the disk works again.

Change: a process notes the failures of its own writes for each lot, as it does for those of the other replicas. In its answer to `Verify` a replica that has stored nothing for 3 s, or whose write has not ended for as long, has the length zero: it answers for what it has, but another one should act. A replica that has heard nothing about an open lot for 2 s asks those before it (2 to 4 s later, the existing probe) and takes the lot over by the usual change of replicas, if enough other disks are left. No new message, and no new order of steps: any replica may begin a change of replicas at any time. One slow write moves nothing; without another disk the primary stays, answers reads, and goes on when the disk works again.

--- a/lot.go
+++ b/lot.go
@@ -361,7 +361,7 @@
 type LotReplicaState struct {
 	ok       bool          // The replica is in the epoch of the call.
 	epoch    uint64        // Epoch of the replica; zero if it has no copy of the lot.
-	length   int           // Number of log entries on the replica.
+	length   int           // Number of log entries on the replica; zero, in an epoch, if it can't store any more.
 	progress []LotProgress // Progress of running items, if the call wanted it.
 
 	receivedAt time.Time // When the lot was received, or later; zero if unknown.
@@ -396,7 +396,7 @@
 // Epoch returns the epoch of the replica; zero if it has no copy of the lot.
 func (s LotReplicaState) Epoch() uint64 { return s.epoch }
 
-// Length returns the number of log entries on the replica.
+// Length returns the number of log entries on the replica; zero, in an epoch, if it can't store any more.
 func (s LotReplicaState) Length() int { return s.length }
 
 // LotReplicaClient calls the replicas of lots on other VMs.
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -43,7 +43,9 @@
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
-	failing         map[string]failure    // Of the replicas on these disks, all updates to which have failed lately.
+	failing         map[string]failure    // Of the replicas on these disks, all writes of which have failed lately; this disk may be one.
+	writingSince    time.Time             // When the write to this disk began that is in progress; zero if none is.
+	heardAt         time.Time             // When the last update of the primary arrived.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	changed         chan struct{}         // Closed at the next change.
 	writes          chan struct{}         // Holds a token while the log is written, one write at a time.
@@ -250,12 +252,24 @@
 	l.failing[d] = f
 }
 
+// condemn makes the replica on disk d count as failing, as it says so itself.
+func (l *lot) condemn(d string) {
+	now := time.Now()
+	l.failing[d] = failure{now.Add(-2 * replicaPatience), now}
+}
+
 // fails reports whether the replica on disk d fails for so long that another one should take its place.
 func (l *lot) fails(d string) bool {
 	f, ok := l.failing[d]
 	return ok && f.last.Sub(f.first) > replicaPatience && time.Since(f.last) < failureLifetime
 }
 
+// storesNothing reports whether all writes to disk d, which is that of this process, have failed for some time, or one has not
+// ended for so long.
+func (l *lot) storesNothing(d string) bool {
+	return l.fails(d) || !l.writingSince.IsZero() && time.Since(l.writingSince) > replicaPatience
+}
+
 // failingDisks returns the disks whose replicas fail.
 func (l *lot) failingDisks() (f []string) {
 	for d := range l.failing {
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -46,7 +46,8 @@
 	orphanTimeout   = 10 * time.Second // Age at which the log of a reconfiguration that has not written its record is given up.
 	replicaPatience = 3 * time.Second  // Time for which updates to a replica fail, although its process is alive, after which another one takes its place.
 	failureLifetime = time.Minute      // Time after the last failure at which such a replica may be chosen again.
-	probeDelay      = 2 * time.Second  // Shortest time after which a silent primary that has restarted or is new is asked for the lot.
+	probeDelay      = 2 * time.Second  // Shortest time after which a silent primary is asked for the lot.
+	silenceTimeout  = 2 * time.Second  // Time after the last update at which the primary of an open lot counts as silent; it sends two a second.
 	noRecordTimeout = 30 * time.Second // Age at which a lot without a record is dropped; late writes land within seconds.
 	expiryDelay     = 30 * time.Second // Time after the end of its retention, and after its last result, at which a lot is dropped.
 	// promotionReportTime is how long other processes are told that this disk became the primary of a lot: a few
@@ -203,7 +204,13 @@
 	if !ok || duplicate || u.Offset() > s.Length() {
 		return s, nil
 	}
-	if err := k.log.Append(u.WithProgress(nil).WithProgressWanted(false)); err != nil {
+	k.withLot(u.Lot(), func(*lot) { l.writingSince = time.Now() })
+	err := k.log.Append(u.WithProgress(nil).WithProgressWanted(false))
+	k.withLot(u.Lot(), func(*lot) {
+		l.writingSince = time.Time{}
+		l.recordAttempt(k.disk, err)
+	})
+	if err != nil {
 		return s, err
 	}
 	k.withLot(u.Lot(), func(*lot) {
@@ -239,7 +246,9 @@
 	}
 	if err == nil && s.OK() {
 		k.withLot(u.Lot(), func(l *lot) {
-			k.observePrimary(l, u.Sender())
+			if k.observePrimary(l, u.Sender()) {
+				l.heardAt = time.Now()
+			}
 			l.observeReceipt(u.ReceivedAt())
 			l.addProgress(u.Progress())
 			s = s.WithReceivedAt(l.receivedAt)
@@ -272,10 +281,17 @@
 	return l.isPrimary(u.Replicas()[0]) || time.Since(l.firstSeen) > draftTimeout
 }
 
-// Verify reports whether the replica of lot i on this disk follows epoch n.
+// Verify reports whether the replica of lot i on this disk follows epoch n. One that can't store anything follows its epoch
+// and answers for what it has, but its length is zero.
 func (k *ReplicaManager) Verify(i string, n uint64) bulrushlug.LotReplicaState {
 	var s bulrushlug.LotReplicaState
-	k.withLot(i, func(l *lot) { s = bulrushlug.NewLotReplicaState(l.epoch == n, l.epoch, len(l.entries)) })
+	k.withLot(i, func(l *lot) {
+		length := len(l.entries)
+		if l.storesNothing(k.disk) {
+			length = 0
+		}
+		s = bulrushlug.NewLotReplicaState(l.epoch == n, l.epoch, length)
+	})
 	return s
 }
 
--- a/lots/probe.go
+++ b/lots/probe.go
@@ -4,26 +4,30 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
 )
 
-// observePrimary notes that the process with disk d sent an update of l; the caller holds the lock of its shard.
-func (k *ReplicaManager) observePrimary(l *lot, d string) {
+// observePrimary notes that the process with disk d has lot l, and reports whether that is the primary; the caller holds the
+// lock of its shard.
+func (k *ReplicaManager) observePrimary(l *lot, d string) bool {
 	if !l.isPrimary(d) {
-		return
+		return false
 	}
 	if p, ok := k.peers.ByDisk(d); ok {
 		l.primaryBoot, l.probeAt = p.Boot(), time.Time{}
 	}
+	return true
 }
 
-// probeDue reports whether it is time to ask the primary of l for the lot: its process is alive, but has sent nothing
-// since it started or became the primary. The caller holds the lock of the shard.
+// probeDue reports whether it is time to ask the replicas before this one for the lot l: the process of the primary is alive, but
+// has sent nothing since it started or became the primary, or nothing lately although the lot is open; or it is not, and a
+// replica before this one has not taken the lot over. The caller holds the lock of the shard.
 func (k *ReplicaManager) probeDue(l *lot) bool {
 	p, ok := k.peers.ByDisk(l.replicas[0])
-	if !ok || !p.Alive() || p.Boot() == l.primaryBoot {
+	if ok && p.Alive() && p.Boot() == l.primaryBoot && (l.finished() || time.Since(l.heardAt) < silenceTimeout) {
 		l.probeAt = time.Time{}
 		return false
 	}
@@ -33,10 +37,11 @@
 	return time.Now().After(l.probeAt)
 }
 
-// probe asks the replicas of lot i before this one for the lot, and takes it over if none of them has it.
+// probe asks the replicas of lot i before this one for the lot, and takes it over if none of them has it, or can store anything
+// while other disks may.
 func (k *ReplicaManager) probe(c context.Context, i string) error {
 	var epoch uint64
-	var before []string
+	var before, failing []string
 	k.withLot(i, func(l *lot) {
 		epoch, before = l.epoch, l.replicas[:max(0, slices.Index(l.replicas, k.disk))]
 		l.probeAt = time.Time{}
@@ -52,6 +57,17 @@
 		if s.Epoch() == 0 {
 			continue
 		}
+		if s.OK() && s.Length() == 0 {
+			replaceable := false
+			k.withLot(i, func(l *lot) {
+				l.condemn(d)
+				replaceable = k.canReplace(l)
+			})
+			if replaceable {
+				failing = append(failing, d)
+				continue
+			}
+		}
 		k.withLot(i, func(l *lot) {
 			if l.epochChanged = l.epochChanged || s.Epoch() != epoch; l.epoch == epoch && n == 0 {
 				k.observePrimary(l, d)
@@ -59,7 +75,7 @@
 		})
 		return nil
 	}
-	_ = k.logger.Log("event", "lotLostByPrimary", "lot", i, "epoch", epoch)
+	_ = k.logger.Log("event", "lotLostByPrimary", "lot", i, "epoch", epoch, "storesNothing", strings.Join(failing, ","))
 	return k.reconfigure(c, i)
 }
 
