--- a/lots/lot.go
+++ b/lots/lot.go
@@ -3,13 +3,12 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
 )
 
-// lot is the replica of one lot on this disk; the lock of its shard guards all fields but writeMu.
+// lot is the replica of one lot on this disk; the lock of its shard guards all fields but writes.
 type lot struct {
 	id              string
 	head            *bulrushlug.Lot // Nil only until the first entry is synced.
@@ -44,14 +43,15 @@
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
-	failing         map[string]time.Time  // Since when updates to the replicas on these disks have failed, all of them; begins anew after failureLifetime.
+	failing         map[string]failure    // Of the replicas on these disks, all writes of which have failed lately; this disk may be one.
+	writingSince    time.Time             // When the write to this disk began that is in progress; zero if none is.
+	heardAt         time.Time             // When the last update of the primary arrived.
 	ackedBoots      []uint64              // Starts of the replicas' processes that acknowledged it; a process that restarts has lost it.
 	taskErr         error                 // The last error of a task; nil for none.
 	taskErrAt       time.Time             // When that was.
-	heardAt         time.Time             // Last time at which the primary sent an update.
 	unservedLogged  time.Time             // Last line on it as a lot for which no primary acts.
 	changed         chan struct{}         // Closed at the next change.
-	writeMu         sync.Mutex            // Serializes writes to the log.
+	writes          chan struct{}         // Holds a token while the log is written, one write at a time.
 }
 
 // formerLog is the log that the disk had in an earlier epoch.
@@ -61,6 +61,9 @@
 	entries  []bulrushlug.LotEntry
 }
 
+// failure is a series of failed writes without a successful one in between.
+type failure struct{ first, last time.Time }
+
 // text holds the events of one text, from the first one on.
 type text struct {
 	id     uint64
@@ -71,9 +74,24 @@
 type position struct{ text, last uint64 }
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]time.Time{}, changed: make(chan struct{}), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]failure{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
+}
+
+// beginWrite waits until no other write to the log is in progress; the caller calls endWrite. It fails if a write takes so long
+// that the process from which a call comes has given the call up.
+func (l *lot) beginWrite() error {
+	t := time.NewTimer(logTransferTimeout)
+	defer t.Stop()
+	select {
+	case l.writes <- struct{}{}:
+		return nil
+	case <-t.C:
+		return bulrushlug.Errorf(bulrushlug.KindStorage, "lot %s: a write to the log has not ended after %v", l.id, logTransferTimeout)
+	}
 }
 
+func (l *lot) endWrite() { <-l.writes }
+
 // notify wakes all goroutines that wait for a change.
 func (l *lot) notify() {
 	close(l.changed)
@@ -223,21 +241,36 @@
 	return l.confirmed && l.isPrimary(d) && l.head != nil && !l.epochChanged
 }
 
-// recordAttempt records whether an update reached the replica on disk d; a replica in another epoch does not fail.
+// recordAttempt records whether an update was stored on disk d; a replica in another epoch does not fail.
 func (l *lot) recordAttempt(d string, err error) {
-	t, failing := l.failing[d]
-	switch {
-	case err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict:
+	if err == nil || bulrushlug.KindOf(err) == bulrushlug.KindConflict {
 		delete(l.failing, d)
-	case !failing || time.Since(t) >= failureLifetime:
-		l.failing[d] = time.Now()
+		return
 	}
+	f, now := l.failing[d], time.Now()
+	if now.Sub(f.last) > failureLifetime {
+		f.first = now
+	}
+	f.last = now
+	l.failing[d] = f
+}
+
+// condemn makes the replica on disk d count as failing, as it says so itself.
+func (l *lot) condemn(d string) {
+	now := time.Now()
+	l.failing[d] = failure{now.Add(-2 * replicaPatience), now}
 }
 
 // fails reports whether the replica on disk d fails for so long that another one should take its place.
 func (l *lot) fails(d string) bool {
-	t, ok := l.failing[d]
-	return ok && time.Since(t) > replicaPatience && time.Since(t) < failureLifetime
+	f, ok := l.failing[d]
+	return ok && f.last.Sub(f.first) > replicaPatience && time.Since(f.last) < failureLifetime
+}
+
+// storesNothing reports whether all writes to disk d, which is that of this process, have failed for some time, or one has not
+// ended for so long.
+func (l *lot) storesNothing(d string) bool {
+	return l.fails(d) || !l.writingSince.IsZero() && time.Since(l.writingSince) > replicaPatience
 }
 
 // failingDisks returns the disks whose replicas fail.
