--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -236,17 +236,22 @@
 }
 
 func newSystemWith(c context.Context, status map[string][]int, d bulrushlug.PoisonDetector) *system {
+	return newSystemOf(c, status, d, prompt)
+}
+
+// newSystemOf returns a system whose items have the prompts that p returns.
+func newSystemOf(c context.Context, status map[string][]int, d bulrushlug.PoisonDetector, p func(string, []bulrushlug.Field) bulrushlug.Prompt) *system {
 	s := &system{server: &server{status: status, runs: map[string]int{}, resume: map[string][]uint64{}}, routes: &routes{}}
 	s.routes.set(bulrushlug.NewChange("1", "t", bulrushlug.NewRoute("r", "/", false, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)),
 		bulrushlug.RouteTraffic(bulrushlug.TrafficLot, true, false), bulrushlug.RouteLimits(3, 2, 0), bulrushlug.RouteLots(18*time.Second, time.Minute))))
 	m := memtxn.New()
-	p := peers.New(bulrushlug.NewMember("d", "d", "r", "z", "data"), 1, "disk", m, "vm/", time.Second, log.NewNopLogger())
+	v := peers.New(bulrushlug.NewMember("d", "d", "r", "z", "data"), 1, "disk", m, "vm/", time.Second, log.NewNopLogger())
 	s.table = slots.New("d", func() []string { return nil })
 	s.table.Update([]bulrushlug.Backend{bulrushlug.NewBackend("b", "s", "h:1", bulrushlug.BackendZoneSlots("z", 4))})
-	s.manager = lots.New(discardLog{}, nil, m, "lot/", p, log.NewNopLogger(), lots.WithReplicationFactor(1), lots.WithRetention(time.Hour), lots.WithWorkCallback(func() { s.runner.Wake() }))
+	s.manager = lots.New(discardLog{}, nil, m, "lot/", v, log.NewNopLogger(), lots.WithReplicationFactor(1), lots.WithRetention(time.Hour), lots.WithWorkCallback(func() { s.runner.Wake() }))
 	s.lines = &lineCount{}
 	s.counts = new(expvar.Map).Init()
-	s.runner = New(s.manager, s.table, s.server, s.routes, d, prompt, guard.New(s.lines), s.lines, s.counts, memory.New(1<<30))
+	s.runner = New(s.manager, s.table, s.server, s.routes, d, p, guard.New(s.lines), s.lines, s.counts, memory.New(1<<30))
 	go func() { _ = s.manager.Run(c) }()
 	go func() { _ = s.runner.Run(c) }()
 	return s
@@ -260,6 +265,18 @@
 	return s.manager.Submit(c, bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), l))
 }
 
+// ownField names a header field with the last part of the prompt of an item.
+const ownField = "own"
+
+// submitOwn submits a lot of n items, each with a last part of its own.
+func (s *system) submitOwn(c context.Context, n int) error {
+	var l []bulrushlug.LotItem
+	for i := range n {
+		l = append(l, bulrushlug.NewLotItem(fmt.Sprint("i", i), "/p", []bulrushlug.Field{bulrushlug.NewField(ownField, fmt.Sprint("own-", i))}, nil))
+	}
+	return s.manager.Submit(c, bulrushlug.NewLot("lot", "o", "r", "h", time.Now(), l))
+}
+
 // listed returns the results of the lot by item.
 func (s *system) listed(t *testing.T) map[string]string {
 	t.Helper()
