feat(codec): reports tell of servers that ended, of tests, and of the address and the company of each crash

The processes need them to weigh a crash against the servers that ended without the part, to tell machines apart, and to test a part once for all. Values are numbers, and ages in place of times. Nothing sends or reads them yet.

--- a/codec/report.go
+++ b/codec/report.go
@@ -33,6 +33,9 @@
 	for _, x := range r.Suspects() {
 		w.Suspects = append(w.Suspects, encodeSuspect(x))
 	}
+	for _, x := range r.ServerEnds() {
+		w.ServerEnds = append(w.ServerEnds, &wire.ServerEnd{Server: x.Server(), AgeMs: milliseconds(x.Age())})
+	}
 	for _, b := range r.Leaving() {
 		w.LeavingServers = append(w.LeavingServers, &wire.LeavingServer{Id: b.ID(), Service: b.Service(), Address: b.Address(), StartMs: b.StartTime()})
 	}
@@ -55,37 +58,49 @@
 	for _, x := range w.Suspects {
 		p = append(p, decodeSuspect(x))
 	}
+	var e []bulrushlug.ServerEnd
+	for _, x := range w.ServerEnds {
+		e = append(e, bulrushlug.NewServerEnd(x.Server, time.Duration(x.AgeMs)*time.Millisecond))
+	}
 	var l []bulrushlug.Backend
 	for _, x := range w.LeavingServers {
 		l = append(l, bulrushlug.NewBackend(x.Id, x.Service, x.Address, bulrushlug.BackendStart(x.StartMs, 0)))
 	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeenRevisions(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
 		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed), bulrushlug.ReportSuspects(p),
-		bulrushlug.ReportLeaving(l))
+		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l))
 }
 
 func encodeSuspect(x bulrushlug.Suspect) *wire.Suspect {
 	w := &wire.Suspect{Scope: x.Scope(), Part: x.Part(), Own: x.Own()}
 	for _, y := range x.Crashes() {
-		w.Crashes = append(w.Crashes, &wire.Crash{Server: y.Server(), Request: y.Request(), AgeMs: milliseconds(y.Age())})
+		w.Crashes = append(w.Crashes, &wire.Crash{Server: y.Server(), Address: y.Address(), Request: y.Request(), Others: y.Others(), AgeMs: milliseconds(y.Age())})
 	}
 	if d, ok := x.Success(); ok {
 		n := milliseconds(d)
 		w.SuccessMs = &n
 	}
+	if d, ok := x.Tested(); ok {
+		n := milliseconds(d)
+		w.TestedMs = &n
+	}
 	return w
 }
 
 func decodeSuspect(w *wire.Suspect) bulrushlug.Suspect {
 	var l []bulrushlug.Crash
 	for _, y := range w.Crashes {
-		l = append(l, bulrushlug.NewCrash(y.Server, y.Request, time.Duration(y.AgeMs)*time.Millisecond))
+		l = append(l, bulrushlug.NewCrash(y.Server, y.Address, y.Request, y.Others, time.Duration(y.AgeMs)*time.Millisecond))
 	}
 	d := time.Duration(-1)
 	if w.SuccessMs != nil {
 		d = time.Duration(*w.SuccessMs) * time.Millisecond
 	}
-	return bulrushlug.NewSuspect(w.Scope, w.Part, w.Own, l, d)
+	x := bulrushlug.NewSuspect(w.Scope, w.Part, w.Own, l, d)
+	if w.TestedMs != nil {
+		x = x.WithTest(time.Duration(*w.TestedMs) * time.Millisecond)
+	}
+	return x
 }
 
 // milliseconds returns d in whole milliseconds, within the range of its type.
--- a/codec/report_test.go
+++ b/codec/report_test.go
@@ -15,8 +15,10 @@
 func TestReportSuspects(t *testing.T) {
 	for name, l := range map[string][]bulrushlug.Suspect{
 		"none":       nil,
-		"crashes":    {bulrushlug.NewSuspect(1<<63, 2, true, []bulrushlug.Crash{bulrushlug.NewCrash(3, 4, 5*time.Second), bulrushlug.NewCrash(6, 7, 0)}, -1)},
+		"crashes":    {bulrushlug.NewSuspect(1<<63, 2, true, []bulrushlug.Crash{bulrushlug.NewCrash(3, 4, 1<<63, 5, 6*time.Second), bulrushlug.NewCrash(7, 8, 9, 0, 0)}, -1)},
 		"a success":  {bulrushlug.NewSuspect(1, 2, false, nil, time.Minute)},
+		"a test":     {bulrushlug.NewSuspect(1, 2, false, nil, -1).WithTest(time.Second)},
+		"a test now": {bulrushlug.NewSuspect(1, 2, false, nil, time.Second).WithTest(0)},
 		"just begun": {bulrushlug.NewSuspect(1, 2, false, nil, 0)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -28,6 +30,21 @@
 	}
 }
 
+// TestReportServerEnds encodes and decodes the servers that ended.
+func TestReportServerEnds(t *testing.T) {
+	for name, l := range map[string][]bulrushlug.ServerEnd{
+		"none":    nil,
+		"several": {bulrushlug.NewServerEnd(1<<63, 5*time.Second), bulrushlug.NewServerEnd(2, 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := bulrushlug.NewReport(bulrushlug.NewMember("v", "h:1", "", "z", "entry"), 1, 2, bulrushlug.ReportServerEnds(l))
+			if got := DecodeReport(EncodeReport(r)).ServerEnds(); !reflect.DeepEqual(got, l) {
+				t.Errorf("ends %+v, not %+v", got, l)
+			}
+		})
+	}
+}
+
 // TestReportOfLeavingServers checks that the receiver of a report recognises the runs of servers that it names.
 func TestReportOfLeavingServers(t *testing.T) {
 	zone := bulrushlug.BackendZoneSlots("z", 8)
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -136,7 +136,7 @@
 func (p *suspect) report(k key, now time.Time) bulrushlug.Suspect {
 	var l []bulrushlug.Crash
 	for _, x := range p.crashes {
-		l = append(l, bulrushlug.NewCrash(x.server, x.request, now.Sub(x.at)))
+		l = append(l, bulrushlug.NewCrash(x.server, 0, x.request, 0, now.Sub(x.at)))
 	}
 	d := time.Duration(-1)
 	if !p.ownSuccess.IsZero() {
--- a/report.go
+++ b/report.go
@@ -59,6 +59,7 @@
 	forwardTo        []string  // Addresses of processes that the sender does not hear from; the receiver relays the report to them.
 	relayed          bool      // The report was relayed by another process.
 	suspects         []Suspect // Parts of prompts on which servers may have ended.
+	serverEnds       []ServerEnd
 	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
 }
 
@@ -107,6 +108,9 @@
 // ReportRelayed sets whether the report is relayed by another process.
 func ReportRelayed(v bool) ReportOption { return func(r *Report) { r.relayed = v } }
 
+// ReportServerEnds sets the backend servers that ended lately.
+func ReportServerEnds(l []ServerEnd) ReportOption { return func(r *Report) { r.serverEnds = l } }
+
 // ReportSuspects sets the parts of prompts on which servers may have ended.
 func ReportSuspects(l []Suspect) ReportOption { return func(r *Report) { r.suspects = l } }
 
@@ -156,6 +160,9 @@
 // Lots returns the lots of which the process recently became the primary.
 func (r Report) Lots() []string { return r.lots }
 
+// ServerEnds returns the backend servers that ended lately.
+func (r Report) ServerEnds() []ServerEnd { return r.serverEnds }
+
 // Suspects returns the parts of prompts on which servers may have ended.
 func (r Report) Suspects() []Suspect { return r.suspects }
 
--- a/suspect.go
+++ b/suspect.go
@@ -8,18 +8,27 @@
 // Crash is a backend server that ended as it began to respond to a request; values are immutable.
 type Crash struct {
 	server  uint64        // Hash of the server's identifier and start time.
+	address uint64        // Hash of the server's address.
 	request uint64        // Hash of the last part of the request's prompt.
+	others  uint32        // Servers that ended at the same time without the part.
 	age     time.Duration // Time since the crash.
 }
 
-// NewCrash returns a crash of the given server by the given request, d ago.
-func NewCrash(server, request uint64, d time.Duration) Crash {
-	return Crash{server: server, request: request, age: d}
+// NewCrash returns a crash of the given server at the given address by the given request, d ago, beside which that many
+// others ended without the part.
+func NewCrash(server, address, request uint64, others uint32, d time.Duration) Crash {
+	return Crash{server: server, address: address, request: request, others: others, age: d}
 }
 
 // Server returns the hash of the server's identifier and start time.
 func (x Crash) Server() uint64 { return x.server }
 
+// Address returns the hash of the server's address.
+func (x Crash) Address() uint64 { return x.address }
+
+// Others returns the number of servers that ended at the same time without the part, as far as the sender knows.
+func (x Crash) Others() uint32 { return x.others }
+
 // Request returns the hash of the last part of the request's prompt.
 func (x Crash) Request() uint64 { return x.request }
 
@@ -33,12 +42,13 @@
 	own     bool          // The part is the last one, which belongs to a single request or session.
 	crashes []Crash       // Crashes since the last success.
 	success time.Duration // Time since a response to a prompt with the part began at the process; negative if none is known.
+	tested  time.Duration // Time since the last known test; negative if none is known.
 }
 
 // NewSuspect returns what is known of a part of prompts in the given scope; own means that it is the last one. The success
 // is d ago, and negative means that none is known.
 func NewSuspect(scope, part uint64, own bool, l []Crash, d time.Duration) Suspect {
-	return Suspect{scope: scope, part: part, own: own, crashes: l, success: d}
+	return Suspect{scope: scope, part: part, own: own, crashes: l, success: d, tested: -1}
 }
 
 // Scope returns the scope of the prompts.
@@ -57,6 +67,15 @@
 // known.
 func (s Suspect) Success() (time.Duration, bool) { return s.success, s.success >= 0 }
 
+// WithTest returns a copy of which a test is known, a request with the part that a process let through d ago.
+func (s Suspect) WithTest(d time.Duration) Suspect {
+	s.tested = d
+	return s
+}
+
+// Tested returns the time since the last known test, and false if none is known.
+func (s Suspect) Tested() (time.Duration, bool) { return s.tested, s.tested >= 0 }
+
 // PoisonDetector finds parts of prompts on which backend servers end, and keeps requests with them from further ones.
 type PoisonDetector interface {
 	// Check fails with KindQuarantined if requests with the prompt p must not be sent to a server.
