fix(poison): one machine that ends three times is one server

Cause: a server was told apart by identifier and start, so a machine that goes down and up counted again each time, and convicted what waited there. Ruled out: the restart itself, as repeats of one start were not counted before. Change: the verdict counts addresses; what tells crashes apart is still the start, so repeated reports make none newer. Callers saw 503 and items waited for a minute or more because of one machine.

--- a/poison/detector.go
+++ b/poison/detector.go
@@ -95,7 +95,7 @@
 	d.counters.Add("serverCrashes", 1)
 	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
 	now := time.Now()
-	d.apply(now, d.shard(p.Scope()).suspect(p, server, now))
+	d.apply(now, d.shard(p.Scope()).suspect(p, server, xxhash.Sum64String(b.Address()), now))
 	d.changed()
 }
 
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -86,14 +86,14 @@
 	return outcome{true, s.evaluate(now)}
 }
 
-// suspect records that a server ended as it began to respond to p.
-func (s *shard) suspect(p bulrushlug.Prompt, server uint64, now time.Time) outcome {
+// suspect records that a server at the given address ended as it began to respond to p.
+func (s *shard) suspect(p bulrushlug.Prompt, server, address uint64, now time.Time) outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := p.Parts()
 	last := len(l) - 1
 	for i, x := range l {
-		s.find(key{p.Scope(), x}, i == last).add(crash{server, l[last], now}, now)
+		s.find(key{p.Scope(), x}, i == last).add(crash{server, address, l[last], now}, now)
 	}
 	return outcome{true, s.evaluate(now)}
 }
@@ -116,7 +116,7 @@
 			changed = q.succeed(now.Add(-d)) || changed
 		}
 		for _, y := range x.Crashes() {
-			changed = q.add(crash{y.Server(), y.Request(), now.Add(-y.Age())}, now) || changed
+			changed = q.add(crash{y.Server(), y.Address(), y.Request(), now.Add(-y.Age())}, now) || changed
 		}
 	}
 	if !changed {
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -35,7 +35,8 @@
 
 // crash is the end of a server as it began to respond to a request.
 type crash struct {
-	server  uint64
+	server  uint64 // Hash of its identifier and start time.
+	address uint64
 	request uint64
 	at      time.Time
 }
@@ -83,11 +84,11 @@
 	p.crashes = slices.DeleteFunc(p.crashes, func(x crash) bool { return now.Sub(x.at) > crashLifetime })
 }
 
-// counts returns the numbers of servers that ended and of requests on which they did.
+// counts returns the numbers of servers that ended, by address, and of requests on which they did.
 func (p *suspect) counts() (servers, requests int) {
 	s, r := map[uint64]bool{}, map[uint64]bool{}
 	for _, x := range p.crashes {
-		s[x.server], r[x.request] = true, true
+		s[x.address], r[x.request] = true, true
 	}
 	return len(s), len(r)
 }
@@ -136,7 +137,7 @@
 func (p *suspect) report(k key, now time.Time) bulrushlug.Suspect {
 	var l []bulrushlug.Crash
 	for _, x := range p.crashes {
-		l = append(l, bulrushlug.NewCrash(x.server, 0, x.request, 0, now.Sub(x.at)))
+		l = append(l, bulrushlug.NewCrash(x.server, x.address, x.request, 0, now.Sub(x.at)))
 	}
 	d := time.Duration(-1)
 	if !p.ownSuccess.IsZero() {
