fix(poison): a crash is weighed against the servers that end at the same time without the part

Cause: each request that had not begun on a server that ended was evidence against all parts of its prompt, whatever else ended. Of two fifths of a fleet that end together, any part that a few waiting requests share collects three servers at once. Change: a crash has the weight 1/(1+m), m the servers that ended within half a second of it with no request with the part waiting, and a part is convicted by a weight of three. Ends of servers whose responses had begun are noted too, travel in the reports, and share one check a server. The line quarantine has weight and others. Callers saw 503 for a minute or more, and items of lots waited beyond their due time.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -218,6 +218,7 @@
 		bulrushlug.ReportSeenRevisions(s.operatorMirror.NewestRevision(), s.backendMirror.NewestRevision()),
 		bulrushlug.ReportUsages(s.slotTable.Usages()),
 		bulrushlug.ReportStoreLost(s.storeLost()),
+		bulrushlug.ReportServerEnds(s.detector.ServerEnds()),
 		bulrushlug.ReportSuspects(s.detector.Suspects()),
 		bulrushlug.ReportLeaving(s.slotTable.Leaving()),
 	}
@@ -248,6 +249,7 @@
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
+	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(r)
 	s.roleHandler.handleReport(r)
@@ -269,6 +271,7 @@
 		return
 	}
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
+	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(*r)
 	s.observeRevisions(*r)
--- a/items/run.go
+++ b/items/run.go
@@ -148,8 +148,12 @@
 	defer e.Close()
 	n, err := r.receive(h, x, s.Backend(), q, e, t)
 	if err != nil {
-		if n < begunEvents && c.Err() == nil {
+		switch {
+		case c.Err() != nil:
+		case n < begunEvents:
 			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+		case !errors.Is(err, bulrushlug.ErrOversized):
+			r.detector.RecordEnded(c, s.Backend())
 		}
 		return 0, err
 	}
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -196,6 +196,7 @@
 func (noDetector) Check(bulrushlug.Prompt) error                                       { return nil }
 func (noDetector) RecordBegun(bulrushlug.Prompt)                                       {}
 func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {}
+func (noDetector) RecordEnded(context.Context, bulrushlug.Backend)                     {}
 
 // tokensField names a header field with the most tokens of a response.
 const tokensField = "tokens"
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -37,21 +37,21 @@
 
 // Detector holds the suspected parts of prompts, sharded by the scope of the prompts: parts of one scope are compared.
 type Detector struct {
-	refuses  func(c context.Context, address string) bool // Reports whether an address refuses connections.
-	changed  func()                                       // Called when this process has found a crash.
+	changed  func() // Called when this process has found a crash.
 	logger   log.Logger
 	counters *expvar.Map
 	// changedAt is the Unix time in nanoseconds of the last change of what is known of a part; zero for none.
 	changedAt atomic.Int64
+	ends      ends
 	shards    [shardCount]shard
 }
 
 // New returns a detector without suspects. A server that refuses connections according to r has ended; f is called when
 // this process has found a crash, so that it can tell others.
 func New(r func(c context.Context, address string) bool, f func(), l log.Logger, counters *expvar.Map) *Detector {
-	d := &Detector{refuses: r, changed: f, logger: l, counters: counters}
+	d := &Detector{changed: f, logger: l, counters: counters, ends: ends{refuses: r, probes: map[uint64]*probe{}}}
 	for i := range d.shards {
-		d.shards[i].suspects = map[key]*suspect{}
+		d.shards[i].suspects, d.shards[i].ends = map[key]*suspect{}, &d.ends
 	}
 	return d
 }
@@ -65,7 +65,8 @@
 		return nil
 	}
 	now := time.Now()
-	part, until := s.quarantined(p, now)
+	part, until, l := s.quarantined(p, now)
+	d.log(l)
 	if until.IsZero() {
 		return nil
 	}
@@ -84,21 +85,43 @@
 
 // RecordBroken suspects the parts of p if server b has ended. A connection that breaks while b goes on is no evidence.
 func (d *Detector) RecordBroken(c context.Context, b bulrushlug.Backend, p bulrushlug.Prompt) {
-	if len(p.Parts()) == 0 {
-		return
-	}
-	c, stop := context.WithTimeout(c, probeTimeout)
-	defer stop()
-	if !d.refuses(c, b.Address()) {
+	server, ok := d.recordEnd(c, b)
+	if !ok || len(p.Parts()) == 0 {
 		return
 	}
 	d.counters.Add("serverCrashes", 1)
-	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
 	now := time.Now()
 	d.apply(now, d.shard(p.Scope()).suspect(p, server, xxhash.Sum64String(b.Address()), now))
 	d.changed()
 }
 
+// RecordEnded notes the end of server b, if it has ended, for the verdict on parts with which other servers ended. It goes
+// out with the next report.
+func (d *Detector) RecordEnded(c context.Context, b bulrushlug.Backend) { d.recordEnd(c, b) }
+
+// recordEnd returns the hash of server b, and whether it has ended.
+func (d *Detector) recordEnd(c context.Context, b bulrushlug.Backend) (uint64, bool) {
+	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
+	if !d.ends.probe(c, server, b.Address()) {
+		return 0, false
+	}
+	now := time.Now()
+	d.ends.add(server, now, true, now)
+	return server, true
+}
+
+// ServerEnds returns the servers that ended lately, for the next report of this process.
+func (d *Detector) ServerEnds() []bulrushlug.ServerEnd { return d.ends.report(time.Now()) }
+
+// MergeServerEnds adds the ends that another process reported. They come before what it reported of parts, so that these
+// are weighed against them.
+func (d *Detector) MergeServerEnds(l []bulrushlug.ServerEnd) {
+	now := time.Now()
+	for _, x := range l {
+		d.ends.add(x.Server(), now.Add(-x.Age()), false, now)
+	}
+}
+
 // Suspects returns what the next report of this process says of suspected parts: what changed lately, and from time to
 // time the parts with conclusive evidence, from which a process that restarted learns. Of too many it has those with the
 // most crashes, and those with the latest news.
@@ -171,7 +194,7 @@
 	for _, x := range l {
 		if x.quarantine > 0 {
 			d.counters.Add("quarantines", 1)
-			_ = d.logger.Log("event", "quarantine", "part", strconv.FormatUint(x.part, 16), "servers", x.servers, "requests", x.requests, "alternatives", x.alternatives, "for", x.quarantine)
+			_ = d.logger.Log("event", "quarantine", "part", strconv.FormatUint(x.part, 16), "servers", x.servers, "requests", x.requests, "alternatives", x.alternatives, "weight", strconv.FormatFloat(x.weight, 'f', 2, 64), "others", x.others, "for", x.quarantine)
 			continue
 		}
 		_ = d.logger.Log("event", "quarantineEnded", "part", strconv.FormatUint(x.part, 16))
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -23,6 +23,8 @@
 	suspects  map[key]*suspect
 	size      atomic.Int64 // Number of suspects; written under mu.
 	evaluated time.Time    // Last call of evaluate.
+	ends      *ends
+	weighed   int64 // Version of ends at the last call of evaluate.
 }
 
 type key struct{ scope, part uint64 }
@@ -34,6 +36,8 @@
 	servers      int           // Servers that ended on the part.
 	requests     int           // Requests with the part on which they did.
 	alternatives int           // Other parts that may be at fault instead.
+	weight       float64       // Weight of the crashes.
+	others       int           // Most servers that ended together with one of them without the part.
 }
 
 // outcome is the outcome of new evidence.
@@ -44,9 +48,12 @@
 
 // quarantined returns a part of p for which p is held back and the time until it is, which is zero if there is none. After
 // a quarantine one request passes in each probeInterval, until the part is cleared or a further server ends.
-func (s *shard) quarantined(p bulrushlug.Prompt, now time.Time) (part uint64, until time.Time) {
+func (s *shard) quarantined(p bulrushlug.Prompt, now time.Time) (part uint64, until time.Time, l []change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.weighed != s.ends.version.Load() {
+		l = s.evaluate(now)
+	}
 	lacks := func(y uint64) bool { return !slices.Contains(p.Parts(), y) }
 	var probed []*suspect
 	for _, x := range p.Parts() {
@@ -66,7 +73,7 @@
 			q.nextProbe = now.Add(probeInterval)
 		}
 	}
-	return part, until
+	return part, until, l
 }
 
 // clear records that a server began to respond to p.
@@ -93,7 +100,7 @@
 	l := p.Parts()
 	last := len(l) - 1
 	for i, x := range l {
-		s.find(key{p.Scope(), x}, i == last).add(crash{server, address, l[last], now}, now)
+		s.find(key{p.Scope(), x}, i == last).add(crash{server: server, address: address, request: l[last], at: now}, now)
 	}
 	return outcome{true, s.evaluate(now)}
 }
@@ -116,7 +123,7 @@
 			changed = q.succeed(now.Add(-d)) || changed
 		}
 		for _, y := range x.Crashes() {
-			changed = q.add(crash{y.Server(), y.Address(), y.Request(), now.Add(-y.Age())}, now) || changed
+			changed = q.add(reported(y, now), now) || changed
 		}
 	}
 	if !changed {
@@ -125,6 +132,15 @@
 	return outcome{true, s.evaluate(now)}
 }
 
+// reported returns a crash that another process reported. Of an old one, the ends beside it are not reported any more.
+func reported(y bulrushlug.Crash, now time.Time) crash {
+	x := crash{server: y.Server(), address: y.Address(), request: y.Request(), at: now.Add(-y.Age()), others: int(y.Others()), settled: y.Age() > spreadTime}
+	if x.address == 0 {
+		x.address = x.server
+	}
+	return x
+}
+
 // find returns the suspect k, which is new if there is none. If there is no room for it, the one whose last crash is the
 // oldest goes.
 func (s *shard) find(k key, own bool) *suspect {
@@ -162,10 +178,11 @@
 		}
 	}
 	s.size.Store(int64(len(s.suspects)))
-	s.evaluated = now
+	s.evaluated, s.weighed = now, s.ends.version.Load()
 	for k, p := range s.suspects {
 		was := p.quarantined
 		p.until, p.alternatives = time.Time{}, nil
+		p.weigh(s.ends, now)
 		if p.conclusive() {
 			p.until, p.alternatives = p.quarantineEnd(), s.alternatives(k, p)
 		}
@@ -173,7 +190,8 @@
 		switch {
 		case p.quarantined && !was:
 			n, r := p.counts()
-			l = append(l, change{part: k.part, quarantine: p.until.Sub(now), servers: n, requests: r, alternatives: len(p.alternatives)})
+			w, o := p.weight()
+			l = append(l, change{part: k.part, quarantine: p.until.Sub(now), servers: n, requests: r, alternatives: len(p.alternatives), weight: w, others: o})
 		case was && !p.quarantined:
 			l = append(l, change{part: k.part})
 		}
@@ -196,7 +214,7 @@
 func (s *shard) report(now time.Time, conclusive bool) (l []bulrushlug.Suspect, c []change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.evaluated) >= evaluationInterval {
+	if now.Sub(s.evaluated) >= evaluationInterval || s.weighed != s.ends.version.Load() {
 		c = s.evaluate(now)
 	}
 	for k, p := range s.suspects {
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -8,7 +9,7 @@
 )
 
 const (
-	minServers  = 3  // Servers that end on a part before it is quarantined.
+	minServers  = 3  // Servers that end on a part before it is quarantined, each counted by the weight of its crash.
 	minRequests = 2  // Requests with a shared part on which they end; retries of one request are no evidence against what it shares with others.
 	maxCrashes  = 16 // Crashes that are kept of a part.
 	// minQuarantine is the time from the last crash until requests with a part are tried again. It doubles with each crash
@@ -28,6 +29,8 @@
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
 	until       time.Time // End of the quarantine, which may have passed; zero if too few servers ended.
 	nextProbe   time.Time // Time of the next request with the part after the quarantine; passed or zero if it may come now.
+	// met has the servers that ended in the last endLifetime while a request with the part had not begun, at most maxEnds.
+	met map[uint64]time.Time
 	// alternatives are the other parts on which each of the servers ended as well. A request without one of them tells
 	// which of them is at fault: it ends a server, or clears the part.
 	alternatives []uint64
@@ -39,11 +42,18 @@
 	address uint64
 	request uint64
 	at      time.Time
+	others  int  // Servers that ended together with it without the part.
+	settled bool // others is what another process found.
 }
 
+// weight is the part of the blame for the end of the server that the crash puts on the part: the more servers ended at the
+// same time without it, the less.
+func (x crash) weight() float64 { return 1 / float64(1+x.others) }
+
 // add adds x, unless it is known, came before the last success or is too old, or enough requests that broke with the same
 // server are known; it reports whether it did. If there is no room for x, the oldest crash goes.
 func (p *suspect) add(x crash, now time.Time) bool {
+	p.meet(x, now)
 	if !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
 		return false
 	}
@@ -68,6 +78,35 @@
 	return true
 }
 
+// meet notes that a request with the part had not begun at the server of x.
+func (p *suspect) meet(x crash, now time.Time) {
+	if _, ok := p.met[x.server]; ok || now.Sub(x.at) > endLifetime || len(p.met) >= maxEnds {
+		return
+	}
+	if p.met == nil {
+		p.met = map[uint64]time.Time{}
+	}
+	p.met[x.server] = x.at
+}
+
+// weigh counts the servers that ended together with each crash without the part. A crash keeps its last count once the ends
+// of its time are forgotten.
+func (p *suspect) weigh(e *ends, now time.Time) {
+	for i := range p.crashes {
+		x := &p.crashes[i]
+		if x.settled || now.Sub(x.at) > endLifetime-togetherTime {
+			continue
+		}
+		n := e.together(x.at)
+		for _, t := range p.met {
+			if t.Sub(x.at).Abs() <= togetherTime {
+				n--
+			}
+		}
+		x.others = max(0, n)
+	}
+}
+
 // succeed records a success at time t, which clears the crashes before it, and reports whether there were any.
 func (p *suspect) succeed(t time.Time) bool {
 	if !t.After(p.success) {
@@ -82,6 +121,7 @@
 // expire forgets crashes that are too old.
 func (p *suspect) expire(now time.Time) {
 	p.crashes = slices.DeleteFunc(p.crashes, func(x crash) bool { return now.Sub(x.at) > crashLifetime })
+	maps.DeleteFunc(p.met, func(_ uint64, t time.Time) bool { return now.Sub(t) > endLifetime })
 }
 
 // counts returns the numbers of servers that ended, by address, and of requests on which they did.
@@ -93,13 +133,28 @@
 	return len(s), len(r)
 }
 
-// conclusive reports whether enough servers ended on the part to hold requests with it back.
+// weight returns the weight of the crashes, one of each address, and the most servers that ended together with one of them
+// without the part.
+func (p *suspect) weight() (w float64, others int) {
+	m := map[uint64]float64{}
+	for _, x := range p.crashes {
+		m[x.address] = max(m[x.address], x.weight())
+		others = max(others, x.others)
+	}
+	for _, x := range m {
+		w += x
+	}
+	return w, others
+}
+
+// conclusive reports whether enough servers ended on the part, and few enough without it, to hold requests with it back.
 func (p *suspect) conclusive() bool {
 	if len(p.crashes) < minServers {
 		return false
 	}
-	servers, requests := p.counts()
-	return servers >= minServers && (p.own || requests >= minRequests)
+	w, _ := p.weight()
+	_, requests := p.counts()
+	return w >= minServers && (p.own || requests >= minRequests)
 }
 
 // covers reports whether each server that ended on q ended on p too.
@@ -137,7 +192,7 @@
 func (p *suspect) report(k key, now time.Time) bulrushlug.Suspect {
 	var l []bulrushlug.Crash
 	for _, x := range p.crashes {
-		l = append(l, bulrushlug.NewCrash(x.server, x.address, x.request, 0, now.Sub(x.at)))
+		l = append(l, bulrushlug.NewCrash(x.server, x.address, x.request, uint32(x.others), now.Sub(x.at)))
 	}
 	d := time.Duration(-1)
 	if !p.ownSuccess.IsZero() {
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -193,6 +193,7 @@
 	defer l.mu.Unlock()
 	for _, x := range l.all {
 		if x != e && !x.deaf && !e.deaf {
+			x.detector.MergeServerEnds(e.detector.ServerEnds())
 			x.detector.Merge(e.detector.Suspects())
 		}
 	}
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -154,8 +154,12 @@
 		}
 		return false, nil
 	}
-	if n < begunEvents && x.Err() == nil && !a.sink.callerGone {
+	switch {
+	case x.Err() != nil || a.sink.callerGone:
+	case n < begunEvents:
 		a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
+	case !errors.Is(err, bulrushlug.ErrOversized):
+		a.detector.RecordEnded(x, l.Backend())
 	}
 	if errors.Is(err, bulrushlug.ErrOversized) {
 		l.RecordFailure()
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -26,6 +26,7 @@
 func (noDetector) Check(bulrushlug.Prompt) error                                       { return nil }
 func (noDetector) RecordBegun(bulrushlug.Prompt)                                       {}
 func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {}
+func (noDetector) RecordEnded(context.Context, bulrushlug.Backend)                     {}
 
 // step is the behaviour of one server for one request.
 type step struct {
--- a/suspect.go
+++ b/suspect.go
@@ -85,4 +85,7 @@
 	// RecordBroken records that the connection to b broke before a response to the prompt p had begun. It returns once it
 	// is known whether b ended.
 	RecordBroken(c context.Context, b Backend, p Prompt)
+	// RecordEnded records that the connection to b broke after a response had begun. It returns once it is known whether b
+	// ended.
+	RecordEnded(c context.Context, b Backend)
 }
