--- a/poison/detector.go
+++ b/poison/detector.go
@@ -2,10 +2,13 @@
 // their prompt. Requests with such a part are quarantined.
 //
 // Load pattern: a few requests in a hundred share a part, and nothing else, that ends each server on which they begin to
-// run. Retries multiply them, and all other requests at these servers break with them.
+// run. Retries multiply them, and all other requests at these servers break with them. Beside that, many servers may end
+// at the same moment for other causes, as a rack or a release goes wrong, and requests that share parts wait on each.
 //
-// A part is suspected by the servers that ended while a request with it had not begun to run, and cleared by each request
-// with it that begins. The processes tell each other what they know in their reports.
+// A part is suspected by the servers that ended while a request with it had not begun to run, each the less the more others
+// ended at the same time without it, and cleared by each request with it that begins. A quarantine is short and ends with a
+// test by one request, as nothing else can refute it; it gets longer only if servers end on the tests. The processes tell
+// each other what they know in their reports.
 package poison
 
 import (
@@ -13,6 +16,7 @@
 	"context"
 	"expvar"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -31,41 +35,49 @@
 	spreadTime   = 3 * time.Second        // Time for which a change is reported.
 	// refreshPeriod is the time between two reports of parts that did not change. They are in all reports of a window that
 	// is longer than the longest interval between reports.
-	refreshPeriod = 2 * time.Second
+	refreshPeriod = time.Second
 	refreshWindow = 600 * time.Millisecond
 )
 
 // Detector holds the suspected parts of prompts, sharded by the scope of the prompts: parts of one scope are compared.
 type Detector struct {
-	refuses  func(c context.Context, address string) bool // Reports whether an address refuses connections.
-	changed  func()                                       // Called when this process has found a crash.
+	changed  func() // Called when this process has news that can't wait for its next report.
 	logger   log.Logger
 	counters *expvar.Map
 	// changedAt is the Unix time in nanoseconds of the last change of what is known of a part; zero for none.
 	changedAt atomic.Int64
+	seed      uint64 // Random number that tells this process from others.
+	ends      ends
 	shards    [shardCount]shard
 }
 
 // New returns a detector without suspects. A server that refuses connections according to r has ended; f is called when
-// this process has found a crash, so that it can tell others.
+// this process has found a crash, tests a part or has cleared one, so that it can tell others at once.
 func New(r func(c context.Context, address string) bool, f func(), l log.Logger, counters *expvar.Map) *Detector {
-	d := &Detector{refuses: r, changed: f, logger: l, counters: counters}
+	d := &Detector{changed: f, logger: l, counters: counters, seed: rand.Uint64(), ends: ends{refuses: r, probes: map[uint64]*probe{}}}
 	for i := range d.shards {
-		d.shards[i].suspects = map[key]*suspect{}
+		d.shards[i].suspects, d.shards[i].ends = map[key]*suspect{}, &d.ends
 	}
 	return d
 }
 
 func (d *Detector) shard(scope uint64) *shard { return &d.shards[scope%shardCount] }
 
-// Check fails with KindQuarantined if a part of p is quarantined.
+// Check fails with KindQuarantined if a part of p is quarantined; RetryAfter is the time to the next test of the part. A
+// request that passes may be that test: it passes again until its outcome is known or probeInterval is over.
 func (d *Detector) Check(p bulrushlug.Prompt) error {
 	s := d.shard(p.Scope())
 	if s.size.Load() == 0 {
 		return nil
 	}
 	now := time.Now()
-	part, until := s.quarantined(p, now)
+	part, until, tests, l := s.quarantined(p, d.seed, now)
+	d.log(l)
+	if tests {
+		d.counters.Add("quarantineTests", 1)
+		d.changedAt.Store(now.UnixNano())
+		d.changed()
+	}
 	if until.IsZero() {
 		return nil
 	}
@@ -79,26 +91,52 @@
 		return
 	}
 	now := time.Now()
-	d.apply(now, s.clear(p, now))
+	o := s.clear(p, now)
+	d.apply(now, o)
+	if o.cleared {
+		d.changed()
+	}
 }
 
 // RecordBroken suspects the parts of p if server b has ended. A connection that breaks while b goes on is no evidence.
 func (d *Detector) RecordBroken(c context.Context, b bulrushlug.Backend, p bulrushlug.Prompt) {
-	if len(p.Parts()) == 0 {
-		return
-	}
-	c, stop := context.WithTimeout(c, probeTimeout)
-	defer stop()
-	if !d.refuses(c, b.Address()) {
+	server, ok := d.recordEnd(c, b)
+	if !ok || len(p.Parts()) == 0 {
 		return
 	}
 	d.counters.Add("serverCrashes", 1)
-	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
 	now := time.Now()
-	d.apply(now, d.shard(p.Scope()).suspect(p, server, now))
+	d.apply(now, d.shard(p.Scope()).suspect(p, server, xxhash.Sum64String(b.Address()), now))
 	d.changed()
 }
 
+// RecordEnded notes the end of server b, if it has ended, for the verdict on parts with which other servers ended. It goes
+// out with the next report.
+func (d *Detector) RecordEnded(c context.Context, b bulrushlug.Backend) { d.recordEnd(c, b) }
+
+// recordEnd returns the hash of server b, and whether it has ended.
+func (d *Detector) recordEnd(c context.Context, b bulrushlug.Backend) (uint64, bool) {
+	server := xxhash.Sum64String(b.ID() + " " + strconv.FormatUint(b.StartTime(), 10))
+	if !d.ends.probe(c, server, b.Address()) {
+		return 0, false
+	}
+	now := time.Now()
+	d.ends.add(server, now, true, now)
+	return server, true
+}
+
+// ServerEnds returns the servers that ended lately, for the next report of this process.
+func (d *Detector) ServerEnds() []bulrushlug.ServerEnd { return d.ends.report(time.Now()) }
+
+// MergeServerEnds adds the ends that another process reported. They come before what it reported of parts, so that these
+// are weighed against them.
+func (d *Detector) MergeServerEnds(l []bulrushlug.ServerEnd) {
+	now := time.Now()
+	for _, x := range l {
+		d.ends.add(x.Server(), now.Add(-x.Age()), false, now)
+	}
+}
+
 // Suspects returns what the next report of this process says of suspected parts: what changed lately, and from time to
 // time the parts with conclusive evidence, from which a process that restarted learns. Of too many it has those with the
 // most crashes, and those with the latest news.
@@ -171,7 +209,7 @@
 	for _, x := range l {
 		if x.quarantine > 0 {
 			d.counters.Add("quarantines", 1)
-			_ = d.logger.Log("event", "quarantine", "part", strconv.FormatUint(x.part, 16), "servers", x.servers, "requests", x.requests, "alternatives", x.alternatives, "for", x.quarantine)
+			_ = d.logger.Log("event", "quarantine", "part", strconv.FormatUint(x.part, 16), "servers", x.servers, "requests", x.requests, "alternatives", x.alternatives, "weight", strconv.FormatFloat(x.weight, 'f', 2, 64), "others", x.others, "for", x.quarantine)
 			continue
 		}
 		_ = d.logger.Log("event", "quarantineEnded", "part", strconv.FormatUint(x.part, 16))
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -8,15 +9,18 @@
 )
 
 const (
-	minServers  = 3  // Servers that end on a part before it is quarantined.
+	minServers  = 3  // Servers that end on a part before it is quarantined, each counted by the weight of its crash.
 	minRequests = 2  // Requests with a shared part on which they end; retries of one request are no evidence against what it shares with others.
 	maxCrashes  = 16 // Crashes that are kept of a part.
-	// minQuarantine is the time from the last crash until requests with a part are tried again. It doubles with each crash
-	// beyond minServers, up to maxQuarantine.
-	minQuarantine = time.Minute
-	maxQuarantine = 10 * time.Minute
-	crashLifetime = 30 * time.Minute // Age at which a crash is forgotten.
-	probeInterval = 5 * time.Second  // Time between requests with a part after its quarantine, until it is cleared.
+	// minQuarantine is the time from a conclusive crash until the part is tested. It grows by quarantineGrowth each time that
+	// servers end on a test, by minWeight in all, up to maxQuarantine.
+	minQuarantine    = 3 * time.Second
+	maxQuarantine    = 10 * time.Minute
+	quarantineGrowth = 10
+	minWeight        = 0.5
+	crashLifetime    = 30 * time.Minute // Age at which a crash is forgotten.
+	probeInterval    = 3 * time.Second  // Time between tests of a part of which nothing was seen.
+	probeSpread      = time.Second      // Time over which the tests of the processes are spread.
 )
 
 // suspect is a part of prompts that may end servers.
@@ -26,8 +30,12 @@
 	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
 	ownSuccess  time.Time // The same by a request of this process.
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
-	until       time.Time // End of the quarantine, which may have passed; zero if too few servers ended.
-	nextProbe   time.Time // Time of the next request with the part after the quarantine; passed or zero if it may come now.
+	until       time.Time // End of the quarantine, which may have passed; zero without conclusive evidence.
+	tested      time.Time // Last known test, a request with the part that a process let through after the quarantine.
+	ownTest     time.Time // The same of this process.
+	ownRequest  uint64    // Last part of the prompt of ownTest.
+	// met has the servers that ended in the last endLifetime while a request with the part had not begun, at most maxEnds.
+	met map[uint64]time.Time
 	// alternatives are the other parts on which each of the servers ended as well. A request without one of them tells
 	// which of them is at fault: it ends a server, or clears the part.
 	alternatives []uint64
@@ -35,14 +43,22 @@
 
 // crash is the end of a server as it began to respond to a request.
 type crash struct {
-	server  uint64
+	server  uint64 // Hash of its identifier and start time.
+	address uint64
 	request uint64
 	at      time.Time
+	others  int  // Servers that ended together with it without the part.
+	settled bool // others is what another process found.
 }
 
+// weight is the part of the blame for the end of the server that the crash puts on the part: the more servers ended at the
+// same time without it, the less.
+func (x crash) weight() float64 { return 1 / float64(1+x.others) }
+
 // add adds x, unless it is known, came before the last success or is too old, or enough requests that broke with the same
 // server are known; it reports whether it did. If there is no room for x, the oldest crash goes.
 func (p *suspect) add(x crash, now time.Time) bool {
+	p.meet(x, now)
 	if !x.at.After(p.success) || now.Sub(x.at) > crashLifetime {
 		return false
 	}
@@ -67,6 +83,35 @@
 	return true
 }
 
+// meet notes that a request with the part had not begun at the server of x.
+func (p *suspect) meet(x crash, now time.Time) {
+	if _, ok := p.met[x.server]; ok || now.Sub(x.at) > endLifetime || len(p.met) >= maxEnds {
+		return
+	}
+	if p.met == nil {
+		p.met = map[uint64]time.Time{}
+	}
+	p.met[x.server] = x.at
+}
+
+// weigh counts the servers that ended together with each crash without the part. A crash keeps its last count once the ends
+// of its time are forgotten.
+func (p *suspect) weigh(e *ends, now time.Time) {
+	for i := range p.crashes {
+		x := &p.crashes[i]
+		if x.settled || now.Sub(x.at) > endLifetime-togetherTime {
+			continue
+		}
+		n := e.together(x.at)
+		for _, t := range p.met {
+			if t.Sub(x.at).Abs() <= togetherTime {
+				n--
+			}
+		}
+		x.others = max(0, n)
+	}
+}
+
 // succeed records a success at time t, which clears the crashes before it, and reports whether there were any.
 func (p *suspect) succeed(t time.Time) bool {
 	if !t.After(p.success) {
@@ -81,24 +126,40 @@
 // expire forgets crashes that are too old.
 func (p *suspect) expire(now time.Time) {
 	p.crashes = slices.DeleteFunc(p.crashes, func(x crash) bool { return now.Sub(x.at) > crashLifetime })
+	maps.DeleteFunc(p.met, func(_ uint64, t time.Time) bool { return now.Sub(t) > endLifetime })
 }
 
-// counts returns the numbers of servers that ended and of requests on which they did.
+// counts returns the numbers of servers that ended, by address, and of requests on which they did.
 func (p *suspect) counts() (servers, requests int) {
 	s, r := map[uint64]bool{}, map[uint64]bool{}
 	for _, x := range p.crashes {
-		s[x.server], r[x.request] = true, true
+		s[x.address], r[x.request] = true, true
 	}
 	return len(s), len(r)
 }
 
-// conclusive reports whether enough servers ended on the part to hold requests with it back.
+// weight returns the weight of the crashes, one of each address, and the most servers that ended together with one of them
+// without the part.
+func (p *suspect) weight() (w float64, others int) {
+	m := map[uint64]float64{}
+	for _, x := range p.crashes {
+		m[x.address] = max(m[x.address], x.weight())
+		others = max(others, x.others)
+	}
+	for _, x := range m {
+		w += x
+	}
+	return w, others
+}
+
+// conclusive reports whether enough servers ended on the part, and few enough without it, to hold requests with it back.
 func (p *suspect) conclusive() bool {
 	if len(p.crashes) < minServers {
 		return false
 	}
-	servers, requests := p.counts()
-	return servers >= minServers && (p.own || requests >= minRequests)
+	w, _ := p.weight()
+	_, requests := p.counts()
+	return w >= minServers && (p.own || requests >= minRequests)
 }
 
 // covers reports whether each server that ended on q ended on p too.
@@ -108,19 +169,56 @@
 	})
 }
 
-// quarantineEnd returns the end of the quarantine of a part with conclusive evidence.
-func (p *suspect) quarantineEnd() time.Time {
-	servers, _ := p.counts()
-	d := min(maxQuarantine, minQuarantine<<(servers-minServers))
-	return p.lastCrash().Add(d)
+// quarantineEnd returns the end of the quarantine, which may have passed, and the zero time if the evidence is not
+// conclusive. It follows from the crashes alone, so that all processes agree: a crash during a quarantine, of a request in
+// flight, changes nothing; one after it is that of a test.
+func (p *suspect) quarantineEnd() (until time.Time) {
+	if !p.conclusive() {
+		return until
+	}
+	l := slices.SortedFunc(slices.Values(p.crashes), func(a, b crash) int { return a.at.Compare(b.at) })
+	known := suspect{own: p.own}
+	length, raise := time.Duration(0), 0.0
+	for _, x := range l {
+		switch {
+		case length == 0:
+			known.crashes = append(known.crashes, x)
+			if known.conclusive() {
+				length, until = minQuarantine, x.at.Add(minQuarantine)
+			}
+		case x.at.After(until):
+			if raise += x.weight(); raise >= minWeight {
+				length, raise = min(quarantineGrowth*length, maxQuarantine), 0
+			}
+			until = x.at.Add(length)
+		}
+	}
+	return until
+}
+
+// heldUntil returns the time before which a process lets no test of a part with conclusive evidence through that begins
+// its tests d after the first process may. A test of its own holds up only other requests.
+func (p *suspect) heldUntil(d time.Duration) time.Time {
+	t := p.until.Add(d)
+	if p.tested.After(p.ownTest) {
+		t = later(t, p.tested.Add(probeInterval+d))
+	}
+	if !p.ownTest.IsZero() {
+		t = later(t, p.ownTest.Add(probeInterval))
+	}
+	return t
 }
 
-// heldUntil returns the time before which requests with a part are held back on conclusive evidence.
-func (p *suspect) heldUntil() time.Time {
-	if p.nextProbe.After(p.until) {
-		return p.nextProbe
+// tests reports whether the request whose prompt ends in the given part is the test of this process, which is not over.
+func (p *suspect) tests(request uint64, now time.Time) bool {
+	return request == p.ownRequest && p.until.Before(p.ownTest) && now.Before(p.ownTest.Add(probeInterval))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return p.until
+	return a
 }
 
 func (p *suspect) lastCrash() (t time.Time) {
@@ -136,11 +234,15 @@
 func (p *suspect) report(k key, now time.Time) bulrushlug.Suspect {
 	var l []bulrushlug.Crash
 	for _, x := range p.crashes {
-		l = append(l, bulrushlug.NewCrash(x.server, x.request, now.Sub(x.at)))
+		l = append(l, bulrushlug.NewCrash(x.server, x.address, x.request, uint32(x.others), now.Sub(x.at)))
 	}
 	d := time.Duration(-1)
 	if !p.ownSuccess.IsZero() {
 		d = now.Sub(p.ownSuccess)
 	}
-	return bulrushlug.NewSuspect(k.scope, k.part, p.own, l, d)
+	s := bulrushlug.NewSuspect(k.scope, k.part, p.own, l, d)
+	if !p.tested.IsZero() {
+		s = s.WithTest(now.Sub(p.tested))
+	}
+	return s
 }
