fix(poison): a quarantine lasts seconds and ends with a test

Cause: a conviction held all requests with the part back for one to ten minutes, doubled by servers that ended at the same moment, and nothing but time could end it, as no request was left that could refute it; then each process let one through at the same moment. Items of lots are due in 18 s, and callers were told to wait for a minute. Ruled out: the back-off of items and the slots, as the items are listed at once if the detector lets them pass. Change: the first quarantine lasts 3 s and ends with one request that is let through as a test; the processes begin their tests at times spread over a second and tell each other at once of a test and of a part that is cleared. The quarantine grows tenfold with each test on which a server ends without others beside it, as follows from the crashes alone. The request under test passes again until it is over, so that an item that finds no slot doesn't waste the test. Parts that are convicted are reported each second in place of two, so that a process that restarts hears of them sooner. Tests: a_process_that_restarted of TestCheck waited for 10 s of a quarantine of a minute; it now has a server end on the test first, so that the quarantine is the second one, and still waits for 10 s. In the other cases minQuarantine and probeInterval are the new ones.

--- a/poison/coincidence_test.go
+++ b/poison/coincidence_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -380,15 +381,17 @@
 					f.detectors[i].RecordBroken(c, bulrushlug.NewBackend(fmt.Sprint("s", i), "s", fmt.Sprintf("s%d:1", i)), prompt("d", fmt.Sprint("own-", i)))
 				}
 				time.Sleep(100 * time.Millisecond)
-				tests, begun, running := 0, false, map[int]bool{}
+				tests, begun, running := 0, atomic.Bool{}, map[int]bool{}
 				for range 90 {
 					for i, d := range f.detectors {
-						if p := prompt("d", fmt.Sprint("waiting-", i)); !begun && !running[i] && d.Check(p) == nil {
+						if p := prompt("d", fmt.Sprint("waiting-", i)); !begun.Load() && !running[i] && d.Check(p) == nil {
 							tests++
 							running[i] = true
 							if x.begins {
-								time.AfterFunc(20*time.Millisecond, func() { d.RecordBegun(p) })
-								time.AfterFunc(100*time.Millisecond, func() { begun = true })
+								time.AfterFunc(20*time.Millisecond, func() {
+									begun.Store(true)
+									d.RecordBegun(p)
+								})
 							}
 						}
 					}
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -2,10 +2,13 @@
 // their prompt. Requests with such a part are quarantined.
 //
 // Load pattern: a few requests in a hundred share a part, and nothing else, that ends each server on which they begin to
-// run. Retries multiply them, and all other requests at these servers break with them.
+// run. Retries multiply them, and all other requests at these servers break with them. Beside that, many servers may end
+// at the same moment for other causes, as a rack or a release goes wrong, and requests that share parts wait on each.
 //
-// A part is suspected by the servers that ended while a request with it had not begun to run, and cleared by each request
-// with it that begins. The processes tell each other what they know in their reports.
+// A part is suspected by the servers that ended while a request with it had not begun to run, each the less the more others
+// ended at the same time without it, and cleared by each request with it that begins. A quarantine is short and ends with a
+// test by one request, as nothing else can refute it; it gets longer only if servers end on the tests. The processes tell
+// each other what they know in their reports.
 package poison
 
 import (
@@ -13,6 +16,7 @@
 	"context"
 	"expvar"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -31,25 +35,26 @@
 	spreadTime   = 3 * time.Second        // Time for which a change is reported.
 	// refreshPeriod is the time between two reports of parts that did not change. They are in all reports of a window that
 	// is longer than the longest interval between reports.
-	refreshPeriod = 2 * time.Second
+	refreshPeriod = time.Second
 	refreshWindow = 600 * time.Millisecond
 )
 
 // Detector holds the suspected parts of prompts, sharded by the scope of the prompts: parts of one scope are compared.
 type Detector struct {
-	changed  func() // Called when this process has found a crash.
+	changed  func() // Called when this process has news that can't wait for its next report.
 	logger   log.Logger
 	counters *expvar.Map
 	// changedAt is the Unix time in nanoseconds of the last change of what is known of a part; zero for none.
 	changedAt atomic.Int64
+	seed      uint64 // Random number that tells this process from others.
 	ends      ends
 	shards    [shardCount]shard
 }
 
 // New returns a detector without suspects. A server that refuses connections according to r has ended; f is called when
-// this process has found a crash, so that it can tell others.
+// this process has found a crash, tests a part or has cleared one, so that it can tell others at once.
 func New(r func(c context.Context, address string) bool, f func(), l log.Logger, counters *expvar.Map) *Detector {
-	d := &Detector{changed: f, logger: l, counters: counters, ends: ends{refuses: r, probes: map[uint64]*probe{}}}
+	d := &Detector{changed: f, logger: l, counters: counters, seed: rand.Uint64(), ends: ends{refuses: r, probes: map[uint64]*probe{}}}
 	for i := range d.shards {
 		d.shards[i].suspects, d.shards[i].ends = map[key]*suspect{}, &d.ends
 	}
@@ -58,15 +63,21 @@
 
 func (d *Detector) shard(scope uint64) *shard { return &d.shards[scope%shardCount] }
 
-// Check fails with KindQuarantined if a part of p is quarantined.
+// Check fails with KindQuarantined if a part of p is quarantined; RetryAfter is the time to the next test of the part. A
+// request that passes may be that test: it passes again until its outcome is known or probeInterval is over.
 func (d *Detector) Check(p bulrushlug.Prompt) error {
 	s := d.shard(p.Scope())
 	if s.size.Load() == 0 {
 		return nil
 	}
 	now := time.Now()
-	part, until, l := s.quarantined(p, now)
+	part, until, tests, l := s.quarantined(p, d.seed, now)
 	d.log(l)
+	if tests {
+		d.counters.Add("quarantineTests", 1)
+		d.changedAt.Store(now.UnixNano())
+		d.changed()
+	}
 	if until.IsZero() {
 		return nil
 	}
@@ -80,7 +91,11 @@
 		return
 	}
 	now := time.Now()
-	d.apply(now, s.clear(p, now))
+	o := s.clear(p, now)
+	d.apply(now, o)
+	if o.cleared {
+		d.changed()
+	}
 }
 
 // RecordBroken suspects the parts of p if server b has ended. A connection that breaks while b goes on is no evidence.
--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -127,6 +127,8 @@
 		}, passes: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
 		"a process that restarted": {during: func(x *fixture) {
 			crashes(x.other, 0, 3, "d")
+			time.Sleep(minQuarantine + time.Second)
+			crashes(x.other, 3, 4, "d")
 			time.Sleep(10 * time.Second)
 			x.Merge(x.other.Suspects())
 		}, held: map[string]bulrushlug.Prompt{"the part": prompt("d", "o")}},
--- a/poison/shard.go
+++ b/poison/shard.go
@@ -1,11 +1,14 @@
 package poison
 
 import (
+	"encoding/binary"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlug.dev/bulrushlug"
 )
 
@@ -43,54 +46,68 @@
 // outcome is the outcome of new evidence.
 type outcome struct {
 	reached bool // The evidence was new.
+	cleared bool // A part with conclusive evidence was cleared.
 	changes []change
 }
 
-// quarantined returns a part of p for which p is held back and the time until it is, which is zero if there is none. After
-// a quarantine one request passes in each probeInterval, until the part is cleared or a further server ends.
-func (s *shard) quarantined(p bulrushlug.Prompt, now time.Time) (part uint64, until time.Time, l []change) {
+// quarantined returns a part of p for which p is held back and the time until it is, which is zero if there is none, and
+// whether p passes as a test. After a quarantine one request of the fleet does in each probeInterval, until the part is
+// cleared or a further server ends. The processes, which tell each other, begin at different times by their seed.
+func (s *shard) quarantined(p bulrushlug.Prompt, seed uint64, now time.Time) (part uint64, until time.Time, tests bool, l []change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.weighed != s.ends.version.Load() {
 		l = s.evaluate(now)
 	}
 	lacks := func(y uint64) bool { return !slices.Contains(p.Parts(), y) }
-	var probed []*suspect
+	own := uint64(0)
+	if n := len(p.Parts()); n > 0 {
+		own = p.Parts()[n-1]
+	}
+	var tested []*suspect
 	for _, x := range p.Parts() {
 		q := s.suspects[key{p.Scope(), x}]
-		if q == nil || q.until.IsZero() || slices.ContainsFunc(q.alternatives, lacks) {
+		if q == nil || q.until.IsZero() || q.tests(own, now) || slices.ContainsFunc(q.alternatives, lacks) {
 			continue
 		}
-		switch t := q.heldUntil(); {
+		switch t := q.heldUntil(testDelay(seed, x)); {
 		case !now.Before(t):
-			probed = append(probed, q)
+			tested = append(tested, q)
 		case t.After(until):
 			part, until = x, t
 		}
 	}
 	if until.IsZero() {
-		for _, q := range probed {
-			q.nextProbe = now.Add(probeInterval)
+		for _, q := range tested {
+			q.tested, q.ownTest, q.ownRequest = now, now, own
 		}
 	}
-	return part, until, l
+	return part, until, until.IsZero() && len(tested) > 0, l
+}
+
+// testDelay returns the time after the end of a quarantine at which the process with the given seed begins its tests of a
+// part.
+func testDelay(seed, part uint64) time.Duration {
+	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, seed), part)
+	return time.Duration(xxhash.Sum64(b) % uint64(probeSpread))
 }
 
 // clear records that a server began to respond to p.
 func (s *shard) clear(p bulrushlug.Prompt, now time.Time) outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
+	changed, cleared := false, false
 	for _, x := range p.Parts() {
 		if q := s.suspects[key{p.Scope(), x}]; q != nil {
 			changed = q.succeed(now) || changed
 			q.ownSuccess = now
+			cleared = cleared || !q.until.IsZero()
 		}
 	}
 	if !changed {
 		return outcome{}
 	}
-	return outcome{true, s.evaluate(now)}
+	return outcome{reached: true, cleared: cleared, changes: s.evaluate(now)}
 }
 
 // suspect records that a server at the given address ended as it began to respond to p.
@@ -102,7 +119,7 @@
 	for i, x := range l {
 		s.find(key{p.Scope(), x}, i == last).add(crash{server: server, address: address, request: l[last], at: now}, now)
 	}
-	return outcome{true, s.evaluate(now)}
+	return outcome{reached: true, changes: s.evaluate(now)}
 }
 
 // merge adds what another process reported.
@@ -122,6 +139,9 @@
 		if d, ok := x.Success(); ok {
 			changed = q.succeed(now.Add(-d)) || changed
 		}
+		if d, ok := x.Tested(); ok {
+			q.tested = later(q.tested, now.Add(-d))
+		}
 		for _, y := range x.Crashes() {
 			changed = q.add(reported(y, now), now) || changed
 		}
@@ -129,7 +149,7 @@
 	if !changed {
 		return outcome{}
 	}
-	return outcome{true, s.evaluate(now)}
+	return outcome{reached: true, changes: s.evaluate(now)}
 }
 
 // reported returns a crash that another process reported. Of an old one, the ends beside it are not reported any more.
@@ -157,12 +177,13 @@
 	return q
 }
 
-// evict removes the suspect that is not quarantined and whose last crash is the oldest, or any one if all are quarantined.
+// evict removes the suspect without conclusive evidence whose last crash is the oldest, or the one of all if there is none.
 func (s *shard) evict() {
 	var oldest key
 	var p *suspect
 	for k, q := range s.suspects {
-		if p == nil || p.quarantined && !q.quarantined || p.quarantined == q.quarantined && q.lastCrash().Before(p.lastCrash()) {
+		convicted, first := !q.until.IsZero(), p != nil && !p.until.IsZero()
+		if p == nil || first && !convicted || first == convicted && q.lastCrash().Before(p.lastCrash()) {
 			oldest, p = k, q
 		}
 	}
@@ -181,10 +202,10 @@
 	s.evaluated, s.weighed = now, s.ends.version.Load()
 	for k, p := range s.suspects {
 		was := p.quarantined
-		p.until, p.alternatives = time.Time{}, nil
 		p.weigh(s.ends, now)
-		if p.conclusive() {
-			p.until, p.alternatives = p.quarantineEnd(), s.alternatives(k, p)
+		p.until, p.alternatives = p.quarantineEnd(), nil
+		if !p.until.IsZero() {
+			p.alternatives = s.alternatives(k, p)
 		}
 		p.quarantined = now.Before(p.until)
 		switch {
@@ -218,7 +239,7 @@
 		c = s.evaluate(now)
 	}
 	for k, p := range s.suspects {
-		if !conclusive || p.conclusive() {
+		if !conclusive || !p.until.IsZero() {
 			l = append(l, p.report(k, now))
 		}
 	}
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -12,12 +12,15 @@
 	minServers  = 3  // Servers that end on a part before it is quarantined, each counted by the weight of its crash.
 	minRequests = 2  // Requests with a shared part on which they end; retries of one request are no evidence against what it shares with others.
 	maxCrashes  = 16 // Crashes that are kept of a part.
-	// minQuarantine is the time from the last crash until requests with a part are tried again. It doubles with each crash
-	// beyond minServers, up to maxQuarantine.
-	minQuarantine = time.Minute
-	maxQuarantine = 10 * time.Minute
-	crashLifetime = 30 * time.Minute // Age at which a crash is forgotten.
-	probeInterval = 5 * time.Second  // Time between requests with a part after its quarantine, until it is cleared.
+	// minQuarantine is the time from a conclusive crash until the part is tested. It grows by quarantineGrowth each time that
+	// servers end on a test, by minWeight in all, up to maxQuarantine.
+	minQuarantine    = 3 * time.Second
+	maxQuarantine    = 10 * time.Minute
+	quarantineGrowth = 10
+	minWeight        = 0.5
+	crashLifetime    = 30 * time.Minute // Age at which a crash is forgotten.
+	probeInterval    = 3 * time.Second  // Time between tests of a part of which nothing was seen.
+	probeSpread      = time.Second      // Time over which the tests of the processes are spread.
 )
 
 // suspect is a part of prompts that may end servers.
@@ -27,8 +30,10 @@
 	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
 	ownSuccess  time.Time // The same by a request of this process.
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
-	until       time.Time // End of the quarantine, which may have passed; zero if too few servers ended.
-	nextProbe   time.Time // Time of the next request with the part after the quarantine; passed or zero if it may come now.
+	until       time.Time // End of the quarantine, which may have passed; zero without conclusive evidence.
+	tested      time.Time // Last known test, a request with the part that a process let through after the quarantine.
+	ownTest     time.Time // The same of this process.
+	ownRequest  uint64    // Last part of the prompt of ownTest.
 	// met has the servers that ended in the last endLifetime while a request with the part had not begun, at most maxEnds.
 	met map[uint64]time.Time
 	// alternatives are the other parts on which each of the servers ended as well. A request without one of them tells
@@ -164,19 +169,56 @@
 	})
 }
 
-// quarantineEnd returns the end of the quarantine of a part with conclusive evidence.
-func (p *suspect) quarantineEnd() time.Time {
-	servers, _ := p.counts()
-	d := min(maxQuarantine, minQuarantine<<(servers-minServers))
-	return p.lastCrash().Add(d)
+// quarantineEnd returns the end of the quarantine, which may have passed, and the zero time if the evidence is not
+// conclusive. It follows from the crashes alone, so that all processes agree: a crash during a quarantine, of a request in
+// flight, changes nothing; one after it is that of a test.
+func (p *suspect) quarantineEnd() (until time.Time) {
+	if !p.conclusive() {
+		return until
+	}
+	l := slices.SortedFunc(slices.Values(p.crashes), func(a, b crash) int { return a.at.Compare(b.at) })
+	known := suspect{own: p.own}
+	length, raise := time.Duration(0), 0.0
+	for _, x := range l {
+		switch {
+		case length == 0:
+			known.crashes = append(known.crashes, x)
+			if known.conclusive() {
+				length, until = minQuarantine, x.at.Add(minQuarantine)
+			}
+		case x.at.After(until):
+			if raise += x.weight(); raise >= minWeight {
+				length, raise = min(quarantineGrowth*length, maxQuarantine), 0
+			}
+			until = x.at.Add(length)
+		}
+	}
+	return until
 }
 
-// heldUntil returns the time before which requests with a part are held back on conclusive evidence.
-func (p *suspect) heldUntil() time.Time {
-	if p.nextProbe.After(p.until) {
-		return p.nextProbe
+// heldUntil returns the time before which a process lets no test of a part with conclusive evidence through that begins
+// its tests d after the first process may. A test of its own holds up only other requests.
+func (p *suspect) heldUntil(d time.Duration) time.Time {
+	t := p.until.Add(d)
+	if p.tested.After(p.ownTest) {
+		t = later(t, p.tested.Add(probeInterval+d))
+	}
+	if !p.ownTest.IsZero() {
+		t = later(t, p.ownTest.Add(probeInterval))
 	}
-	return p.until
+	return t
+}
+
+// tests reports whether the request whose prompt ends in the given part is the test of this process, which is not over.
+func (p *suspect) tests(request uint64, now time.Time) bool {
+	return request == p.ownRequest && p.until.Before(p.ownTest) && now.Before(p.ownTest.Add(probeInterval))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 func (p *suspect) lastCrash() (t time.Time) {
@@ -198,5 +240,9 @@
 	if !p.ownSuccess.IsZero() {
 		d = now.Sub(p.ownSuccess)
 	}
-	return bulrushlug.NewSuspect(k.scope, k.part, p.own, l, d)
+	s := bulrushlug.NewSuspect(k.scope, k.part, p.own, l, d)
+	if !p.tested.IsZero() {
+		s = s.WithTest(now.Sub(p.tested))
+	}
+	return s
 }
