fix(poison): one other end beside a crash takes nothing from its weight

Cause: with 1/(1+m), a process that is cut off from the others counted the server that ended on its caller's retry elsewhere as one that ended without the part, so it needed twice as many crashes; TestPromptEndsServersOneAfterAnother/an_entry_that_hears_nobody failed on 2 of 8 runs (7 and 8 requests later than 3 s after the fifth crash, of 6 allowed). Ruled out: the tests of the fleet, which are one or two. Change: the weight is 1/m, and 1 for m of none or one.

--- a/poison/coincidence_test.go
+++ b/poison/coincidence_test.go
@@ -60,6 +60,20 @@
 				x.RecordBroken(context.Background(), bulrushlug.NewBackend(fmt.Sprint("server-", i), "s", "server:1"), prompt("d", fmt.Sprint("own-", i)))
 			}
 		}, parts: []string{"d", "o"}},
+		"one other beside each": {during: func(x *fixture) {
+			for i := range 3 {
+				crashes(x.Detector, i, i+1, "d")
+				others(x.Detector, 1*i, 1*i+1)
+				time.Sleep(1300 * time.Millisecond)
+			}
+		}, parts: []string{"d", "o"}, held: true},
+		"two others beside each": {during: func(x *fixture) {
+			for i := range 3 {
+				crashes(x.Detector, i, i+1, "d")
+				others(x.Detector, 2*i, 2*i+2)
+				time.Sleep(1300 * time.Millisecond)
+			}
+		}, parts: []string{"d", "o"}},
 		"all that end":       {during: func(x *fixture) { crashes(x.Detector, 0, 12, "d") }, parts: []string{"d", "o"}, held: true},
 		"more than are kept": {during: func(x *fixture) { crashes(x.Detector, 0, 3*maxCrashes, "d") }, parts: []string{"d", "o"}, held: true},
 		"others long before": {during: func(x *fixture) {
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -52,8 +52,8 @@
 }
 
 // weight is the part of the blame for the end of the server that the crash puts on the part: the more servers ended at the
-// same time without it, the less.
-func (x crash) weight() float64 { return 1 / float64(1+x.others) }
+// same time without it, the less. One may be that of the caller's retry, of which a process that is cut off doesn't hear.
+func (x crash) weight() float64 { return 1 / float64(max(1, x.others)) }
 
 // add adds x, unless it is known, came before the last success or is too old, or enough requests that broke with the same
 // server are known; it reports whether it did. If there is no room for x, the oldest crash goes.
