test(lots): losses of power with lost disks, messages lost in one direction, and clocks that are back

TestOrders disturbs changes of replicas with a loss of power of all VMs with which one disk is lost, alone and beside one other disturbance. TestFaults gets three faults: the messages of a VM to some others are lost, a VM restarts with an earlier clock, and the clocks of all VMs are back after a loss of power with lost disks. A response takes the way back, so that it can be lost when the request was not.

--- a/lots/cluster_test.go
+++ b/lots/cluster_test.go
@@ -33,6 +33,7 @@
 	reportInterval   = 100 * time.Millisecond
 	itemInterval     = 200 * time.Millisecond
 	retention        = 5 * time.Minute
+	clockStep        = 1 << 20 // Steps of clocks, as numbers of starts.
 	// recoveryTime is the time after the last fault by which all lots must be complete again.
 	recoveryTime = 12 * time.Second
 )
@@ -112,8 +113,10 @@
 	mu                sync.Mutex
 	store             *memtxn.Store
 	vms               map[string]*vm
-	partitioned       map[string]bool // VMs that reach neither other VMs nor the key-value service.
-	isolated          map[string]bool // VMs that reach the key-value service but no other VM.
+	partitioned       map[string]bool    // VMs that reach neither other VMs nor the key-value service.
+	isolated          map[string]bool    // VMs that reach the key-value service but no other VM.
+	oneWay            map[[2]string]bool // The second VM gets nothing from the first one.
+	clockBack         bool               // The clocks of VMs that start are back.
 	retiring          map[string]bool
 	fronts            []*locate.Router
 	frontPeers        []*peers.Membership       // Processes known to each front end.
@@ -135,7 +138,7 @@
 var errUnreachable = errors.New("VM is unreachable")
 
 func newCluster(t *testing.T, c context.Context, n, factor int) *cluster {
-	k := &cluster{t: t, c: c, replicationFactor: factor, store: memtxn.New(), vms: map[string]*vm{}, partitioned: map[string]bool{}, isolated: map[string]bool{}, retiring: map[string]bool{},
+	k := &cluster{t: t, c: c, replicationFactor: factor, store: memtxn.New(), vms: map[string]*vm{}, partitioned: map[string]bool{}, isolated: map[string]bool{}, oneWay: map[[2]string]bool{}, retiring: map[string]bool{},
 		readResults: map[string]map[int]string{}, accepted: map[string]int{}, submitted: map[string]int{}, refused: map[string]bool{}, ended: map[string]bool{}, undone: map[string]bool{}, logger: log.NewNopLogger()}
 	if os.Getenv("LOTS_LOG") != "" {
 		k.logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
@@ -209,7 +212,10 @@
 	k.boots++
 	c, stop := context.WithCancel(k.c)
 	zone := "z" + strings.TrimPrefix(n, "d")
-	v := &vm{member: bulrushlug.NewMember(n, n, "r", zone, "data").WithDataFolder(true), disk: d, boot: k.boots, alive: true, stop: stop}
+	v := &vm{member: bulrushlug.NewMember(n, n, "r", zone, "data").WithDataFolder(true), disk: d, boot: clockStep + k.boots, alive: true, stop: stop}
+	if k.clockBack {
+		v.boot -= clockStep
+	}
 	t := vmStore{k.store, k, n}
 	l := log.With(k.logger, "vm", n)
 	v.peers = peers.New(v.member, v.boot, d.name, t, "vm/", time.Second, l)
@@ -279,7 +285,7 @@
 }
 
 func (k *cluster) reaches(a, b string) bool {
-	return a == "front" || b == "front" || !k.partitioned[a] && !k.partitioned[b] && !k.isolated[a] && !k.isolated[b]
+	return a == "front" || b == "front" || !k.oneWay[[2]string{a, b}] && !k.partitioned[a] && !k.partitioned[b] && !k.isolated[a] && !k.isolated[b]
 }
 
 // network is the network as one process reaches it.
@@ -290,12 +296,23 @@
 
 // manager returns the manager at address a.
 func (n network) manager(c context.Context, a string) (*ReplicaManager, error) {
+	return n.message(c, a, n.from, a)
+}
+
+// response fails if the response of address a does not arrive.
+func (n network) response(c context.Context, a string) error {
+	_, err := n.message(c, a, a, n.from)
+	return err
+}
+
+// message sends a message between this process and address a, from the VM from to the VM to, and returns the manager at a.
+func (n network) message(c context.Context, a, from, to string) (*ReplicaManager, error) {
 	if err := bulrushlug.Sleep(c, callDelay); err != nil {
 		return nil, err
 	}
 	n.cluster.mu.Lock()
 	v := n.cluster.vms[a]
-	down, unreachable := v == nil || !v.alive, !n.cluster.reaches(n.from, a)
+	down, unreachable := v == nil || !v.alive, !n.cluster.reaches(from, to)
 	n.cluster.mu.Unlock()
 	if unreachable {
 		_ = bulrushlug.Sleep(c, unreachableDelay)
@@ -306,12 +323,6 @@
 	return v.manager, nil
 }
 
-// response fails if the response of address a does not arrive.
-func (n network) response(c context.Context, a string) error {
-	_, err := n.manager(c, a)
-	return err
-}
-
 func (n network) Append(c context.Context, a string, u bulrushlug.LotUpdate) (bulrushlug.LotReplicaState, error) {
 	size := proto.Size(codec.EncodeLotUpdate(u))
 	n.cluster.mu.Lock()
@@ -397,6 +408,13 @@
 	k.isolated[n] = v
 }
 
+// setClockBack sets whether the clocks of VMs that start are back.
+func (k *cluster) setClockBack(v bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.clockBack = v
+}
+
 // front returns a random front end.
 func (k *cluster) front() *locate.Router {
 	k.mu.Lock()
@@ -625,6 +643,33 @@
 		delete(k.isolated, n)
 		k.mu.Unlock()
 	},
+	"one way": func(k *cluster, r *rand.Rand) {
+		n := randomVM(k, r)
+		k.mu.Lock()
+		for x := range k.vms {
+			k.oneWay[[2]string{n, x}] = x != n && r.IntN(2) == 0
+		}
+		k.mu.Unlock()
+		randomPause(r)
+		k.mu.Lock()
+		clear(k.oneWay)
+		k.mu.Unlock()
+	},
+	"restarts with an earlier clock": func(k *cluster, r *rand.Rand) {
+		n := randomVM(k, r)
+		d := k.kill(n)
+		randomPause(r)
+		k.setClockBack(true)
+		k.start(n, d)
+		k.setClockBack(false)
+		randomPause(r)
+		k.start(n, k.kill(n))
+	},
+	"loss of power, and clocks are back": func(k *cluster, r *rand.Rand) {
+		k.setClockBack(true)
+		wipeSome(k, r)
+		k.setClockBack(false)
+	},
 	"outage": func(k *cluster, r *rand.Rand) {
 		k.store.SetOutage(true)
 		randomPause(r)
--- a/lots/orders_test.go
+++ b/lots/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -15,7 +16,7 @@
 // disturbance is something that happens to a VM while the replicas of lots change.
 type disturbance struct {
 	vm   string
-	what string // "kill", "isolate" or "partition"; empty for nothing.
+	what string // "kill", "isolate", "partition" or "wipe", a loss of power of all VMs with which the disk of vm is lost; empty for nothing.
 	at   time.Duration
 }
 
@@ -32,11 +33,13 @@
 // run makes d happen in k and undoes it later.
 func (d disturbance) run(k *cluster) {
 	time.Sleep(d.at)
+	k.mu.Lock()
+	alive := k.vms[d.vm] != nil && k.vms[d.vm].alive
+	k.mu.Unlock()
 	switch d.what {
+	case "wipe":
+		k.powerOff([]string{d.vm}, same(disturbanceTime))
 	case "kill":
-		k.mu.Lock()
-		alive := k.vms[d.vm].alive
-		k.mu.Unlock()
 		if !alive {
 			return
 		}
@@ -88,6 +91,23 @@
 	return l
 }
 
+// wipes returns every order of a loss of power with a lost disk and at most one other disturbance of another VM.
+func wipes(vms []string) (l [][2]disturbance) {
+	times := []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 1100 * time.Millisecond, 1600 * time.Millisecond}
+	for _, v := range vms {
+		for _, t := range times {
+			a := disturbance{v, "wipe", t}
+			l = append(l, [2]disturbance{a})
+			for _, b := range disturbances(vms, []time.Duration{100 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second}) {
+				if b.vm != v {
+					l = append(l, [2]disturbance{a, b})
+				}
+			}
+		}
+	}
+	return l
+}
+
 // changes are the changes of replicas that are disturbed. VM d0 is the one that they are about.
 var changes = map[string]struct {
 	retire bool // Operators empty d0.
@@ -98,8 +118,8 @@
 	"a retirement and a takeover": {retire: true, kill: true},
 }
 
-// TestOrders disturbs changes of replicas in every order of at most two disturbances, with writes of the record that are
-// fast or slow. What was acknowledged must be readable once all VMs are back, from one primary a lot.
+// TestOrders disturbs changes of replicas in every order of at most two disturbances, one of which may be a loss of power of all
+// VMs with which one disk is lost, with writes of the record that are fast or slow. What was acknowledged must be readable once all VMs are back, from one primary a lot.
 //
 // It plays each 23rd order, and all of them with LOTS_ORDERS=1.
 func TestOrders(t *testing.T) {
@@ -111,7 +131,8 @@
 		for _, delay := range []time.Duration{0, 150 * time.Millisecond, 600 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, ", writes take ", delay), func(t *testing.T) {
 				t.Parallel()
-				l := orders([]string{"d1", "d2", "d3"})
+				vms := []string{"d1", "d2", "d3"}
+				l := slices.Concat(orders(vms), wipes(vms))
 				for n := int(delay/time.Millisecond) % stride; n < len(l); n += stride {
 					t.Run(fmt.Sprint(l[n][0], ", ", l[n][1]), func(t *testing.T) { runOrder(t, l[n], x.retire, x.kill, delay) })
 				}
