--- a/drain/conn.go
+++ b/drain/conn.go
@@ -17,6 +17,7 @@
 // conn is a connection that can be ended while it waits for a request, and at no other time.
 type conn struct {
 	net.Conn
+	server     *Server
 	acceptedAt time.Time
 	mu         sync.Mutex
 	idle       bool      // No request is open: a read that waits now waits for the next one.
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -2,7 +2,7 @@
 //
 // Server.Shutdown and Server.SetKeepAlivesEnabled of net/http close every connection that counts as idle, and one counts
 // as idle until after its next request was read: that request would reach a backend server and get no response. Here a
-// connection ends only if a read of its next request returned nothing.
+// connection ends only if a read of its next request returned nothing, and closes once the caller has the last response.
 package drain
 
 import (
@@ -31,6 +31,7 @@
 	http    *http.Server
 	leaving atomic.Bool // Each response closes its connection.
 	closing atomic.Bool // The listener is closed or about to be.
+	cutting atomic.Bool // Connections close at once.
 	open    *listener
 	served  chan struct{} // Closed once Serve returned: every accepted connection is then in a shard.
 	shards  [shardCount]shard
@@ -78,6 +79,7 @@
 	for err == nil && s.endIdle() > 0 {
 		err = bulrushlug.Sleep(c, checkInterval)
 	}
+	s.cutting.Store(true)
 	if e := s.http.Close(); err == nil {
 		err = e
 	}
@@ -161,7 +163,7 @@
 	c, err := l.Listener.Accept()
 	switch {
 	case err == nil:
-		return &conn{Conn: c, acceptedAt: time.Now(), idle: true, isNew: true}, nil
+		return &conn{Conn: c, server: l.server, acceptedAt: time.Now(), idle: true, isNew: true}, nil
 	case l.server.closing.Load():
 		return nil, http.ErrServerClosed
 	}
