fix(lots): disks that failed are a last resort for replicas

Cause: a replica that fails for 3 s is replaced and its disk avoided for a minute. It is no replica any more, so nothing is sent to it that could show that it is well. If the one that took its place is lost and no other disk is left, the lot had "1 of 2 disks available" until the minute was over: its items neither run nor are listed, longer than the 18 s that an item has.

Ruled out: the disk stays avoided while enough others are there (TestReplicaFails), and a lot that can't replace a failing replica keeps it and goes on trying.

Change: failing disks are chosen if there are too few others.

Test: TestFailedReplicaIsLastResort, red before with three disks in each case: "nothing is listed" within 18 s.

--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"bulrushlug.dev/bulrushlug"
 )
 
 // TestReplicaFails guards against a lot that nobody may run: one of its replicas can't store what it is sent, and its
@@ -59,3 +61,87 @@
 		})
 	}
 }
+
+// TestFailedReplicaIsLastResort guards against a lot without enough replicas for as long as a disk is avoided that failed for a
+// moment: the one that took its place is lost.
+func TestFailedReplicaIsLastResort(t *testing.T) {
+	const promise = 18 * time.Second // Time in which an item has to be listed while all that it needs is well.
+	for name, x := range map[string]struct {
+		vms   int
+		full  time.Duration // How long the first replica's disk takes no writes.
+		after time.Duration // Time from its end to the loss of the one that took its place.
+	}{
+		"three disks":                  {vms: 3, full: 5 * time.Second, after: 2 * time.Second},
+		"three disks, later":           {vms: 3, full: 5 * time.Second, after: 20 * time.Second},
+		"three disks, full for longer": {vms: 3, full: 15 * time.Second, after: 2 * time.Second},
+		"another disk is left":         {vms: 4, full: 5 * time.Second, after: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, stop := context.WithCancel(t.Context())
+				defer stop()
+				k := newCluster(t, c, x.vms, 2)
+				setUndone := func(item string, v bool) {
+					k.mu.Lock()
+					defer k.mu.Unlock()
+					k.undone[item] = v
+				}
+				setUndone("lot/0", true)
+				setUndone("lot/1", true)
+				k.submit("lot", 2)
+				time.Sleep(time.Second)
+				p := k.primary("lot")
+				replicas := func() (l []string) {
+					k.vms[p].manager.withLot("lot", func(o *lot) { l = o.replicas })
+					return l
+				}
+				byDisk := func(d string) *vm {
+					for _, o := range k.vms {
+						if o.disk.name == d {
+							return o
+						}
+					}
+					return nil
+				}
+				setFull := func(o *vm, v bool) {
+					o.disk.mu.Lock()
+					defer o.disk.mu.Unlock()
+					o.disk.full = v
+				}
+				first := byDisk(replicas()[1])
+				setFull(first, true)
+				setUndone("lot/1", false)
+				time.Sleep(x.full)
+				if second := byDisk(replicas()[1]); second == first {
+					t.Fatal("the replica was not replaced")
+				}
+				setFull(first, false)
+				time.Sleep(x.after)
+				k.kill(byDisk(replicas()[1]).member.Name())
+				lost := time.Now()
+				setUndone("lot/0", false)
+				for time.Since(lost) < promise {
+					time.Sleep(100 * time.Millisecond)
+					if done := k.listed(p, "lot"); done == 2 {
+						t.Logf("listed after %s", time.Since(lost))
+						stop()
+						synctest.Wait()
+						return
+					}
+				}
+				k.vms[p].manager.withLot("lot", func(o *lot) { t.Errorf("nothing is listed; replicas %v, last error %v", o.replicas, o.lastError()) })
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// listed returns the number of results that a caller of the process on VM v can read.
+func (k *cluster) listed(v, i string) int {
+	p, err := k.vms[v].manager.Read(k.c, bulrushlug.NewLotQuery(i, "o"))
+	if err != nil {
+		return 0
+	}
+	return len(p.Results())
+}
--- a/lots/reconfigure.go
+++ b/lots/reconfigure.go
@@ -129,7 +129,8 @@
 }
 
 // nextReplicas returns the replicas that succeed those of r: this disk first unless its VM is retiring, then the
-// available ones of r, then new ones, but none of the failing ones.
+// available ones of r, then new ones. Failing ones are a last resort: a disk that failed may be well again, and nothing else
+// would show it.
 func (k *ReplicaManager) nextReplicas(r bulrushlug.LotRecord, failing []string) []string {
 	var l []string
 	if k.usable(k.disk, failing) {
@@ -140,7 +141,11 @@
 			l = append(l, d)
 		}
 	}
-	return k.selectReplicas(l[:min(len(l), k.replicationFactor)], failing)
+	l = k.selectReplicas(l[:min(len(l), k.replicationFactor)], failing)
+	if len(l) < k.replicationFactor {
+		l = k.selectReplicas(l, nil)
+	}
+	return l
 }
 
 // replaceRecord writes the record of the reconfiguration u, whose replicas hold the log; r is the previous record,
