fix(daemon): in an outage of the store a newer configuration comes from those that have it

Cause: a process that can't reach the key-value service asks another one in the same state for nothing, once it has any configuration, as that one may hold servers that are gone. So a version that some processes read just before an outage does not reach the others while it lasts. Lots that were accepted under it wait (cause configuration) at a primary that lacks it, though it hears from the others and the servers are well.

Ruled out: a process without any configuration asks (TestStartWithoutService); one that reaches the service reads it there; a lot is not accepted by a process that knows of the outage.

Change: such a process asks for what operators wrote if the other one has seen a later revision, and takes over nothing else.

--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -108,8 +108,8 @@
 }
 
 // observeRevisions notes which revisions the sender of r has seen, and requests a snapshot from it if this process has
-// missed any. A sender that can't reach the service may hold deleted entries, so it is asked only while one of this
-// process's mirrors is empty.
+// missed any. A sender that can't reach the service may hold servers that are gone, so it is asked only while one of this
+// process's mirrors is empty, or for what operators wrote if this process can't reach the service either.
 func (s *Daemon) observeRevisions(r bulrushlug.Report) {
 	operatorRevision, backendRevision := r.SeenRevisions()
 	if !r.StoreLost() {
@@ -119,7 +119,8 @@
 	if operatorRevision <= s.operatorMirror.NewestRevision() && backendRevision <= s.backendMirror.NewestRevision() || s.watchTimeout() > 0 && !s.storeLost() {
 		return
 	}
-	if r.StoreLost() && s.operatorMirror.NewestRevision() > 0 && s.backendMirror.NewestRevision() > 0 {
+	missed := s.storeLost() && operatorRevision > s.operatorMirror.NewestRevision()
+	if r.StoreLost() && !missed && s.operatorMirror.NewestRevision() > 0 && s.backendMirror.NewestRevision() > 0 {
 		return
 	}
 	select {
@@ -146,6 +147,9 @@
 	if m > 0 {
 		s.operatorMirror.ApplySnapshot(operators, m)
 	}
+	if q, ok := s.membership.ByVM(p.Name()); ok && q.StoreLost() && s.backendMirror.NewestRevision() > 0 {
+		return m > 0
+	}
 	if b > 0 {
 		s.backendMirror.ApplySnapshot(backends, b)
 	}
