--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -20,7 +20,7 @@
 	// suspectTimeout is the time without a response after which other requests avoid a server: three times the 99th
 	// percentile of the time to the first event at peak load.
 	suspectTimeout = 600 * time.Millisecond
-	// responseTimeout is the time without a response after which a request is retried at another server.
+	// responseTimeout is the time without a response after which a request is retried at another server that has capacity.
 	responseTimeout = 1200 * time.Millisecond
 
 	statusOK          = 200
@@ -52,6 +52,7 @@
 	service      string
 	skip         map[string]bool // Servers that failed or refused the request, by identifier.
 	possibleRuns int             // Attempts after which the request may have run.
+	next         *place          // Taken for the next attempt; nil if there is none.
 }
 
 // Run forwards r to servers until one responds or no retry is safe; the response goes to s.
@@ -62,6 +63,7 @@
 		defer stop()
 	}
 	a := &exchange{Stage: g, request: r, sink: &sink{sink: s}, service: pickService(r.TargetRoute()), skip: map[string]bool{}}
+	defer a.releaseNext()
 	var err error
 	for range maxServers {
 		var retry bool
@@ -111,12 +113,13 @@
 	if err := a.detector.Check(a.request.Prompt()); err != nil {
 		return false, err
 	}
-	l, vms := a.table.AcquireOnline(a.service, a.skip)
-	if l == nil {
+	q := a.acquire()
+	if q == nil {
 		return false, bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
 	}
+	l := q.slot
 	defer l.Release()
-	a.notify(vms)
+	a.notify(q.vms)
 	t := time.Now()
 	x, stop := context.WithCancel(c)
 	defer stop()
@@ -169,13 +172,14 @@
 }
 
 // call sends the request to the server of l. After suspectTimeout other requests avoid the server, and after
-// responseTimeout a request that may be retried is cancelled by stop.
+// responseTimeout a request that may be retried is cancelled by stop once it has a place at another server: a request that
+// would find none goes on waiting.
 func (a *exchange) call(c context.Context, stop context.CancelFunc, l *slots.Reservation) (bulrushlug.Reply, error) {
 	t := time.AfterFunc(suspectTimeout, l.RecordFailure)
 	defer t.Stop()
 	if a.mayRetry() && a.request.TargetRoute().Attempts() != a.possibleRuns+1 {
-		g := time.AfterFunc(responseTimeout, stop)
-		defer g.Stop()
+		r := a.seekReplacement(l, stop)
+		defer func() { a.next = r.end() }()
 	}
 	return a.client.Call(c, l.Backend(), a.request)
 }
