--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -196,14 +196,15 @@
 	}
 }
 
-// serveHTTP serves h on address a until the test ends and returns the address that it listens on.
+// serveHTTP serves h on address a until the test ends and returns the address that it listens on. A connection without a
+// request stays open for longer than an entry keeps one.
 func serveHTTP(t *testing.T, a string, h http.Handler) string {
 	t.Helper()
 	l, err := net.Listen("tcp", a)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return l.Addr().String()
--- a/daemon/leaving_test.go
+++ b/daemon/leaving_test.go
@@ -1,7 +1,11 @@
 package daemon
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -91,6 +95,31 @@
 	}
 }
 
+// TestStandInKeepsConnection guards against a stand-in that closes a new connection, without having said so, before the
+// request that an entry sends late.
+func TestStandInKeepsConnection(t *testing.T) {
+	for name, x := range map[string]struct{ wait time.Duration }{
+		"a request at once":     {},
+		"a request 1.5 s later": {wait: 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := &fakeBackend{id: "b0", ran: map[string]int{}, tenants: map[string]string{}}
+			c, err := net.Dial("tcp", serveHTTP(t, "127.0.0.1:0", b))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			time.Sleep(x.wait)
+			_, _ = io.WriteString(c, "GET /ask/x HTTP/1.1\r\nHost: h\r\n\r\n")
+			w, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || w.StatusCode != http.StatusOK {
+				t.Errorf("response %v, %v", w, err)
+			}
+		})
+	}
+}
+
 // TestItemsReachLeavingServer guards against items at a server that said in an answer that it is leaving, and against
 // avoiding the server that has its address later.
 func TestItemsReachLeavingServer(t *testing.T) {
