fix(daemon): waits of items are counted from the start of a process

Cause: the runner of items began with the first configuration. A process that starts while the key-value service is unreachable had no count and no line on items that wait, whatever for.

Change: it begins at once; without a configuration its items wait (cause configuration or replicas), as the runner did already for one that is late.

Test: TestWaitsAreCountedFromTheStart, red before ("condition not met after 20s: the waits are counted", both cases).

--- a/daemon/data.go
+++ b/daemon/data.go
@@ -66,12 +66,7 @@
 		_ = d.replicas.Run(k)
 	}()
 	go d.reportRetirement(c)
-	select {
-	case <-d.manifestReady:
-		_ = d.runner.Run(c)
-	case <-c.Done():
-	}
-	<-c.Done()
+	_ = d.runner.Run(c)
 	d.broadcaster.Leave()
 	_ = d.logger.Log("event", "leave", "lots", d.replicas.LotCount())
 	_ = bulrushlug.Sleep(k, handoverTime)
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"maps"
 	"strings"
 	"testing"
+	"time"
 
 	"bulrushlug.dev/bulrushlug"
 )
@@ -71,3 +73,48 @@
 		})
 	}
 }
+
+// TestWaitsAreCountedFromTheStart guards against a process whose items wait and that says nothing of them, as it starts while
+// the key-value service is unreachable and has no configuration yet.
+func TestWaitsAreCountedFromTheStart(t *testing.T) {
+	for name, x := range map[string]struct {
+		restarted int            // Processes with disks that start again; the others are gone.
+		want      map[string]int // Items that wait at all of them, by cause.
+	}{
+		"one of two":  {restarted: 1, want: map[string]int{"replicas": 3}},
+		"both of two": {restarted: 2, want: map[string]int{"replicas": 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 1, 2, 1)
+			s.backends[0].set(func(b *fakeBackend) { b.eventInterval = time.Minute })
+			s.waitUntil("a lot is accepted", func() bool { n, _ := s.call(0, "POST", "/in/l", "lot1", "k1", lotBody("lot1", 3)); return n == 202 })
+			primary := 0
+			s.waitUntil("its items run", func() bool {
+				for i, p := range s.data {
+					if p.daemon.roleHandler.(*data).replicas.IsPrimary("lot1") {
+						primary = i
+					}
+				}
+				return s.backends[0].total() >= 3
+			})
+			s.store.SetOutage(true)
+			for _, p := range s.all {
+				p.end()
+			}
+			var l []*process
+			for i := range x.restarted {
+				l = append(l, s.start(s.data[(primary+i)%2].settings))
+			}
+			s.waitUntil("the waits are counted", func() bool {
+				got := map[string]int{}
+				for _, p := range l {
+					for c, n := range p.daemon.roleHandler.(*data).runner.Waiting() {
+						got[c] += n
+					}
+				}
+				return maps.Equal(got, x.want)
+			})
+			s.store.SetOutage(false)
+		})
+	}
+}
