--- a/lots/unserved.go
+++ b/lots/unserved.go
@@ -8,7 +8,7 @@
 
 const (
 	searchInterval   = time.Second     // Time between two searches for lots for which no primary acts.
-	silence          = 5 * time.Second // Time without an update by the primary after which none acts, and the time between two lines on a lot.
+	unservedAfter    = 5 * time.Second // Time without an update by the primary after which none acts, and the time between two lines on a lot.
 	maxUnservedLines = 10              // Lines a second on such lots.
 )
 
@@ -61,11 +61,11 @@
 			continue
 		}
 		t := slices.MaxFunc([]time.Time{l.firstSeen, l.promisedAt, l.heardAt}, time.Time.Compare)
-		if now.Sub(t) < silence {
+		if now.Sub(t) < unservedAfter {
 			continue
 		}
 		all++
-		if now.Sub(l.unservedLogged) >= silence {
+		if now.Sub(l.unservedLogged) >= unservedAfter {
 			due = append(due, unservedLot{l.id, l.replicas, l.epoch, l.confirmed, len(l.head.Items()) - len(l.done), t, l.lastError()})
 		}
 	}
--- a/slots/usable.go
+++ b/slots/usable.go
@@ -7,27 +7,30 @@
 func (t *Table) Usable(v string) (servers, avoided, leaving, idle int) {
 	now := time.Now()
 	for i := range t.shards {
-		t.shards[i].usable(v, now, &servers, &avoided, &leaving, &idle)
+		n, a, l, f := t.shards[i].usable(v, now)
+		servers, avoided, leaving, idle = servers+n, avoided+a, leaving+l, idle+f
 	}
 	return servers, avoided, leaving, idle
 }
 
-func (s *shard) usable(v string, now time.Time, servers, avoided, leaving, idle *int) {
+// usable counts as Usable does, in one shard.
+func (s *shard) usable(v string, now time.Time) (servers, avoided, leaving, idle int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
 		if e.backend.Service() != v {
 			continue
 		}
-		*servers++
+		servers++
 		switch d := s.leaving[id]; {
 		case d != nil || e.backend.Draining():
-			*leaving++
+			leaving++
 		case now.Before(e.backoffUntil):
-			*avoided++
+			avoided++
 		default:
 			online, batch := s.totalLoad(e, now)
-			*idle += max(0, int(e.backend.Slots())-online-batch)
+			idle += max(0, int(e.backend.Slots())-online-batch)
 		}
 	}
+	return servers, avoided, leaving, idle
 }
