test(poison): one test at a server that ends beside others holds the part for 30 s

Two or three servers that end within half a second, as two fifths of a small service do, are enough; an item has 18 s.

--- a/poison/coincidence_test.go
+++ b/poison/coincidence_test.go
@@ -120,6 +120,8 @@
 			time.Sleep(5 * time.Second)
 			_ = x.Check(prompt("d", "test"))
 		},
+		"a server ends on a test, and one other":  func(x *fixture) { endTest(x, 1) },
+		"a server ends on a test, and two others": func(x *fixture) { endTest(x, 2) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -133,6 +135,17 @@
 	}
 }
 
+// endTest has the test of a part end a server, and n other servers end beside it.
+func endTest(x *fixture, n int) {
+	crashes(x.Detector, 0, 3, "d")
+	time.Sleep(5 * time.Second)
+	_ = x.Check(prompt("d", "test"))
+	for i := range n {
+		endServer(x.Detector, fmt.Sprint("other-", i), fmt.Sprint("other-part-", i), fmt.Sprint("other-own-", i))
+	}
+	endServer(x.Detector, "server-3", "d", "test")
+}
+
 const (
 	simProcesses = 20
 	simServers   = 50
