fix(poison): a hold gets longer only if a server ends on a test alone, or on several

A test at one of two or three servers that ended together made the next hold 30 s; an item has 18 s.

--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -13,11 +13,10 @@
 	minRequests = 2  // Requests with a shared part on which they end; retries of one request are no evidence against what it shares with others.
 	maxCrashes  = 16 // Crashes that are kept of a part.
 	// minQuarantine is the time from a conclusive crash until the part is tested. It grows by quarantineGrowth each time that
-	// servers end on a test, by minWeight in all, up to maxQuarantine.
+	// servers end on tests, of which one ends alone or twice one of two, up to maxQuarantine.
 	minQuarantine    = 3 * time.Second
 	maxQuarantine    = 10 * time.Minute
 	quarantineGrowth = 10
-	minWeight        = 0.5
 	crashLifetime    = 30 * time.Minute // Age at which a crash is forgotten.
 	probeInterval    = 3 * time.Second  // Time between tests of a part of which nothing was seen.
 	probeSpread      = time.Second      // Time over which the tests of the processes are spread.
@@ -188,7 +187,7 @@
 				length, until = minQuarantine, x.at.Add(minQuarantine)
 			}
 		case x.at.After(until):
-			if raise += x.weight(); raise >= minWeight {
+			if raise += 1 / float64(1+x.others); raise >= 1 {
 				length, raise = min(quarantineGrowth*length, maxQuarantine), 0
 			}
 			until = x.at.Add(length)
