--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -13,7 +13,6 @@
 	entry   *entry
 	backend bulrushlug.Backend
 	batch   bool
-	begun   time.Time
 	success bool // The response was complete, so that its connection can be used again; guarded by the shard's lock.
 	once    sync.Once
 }
@@ -63,19 +62,13 @@
 	l.entry.idleUntil = now.Add(reuseTime)
 }
 
-// RecordFailure makes Table.AcquireOnline and Table.AcquireBatch avoid the server for a back-off. It doubles with each failure
-// of a request that was begun after the last one; requests that were in flight together break together, and say no more than
-// one of them.
+// RecordFailure makes Table.AcquireOnline and Table.AcquireBatch avoid the server for an exponentially growing back-off.
 func (l *Reservation) RecordFailure() {
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
 	e := l.entry
-	now := time.Now()
-	if e.backoff == 0 || l.begun.After(e.failedAt) {
-		e.backoff = min(max(initialBackoff, 2*e.backoff), maxBackoff)
-		e.failedAt = now
-	}
-	e.backoffUntil = now.Add(e.backoff)
+	e.backoff = min(max(initialBackoff, 2*e.backoff), maxBackoff)
+	e.backoffUntil = time.Now().Add(e.backoff)
 }
 
 // RecordSuccess ends the back-off of the server and adds interval, the seconds between two events of the response, to its
--- a/slots/table.go
+++ b/slots/table.go
@@ -59,7 +59,6 @@
 	batch         int           // Batch items of this process in progress, at least zero.
 	backoffUntil  time.Time     // The server is avoided before this time.
 	backoff       time.Duration // Length of the last back-off; zero after a success.
-	failedAt      time.Time     // When a failure last set that length.
 	eventInterval float64       // Exponential moving average of the time between events, in seconds; zero before the first response.
 	started       time.Time     // Last start of a batch item by this process.
 	idle          int           // Idle connections of this process to the server, as of idleUntil.
@@ -388,5 +387,5 @@
 		e.online++
 		e.idle = max(0, e.idle-1)
 	}
-	return &Reservation{shard: s, entry: e, backend: e.backend, batch: batch, begun: time.Now()}
+	return &Reservation{shard: s, entry: e, backend: e.backend, batch: batch}
 }
