--- /dev/null
+++ b/slots/filter.go
@@ -0,0 +1,23 @@
+package slots
+
+import "time"
+
+// filter selects the servers that may get a request.
+type filter struct {
+	service string
+	skip    map[string]bool // Servers that are left out, by identifier.
+	now     time.Time
+	backoff bool // Servers in back-off are selected too.
+	leaving bool // Leaving servers are selected too, as a last resort.
+}
+
+// selects reports whether the server of e may get the request; d is nil if the server is not leaving.
+func (f filter) selects(e *entry, d *departure) bool {
+	switch {
+	case e.backend.Service() != f.service || e.backend.Draining() || f.skip[e.backend.ID()]:
+		return false
+	case d != nil && (!f.leaving || d.binding(f.now)):
+		return false
+	}
+	return f.backoff || !f.now.Before(e.backoffUntil)
+}
