feat: operators evacuate zones of backend servers

op/evacuate/ZONE was read nowhere, so requests went on to the servers of such a zone. Package warm now holds the evacuated zones, and slots asks it before each reservation, so that requests, retries, replacements, resumed streams and items all stop there. The entries arrive in the same replica as the manifest, from the service or from other processes.

Lines and metrics say which zones are evacuated and what is left of each service.

--- a/backend.go
+++ b/backend.go
@@ -1,5 +1,7 @@
 package bulrushlug
 
+import "time"
+
 // Backend is a backend server's registration in the key-value service; values are immutable.
 type Backend struct {
 	id        string // Stays the same across restarts of the server.
@@ -7,9 +9,10 @@
 	service   string // Service that the server provides.
 	address   string // host:port.
 	zone      string
-	slots     uint32 // Maximum number of concurrent requests, at least one.
-	draining  bool   // The server accepts no new requests.
-	revision  uint64 // Revision of the registration in the key-value service.
+	slots     uint32        // Maximum number of concurrent requests, at least one.
+	draining  bool          // The server accepts no new requests.
+	revision  uint64        // Revision of the registration in the key-value service.
+	coldTime  time.Duration // Time until the server is warm, as of the registration; at least zero.
 }
 
 // BackendOption configures a new Backend.
@@ -37,6 +40,11 @@
 // BackendDraining sets whether the server accepts no new requests.
 func BackendDraining(v bool) BackendOption { return func(b *Backend) { b.draining = v } }
 
+// BackendColdTime sets the time until the server is warm, as of its registration.
+func BackendColdTime(d time.Duration) BackendOption {
+	return func(b *Backend) { b.coldTime = max(0, d) }
+}
+
 // ID returns the identifier.
 func (b Backend) ID() string { return b.id }
 
@@ -61,6 +69,9 @@
 // Revision returns the revision of the registration in the key-value service.
 func (b Backend) Revision() uint64 { return b.revision }
 
+// ColdTime returns the time until the server is warm, as of its registration.
+func (b Backend) ColdTime() time.Duration { return b.coldTime }
+
 // SameInstance reports whether b and x are the same run of the same server at the same address.
 func (b Backend) SameInstance(x Backend) bool {
 	return b.id == x.id && b.startTime == x.startTime && b.address == x.address && b.service == x.service
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"bulrushlug.dev/bulrushlug/poison"
 	"bulrushlug.dev/bulrushlug/setup"
 	"bulrushlug.dev/bulrushlug/slots"
+	"bulrushlug.dev/bulrushlug/warm"
 )
 
 const (
@@ -53,6 +54,7 @@
 	transport      *dgram.Transport
 	broadcaster    *bcast.Broadcaster
 	lotClient      *lotcli.Client
+	gate           *warm.Gate
 	slotTable      *slots.Table
 	limiter        *meter.Limiter
 	recorder       *recorder
@@ -65,9 +67,13 @@
 	manifestReady  chan struct{}                       // Closed when the first manifest arrives.
 	snapshotPeers  chan bulrushlug.Member              // Next process to fetch a snapshot from: it has seen a change that this one has not.
 	manifestOnce   sync.Once
-	operatorMirror *mirror.Mirror // Replica of the operators' entries: the manifest and the VMs to retire.
+	operatorMirror *mirror.Mirror // Replica of the operators' entries: the manifest, the VMs to retire and the zones to evacuate.
 	backendMirror  *mirror.Mirror // Replica of the registrations of the backend servers.
 	roleHandler    roleHandler
+
+	evacuationCounts *expvar.Map
+	evacuationMu     sync.Mutex
+	evacuations      map[string]slots.Evacuation // Effect of evacuated zones by service, as last logged; guarded by evacuationMu.
 }
 
 // roleHandler implements what differs between the roles.
@@ -94,6 +100,9 @@
 	x.memory = memory.New(responseMemory)
 	x.leavingCounts = new(expvar.Map).Init()
 	x.counters.Set("serversLeaving", x.leavingCounts)
+	x.evacuationCounts = new(expvar.Map).Init()
+	x.counters.Set("evacuations", x.evacuationCounts)
+	x.gate = warm.New()
 	disk := ""
 	if d := s.DataFolder(); d != "" {
 		g, err := lotlog.Open(d)
@@ -105,7 +114,7 @@
 	boot := uint64(time.Now().UnixMilli())
 	lease := max(leaseTTL, s.MinLease())
 	x.membership = peers.New(s.Member(), boot, disk, p.Store(), memberPrefix, lease, x.logger)
-	x.slotTable = slots.New(s.Member().Name(), x.batchRunners)
+	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate))
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
 	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.guard, x.counters)
 	if err != nil {
@@ -178,10 +187,11 @@
 	return func(l []bulrushlug.KVEntry) { _ = s.guard.Do(task, func() { f(l) }) }
 }
 
-// setManifest applies the operators' entries: the manifest and the VMs to retire.
+// setManifest applies the operators' entries: the manifest, the VMs to retire and the zones to evacuate.
 func (s *Daemon) setManifest(l []bulrushlug.KVEntry) {
 	r := s.platform.RetiringVMs(l)
 	s.retiring.Store(&r)
+	s.setEvacuated(l)
 	m, err := s.platform.Manifest(l)
 	if err != nil {
 		_ = s.logger.Log("event", "badManifest", "err", err)
@@ -209,6 +219,7 @@
 		}
 	}
 	_ = s.logger.Log("event", "servers", "count", len(b), "draining", draining)
+	s.logEvacuations()
 }
 
 // buildReport returns the content of the process's next report.
--- a/manifest.go
+++ b/manifest.go
@@ -29,14 +29,15 @@
 
 // Manifest is the operators' whole configuration at one version; values are immutable.
 type Manifest struct {
-	version uint64 // Increases with each change.
-	config  *Config
-	bounds  Bounds
+	version  uint64 // Increases with each change.
+	config   *Config
+	bounds   Bounds
+	services []Service
 }
 
 // NewManifest returns version n of the manifest.
-func NewManifest(n uint64, f *Config, b Bounds) *Manifest {
-	return &Manifest{version: n, config: f, bounds: b}
+func NewManifest(n uint64, f *Config, b Bounds, s ...Service) *Manifest {
+	return &Manifest{version: n, config: f, bounds: b, services: s}
 }
 
 // Version returns the version.
@@ -47,3 +48,6 @@
 
 // Bounds returns the limits for callers' HTTP requests.
 func (m *Manifest) Bounds() Bounds { return m.bounds }
+
+// Services returns the services; the caller must not change the list.
+func (m *Manifest) Services() []Service { return m.services }
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -12,7 +12,7 @@
 // slot. Servers in back-off are used only if there is no other, by one item of this process at a time, initialBackoff after
 // the one before and the last failure. Leaving servers are a last resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
-	f := filter{service: v, now: time.Now()}
+	f := filter{service: v, now: time.Now(), gate: t.gate}
 	o := t.ranking()
 	best, free, all := t.bestIdle(f, o)
 	if all == 0 {
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -1,12 +1,26 @@
 package slots
 
-import "time"
+import (
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+// openGate admits all requests.
+type openGate struct{}
+
+func (openGate) Evacuated(string) bool { return false }
+
+func (openGate) Open(bulrushlug.Backend, time.Time) bool { return true }
+
+func (openGate) Admit(bulrushlug.Backend, time.Time) bool { return true }
 
 // filter selects the servers that may get a request.
 type filter struct {
 	service string
 	skip    map[string]bool // Servers that are left out, by identifier.
 	now     time.Time
+	gate    bulrushlug.ServerGate
 	backoff bool // Servers in back-off are selected too.
 	leaving bool // Leaving servers are selected too, as a last resort.
 }
@@ -19,5 +33,5 @@
 	case d != nil && (!f.leaving || d.binding(f.now)):
 		return false
 	}
-	return f.backoff || !f.now.Before(e.backoffUntil)
+	return (f.backoff || !f.now.Before(e.backoffUntil)) && f.gate.Open(e.backend, f.now)
 }
--- a/slots/table.go
+++ b/slots/table.go
@@ -40,11 +40,13 @@
 	version     atomic.Uint64   // Increases when a server comes or goes.
 	lastResorts atomic.Uint64   // Reservations at leaving servers.
 	ranks       atomic.Pointer[ranking]
+	gate        bulrushlug.ServerGate
 	shards      [shardCount]shard
 }
 
 type shard struct {
 	mu      sync.Mutex
+	gate    bulrushlug.ServerGate
 	entries map[string]*entry       // By identifier of the backend server.
 	leaving map[string]*departure   // By identifier of the backend server; holds servers that were on the list lately.
 	remote  map[string]remoteReport // By VM of the process; expired ones are removed before each use.
@@ -74,10 +76,20 @@
 // remoteLoad is the load of other processes at one server.
 type remoteLoad struct{ online, batch int }
 
+// option configures a table.
+type option func(t *Table)
+
+// WithGate sets what decides whether a server may get one more request.
+func WithGate(g bulrushlug.ServerGate) option { return func(t *Table) { t.gate = g } }
+
 // New returns an empty table of the process on VM vm; f returns the VMs of the other processes that run batch items.
-func New(vm string, f func() []string) *Table {
-	t := &Table{self: vm, batchVMs: f}
+func New(vm string, f func() []string, o ...option) *Table {
+	t := &Table{self: vm, batchVMs: f, gate: openGate{}}
+	for _, g := range o {
+		g(t)
+	}
 	for i := range t.shards {
+		t.shards[i].gate = t.gate
 		t.shards[i].entries = map[string]*entry{}
 		t.shards[i].leaving = map[string]*departure{}
 		t.shards[i].remote = map[string]remoteReport{}
@@ -222,7 +234,7 @@
 
 // Available returns the number of servers of service v that accept requests; an empty v selects all services.
 //
-// Leaving servers that may be used as a last resort are included.
+// Servers in evacuated zones are not included. Leaving servers that may be used as a last resort are included.
 func (t *Table) Available(v string) (n int) {
 	now := time.Now()
 	for i := range t.shards {
@@ -231,13 +243,13 @@
 	return n
 }
 
-// count returns the number of servers of service v, or of all services if v is empty, that are not draining and for whose
-// departure f returns true; the departure is nil if the server is not leaving.
+// count returns the number of servers of service v, or of all services if v is empty, that are neither draining nor in an
+// evacuated zone, and for whose departure f returns true; the departure is nil if the server is not leaving.
 func (s *shard) count(v string, f func(d *departure) bool) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
-		if (v == "" || e.backend.Service() == v) && !e.backend.Draining() && f(s.leaving[id]) {
+		if (v == "" || e.backend.Service() == v) && !e.backend.Draining() && !s.gate.Evacuated(e.backend.Zone()) && f(s.leaving[id]) {
 			n++
 		}
 	}
@@ -266,7 +278,7 @@
 // Servers in skip are left out, and servers in back-off are used only if there is no other. Leaving servers are a last
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
-	f := filter{service: v, skip: skip, now: time.Now()}
+	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate}
 	best := t.bestOnline(f)
 	if best.shard == nil {
 		f.backoff = true
@@ -352,12 +364,12 @@
 	return e.eventInterval
 }
 
-// reserve counts one more request at server id, and returns nil if the server is gone.
+// reserve counts one more request at server id, and returns nil if the server is gone or the gate no longer admits it.
 func (s *shard) reserve(id string, batch bool) *Reservation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.entries[id]
-	if !ok {
+	if !ok || !s.gate.Admit(e.backend, time.Now()) {
 		return nil
 	}
 	if batch {
--- a/slots/usable.go
+++ b/slots/usable.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Usable returns the number of servers of service v, those among them that are avoided after a failure, those that are
-// leaving or draining, and the idle slots at all others.
+// leaving, draining or in an evacuated zone, and the idle slots at all others.
 func (t *Table) Usable(v string) (servers, avoided, leaving, idle int) {
 	now := time.Now()
 	for i := range t.shards {
@@ -23,7 +23,7 @@
 		}
 		servers++
 		switch d := s.leaving[id]; {
-		case d != nil || e.backend.Draining():
+		case d != nil || e.backend.Draining() || s.gate.Evacuated(e.backend.Zone()):
 			leaving++
 		case now.Before(e.backoffUntil):
 			avoided++
