fix(lots,items): failed runs of an item are counted across changes of its primary

Cause: a primary kept in its memory how often servers had failed an item. Change: the replicas are told of a failed run at once, as progress, and the next run waits until all of them know. What they know never decreases. On disks nothing changes.

--- a/codec/lot.go
+++ b/codec/lot.go
@@ -110,14 +110,14 @@
 
 func encodeProgress(p []bulrushlug.LotProgress) (l []*wire.LotProgress) {
 	for _, x := range p {
-		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: encodeTexts(x.Data()), Replaces: x.Replaces()})
+		l = append(l, &wire.LotProgress{Item: x.Item(), Text: x.Text(), First: x.First(), Data: encodeTexts(x.Data()), Replaces: x.Replaces(), Failures: uint32(min(x.Failures(), math.MaxInt32))})
 	}
 	return l
 }
 
 func decodeProgress(w []*wire.LotProgress) (l []bulrushlug.LotProgress) {
 	for _, x := range w {
-		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, decodeTexts(x.Data)).Replacing(x.Replaces))
+		l = append(l, bulrushlug.NewLotProgress(x.Item, x.Text, x.First, decodeTexts(x.Data)).Replacing(x.Replaces).WithFailures(int(min(x.Failures, math.MaxInt32))))
 	}
 	return l
 }
--- a/items/run.go
+++ b/items/run.go
@@ -106,6 +106,9 @@
 	if preempted || c.Err() != nil || err != nil {
 		return
 	}
+	if status == statusError {
+		r.manager.RecordFailures(context.WithoutCancel(c), a.task.lot.ID(), a.task.item, failures)
+	}
 	if status == statusUnprocessable || status == statusError && failures >= max(1, a.task.route.Attempts()) {
 		r.recordResult(c, a.key(), bulrushlug.NewLotResult(a.task.item, false, ""), "the backend server rejected it or failed too often", "status", status, "failed", failures)
 	}
--- a/items/runner.go
+++ b/items/runner.go
@@ -228,18 +228,24 @@
 
 // startable reports whether an item without a result is neither running nor in back-off.
 //
-// The result is looked up last: a run records its result before the item counts as no longer running.
+// The result is looked up last: a run records its result before the item counts as no longer running. The replicas know of all
+// failed runs before the next one, so that they bound the runs under each primary.
 func (r *Runner) startable(k key, now time.Time) bool {
-	return r.idle(k, now) && !r.manager.HasResult(k.lot, k.item)
+	failures, ok := r.idle(k, now)
+	return ok && failures <= r.manager.ReplicatedFailures(k.lot, k.item) && !r.manager.HasResult(k.lot, k.item)
 }
 
-// idle reports whether an item is neither running nor in back-off.
-func (r *Runner) idle(k key, now time.Time) bool {
+// idle reports whether an item is neither running nor in back-off, and returns its failed runs under this primary, or zero
+// before the first run.
+func (r *Runner) idle(k key, now time.Time) (failures int, ok bool) {
 	s := r.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.items[k]
-	return !ok || x.server == "" && !now.Before(x.notBefore)
+	if !ok {
+		return 0, true
+	}
+	return x.failures, x.server == "" && !now.Before(x.notBefore)
 }
 
 // services returns the services of t that take requests, those with the larger weights first; if all weights are zero, the
@@ -270,6 +276,7 @@
 	if !ok {
 		x = newItem()
 		x.adopt(text, r.memory)
+		x.failures = r.manager.Failures(k.lot, k.item)
 		h.items[k] = x
 	}
 	x.runs++
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -150,7 +150,8 @@
 	mu        sync.Mutex
 	store     *memtxn.Store
 	server    *textServer
-	processes map[string]*process // By VM, which is also the name of the disk.
+	client    bulrushlug.BackendClient // Takes the place of server; nil for server.
+	processes map[string]*process      // By VM, which is also the name of the disk.
 	boots     uint64
 	random    *rand.Rand // Makes updates late; nil for none.
 	earlier   bool       // Replicas return no progress, as those of an earlier version.
@@ -202,13 +203,21 @@
 		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
 			return p.runner.Progress(i, n, text, after)
 		}))
-	p.runner = New(p.manager, p.table, g.server, p.routes, g.detector, prompt, guard.New(log.NewNopLogger()), w, new(expvar.Map).Init(), memory.New(1<<30))
+	p.runner = New(p.manager, p.table, g.backends(), p.routes, g.detector, prompt, guard.New(log.NewNopLogger()), w, new(expvar.Map).Init(), memory.New(1<<30))
 	_ = p.manager.Load()
 	g.processes[n] = p
 	go func() { _ = p.manager.Run(c) }()
 	go func() { _ = p.runner.Run(c) }()
 }
 
+// backends returns the client of the backend servers.
+func (g *group) backends() bulrushlug.BackendClient {
+	if g.client != nil {
+		return g.client
+	}
+	return g.server
+}
+
 // kill ends the process on VM n at once.
 func (g *group) kill(n string) {
 	g.mu.Lock()
--- a/lot.go
+++ b/lot.go
@@ -251,6 +251,7 @@
 	data  []string // Data of the first event and of those after it.
 
 	replaces uint64 // Identifies the text that was dropped in favour of this one; zero for none.
+	failures int    // Runs of the item that a server failed, at least zero; never decreases.
 }
 
 // NewLotProgress returns the events of item n that belong to the given text, starting with event ID first.
@@ -267,6 +268,15 @@
 // Replaces returns the identifier of the text that was dropped in favour of this one; zero for none.
 func (p LotProgress) Replaces() uint64 { return p.replaces }
 
+// WithFailures returns a copy that says that servers failed n runs of the item.
+func (p LotProgress) WithFailures(n int) LotProgress {
+	p.failures = n
+	return p
+}
+
+// Failures returns the runs of the item that a server failed.
+func (p LotProgress) Failures() int { return p.failures }
+
 // Item returns the index of the item in the lot.
 func (p LotProgress) Item() uint32 { return p.item }
 
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -30,6 +30,7 @@
 	epochChanged    bool                  // The record has to be read again: a replica follows another epoch, or a caller took this replica for the primary.
 	stale           bool                  // The entries were received in another epoch; the primary has to resend all of them or reconfigure the lot.
 	recheck         bool                  // A replica may lack the lot.
+	failedRun       bool                  // A server failed a run of an item; the replicas are to be told at once.
 	maybeRecorded   bool                  // A write of the record was not answered and may have taken effect.
 	firstSeen       time.Time             // When this process first saw the lot.
 	receivedAt      time.Time             // The earliest time known to be the receipt of the lot or after it; zero while head is nil.
@@ -42,6 +43,7 @@
 	primaryBoot     uint64                // Start of the primary's process that sent an update of this epoch; zero before one did.
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
+	failures        map[uint32]int        // Failed runs of items without a result, under all primaries; never decreases.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
 	failing         map[string]failure    // Of the replicas on these disks, all writes of which have failed lately; this disk may be one.
 	writingSince    time.Time             // When the write to this disk began that is in progress; zero if none is.
@@ -70,11 +72,14 @@
 	events []string
 }
 
-// position is the last event of a text that was acknowledged.
-type position struct{ text, last uint64 }
+// position is the last event of a text, and the number of failed runs, that were acknowledged.
+type position struct {
+	text, last uint64
+	failures   int
+}
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, acked: map[uint32]position{}, failing: map[string]failure{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, failures: map[uint32]int{}, acked: map[uint32]position{}, failing: map[string]failure{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
 }
 
 // beginWrite waits until no other write to the log is in progress; the caller calls endWrite. It fails if a write takes so long
@@ -158,6 +163,7 @@
 // without events replaces only the text that it names.
 func (l *lot) addProgress(p []bulrushlug.LotProgress) {
 	for _, x := range p {
+		l.countFailures(x.Item(), x.Failures())
 		t := l.progress[x.Item()]
 		dropped := t.id != 0 && t.id == x.Replaces()
 		if t.id != x.Text() {
@@ -171,10 +177,23 @@
 	}
 }
 
-// knownProgress returns the events of the items without a result.
+// countFailures notes n failed runs of an item. They bound how often it runs, so no change of the primary or of the text may
+// lower them.
+func (l *lot) countFailures(item uint32, n int) {
+	if n > l.failures[item] && !l.ended && !l.done[item] {
+		l.failures[item] = n
+	}
+}
+
+// knownProgress returns the events and failed runs of the items without a result.
 func (l *lot) knownProgress() (p []bulrushlug.LotProgress) {
 	for n, t := range l.progress {
-		p = append(p, bulrushlug.NewLotProgress(n, t.id, 1, slices.Clone(t.events)))
+		p = append(p, bulrushlug.NewLotProgress(n, t.id, 1, slices.Clone(t.events)).WithFailures(l.failures[n]))
+	}
+	for n, f := range l.failures {
+		if _, ok := l.progress[n]; !ok {
+			p = append(p, bulrushlug.NewLotProgress(n, 0, 1, nil).WithFailures(f))
+		}
 	}
 	return p
 }
@@ -182,6 +201,7 @@
 // recoverProgress adopts the texts in p that are longer than the known ones.
 func (l *lot) recoverProgress(p []bulrushlug.LotProgress) {
 	for _, x := range p {
+		l.countFailures(x.Item(), x.Failures())
 		if x.First() == 1 && len(x.Data()) > len(l.progress[x.Item()].events) && !l.ended && !l.done[x.Item()] {
 			l.progress[x.Item()] = text{x.Text(), x.Data()}
 		}
@@ -228,9 +248,11 @@
 	case e.Result() != nil:
 		l.done[e.Result().Item()] = true
 		delete(l.progress, e.Result().Item())
+		delete(l.failures, e.Result().Item())
 	case e.Ended():
 		l.ended = true
 		clear(l.progress)
+		clear(l.failures)
 	}
 }
 
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -271,6 +271,27 @@
 	return d
 }
 
+// Failures returns the failed runs of an item under all primaries, as far as this disk knows.
+func (k *ReplicaManager) Failures(i string, item uint32) (n int) {
+	k.withLot(i, func(l *lot) { n = l.failures[item] })
+	return n
+}
+
+// RecordFailures has the replicas told at once that servers have failed n runs of an item.
+func (k *ReplicaManager) RecordFailures(c context.Context, i string, item uint32, n int) {
+	k.withLot(i, func(l *lot) {
+		l.countFailures(item, n)
+		l.failedRun = true
+	})
+	k.schedule(c, i)
+}
+
+// ReplicatedFailures returns the failed runs of an item of which all replicas know.
+func (k *ReplicaManager) ReplicatedFailures(i string, item uint32) (n int) {
+	k.withLot(i, func(l *lot) { n = l.acked[item].failures })
+	return n
+}
+
 // follows reports whether l may take the update u of another primary. An epoch is promised to one reconfiguration
 // only, and a draft does not replace that of another primary which may still be accepting the lot.
 func follows(l *lot, u bulrushlug.LotUpdate) bool {
--- a/lots/task.go
+++ b/lots/task.go
@@ -93,7 +93,7 @@
 		return taskNone
 	case own && (l.stale || k.needsNewReplicas(l)), !own && k.shouldTakeOver(l):
 		return taskReconfigure
-	case own && (len(l.pending) > 0 || l.committed < len(l.entries) || l.recheck):
+	case own && (len(l.pending) > 0 || l.committed < len(l.entries) || l.recheck || l.failedRun):
 		return taskCommit
 	case own && !l.finished() && now.Sub(l.verifiedAt) > startStaleness/2:
 		return taskCommit
@@ -211,6 +211,7 @@
 	}
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
+		l.failedRun = false
 		e := l.entries[min(max(l.committed, 1), len(l.entries)):]
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, max(l.committed, 1), slices.Clone(e[:partLength(e)]), true)
 		u = u.WithProgressWanted(l.committed == 0)
@@ -238,7 +239,7 @@
 			l.verifiedAt = time.Now()
 			l.recheck = false
 			for _, p := range u.Progress() {
-				l.acked[p.Item()] = position{p.Text(), p.Last()}
+				l.acked[p.Item()] = position{p.Text(), p.Last(), p.Failures()}
 			}
 			l.notify()
 		}
@@ -258,24 +259,28 @@
 
 // unsentProgress returns the progress of the items of lot i that the replicas have not acknowledged, or part of it.
 func (k *ReplicaManager) unsentProgress(i string) (p []bulrushlug.LotProgress) {
-	acked := map[uint32]position{}
+	acked, failures := map[uint32]position{}, map[uint32]int{}
 	k.withLot(i, func(l *lot) {
 		if l.head == nil {
 			return
 		}
 		for n := range uint32(len(l.head.Items())) {
 			if !l.done[n] {
-				acked[n] = l.acked[n]
+				acked[n], failures[n] = l.acked[n], l.failures[n]
 			}
 		}
 	})
 	size := 0
 	for n, a := range acked {
 		x := k.progress(i, n, a.text, a.last)
+		if x.Text() == 0 {
+			x = bulrushlug.NewLotProgress(n, 0, 1, nil)
+		}
+		x = x.WithFailures(failures[n])
 		if a.text != 0 && x.Text() != 0 && x.Text() != a.text {
 			x = x.Replacing(a.text)
 		}
-		if len(x.Data()) == 0 && x.Replaces() == 0 {
+		if len(x.Data()) == 0 && x.Replaces() == 0 && x.Failures() <= a.failures {
 			continue
 		}
 		for _, d := range x.Data() {
