feat(slots): load is spread evenly from old reports, if placement is even

Cause: all processes compare the same reports, which are as old as half a request, and send to the servers that looked least loaded: in the wave of slots.TestEvenLoad with crests at capacity 40% of the requests meet a full server while another has idle slots.

Change: what chooses the servers of online requests is an interface, bulrushlug.Chooser. least is the choice so far. even weighs a request of its own process as four of others, gives each process places of its own in proportion to its load (arcs) and goes by what servers lately answered to all processes, which the reports carry. The setting placement selects it; the default is as before.

--- /dev/null
+++ b/arcs/arcs_test.go
@@ -0,0 +1,29 @@
+package arcs
+
+import (
+	"math"
+	"testing"
+)
+
+// TestArcs checks that the arcs of all processes cover the ring once, in proportion to their load.
+func TestArcs(t *testing.T) {
+	for name, x := range map[string]struct {
+		load map[string]float64
+		want map[string]float64 // Distance of the middle of the ring, by process.
+	}{
+		"alone":               {load: map[string]float64{"a": 7}, want: map[string]float64{"a": 0}},
+		"two alike":           {load: map[string]float64{"a": 3, "b": 3}, want: map[string]float64{"a": 1, "b": 1}},
+		"one with most":       {load: map[string]float64{"a": 9, "b": 1}, want: map[string]float64{"a": 1.0 / 9, "b": 3.6}},
+		"the middle of three": {load: map[string]float64{"a": 1, "b": 2, "c": 1}, want: map[string]float64{"a": 3, "b": 0, "c": 3}},
+		"no load":             {load: map[string]float64{}, want: map[string]float64{"a": 0}},
+		"none of its own":     {load: map[string]float64{"a": 1}, want: map[string]float64{"b": 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n, want := range x.want {
+				if got := New(n, x.load).Distance(0.5); math.Abs(got-want) > 1e-9 {
+					t.Errorf("%s is %v from the middle, want %v", n, got, want)
+				}
+			}
+		})
+	}
+}
--- a/codec/report.go
+++ b/codec/report.go
@@ -25,7 +25,7 @@
 	}
 	w.Operated, w.Servers = r.SeenRevisions()
 	for _, u := range r.Usages() {
-		w.Usages = append(w.Usages, &wire.Usage{Backend: u.Backend(), Online: u.Online(), Batch: u.Batch()})
+		w.Usages = append(w.Usages, encodeUsage(u))
 	}
 	for _, s := range r.AdmissionCounts() {
 		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
@@ -48,7 +48,7 @@
 	m := bulrushlug.NewMember(w.Vm, w.Address, "", w.Zone, w.Role).WithLeaving(w.Leaving).WithDataFolder(w.Disk != "")
 	var u []bulrushlug.Usage
 	for _, x := range w.Usages {
-		u = append(u, bulrushlug.NewUsage(x.Backend, x.Online, x.Batch))
+		u = append(u, bulrushlug.NewUsage(x.Backend, x.Online, x.Batch).WithAnswers(bulrushlug.NewAnswers(x.Begun, x.FirstMs, x.Failed)))
 	}
 	var s []bulrushlug.AdmissionCount
 	for _, x := range w.Spendings {
@@ -71,6 +71,11 @@
 		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l))
 }
 
+func encodeUsage(u bulrushlug.Usage) *wire.Usage {
+	a := u.Answers()
+	return &wire.Usage{Backend: u.Backend(), Online: u.Online(), Batch: u.Batch(), Begun: a.Begun(), FirstMs: a.FirstMs(), Failed: a.Failed()}
+}
+
 func encodeSuspect(x bulrushlug.Suspect) *wire.Suspect {
 	w := &wire.Suspect{Scope: x.Scope(), Part: x.Part(), Own: x.Own()}
 	for _, y := range x.Crashes() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,7 +17,9 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/bcast"
 	"bulrushlug.dev/bulrushlug/dgram"
+	"bulrushlug.dev/bulrushlug/even"
 	"bulrushlug.dev/bulrushlug/guard"
+	"bulrushlug.dev/bulrushlug/least"
 	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/lotlog"
 	"bulrushlug.dev/bulrushlug/lotsrv"
@@ -114,7 +116,8 @@
 	boot := uint64(time.Now().UnixMilli())
 	lease := max(leaseTTL, s.MinLease())
 	x.membership = peers.New(s.Member(), boot, disk, p.Store(), memberPrefix, lease, x.logger)
-	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate))
+	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate), slots.WithChooser(newChooser(s.Placement())))
+	x.counters.Set("placements", x.slotTable.Counts())
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
 	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.guard, x.counters)
 	if err != nil {
@@ -133,6 +136,14 @@
 	return x, err
 }
 
+// newChooser returns what chooses the servers of online requests under setting p.
+func newChooser(p string) bulrushlug.Chooser {
+	if p == setup.PlacementEven {
+		return even.New()
+	}
+	return least.New()
+}
+
 // Reload replaces the settings by c. It fails with KindBadRequest if c changes identity, addresses or data directory,
 // which are fixed while the process runs.
 func (s *Daemon) Reload(c *setup.Settings) error {
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -52,9 +52,10 @@
 	request      *bulrushlug.Request
 	sink         *sink
 	service      string
-	skip         map[string]bool // Servers that failed or refused the request, by identifier.
-	possibleRuns int             // Attempts after which the request may have run.
-	next         *place          // Taken for the next attempt; nil if there is none.
+	skip         map[string]bool    // Servers that failed or refused the request, by identifier.
+	possibleRuns int                // Attempts after which the request may have run.
+	slot         *slots.Reservation // Of the attempt in progress; nil if there is none.
+	next         *place             // Taken for the next attempt; nil if there is none.
 }
 
 // Run forwards r to servers until one responds or no retry is safe; the response goes to s.
@@ -120,6 +121,7 @@
 		return false, bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
 	}
 	l := q.slot
+	a.slot = l
 	defer l.Release()
 	a.notify(q.vms)
 	t := time.Now()
@@ -212,6 +214,7 @@
 		l.RecordFailure()
 		return true, err
 	case bulrushlug.KindOverloaded:
+		l.RecordRefusal()
 		return true, err
 	}
 	a.possibleRuns++
--- a/report.go
+++ b/report.go
@@ -1,10 +1,12 @@
 package bulrushlug
 
-// Usage is the number of requests that one process has in flight at one backend server.
+// Usage is the number of requests that one process has in flight at one backend server, and what the server lately
+// answered to it.
 type Usage struct {
 	backend string
 	online  uint32
 	batch   uint32
+	answers Answers
 }
 
 // NewUsage returns the usage of backend server b.
@@ -21,6 +23,15 @@
 // Batch returns the number of batch items in flight.
 func (u Usage) Batch() uint32 { return u.batch }
 
+// WithAnswers returns a copy with answers a.
+func (u Usage) WithAnswers(a Answers) Usage {
+	u.answers = a
+	return u
+}
+
+// Answers returns what the server lately answered to the process.
+func (u Usage) Answers() Answers { return u.answers }
+
 // AdmissionCount is the number of an organisation's requests that one process admitted; the other processes take them
 // out of their own token buckets.
 type AdmissionCount struct {
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -20,6 +20,12 @@
 // RoleData is the role of a process that stores lots on its disk and runs their items.
 const RoleData = "data"
 
+// Values of the setting placement.
+const (
+	PlacementLeastLoaded = "leastLoaded" // The default.
+	PlacementEven        = "even"
+)
+
 const (
 	maxToleratedDisks = 4 // Maximum number of disks that may be lost at the same time.
 	defaultGrace      = 8 * time.Second
@@ -90,6 +96,11 @@
 			invalid(n, "needs an IP number and a port: %v", err)
 		}
 	}
+	switch s.w.Placement {
+	case "", PlacementLeastLoaded, PlacementEven:
+	default:
+		invalid("placement", "is %q, must be %q or %q", s.w.Placement, PlacementLeastLoaded, PlacementEven)
+	}
 	if s.w.ToleratedDisks > maxToleratedDisks {
 		invalid("toleratedDisks", "is %d, not from 0 to %d", s.w.ToleratedDisks, maxToleratedDisks)
 	}
@@ -137,6 +148,14 @@
 // Retention returns how long a lot can be read after it was received.
 func (s *Settings) Retention() time.Duration { return seconds(s.w.StatusSeconds, defaultRetention) }
 
+// Placement returns the name of what chooses the servers of online requests.
+func (s *Settings) Placement() string {
+	if s.w.Placement == "" {
+		return PlacementLeastLoaded
+	}
+	return s.w.Placement
+}
+
 // Tolerance returns the tolerated overrun of organisations' rate limits.
 func (s *Settings) Tolerance() bulrushlug.Tolerance {
 	return bulrushlug.NewTolerance(seconds(s.w.RateWindowSeconds, 0), s.w.RateOverrun, s.w.RateSlack)
--- a/setup/settings_test.go
+++ b/setup/settings_test.go
@@ -34,6 +34,8 @@
 		"no address for callers":   {old: `"http": "10.0.0.1:80",`, want: "http: needs an IP number and a port"},
 		"data without a directory": {old: `"entry"`, new: `"data"`, want: "dataFolder: is missing"},
 		"too many disks":           {old: `"toleratedDisks": 1`, new: `"toleratedDisks": 9`, want: "toleratedDisks: is 9, not from 0 to 4"},
+		"even placement":           {old: `"firstStart"`, new: `"placement": "even", "firstStart"`},
+		"an unknown placement":     {old: `"firstStart"`, new: `"placement": "best", "firstStart"`, want: `placement: is "best", must be "leastLoaded" or "even"`},
 		"a negative duration":      {old: `"graceSeconds": 8`, new: `"graceSeconds": -8`, want: "graceSeconds: must not be negative"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -13,7 +13,12 @@
 	entry   *entry
 	backend bulrushlug.Backend
 	batch   bool
-	success bool // The response was complete, so that its connection can be used again; guarded by the shard's lock.
+	began   time.Time
+	idle    bool // The server had an idle slot when it was chosen for an online request.
+	metrics metrics
+	first   bool // The first event was recorded; guarded by the shard's lock, as failed and success.
+	failed  bool // A failure was recorded.
+	success bool // The response was complete, so that its connection can be used again.
 	once    sync.Once
 }
 
@@ -62,11 +67,38 @@
 	l.entry.idleUntil = now.Add(reuseTime)
 }
 
+// RecordFirst records that the first event of the response came, or all of a response without events; further calls do
+// nothing.
+func (l *Reservation) RecordFirst() {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	l.recordFirst()
+}
+
+// recordFirst is RecordFirst for callers that hold the lock.
+func (l *Reservation) recordFirst() {
+	if l.batch || l.first || l.failed {
+		return
+	}
+	l.first = true
+	now := time.Now()
+	d := now.Sub(l.began)
+	l.metrics.observeFirst(l.idle, d)
+	l.entry.answers.add(bulrushlug.NewAnswers(1, uint32(min(d, maxFirst).Milliseconds()), 0), now)
+}
+
+// RecordRefusal records that the server refused the request because it was full.
+func (l *Reservation) RecordRefusal() { l.metrics.counts.Add("chosenFull", 1) }
+
 // RecordFailure makes Table.AcquireOnline and Table.AcquireBatch avoid the server for an exponentially growing back-off.
 func (l *Reservation) RecordFailure() {
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
 	e := l.entry
+	if !l.failed {
+		l.failed = true
+		e.answers.add(bulrushlug.NewAnswers(0, 0, 1), time.Now())
+	}
 	e.backoff = min(max(initialBackoff, 2*e.backoff), maxBackoff)
 	e.backoffUntil = time.Now().Add(e.backoff)
 }
@@ -77,6 +109,7 @@
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
 	l.success = true
+	l.recordFirst()
 	l.entry.backoff = 0
 	l.entry.backoffUntil = time.Time{}
 	switch {
--- a/slots/table.go
+++ b/slots/table.go
@@ -2,7 +2,6 @@
 package slots
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/least"
 )
 
 const (
@@ -18,35 +18,35 @@
 	slotsPerQueued = 4                       // Slots for each online request that may wait at a server.
 	// batchReserve is the share of a service's slots that batch items leave idle, for online requests that arrive
 	// before the next usage reports.
-	batchReserve  = 0.1
-	startInterval = 100 * time.Millisecond // Minimum time between batch starts at a server that ranks another process first; usage reports are as frequent.
-	jitter        = 2                      // Upper bound of the random part of a score, in requests; spreads processes that see the same counts.
-	// preemptionCost is added to the score of a server without an idle slot, in requests. Always preferring idle slots
-	// would make all processes pick the same few servers that have some.
-	preemptionCost = 1
-	// connectionCost is added to the score of a server to which this process has no idle connection, in requests. Where
-	// there is one, a request of this process has just freed a slot, while what others report is up to half a second old.
-	connectionCost = 4
-	reuseTime      = time.Second     // Time for which a connection stays idle and open after its request ended.
-	initialBackoff = time.Second     // Time for which a server is avoided after its first failure.
-	maxBackoff     = 8 * time.Second // Longest time for which a failed server is avoided.
-	intervalWeight = 0.1             // Smoothing factor of the moving average of the time between events.
+	batchReserve   = 0.1
+	startInterval  = 100 * time.Millisecond // Minimum time between batch starts at a server that ranks another process first; usage reports are as frequent.
+	jitter         = 2                      // Upper bound of the random part of a batch server's score, in slots.
+	reuseTime      = time.Second            // Time for which a connection stays idle and open after its request ended.
+	initialBackoff = time.Second            // Time for which a server is avoided after its first failure.
+	maxBackoff     = 8 * time.Second        // Longest time for which a failed server is avoided.
+	intervalWeight = 0.1                    // Smoothing factor of the moving average of the time between events.
 )
 
 // Table holds the backend servers and the requests in progress at each of them, sharded by server.
 type Table struct {
 	self        string
 	batchVMs    func() []string // Returns the VMs of the other processes that run batch items.
-	version     atomic.Uint64   // Increases when a server comes or goes.
-	lastResorts atomic.Uint64   // Reservations at leaving servers.
+	chooser     bulrushlug.Chooser
+	start       time.Time     // Reports are dated from here.
+	version     atomic.Uint64 // Increases when a server comes or goes.
+	lastResorts atomic.Uint64 // Reservations at leaving servers.
 	ranks       atomic.Pointer[ranking]
 	gate        bulrushlug.ServerGate
+	division    atomic.Pointer[places]
+	metrics     metrics
 	shards      [shardCount]shard
 }
 
 type shard struct {
 	mu      sync.Mutex
 	gate    bulrushlug.ServerGate
+	demands map[string]*demand      // By VM of the process; only recorded where the chooser needs news.
+	start   time.Time               // Start of the table; the moments in totals are counted from it.
 	entries map[string]*entry       // By identifier of the backend server.
 	leaving map[string]*departure   // By identifier of the backend server; holds servers that were on the list lately.
 	remote  map[string]remoteReport // By VM of the process; expired ones are removed before each use.
@@ -65,6 +65,7 @@
 	started       time.Time     // Last start of a batch item by this process.
 	idle          int           // Idle connections of this process to the server, as of idleUntil.
 	idleUntil     time.Time     // The idle connections are closed after this time.
+	answers       answers       // What this process lately had from the server.
 }
 
 // remoteReport is the load that another process reported, by identifier of the server.
@@ -74,7 +75,36 @@
 }
 
 // remoteLoad is the load of other processes at one server.
-type remoteLoad struct{ online, batch int }
+type remoteLoad struct {
+	online, batch int
+	moment        time.Duration // Sum over the online requests of the time from the start of the table to their report.
+	answers       bulrushlug.Answers
+}
+
+func (l remoteLoad) plus(m remoteLoad) remoteLoad {
+	return remoteLoad{l.online + m.online, l.batch + m.batch, l.moment + m.moment, l.answers.Plus(m.answers)}
+}
+
+func (l remoteLoad) minus(m remoteLoad) remoteLoad {
+	return remoteLoad{l.online - m.online, l.batch - m.batch, l.moment - m.moment, l.answers.Minus(m.answers)}
+}
+
+// age returns the mean age of the reports of the online requests, at d after the start of the table.
+func (l remoteLoad) age(d time.Duration) time.Duration {
+	if l.online == 0 {
+		return 0
+	}
+	return d - l.moment/time.Duration(l.online)
+}
+
+// WithChooser sets what chooses the servers of online requests; without it, or if c is nil, they go to the least loaded.
+func WithChooser(c bulrushlug.Chooser) option {
+	return func(t *Table) {
+		if c != nil {
+			t.chooser = c
+		}
+	}
+}
 
 // option configures a table.
 type option func(t *Table)
@@ -84,12 +114,14 @@
 
 // New returns an empty table of the process on VM vm; f returns the VMs of the other processes that run batch items.
 func New(vm string, f func() []string, o ...option) *Table {
-	t := &Table{self: vm, batchVMs: f, gate: openGate{}}
+	t := &Table{self: vm, batchVMs: f, chooser: least.New(), gate: openGate{}, start: time.Now(), metrics: newMetrics()}
 	for _, g := range o {
 		g(t)
 	}
 	for i := range t.shards {
 		t.shards[i].gate = t.gate
+		t.shards[i].start = t.start
+		t.shards[i].demands = map[string]*demand{}
 		t.shards[i].entries = map[string]*entry{}
 		t.shards[i].leaving = map[string]*departure{}
 		t.shards[i].remote = map[string]remoteReport{}
@@ -147,17 +179,23 @@
 // UpdateRemote replaces the load reported by the process on VM vm.
 func (t *Table) UpdateRemote(vm string, l []bulrushlug.Usage) {
 	now := time.Now()
+	since := now.Sub(t.start)
 	m := [shardCount]map[string]remoteLoad{}
+	online := 0
 	for _, u := range l {
+		online += int(u.Online())
 		i := xxhash.Sum64String(u.Backend()) % shardCount
 		if m[i] == nil {
 			m[i] = map[string]remoteLoad{}
 		}
-		m[i][u.Backend()] = remoteLoad{online: int(u.Online()), batch: int(u.Batch())}
+		m[i][u.Backend()] = remoteLoad{int(u.Online()), int(u.Batch()), time.Duration(u.Online()) * since, u.Answers()}
 	}
 	for i := range t.shards {
 		t.shards[i].updateRemote(vm, remoteReport{now, m[i]})
 	}
+	if t.chooser.NeedsNews() {
+		t.shard(vm).recordDemand(vm, online, now)
+	}
 }
 
 func (s *shard) updateRemote(vm string, r remoteReport) {
@@ -172,16 +210,15 @@
 	}
 	s.remote[vm] = r
 	for id, l := range r.loads {
-		x := s.totals[id]
-		s.totals[id] = remoteLoad{x.online + l.online, x.batch + l.batch}
+		s.totals[id] = s.totals[id].plus(l)
 	}
 }
 
 // removeRemote removes the report of VM vm from remote and totals; the caller holds the lock.
 func (s *shard) removeRemote(vm string) {
 	for id, l := range s.remote[vm].loads {
-		x := s.totals[id]
-		if x = (remoteLoad{x.online - l.online, x.batch - l.batch}); x == (remoteLoad{}) {
+		x := s.totals[id].minus(l)
+		if x == (remoteLoad{}) {
 			delete(s.totals, id)
 			continue
 		}
@@ -216,17 +253,23 @@
 func (t *Table) Usages() []bulrushlug.Usage {
 	var l []bulrushlug.Usage
 	for i := range t.shards {
-		l = append(l, t.shards[i].usages()...)
+		l = append(l, t.shards[i].usages(t.chooser.NeedsNews())...)
 	}
 	return l
 }
 
-func (s *shard) usages() (l []bulrushlug.Usage) {
+// usages returns the load of this process at the servers of the shard, and their answers to it if news is set.
+func (s *shard) usages(news bool) (l []bulrushlug.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	for id, e := range s.entries {
-		if e.online+e.batch > 0 {
-			l = append(l, bulrushlug.NewUsage(id, uint32(e.online), uint32(e.batch)))
+		var a bulrushlug.Answers
+		if news {
+			a = e.answers.at(now)
+		}
+		if e.online+e.batch > 0 || a != (bulrushlug.Answers{}) {
+			l = append(l, bulrushlug.NewUsage(id, uint32(e.online), uint32(e.batch)).WithAnswers(a))
 		}
 	}
 	return l
@@ -261,6 +304,7 @@
 	shard    *shard
 	id       string
 	score    float64 // The lowest score wins.
+	idle     bool    // The server has an idle slot.
 	fallback bool    // The server is chosen only if no other can be.
 }
 
@@ -279,25 +323,28 @@
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
 	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate}
-	best := t.bestOnline(f)
+	p := t.places(f.now)
+	best := t.bestOnline(f, p)
 	if best.shard == nil {
 		f.backoff = true
-		best = t.bestOnline(f)
+		best = t.bestOnline(f, p)
 	}
 	if best.shard == nil && !t.staying(v) {
 		f.leaving = true
-		best = t.bestOnline(f)
+		best = t.bestOnline(f, p)
 	}
 	if best.shard == nil {
 		return nil, nil
 	}
-	return t.reserve(best, f, false), best.shard.batchVMs(best.id, f.now)
+	l, age := t.reserve(best, f, false), best.shard.age(best.id, f.now)
+	t.metrics.observe("newsMs", age)
+	return l, best.shard.batchVMs(best.id, f.now)
 }
 
 // bestOnline returns the server with the lowest score of all shards.
-func (t *Table) bestOnline(f filter) (best candidate) {
+func (t *Table) bestOnline(f filter, p *places) (best candidate) {
 	for i := range t.shards {
-		if c, ok := t.shards[i].bestOnline(f); ok && c.better(best) {
+		if c, ok := t.shards[i].bestOnline(f, t.chooser, p); ok && c.better(best) {
 			best = c
 		}
 	}
@@ -309,7 +356,18 @@
 	if f.leaving {
 		t.lastResorts.Add(1)
 	}
-	return c.shard.reserve(c.id, batch)
+	l := c.shard.reserve(c.id, batch)
+	if l != nil {
+		l.idle, l.metrics = c.idle, t.metrics
+	}
+	return l
+}
+
+// age returns the mean age of what this process knows of the requests of others at server id.
+func (s *shard) age(id string, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.totals[id].age(now.Sub(s.start))
 }
 
 // batchVMs returns the VMs of the processes that run batch items at server id.
@@ -326,26 +384,19 @@
 }
 
 // bestOnline returns the server of the shard with the lowest score.
-func (s *shard) bestOnline(f filter) (best candidate, ok bool) {
+func (s *shard) bestOnline(f filter, x bulrushlug.Chooser, p *places) (best candidate, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expire(f.now)
 	for id, e := range s.entries {
 		if !f.selects(e, s.leaving[id]) {
 			continue
 		}
-		online, batch := s.totalLoad(e, f.now)
-		slots := int(e.backend.Slots())
-		if online >= slots+slots/slotsPerQueued {
+		l := s.load(e, p, f.now)
+		if l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued {
 			continue
 		}
-		n := float64(online) + 1 + jitter*rand.Float64()
-		if online+batch >= slots {
-			n += preemptionCost
-		}
-		if !e.connected(f.now) {
-			n += connectionCost
-		}
-		c := candidate{shard: s, id: id, score: n / float64(slots) * e.secondsPerEvent()}
+		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
 		if c.better(best) {
 			best, ok = c, true
 		}
@@ -353,17 +404,17 @@
 	return best, ok
 }
 
+// load returns what this process knows of the load of the server of e; the caller has removed expired reports.
+func (s *shard) load(e *entry, p *places, now time.Time) bulrushlug.ServerLoad {
+	r := s.totals[e.backend.ID()]
+	return bulrushlug.NewServerLoad(int(e.backend.Slots()), e.online, r.online, e.batch+r.batch).
+		WithSpeed(e.eventInterval, e.connected(now)).
+		WithNews(p.distance(e.backend.ID()), r.answers.Plus(e.answers.at(now)), p.fleetAnswers())
+}
+
 // connected reports whether this process has an idle connection to the server.
 func (e *entry) connected(now time.Time) bool { return e.idle > 0 && now.Before(e.idleUntil) }
 
-// secondsPerEvent returns the average time between events, or one if it is unknown.
-func (e *entry) secondsPerEvent() float64 {
-	if e.eventInterval == 0 {
-		return 1
-	}
-	return e.eventInterval
-}
-
 // reserve counts one more request at server id, and returns nil if the server is gone or the gate no longer admits it.
 func (s *shard) reserve(id string, batch bool) *Reservation {
 	s.mu.Lock()
@@ -379,5 +430,5 @@
 		e.online++
 		e.idle = max(0, e.idle-1)
 	}
-	return &Reservation{shard: s, entry: e, backend: e.backend, batch: batch}
+	return &Reservation{shard: s, entry: e, backend: e.backend, batch: batch, began: time.Now()}
 }
--- a/wire/text_test.go
+++ b/wire/text_test.go
@@ -42,7 +42,7 @@
 	"LotRef":         "organisation draft",
 	"LotRecord":      "replicas",
 	"MemberRecord":   "vm address region zone role disk",
-	"SiteSettings":   "vm region zone role listen http ready metrics store data_folder",
+	"SiteSettings":   "vm region zone role listen http ready metrics store data_folder placement",
 }
 
 // checkedText are the text fields, by message, whose values come from outside. They are UTF-8 since another package checked
