feat(slots): rings of the usable servers of each service, bounded candidates

Cause: servers that get no requests left gaps in the ring, whose neighbours got what was meant for them, and a choice looked at all servers.

Change: a ring for each service, of the servers that are not draining, leaving or evacuated, divided again with the arcs; of a service with more than 256, the 256 around the process's places are looked at before all.

--- a/arcs/arcs.go
+++ b/arcs/arcs.go
@@ -32,3 +32,6 @@
 	d := max(x-a.middle, a.middle-x)
 	return min(d, 1-d) * 2 / a.length
 }
+
+// Position returns the position of the middle of the arc in a list of n, which is the ring.
+func (a Arc) Position(n int) int { return min(int(a.middle*float64(n)), n-1) }
--- a/arcs/arcs_test.go
+++ b/arcs/arcs_test.go
@@ -27,3 +27,21 @@
 		})
 	}
 }
+
+func TestPosition(t *testing.T) {
+	for name, x := range map[string]struct {
+		self string
+		n    int
+		want int
+	}{
+		"the first":  {self: "a", n: 40, want: 5},
+		"the last":   {self: "d", n: 40, want: 35},
+		"one server": {self: "d", n: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := New(x.self, map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1}).Position(x.n); got != x.want {
+				t.Errorf("position %d, want %d", got, x.want)
+			}
+		})
+	}
+}
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -22,6 +22,7 @@
 	now     time.Time
 	gate    bulrushlug.ServerGate
 	backoff bool // Servers in back-off are selected too.
+	all     bool // All servers are looked at, not only those near the places of the process.
 	leaving bool // Leaving servers are selected too, as a last resort.
 }
 
--- a/slots/places.go
+++ b/slots/places.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,8 +14,13 @@
 
 const (
 	placesInterval = 100 * time.Millisecond // Time after which places are divided again; reports are as frequent.
-	demandTime     = 3 * time.Second        // Time constant of the average of a process's demand.
-	leastDemand    = 0.05                   // Requests in progress below which a process gets no places of its own.
+	// intervalPerServer lengthens that time, so that division takes a small part of a core whatever the number of servers.
+	intervalPerServer = 100 * time.Microsecond
+	// maxNear is the number of servers, around the middle of the arc of the process, that are looked at for one request,
+	// before all of them are if none of these can be chosen.
+	maxNear     = 256
+	demandTime  = 3 * time.Second // Time constant of the average of a process's demand.
+	leastDemand = 0.05            // Requests in progress below which a process gets no places of its own.
 )
 
 // demand is the average number of online requests that a process had in progress lately.
@@ -56,13 +62,20 @@
 
 // places tells how far each server is from the places that this process prefers; values are immutable.
 type places struct {
-	version   uint64 // Version of the list of servers.
-	made      time.Time
-	positions map[string]float64 // Of the servers on the ring of all places.
+	version   uint64             // Version of the list of servers.
+	expiry    time.Time          // When places are divided again.
+	positions map[string]float64 // Of the servers on the rings of the places of each service; servers that get no requests have none.
+	near      map[string]*[shardCount][]string
 	arc       arcs.Arc
 	answers   bulrushlug.Answers // Of all servers, when places were divided.
 }
 
+// ringServer is a server on the ring of its service, in the order of hashes.
+type ringServer struct {
+	hash        uint64
+	id, service string
+}
+
 // distance returns how far server id is, in shares of one process.
 func (p *places) distance(id string) float64 {
 	if p == nil {
@@ -79,6 +92,14 @@
 	return p.answers
 }
 
+// nearby returns the servers of service v, by shard, that alone are looked at for a request; nil if all are.
+func (p *places) nearby(v string) *[shardCount][]string {
+	if p == nil {
+		return nil
+	}
+	return p.near[v]
+}
+
 // places divides the places among the processes, unless that was done just now; it returns nil if the chooser does not
 // need that.
 func (t *Table) places(now time.Time) *places {
@@ -86,52 +107,70 @@
 		return nil
 	}
 	v := t.version.Load()
-	p := t.division.Load()
-	if p != nil && p.version == v && now.Sub(p.made) < placesInterval {
+	if p := t.division.Load(); p != nil && p.version == v && now.Before(p.expiry) {
 		return p
 	}
-	q := &places{version: v, made: now}
+	p := &places{version: v, positions: map[string]float64{}, near: map[string]*[shardCount][]string{}}
+	var l []ringServer
 	own := 0
 	for i := range t.shards {
-		n, a := t.shards[i].sums(now)
+		n, a, m := t.shards[i].survey(now)
 		own += n
-		q.answers = q.answers.Plus(a)
+		p.answers = p.answers.Plus(a)
+		l = append(l, m...)
 	}
 	t.shard(t.self).recordDemand(t.self, own, now)
 	m := map[string]float64{}
 	for i := range t.shards {
 		t.shards[i].addDemands(m, now)
 	}
-	q.arc = arcs.New(t.self, m)
-	if p != nil && p.version == v {
-		q.positions = p.positions
-	} else {
-		q.positions = t.positions()
+	p.arc = arcs.New(t.self, m)
+	p.expiry = now.Add(max(placesInterval, time.Duration(len(l))*intervalPerServer))
+	slices.SortFunc(l, func(a, b ringServer) int {
+		return cmp.Or(strings.Compare(a.service, b.service), cmp.Compare(a.hash, b.hash))
+	})
+	for len(l) > 0 {
+		n := slices.IndexFunc(l, func(x ringServer) bool { return x.service != l[0].service })
+		if n < 0 {
+			n = len(l)
+		}
+		p.add(l[:n])
+		l = l[n:]
 	}
-	t.division.Store(q)
-	return q
+	t.division.Store(p)
+	return p
 }
 
-// positions returns the positions of the servers on the ring of all places.
-func (t *Table) positions() map[string]float64 {
-	l := t.servers()
-	slices.SortFunc(l, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	m := make(map[string]float64, len(l))
-	for i, id := range l {
-		m[id] = (float64(i) + 0.5) / float64(len(l))
+// add adds the ring l of one service.
+func (p *places) add(l []ringServer) {
+	for i, x := range l {
+		p.positions[x.id] = (float64(i) + 0.5) / float64(len(l))
+	}
+	if len(l) <= maxNear {
+		return
 	}
-	return m
+	m := &[shardCount][]string{}
+	first := p.arc.Position(len(l)) - maxNear/2 + len(l)
+	for i := range maxNear {
+		x := l[(first+i)%len(l)]
+		k := x.hash % shardCount
+		m[k] = append(m[k], x.id)
+	}
+	p.near[l[0].service] = m
 }
 
-// sums returns the online requests of this process at the servers of the shard, and the answers of these to all
-// processes.
-func (s *shard) sums(now time.Time) (own int, a bulrushlug.Answers) {
+// survey returns the online requests of this process at the servers of the shard, the answers of these to all processes,
+// and the servers that get requests.
+func (s *shard) survey(now time.Time) (own int, a bulrushlug.Answers, l []ringServer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
 	for id, e := range s.entries {
 		own += e.online
 		a = a.Plus(e.answers.at(now)).Plus(s.totals[id].answers)
+		if !e.backend.Draining() && s.leaving[id] == nil && !s.gate.Evacuated(e.backend.Zone()) {
+			l = append(l, ringServer{xxhash.Sum64String(id), id, e.backend.Service()})
+		}
 	}
-	return own, a
+	return own, a, l
 }
--- a/slots/table.go
+++ b/slots/table.go
@@ -325,6 +325,10 @@
 	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate}
 	p := t.places(f.now)
 	best := t.bestOnline(f, p)
+	f.all = true
+	if best.shard == nil && p.nearby(v) != nil {
+		best = t.bestOnline(f, p)
+	}
 	if best.shard == nil {
 		f.backoff = true
 		best = t.bestOnline(f, p)
@@ -344,7 +348,7 @@
 // bestOnline returns the server with the lowest score of all shards.
 func (t *Table) bestOnline(f filter, p *places) (best candidate) {
 	for i := range t.shards {
-		if c, ok := t.shards[i].bestOnline(f, t.chooser, p); ok && c.better(best) {
+		if c, ok := t.shards[i].bestOnline(f, t.chooser, p, i); ok && c.better(best) {
 			best = c
 		}
 	}
@@ -383,24 +387,35 @@
 	return l
 }
 
-// bestOnline returns the server of the shard with the lowest score.
-func (s *shard) bestOnline(f filter, x bulrushlug.Chooser, p *places) (best candidate, ok bool) {
+// bestOnline returns the server of shard i with the lowest score.
+func (s *shard) bestOnline(f filter, x bulrushlug.Chooser, p *places, i int) (best candidate, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(f.now)
-	for id, e := range s.entries {
+	consider := func(id string, e *entry) {
 		if !f.selects(e, s.leaving[id]) {
-			continue
+			return
 		}
 		l := s.load(e, p, f.now)
 		if l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued {
-			continue
+			return
 		}
 		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
 		if c.better(best) {
 			best, ok = c, true
 		}
 	}
+	if m := p.nearby(f.service); m != nil && !f.all {
+		for _, id := range m[i] {
+			if e, ok := s.entries[id]; ok {
+				consider(id, e)
+			}
+		}
+		return best, ok
+	}
+	for id, e := range s.entries {
+		consider(id, e)
+	}
 	return best, ok
 }
 
