feat: bulrushlug explain tells where a request or lot would go now

A process answers at the address of its metrics with the servers of the route's services, what it knows of each, the score, and the rule that chooses or excludes it; for a lot, with the processes that it would be offered to. Nothing is sent to a server.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -86,6 +87,8 @@
 	rpcServer() *lotsrv.Server
 	// handleReport handles a report from another process.
 	handleReport(r bulrushlug.Report)
+	// explainLot writes where a lot would go now.
+	explainLot(w io.Writer)
 	// reportOptions returns what the role adds to the process's reports.
 	reportOptions() []bulrushlug.ReportOption
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -23,6 +23,7 @@
 		s.leavingCounts.Set("lastResorts", counterValue(s.slotTable.LastResorts()))
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
+	m.HandleFunc("/explain", s.serveExplanation)
 	h := &http.Server{Addr: s.settings.Load().Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
 	context.AfterFunc(c, func() { _ = h.Close() })
 	go func() {
--- a/locate/router.go
+++ b/locate/router.go
@@ -220,6 +220,10 @@
 	return all
 }
 
+// Explain returns the processes that a new lot would be offered to now, in order. Those of the same zone are in random
+// order, which differs each time.
+func (l *Router) Explain() []peers.Peer { return l.candidates() }
+
 // preference ranks processes; the lowest is tried first.
 func (l *Router) preference(p peers.Peer) int {
 	switch {
--- a/slots/table.go
+++ b/slots/table.go
@@ -323,26 +323,31 @@
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
 	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate}
-	p := t.places(f.now)
-	best := t.bestOnline(f, p)
+	best := t.chooseOnline(&f, t.places(f.now))
+	if best.shard == nil {
+		return nil, nil
+	}
+	l, age := t.reserve(best, f, false), best.shard.age(best.id, f.now)
+	t.metrics.observe("newsMs", age)
+	return l, best.shard.batchVMs(best.id, f.now)
+}
+
+// chooseOnline returns the server for an online request; f is widened until it selects one that has capacity.
+func (t *Table) chooseOnline(f *filter, p *places) candidate {
+	best := t.bestOnline(*f, p)
 	f.all = true
-	if best.shard == nil && p.nearby(v) != nil {
-		best = t.bestOnline(f, p)
+	if best.shard == nil && p.nearby(f.service) != nil {
+		best = t.bestOnline(*f, p)
 	}
 	if best.shard == nil {
 		f.backoff = true
-		best = t.bestOnline(f, p)
+		best = t.bestOnline(*f, p)
 	}
-	if best.shard == nil && !t.staying(v) {
+	if best.shard == nil && !t.staying(f.service) {
 		f.leaving = true
-		best = t.bestOnline(f, p)
+		best = t.bestOnline(*f, p)
 	}
-	if best.shard == nil {
-		return nil, nil
-	}
-	l, age := t.reserve(best, f, false), best.shard.age(best.id, f.now)
-	t.metrics.observe("newsMs", age)
-	return l, best.shard.batchVMs(best.id, f.now)
+	return best
 }
 
 // bestOnline returns the server with the lowest score of all shards.
@@ -397,7 +402,7 @@
 			return
 		}
 		l := s.load(e, p, f.now)
-		if l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued {
+		if overrun(l) {
 			return
 		}
 		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
@@ -419,6 +424,11 @@
 	return best, ok
 }
 
+// overrun reports whether as many online requests wait at the server as may.
+func overrun(l bulrushlug.ServerLoad) bool {
+	return l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued
+}
+
 // load returns what this process knows of the load of the server of e; the caller has removed expired reports.
 func (s *shard) load(e *entry, p *places, now time.Time) bulrushlug.ServerLoad {
 	r := s.totals[e.backend.ID()]
