fix(arcs): without any load each process has places of its own

Cause: where no process has requests in progress, as after a restart of all of them, all preferred the servers in the middle of the same ring.

Change: the middle of the arc is then by the hash of the process's name.

--- a/arcs/arcs.go
+++ b/arcs/arcs.go
@@ -4,6 +4,12 @@
 // it knows of them is exact, and no two of them overrun the server that looked least loaded.
 package arcs
 
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Arc is the part of a ring of all places that one process prefers. The ring has the length 1; arcs are in the order of
 // the names of their processes, and as long as the shares of these in the load.
 type Arc struct {
@@ -11,7 +17,8 @@
 	length float64 // Above 0; 1 if there is no other process.
 }
 
-// New returns the arc of process self, where each process has the given number of requests in progress.
+// New returns the arc of process self, where each process has the given number of requests in progress. Without any, as
+// after a restart of all processes, each has the whole ring around a point of its own.
 func New(self string, load map[string]float64) Arc {
 	before, all := 0.0, 0.0
 	for n, x := range load {
@@ -22,7 +29,7 @@
 	}
 	own := load[self]
 	if all == 0 {
-		return Arc{middle: 0.5, length: 1}
+		return Arc{middle: float64(xxhash.Sum64String(self)) / math.MaxUint64, length: 1}
 	}
 	return Arc{middle: (before + own/2) / all, length: max(own/all, 0.5/float64(len(load)))}
 }
