--- a/slots/table.go
+++ b/slots/table.go
@@ -323,16 +323,7 @@
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
 	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate}
-	p := t.places(f.now)
-	best := t.bestOnline(f, p)
-	if best.shard == nil {
-		f.backoff = true
-		best = t.bestOnline(f, p)
-	}
-	if best.shard == nil && !t.staying(v) {
-		f.leaving = true
-		best = t.bestOnline(f, p)
-	}
+	best := t.chooseOnline(&f, t.places(f.now))
 	if best.shard == nil {
 		return nil, nil
 	}
@@ -341,10 +332,28 @@
 	return l, best.shard.batchVMs(best.id, f.now)
 }
 
+// chooseOnline returns the server for an online request; f is widened until it selects one that has capacity.
+func (t *Table) chooseOnline(f *filter, p *places) candidate {
+	best := t.bestOnline(*f, p)
+	f.all = true
+	if best.shard == nil && p.nearby(f.service) != nil {
+		best = t.bestOnline(*f, p)
+	}
+	if best.shard == nil {
+		f.backoff = true
+		best = t.bestOnline(*f, p)
+	}
+	if best.shard == nil && !t.staying(f.service) {
+		f.leaving = true
+		best = t.bestOnline(*f, p)
+	}
+	return best
+}
+
 // bestOnline returns the server with the lowest score of all shards.
 func (t *Table) bestOnline(f filter, p *places) (best candidate) {
 	for i := range t.shards {
-		if c, ok := t.shards[i].bestOnline(f, t.chooser, p); ok && c.better(best) {
+		if c, ok := t.shards[i].bestOnline(f, t.chooser, p, i); ok && c.better(best) {
 			best = c
 		}
 	}
@@ -383,27 +392,43 @@
 	return l
 }
 
-// bestOnline returns the server of the shard with the lowest score.
-func (s *shard) bestOnline(f filter, x bulrushlug.Chooser, p *places) (best candidate, ok bool) {
+// bestOnline returns the server of shard i with the lowest score.
+func (s *shard) bestOnline(f filter, x bulrushlug.Chooser, p *places, i int) (best candidate, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(f.now)
-	for id, e := range s.entries {
+	consider := func(id string, e *entry) {
 		if !f.selects(e, s.leaving[id]) {
-			continue
+			return
 		}
 		l := s.load(e, p, f.now)
-		if l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued {
-			continue
+		if overrun(l) {
+			return
 		}
 		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
 		if c.better(best) {
 			best, ok = c, true
 		}
 	}
+	if m := p.nearby(f.service); m != nil && !f.all {
+		for _, id := range m[i] {
+			if e, ok := s.entries[id]; ok {
+				consider(id, e)
+			}
+		}
+		return best, ok
+	}
+	for id, e := range s.entries {
+		consider(id, e)
+	}
 	return best, ok
 }
 
+// overrun reports whether as many online requests wait at the server as may.
+func overrun(l bulrushlug.ServerLoad) bool {
+	return l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued
+}
+
 // load returns what this process knows of the load of the server of e; the caller has removed expired reports.
 func (s *shard) load(e *entry, p *places, now time.Time) bulrushlug.ServerLoad {
 	r := s.totals[e.backend.ID()]
