feat(inlet): callers that nobody controls stay within the memory and the descriptors of a process

Cause: a legal head of short lines takes some twenty times its bytes once parsed, and nothing counted it; connections had no bound, bodies no time but their caller's, and the budgets did not know the memory of the VM.

Change: budget divides the memory and the descriptors of the VM (memoryMegabytes, maxDescriptors); crowd and seat decide which connection yields; inlet holds a head back until it is whole and passes it on if there is memory for its parsed form; pace ends bodies (408) and responses that stand still. The collector's limit follows from the plan.

--- /dev/null
+++ b/crowd/crowd.go
@@ -0,0 +1,142 @@
+// Package crowd bounds the connections of callers that are open at the same time.
+//
+// It answers many connections that are opened and then not used, or used as slowly as can be: whoever the process has waited
+// for longest, for the bytes that are here, gives its place to a new caller. A request that is whole keeps its place. So a
+// crowd takes places from its own members first, whatever their addresses are, and callers behind one address are not
+// taken for a crowd.
+package crowd
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushlug.dev/bulrushlug/seat"
+)
+
+const (
+	shardCount = 8
+	reserve    = 8                      // One in so many places is for connections that wait for others to end.
+	yieldTime  = 250 * time.Millisecond // Time that a connection has to end after it yielded.
+)
+
+// Crowd is all connections of callers.
+type Crowd struct {
+	most   int           // Places; positive.
+	open   atomic.Int64  // At most most.
+	ending atomic.Int64  // Open connections that yielded.
+	freed  chan struct{} // Has an element if a connection has ended since it was last read.
+	next   atomic.Uint32 // Shard of the next connection.
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	seats map[*seat.Seat]bool // Those that did not yield.
+}
+
+// New returns a crowd of at most n connections.
+func New(n int) *Crowd {
+	c := &Crowd{most: max(1, n), freed: make(chan struct{}, 1)}
+	for i := range c.shards {
+		c.shards[i].seats = map[*seat.Seat]bool{}
+	}
+	return c
+}
+
+// Enter gives s a place, and reports whether there is one; yielded means that another connection yields for it. Leave has to
+// be called once the connection of s has ended. Enter may wait a moment until a connection that yields has ended, and is
+// called by one goroutine at a time.
+func (c *Crowd) Enter(s *seat.Seat) (yielded, ok bool) {
+	n := int(c.open.Load()) + 1
+	if n > c.most-c.most/reserve {
+		yielded = c.yield()
+	}
+	if n > c.most && !c.waitFreed() {
+		return yielded, false
+	}
+	c.open.Add(1)
+	c.add(s)
+	return yielded, true
+}
+
+func (c *Crowd) add(s *seat.Seat) {
+	h := &c.shards[c.next.Add(1)%shardCount]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seats[s] = true
+}
+
+// waitFreed waits until there is a place, and returns false if there is none in time.
+func (c *Crowd) waitFreed() bool {
+	t := time.NewTimer(yieldTime)
+	defer t.Stop()
+	for int(c.open.Load()) >= c.most {
+		if c.ending.Load() == 0 {
+			return false
+		}
+		select {
+		case <-c.freed:
+		case <-t.C:
+			return false
+		}
+	}
+	return true
+}
+
+// Leave gives up the place of s.
+func (c *Crowd) Leave(s *seat.Seat) {
+	if !c.remove(s) {
+		c.ending.Add(-1)
+	}
+	c.open.Add(-1)
+	select {
+	case c.freed <- struct{}{}:
+	default:
+	}
+}
+
+// remove removes s, and reports whether it was there.
+func (c *Crowd) remove(s *seat.Seat) bool {
+	for i := range c.shards {
+		h := &c.shards[i]
+		h.mu.Lock()
+		ok := h.seats[s]
+		delete(h.seats, s)
+		h.mu.Unlock()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// yield ends the connection that the process has waited for longest, and reports whether there is one.
+func (c *Crowd) yield() bool {
+	now := time.Now()
+	var s *seat.Seat
+	longest := time.Duration(-1)
+	for i := range c.shards {
+		h := &c.shards[i]
+		h.mu.Lock()
+		for x := range h.seats {
+			if d := x.Behind(now); d > longest {
+				s, longest = x, d
+			}
+		}
+		h.mu.Unlock()
+	}
+	if s == nil || !c.remove(s) {
+		return false
+	}
+	c.ending.Add(1)
+	if !s.Yield() {
+		c.ending.Add(-1)
+		c.add(s)
+		return false
+	}
+	return true
+}
+
+// Open returns the number of open connections.
+func (c *Crowd) Open() int { return int(c.open.Load()) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/bcast"
+	"bulrushlug.dev/bulrushlug/budget"
 	"bulrushlug.dev/bulrushlug/dgram"
 	"bulrushlug.dev/bulrushlug/even"
 	"bulrushlug.dev/bulrushlug/guard"
@@ -40,7 +42,6 @@
 	leaseTTL       = 9 * time.Second // TTL of the lease on the process's membership entry, in which it is renewed three times or more.
 	watcherCount   = 2               // Number of processes that watch the key-value service; the others fetch changes from them when a report announces one.
 	announceDelay  = 5 * time.Millisecond
-	responseMemory = 24 << 20        // Bytes that all responses of backend servers hold together; an eighth of the smallest VM's memory.
 	watcherTimeout = 2 * time.Second // Timeout of each watch; shorter than the time after an outage of the service for which time limits are suspended.
 )
 
@@ -76,6 +77,10 @@
 	evacuationCounts *expvar.Map
 	evacuationMu     sync.Mutex
 	evacuations      map[string]slots.Evacuation // Effect of evacuated zones by service, as last logged; guarded by evacuationMu.
+
+	plan            budget.Plan // How memory and descriptors are divided.
+	refusals        *expvar.Map // What was refused to callers, by reason.
+	refusalLimiters sync.Map    // A *lines.Limiter by reason.
 }
 
 // roleHandler implements what differs between the roles.
@@ -96,10 +101,13 @@
 	x := &Daemon{logger: log.With(l, "vm", s.Member().Name()), counters: new(expvar.Map).Init(),
 		platform: p, lotClient: lotcli.New(), manifestReady: make(chan struct{}), snapshotPeers: make(chan bulrushlug.Member, 1)}
 	x.settings.Store(s)
+	x.plan = budget.New(s.Memory(), s.Descriptors(), s.MaxConnections())
+	x.refusals = new(expvar.Map).Init()
+	x.counters.Set("callersRefused", x.refusals)
 	x.recorder = newRecorder(x.logger)
 	x.guard = guard.New(x.logger)
 	x.detector = poison.New(p.Refuses, x.announceCrash, x.logger, x.counters)
-	x.memory = memory.New(responseMemory)
+	x.memory = memory.New(x.plan.ResponseBytes())
 	x.leavingCounts = new(expvar.Map).Init()
 	x.counters.Set("serversLeaving", x.leavingCounts)
 	x.evacuationCounts = new(expvar.Map).Init()
@@ -302,6 +310,7 @@
 
 // Run runs the process until c ends, and then shuts down gracefully.
 func (s *Daemon) Run(c context.Context) error {
+	debug.SetMemoryLimit(int64(s.plan.HeapLimit()))
 	_ = s.logger.Log("event", "start", "role", s.membership.Self().Role(), "pid", os.Getpid(), "disk", s.membership.DiskID())
 	defer func() { _ = s.logger.Log("event", "stop") }()
 	bg, stop := context.WithCancelCause(context.WithoutCancel(c))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,9 +13,11 @@
 	"bulrushlug.dev/bulrushlug/authn"
 	"bulrushlug.dev/bulrushlug/drain"
 	"bulrushlug.dev/bulrushlug/grace"
+	"bulrushlug.dev/bulrushlug/inlet"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/locate"
 	"bulrushlug.dev/bulrushlug/lotsrv"
+	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/proxy"
 	"bulrushlug.dev/bulrushlug/tally"
@@ -44,7 +47,10 @@
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
-	e.handler = s.platform.Handler(s.manifest.Load, s.operatorMirror.Behind, p, a, e.router)
+	b := memory.New(s.plan.BodyBytes())
+	s.counters.Set("bodyBytesHeld", expvar.Func(func() any { return b.Used() }))
+	s.counters.Set("bodyBytesRefused", expvar.Func(func() any { return b.Refused() }))
+	e.handler = s.platform.Handler(s.manifest.Load, s.operatorMirror.Behind, p, a, e.router, b)
 	return e
 }
 
@@ -80,9 +86,9 @@
 
 // serve serves callers until c ends, and then drains the process before it closes the listener.
 func (e *entry) serve(c context.Context) error {
-	r := &http.Server{Addr: e.settings.Load().Ready(), Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
+	r := e.probeServer(http.HandlerFunc(e.serveReadiness))
 	defer func() { _ = r.Close() }()
-	go func() { e.logListenerEnd("readiness", r.ListenAndServe()) }()
+	go func() { e.logListenerEnd("readiness", e.listenProbes(r, e.settings.Load().Ready())) }()
 	select {
 	case <-e.manifestReady:
 	case <-c.Done():
@@ -93,14 +99,15 @@
 		return bulrushlug.WrapError(bulrushlug.KindInternal, e.settings.Load().HTTP(), err)
 	}
 	e.listening.Store(true)
-	f := drain.New(e.httpServer(), l)
+	h, i := e.httpServer()
+	f := drain.New(h, l, drain.WithConns(i.Listener))
 	go func() { e.logListenerEnd("front", f.Serve()) }()
 	<-c.Done()
 	return e.drain(f)
 }
 
-// httpServer returns the HTTP server for callers, with the limits of the manifest or the defaults.
-func (e *entry) httpServer() *http.Server {
+// httpServer returns the HTTP server for callers, with the limits of the manifest or the defaults, and its inlet.
+func (e *entry) httpServer() (*http.Server, *inlet.Inlet) {
 	b := e.manifest.Load().Bounds()
 	h, i, w := b.MaxHeaderBytes(), b.IdleTimeout(), b.HeaderTimeout()
 	if h == 0 {
@@ -112,7 +119,10 @@
 	if w == 0 {
 		w = defaultHeaderTimeout
 	}
-	return &http.Server{Handler: e.guard.HTTP(e.handler), MaxHeaderBytes: h, ReadHeaderTimeout: w, IdleTimeout: i}
+	k := e.newInlet(e.plan.Connections(), e.plan.HeadBytes(), h, w)
+	x := &http.Server{Handler: e.guard.HTTP(e.handler), ReadHeaderTimeout: w, IdleTimeout: i}
+	k.Attach(x)
+	return x, k
 }
 
 func (e *entry) logListenerEnd(n string, err error) {
--- a/daemon/flood_test.go
+++ b/daemon/flood_test.go
@@ -120,10 +120,12 @@
 	t         *testing.T
 	processes map[string]*childProcess
 	front     string // Address of the entry for callers.
+	ready     string // Address of its readiness probe.
 }
 
-func newFloodSystem(t *testing.T, binary string, f flood) *floodSystem {
-	s := &floodSystem{t: t, processes: map[string]*childProcess{}, front: freeAddress()}
+// newFloodSystem starts a system whose entry has the settings more besides its own; each of them begins with a comma.
+func newFloodSystem(t *testing.T, binary string, f flood, more string) *floodSystem {
+	s := &floodSystem{t: t, processes: map[string]*childProcess{}, front: freeAddress(), ready: freeAddress()}
 	m := memtxn.New()
 	store := serveHTTP(t, "127.0.0.1:0", &kvServer{store: m})
 	put := func(key, v string) {
@@ -148,7 +150,7 @@
 		p := &childProcess{settings: filepath.Join(folder, vm+".json"), log: filepath.Join(folder, vm+".log")}
 		b := fmt.Sprintf(`"vm":%q,"region":"r","zone":"z%d","listen":%q,"store":%q,"toleratedDisks":1,"graceSeconds":4`, vm, i, freeAddress(), store)
 		if vm == "e0" {
-			b += fmt.Sprintf(`,"role":"entry","http":%q,"ready":%q`, s.front, freeAddress())
+			b += fmt.Sprintf(`,"role":"entry","http":%q,"ready":%q%s`, s.front, s.ready, more)
 		} else {
 			b += fmt.Sprintf(`,"role":"data","dataFolder":%q`, filepath.Join(folder, vm))
 		}
@@ -299,7 +301,7 @@
 	binary := buildProgram(t)
 	for name, f := range floods {
 		t.Run(name, func(t *testing.T) {
-			s := newFloodSystem(t, binary, f)
+			s := newFloodSystem(t, binary, f, "")
 			c, stop := context.WithCancel(t.Context())
 			defer stop()
 			vm := "e0"
--- /dev/null
+++ b/daemon/inlet.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"bulrushlug.dev/bulrushlug/crowd"
+	"bulrushlug.dev/bulrushlug/inlet"
+	"bulrushlug.dev/bulrushlug/lines"
+	"bulrushlug.dev/bulrushlug/memory"
+	"bulrushlug.dev/bulrushlug/pace"
+)
+
+// Limits of the ports for probes and metrics, which only the platform calls.
+const (
+	probeConnections = 16
+	probeHeadBytes   = 4 << 10
+	probeMemory      = 1 << 20
+	probeTimeout     = 5 * time.Second // For a response, and for an idle connection.
+	refusalLines     = 1               // Lines a second for each kind of refusal.
+)
+
+// newInlet returns an inlet for n connections, whose heads have at most h bytes, and m together, and take at most t.
+func (s *Daemon) newInlet(n, m, h int, t time.Duration) *inlet.Inlet {
+	x := s.settings.Load()
+	p := pace.New(t, x.BodyGrace(), x.MinBodyRate(), x.ResponseStall())
+	return inlet.New(crowd.New(n), memory.New(m), h, p, s.recordRefusal)
+}
+
+// recordRefusal counts something of a caller that the process refused, and writes a line about some of them.
+func (s *Daemon) recordRefusal(reason string) {
+	s.refusals.Add(reason, 1)
+	l, _ := s.refusalLimiters.LoadOrStore(reason, lines.New(refusalLines))
+	if n, ok := l.(*lines.Limiter).Take(); ok {
+		_ = s.logger.Log("event", "callerRefused", "reason", reason, "omitted", n)
+	}
+}
+
+// probeServer returns a server that serves h to the platform.
+func (s *Daemon) probeServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: time.Second, WriteTimeout: probeTimeout, IdleTimeout: probeTimeout}
+}
+
+// listenProbes serves r on address a until r is closed.
+func (s *Daemon) listenProbes(r *http.Server, a string) error {
+	l, err := net.Listen("tcp", a)
+	if err != nil {
+		return err
+	}
+	i := s.newInlet(probeConnections, probeMemory, probeHeadBytes, r.ReadHeaderTimeout)
+	i.Attach(r)
+	return r.Serve(i.Listener(l))
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 )
 
 // serveMetrics serves counters and histograms until c ends, if the settings name an address for them.
@@ -23,10 +22,10 @@
 		s.leavingCounts.Set("lastResorts", counterValue(s.slotTable.LastResorts()))
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
-	h := &http.Server{Addr: s.settings.Load().Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
+	h := s.probeServer(m)
 	context.AfterFunc(c, func() { _ = h.Close() })
 	go func() {
-		if err := h.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.listenProbes(h, s.settings.Load().Metrics()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			_ = s.logger.Log("event", "noMetrics", "err", err)
 		}
 	}()
--- a/drain/conn.go
+++ b/drain/conn.go
@@ -27,6 +27,9 @@
 	deadline   time.Time // Read deadline that the server set.
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // setIdle records whether the connection is between two requests.
 func (c *conn) setIdle(b bool) {
 	c.mu.Lock()
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -33,7 +33,8 @@
 	closing atomic.Bool // The listener is closed or about to be.
 	cutting atomic.Bool // Connections close at once.
 	open    *listener
-	served  chan struct{} // Closed once Serve returned: every accepted connection is then in a shard.
+	wrap    func(net.Listener) net.Listener // Nil for none.
+	served  chan struct{}                   // Closed once Serve returned: every accepted connection is then in a shard.
 	shards  [shardCount]shard
 }
 
@@ -43,9 +44,18 @@
 	conns map[*conn]bool
 }
 
-// New returns a server that serves h on l; it takes over l, and the handler and the hook ConnState of h.
-func New(h *http.Server, l net.Listener) *Server {
+// Option configures a server.
+type Option func(s *Server)
+
+// WithConns has the server use the connections that f makes of its own. They have a method NetConn that returns those.
+func WithConns(f func(net.Listener) net.Listener) Option { return func(s *Server) { s.wrap = f } }
+
+// New returns a server that serves h on l; it takes over l, and the handler and the hook ConnState of h, which it calls.
+func New(h *http.Server, l net.Listener, o ...Option) *Server {
 	s := &Server{http: h, served: make(chan struct{})}
+	for _, f := range o {
+		f(s)
+	}
 	s.open = &listener{Listener: l, server: s}
 	for i := range s.shards {
 		s.shards[i].conns = map[*conn]bool{}
@@ -57,13 +67,22 @@
 		}
 		f.ServeHTTP(w, r)
 	})
-	h.ConnState = s.observe
+	hook := h.ConnState
+	h.ConnState = func(n net.Conn, x http.ConnState) {
+		if hook != nil {
+			hook(n, x)
+		}
+		s.observe(n, x)
+	}
 	return s
 }
 
 // Serve serves connections until Shutdown; it then returns http.ErrServerClosed. It has to be called once.
 func (s *Server) Serve() error {
 	defer close(s.served)
+	if s.wrap != nil {
+		return s.http.Serve(s.wrap(s.open))
+	}
 	return s.http.Serve(s.open)
 }
 
@@ -125,6 +144,9 @@
 
 // observe keeps track of the connections and of those between two requests.
 func (s *Server) observe(n net.Conn, state http.ConnState) {
+	if w, ok := n.(interface{ NetConn() net.Conn }); ok && s.wrap != nil {
+		n = w.NetConn()
+	}
 	c, ok := n.(*conn)
 	if !ok {
 		return
--- a/kind.go
+++ b/kind.go
@@ -30,6 +30,7 @@
 	KindHistoryLost // Changes after the requested revision are no longer available.
 	KindMisdirected // The request reached the wrong backend server or a disk that doesn't serve the lot.
 	KindQuarantined // Backend servers ended on a part of the prompt; the request was not sent to one.
+	KindSlow        // The caller did not send its request in time; it was not sent on.
 	kindCount
 )
 
@@ -60,6 +61,7 @@
 	KindHistoryLost:     {name: "historyLost", status: 410},
 	KindMisdirected:     {name: "misdirected", status: 503, retryable: true},
 	KindQuarantined:     {name: "quarantined", status: 503, retryable: true},
+	KindSlow:            {name: "slow", status: 408, retryable: true},
 }
 
 // Response returns the response that callers get for an error of kind k.
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -30,6 +30,14 @@
 	maxToleratedDisks = 4 // Maximum number of disks that may be lost at the same time.
 	defaultGrace      = 8 * time.Second
 	defaultRetention  = 2 * time.Minute
+
+	defaultMemory        = 512 // Megabytes.
+	minMemory            = 48
+	defaultDescriptors   = 4096
+	minDescriptors       = 300
+	defaultBodyGrace     = 10 * time.Second
+	defaultBodyRate      = 100 // Bytes a second.
+	defaultResponseStall = 5 * time.Second
 )
 
 // Settings are the validated settings of a process; values are immutable.
@@ -105,11 +113,18 @@
 		invalid("toleratedDisks", "is %d, not from 0 to %d", s.w.ToleratedDisks, maxToleratedDisks)
 	}
 	for n, v := range map[string]float64{"graceSeconds": s.w.GraceSeconds, "statusSeconds": s.w.StatusSeconds,
-		"rateWindowSeconds": s.w.RateWindowSeconds, "rateOverrun": s.w.RateOverrun, "rateSlack": s.w.RateSlack} {
+		"rateWindowSeconds": s.w.RateWindowSeconds, "rateOverrun": s.w.RateOverrun, "rateSlack": s.w.RateSlack,
+		"bodyGraceSeconds": s.w.BodyGraceSeconds, "responseStallSeconds": s.w.ResponseStallSeconds} {
 		if v < 0 {
 			invalid(n, "must not be negative")
 		}
 	}
+	if n := s.w.MemoryMegabytes; n != 0 && n < minMemory {
+		invalid("memoryMegabytes", "is %d, must be 0 or at least %d", n, minMemory)
+	}
+	if n := s.w.MaxDescriptors; n != 0 && n < minDescriptors {
+		invalid("maxDescriptors", "is %d, must be 0 or at least %d", n, minDescriptors)
+	}
 	return errors.Join(l...)
 }
 
@@ -161,6 +176,36 @@
 	return bulrushlug.NewTolerance(seconds(s.w.RateWindowSeconds, 0), s.w.RateOverrun, s.w.RateSlack)
 }
 
+// Memory returns the bytes of memory that the process may use.
+func (s *Settings) Memory() int { return int(orDefault(s.w.MemoryMegabytes, defaultMemory)) << 20 }
+
+// Descriptors returns the number of file descriptors that the process may have open.
+func (s *Settings) Descriptors() int { return int(orDefault(s.w.MaxDescriptors, defaultDescriptors)) }
+
+// MaxConnections returns the largest number of connections of callers; zero if only memory and descriptors limit it.
+func (s *Settings) MaxConnections() int { return int(s.w.MaxConnections) }
+
+// BodyGrace returns the time that the body of a request may take whatever its rate.
+func (s *Settings) BodyGrace() time.Duration { return seconds(s.w.BodyGraceSeconds, defaultBodyGrace) }
+
+// MinBodyRate returns the least rate, in bytes a second, of a body that takes longer than BodyGrace.
+func (s *Settings) MinBodyRate() int {
+	return int(orDefault(s.w.MinBodyBytesPerSecond, defaultBodyRate))
+}
+
+// ResponseStall returns the time for which a caller may take nothing of its response.
+func (s *Settings) ResponseStall() time.Duration {
+	return seconds(s.w.ResponseStallSeconds, defaultResponseStall)
+}
+
+// orDefault returns n, or d if n is zero.
+func orDefault(n, d uint32) uint32 {
+	if n == 0 {
+		return d
+	}
+	return n
+}
+
 // seconds returns n seconds as a duration, or d if n is zero.
 func seconds(n float64, d time.Duration) time.Duration {
 	if n == 0 {
--- a/setup/settings_test.go
+++ b/setup/settings_test.go
@@ -36,6 +36,9 @@
 		"too many disks":           {old: `"toleratedDisks": 1`, new: `"toleratedDisks": 9`, want: "toleratedDisks: is 9, not from 0 to 4"},
 		"even placement":           {old: `"firstStart"`, new: `"placement": "even", "firstStart"`},
 		"an unknown placement":     {old: `"firstStart"`, new: `"placement": "best", "firstStart"`, want: `placement: is "best", must be "leastLoaded" or "even"`},
+		"too little memory":        {old: `"firstStart": true`, new: `"memoryMegabytes": 32`, want: "memoryMegabytes: is 32, must be 0 or at least 48"},
+		"too few descriptors":      {old: `"firstStart": true`, new: `"maxDescriptors": 100`, want: "maxDescriptors: is 100, must be 0 or at least 300"},
+		"a negative stall":         {old: `"graceSeconds": 8`, new: `"responseStallSeconds": -1`, want: "responseStallSeconds: must not be negative"},
 		"a negative duration":      {old: `"graceSeconds": 8`, new: `"graceSeconds": -8`, want: "graceSeconds: must not be negative"},
 	} {
 		t.Run(name, func(t *testing.T) {
