--- a/budget/plan.go
+++ b/budget/plan.go
@@ -13,7 +13,8 @@
 	connectionPercent = 30
 	headPercent       = 15
 	bodyPercent       = 15
-	responsePercent   = 15 // The rest, 25, is for garbage.
+	responsePercent   = 15
+	kernelPercent     = 10 // What arrived and was not read. The rest, 15, is for garbage.
 
 	ownDescriptors = 200 // Files, listeners, the key-value service and other processes.
 	minConnections = 16
@@ -53,4 +54,4 @@
 func (p Plan) ResponseBytes() int { return min(p.percent(responsePercent), mostMessages) }
 
 // HeapLimit returns the size that the garbage collector keeps the heap and the stacks below.
-func (p Plan) HeapLimit() int { return p.memory - nativeBytes }
+func (p Plan) HeapLimit() int { return p.memory - nativeBytes - p.percent(kernelPercent) }
