feat: cold backend servers get a bounded rate from all processes together

Package warm divides the bound of a cold server in advance among the processes that rank first for it, so that no message, failure or partition decides who may send. Cold are new runs, servers that say so, zones after an evacuation, servers to which some process could make no connection, and all servers for a process that has just started or is isolated. The manifest carries the services with their cold rates, backend servers the time until they are warm, reports the servers out of reach. Without a cold rate nothing changes.

--- a/codec/report.go
+++ b/codec/report.go
@@ -40,6 +40,7 @@
 		w.LeavingServers = append(w.LeavingServers, &wire.LeavingServer{Id: b.ID(), Service: b.Service(), Address: b.Address(), StartMs: b.StartTime()})
 	}
 	w.Lots, w.Forward, w.Relayed = r.Lots(), r.ForwardTo(), r.Relayed()
+	w.Unreachable = r.Unreachable()
 	return w
 }
 
@@ -68,7 +69,7 @@
 	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeenRevisions(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
 		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed), bulrushlug.ReportSuspects(p),
-		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l))
+		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l), bulrushlug.ReportUnreachable(w.Unreachable))
 }
 
 func encodeUsage(u bulrushlug.Usage) *wire.Usage {
--- a/codec/report_test.go
+++ b/codec/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +31,18 @@
 	}
 }
 
+// TestReportUnreachable encodes and decodes the servers that a process can't reach.
+func TestReportUnreachable(t *testing.T) {
+	for name, l := range map[string][]string{"none": nil, "one": {"a"}, "two": {"a", "b"}} {
+		t.Run(name, func(t *testing.T) {
+			r := bulrushlug.NewReport(bulrushlug.NewMember("v", "h:1", "", "z", "entry"), 1, 2, bulrushlug.ReportUnreachable(l))
+			if got := DecodeReport(EncodeReport(r)).Unreachable(); !slices.Equal(got, l) {
+				t.Errorf("decoded %q", got)
+			}
+		})
+	}
+}
+
 // TestReportServerEnds encodes and decodes the servers that ended.
 func TestReportServerEnds(t *testing.T) {
 	for name, l := range map[string][]bulrushlug.ServerEnd{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -104,7 +104,7 @@
 	x.counters.Set("serversLeaving", x.leavingCounts)
 	x.evacuationCounts = new(expvar.Map).Init()
 	x.counters.Set("evacuations", x.evacuationCounts)
-	x.gate = warm.New()
+	x.gate = warm.New(s.Member().Name(), s.Member().Role() != bulrushlug.RoleEntry, s.Warmup(), func() ([]string, uint64) { return x.membership.SameRole() })
 	disk := ""
 	if d := s.DataFolder(); d != "" {
 		g, err := lotlog.Open(d)
@@ -211,6 +211,7 @@
 	if m == nil || m.Version() <= s.manifestVersion() {
 		return
 	}
+	s.gate.SetServices(m.Services())
 	s.manifest.Store(m)
 	s.manifestOnce.Do(func() { close(s.manifestReady) })
 	_ = s.logger.Log("event", "manifest", "version", m.Version())
@@ -219,6 +220,7 @@
 // setBackends applies the registrations of the backend servers.
 func (s *Daemon) setBackends(l []bulrushlug.KVEntry) {
 	b, bad := s.platform.Backends(l)
+	s.gate.Update(b)
 	s.slotTable.Update(b)
 	if len(bad) > 0 {
 		_ = s.logger.Log("event", "badServers", "count", len(bad), "first", bad[0])
@@ -243,6 +245,7 @@
 		bulrushlug.ReportServerEnds(s.detector.ServerEnds()),
 		bulrushlug.ReportSuspects(s.detector.Suspects()),
 		bulrushlug.ReportLeaving(s.slotTable.Leaving()),
+		bulrushlug.ReportUnreachable(s.gate.Suspects()),
 	}
 	return append(o, s.roleHandler.reportOptions()...)
 }
@@ -274,6 +277,7 @@
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(r)
+	s.gate.SuspectReported(r.Unreachable())
 	s.roleHandler.handleReport(r)
 }
 
@@ -296,6 +300,7 @@
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(*r)
+	s.gate.SuspectReported(r.Unreachable())
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
@@ -325,6 +330,7 @@
 	run(s.operatorMirror.Run)
 	run(s.backendMirror.Run)
 	run(s.fetchSnapshots)
+	run(s.watchIsolation)
 	s.serveMetrics(bg)
 	both, end := context.WithCancel(c)
 	defer end()
--- /dev/null
+++ b/daemon/isolation_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/setup"
+)
+
+// TestIsolation guards against a process that counts cold servers as warm behind a partition, and against one that counts
+// all servers as cold because the key-value service is down.
+func TestIsolation(t *testing.T) {
+	for name, x := range map[string]struct {
+		heard, all int
+		lost       bool // This process can't reach the service.
+		othersLost bool
+		want       bool
+	}{
+		"all are heard":                       {heard: 4, all: 4},
+		"the service is down for all":         {heard: 4, all: 4, lost: true, othersLost: true},
+		"one is gone as well":                 {heard: 3, all: 4, lost: true, othersLost: true},
+		"cut off from the service alone":      {heard: 4, all: 4, lost: true},
+		"half are heard":                      {heard: 2, all: 4},
+		"half are heard, without the service": {heard: 2, all: 4, lost: true, othersLost: true, want: true},
+		"half are heard, one with it":         {heard: 2, all: 4, lost: true},
+		"few are heard":                       {heard: 1, all: 4, want: true},
+		"it is the only one":                  {heard: 1, all: 1, lost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := setup.Parse("test", fmt.Appendf(nil, `{"vm":"e0","region":"r","zone":"z","role":"entry","listen":%q,"http":%q,"ready":%q,"store":"127.0.0.1:1","toleratedDisks":1}`, freeAddress(), freeAddress(), freeAddress()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			d, err := New(c, log.NewNopLogger())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if x.lost {
+				go func() { _ = d.operatorMirror.Run(t.Context()) }()
+				for d.operatorMirror.OutageDuration() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			m := bulrushlug.NewMember("e1", "127.0.0.1:9", "r", "z", bulrushlug.RoleEntry)
+			if x.heard > 1 {
+				d.membership.ApplyReport(bulrushlug.NewReport(m, 1, 1, bulrushlug.ReportStoreLost(x.othersLost)))
+			}
+			if got := d.isolated(x.heard, x.all); got != x.want {
+				t.Errorf("isolated %v", got)
+			}
+		})
+	}
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,6 +20,7 @@
 		s.counters.Set("responseBytesHeld", counterValue(s.memory.Used()))
 		s.counters.Set("responseBytesRefused", counterValue(s.memory.Refused()))
 		s.setEvacuationMetrics()
+		s.counters.Set("serversCold", counterValue(s.gate.Cold()))
 		s.leavingCounts.Set("lastResorts", counterValue(s.slotTable.LastResorts()))
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
--- a/items/run.go
+++ b/items/run.go
@@ -146,7 +146,10 @@
 		if c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
 			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
 		}
-		if k := bulrushlug.KindOf(err); k == bulrushlug.KindUnplaceable || k == bulrushlug.KindMisdirected || k == bulrushlug.KindUncertain {
+		switch bulrushlug.KindOf(err) {
+		case bulrushlug.KindUnplaceable:
+			s.RecordUnreachable()
+		case bulrushlug.KindMisdirected, bulrushlug.KindUncertain:
 			s.RecordFailure()
 		}
 		return 0, err
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -54,6 +54,8 @@
 	shards    [shardCount]shard
 	storeLost atomic.Bool   // The last call for this process's entry failed.
 	version   atomic.Uint64 // Increases when a process comes or goes.
+	listed    atomic.Bool   // The entries were read once.
+	role      atomic.Pointer[nameList]
 	sorted    atomic.Pointer[nameList]
 }
 
@@ -201,6 +203,7 @@
 	for i := range p.shards {
 		p.shards[i].forget(listed)
 	}
+	p.listed.Store(true)
 	p.version.Add(1)
 	return nil
 }
@@ -299,6 +302,37 @@
 	return o.vms
 }
 
+// SameRole returns the VMs of the processes of this one's role, itself included and whether they are heard or not, and a
+// version that changes with the membership. The list is nil until the entries were read; the caller must not change it.
+func (p *Membership) SameRole() (vms []string, version uint64) {
+	if !p.listed.Load() {
+		return nil, 0
+	}
+	v := p.version.Load()
+	if o := p.role.Load(); o != nil && o.version == v {
+		return o.vms, v
+	}
+	o := &nameList{version: v, vms: []string{p.self.Name()}}
+	for i := range p.shards {
+		o.vms = p.shards[i].appendRole(o.vms, p.self.Role())
+	}
+	slices.Sort(o.vms)
+	p.role.Store(o)
+	return o.vms, v
+}
+
+// appendRole appends the VMs of the processes of role r to l.
+func (s *shard) appendRole(l []string, r string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, x := range s.peers {
+		if x.member.Role() == r {
+			l = append(l, vm)
+		}
+	}
+	return l
+}
+
 // LiveDataPeers returns the other processes that have a disk, are alive and are not leaving, sorted by VM.
 func (p *Membership) LiveDataPeers() (l []Peer) {
 	d := p.silence(aliveTimeout)
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -330,3 +330,36 @@
 		})
 	}
 }
+
+// TestSameRole guards against a list of processes of one role that depends on who is heard, or that is used before the
+// entries were read.
+func TestSameRole(t *testing.T) {
+	for name, x := range map[string]struct {
+		listed bool
+		wait   time.Duration // Silence of the others.
+		want   string
+	}{
+		"before the entries were read": {want: "[]"},
+		"all are heard":                {listed: true, want: "[a b e0]"},
+		"none is heard":                {listed: true, wait: 10 * time.Second, want: "[a b e0]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newMembership(0, memtxn.New())
+				for vm, role := range map[string]string{"a": p.Self().Role(), "b": p.Self().Role(), "d": "data"} {
+					p.ApplyReport(bulrushlug.NewReport(bulrushlug.NewMember(vm, vm, "r", "z", role), 1, 1))
+				}
+				if x.listed {
+					if err := p.list(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(x.wait)
+				l, _ := p.SameRole()
+				if got := fmt.Sprint(l); got != x.want {
+					t.Errorf("processes %s, want %s", got, x.want)
+				}
+			})
+		})
+	}
+}
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -210,7 +210,10 @@
 	a.skip[l.Backend().ID()] = true
 	a.record("callFailed", l.Backend(), err)
 	switch k {
-	case bulrushlug.KindUnplaceable, bulrushlug.KindMisdirected:
+	case bulrushlug.KindUnplaceable:
+		l.RecordUnreachable()
+		return true, err
+	case bulrushlug.KindMisdirected:
 		l.RecordFailure()
 		return true, err
 	case bulrushlug.KindOverloaded:
--- a/report.go
+++ b/report.go
@@ -72,6 +72,7 @@
 	suspects         []Suspect // Parts of prompts on which servers may have ended.
 	serverEnds       []ServerEnd
 	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
+	unreachable      []string  // Identifiers of the backend servers to which the process lately could make no connection.
 }
 
 // ReportOption sets fields of a Report.
@@ -113,6 +114,9 @@
 // ReportLeaving sets the backend servers that told the process that they are leaving.
 func ReportLeaving(l []Backend) ReportOption { return func(r *Report) { r.leaving = l } }
 
+// ReportUnreachable sets the identifiers of the backend servers to which the process lately could make no connection.
+func ReportUnreachable(l []string) ReportOption { return func(r *Report) { r.unreachable = l } }
+
 // ReportForwardTo sets the addresses to which the receiver relays the report.
 func ReportForwardTo(l []string) ReportOption { return func(r *Report) { r.forwardTo = l } }
 
@@ -174,6 +178,9 @@
 // ServerEnds returns the backend servers that ended lately.
 func (r Report) ServerEnds() []ServerEnd { return r.serverEnds }
 
+// Unreachable returns the identifiers of the backend servers to which the process lately could make no connection.
+func (r Report) Unreachable() []string { return r.unreachable }
+
 // Suspects returns the parts of prompts on which servers may have ended.
 func (r Report) Suspects() []Suspect { return r.suspects }
 
--- a/servergate.go
+++ b/servergate.go
@@ -10,4 +10,6 @@
 	Open(b Backend, t time.Time) bool
 	// Admit admits one request to b at time t and counts it, or returns false.
 	Admit(b Backend, t time.Time) bool
+	// Suspect records that no connection to b could be made.
+	Suspect(b Backend)
 }
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -105,7 +105,8 @@
 		invalid("toleratedDisks", "is %d, not from 0 to %d", s.w.ToleratedDisks, maxToleratedDisks)
 	}
 	for n, v := range map[string]float64{"graceSeconds": s.w.GraceSeconds, "statusSeconds": s.w.StatusSeconds,
-		"rateWindowSeconds": s.w.RateWindowSeconds, "rateOverrun": s.w.RateOverrun, "rateSlack": s.w.RateSlack} {
+		"rateWindowSeconds": s.w.RateWindowSeconds, "rateOverrun": s.w.RateOverrun, "rateSlack": s.w.RateSlack,
+		"warmupFactor": s.w.WarmupFactor, "warmupSlack": s.w.WarmupSlack} {
 		if v < 0 {
 			invalid(n, "must not be negative")
 		}
@@ -161,6 +162,14 @@
 	return bulrushlug.NewTolerance(seconds(s.w.RateWindowSeconds, 0), s.w.RateOverrun, s.w.RateSlack)
 }
 
+// Warmup returns the bound on requests to cold backend servers; without a factor it is the rate that they bear.
+func (s *Settings) Warmup() bulrushlug.Warmup {
+	if s.w.WarmupFactor == 0 {
+		return bulrushlug.NewWarmup(1, s.w.WarmupSlack)
+	}
+	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
+}
+
 // seconds returns n seconds as a duration, or d if n is zero.
 func seconds(n float64, d time.Duration) time.Duration {
 	if n == 0 {
--- a/setup/settings_test.go
+++ b/setup/settings_test.go
@@ -14,6 +14,7 @@
   "http": "10.0.0.1:80", "ready": "10.0.0.1:81", "metrics": "10.0.0.1:9100", "store": "10.0.0.9:80",
   "toleratedDisks": 1, "firstStart": true, "leaseMinMs": 1000, "graceSeconds": 8, "statusSeconds": 120.5,
   "rateWindowSeconds": 5, "rateOverrun": 0.1, "rateSlack": 20,
+  "warmupFactor": 1.5, "warmupSlack": 5,
 }`
 
 func TestParse(t *testing.T) {
@@ -36,6 +37,7 @@
 		"too many disks":           {old: `"toleratedDisks": 1`, new: `"toleratedDisks": 9`, want: "toleratedDisks: is 9, not from 0 to 4"},
 		"even placement":           {old: `"firstStart"`, new: `"placement": "even", "firstStart"`},
 		"an unknown placement":     {old: `"firstStart"`, new: `"placement": "best", "firstStart"`, want: `placement: is "best", must be "leastLoaded" or "even"`},
+		"a negative factor":        {old: `"warmupFactor": 1.5`, new: `"warmupFactor": -1`, want: "warmupFactor: must not be negative"},
 		"a negative duration":      {old: `"graceSeconds": 8`, new: `"graceSeconds": -8`, want: "graceSeconds: must not be negative"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -49,7 +51,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if s.Member().Name() != "edge-a-1" || s.ReplicationFactor() != 2 || s.Grace() != 8*time.Second || s.Retention() < 2*time.Minute || !s.FirstStart() {
+			if s.Member().Name() != "edge-a-1" || s.ReplicationFactor() != 2 || s.Grace() != 8*time.Second || s.Retention() < 2*time.Minute || !s.FirstStart() || s.Warmup().Requests(7.6) != 16 {
 				t.Errorf("wrong settings: %+v", s)
 			}
 		})
--- a/slots/evacuation_test.go
+++ b/slots/evacuation_test.go
@@ -35,7 +35,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := warm.New()
+				g := warm.New("e", false, bulrushlug.NewWarmup(1, 0), func() ([]string, uint64) { return nil, 0 })
 				b := New("e", func() []string { return nil }, WithGate(g))
 				b.Update(x.servers)
 				for _, id := range x.failed {
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -15,6 +15,8 @@
 
 func (openGate) Admit(bulrushlug.Backend, time.Time) bool { return true }
 
+func (openGate) Suspect(bulrushlug.Backend) {}
+
 // filter selects the servers that may get a request.
 type filter struct {
 	service string
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -103,6 +103,12 @@
 	e.backoffUntil = time.Now().Add(e.backoff)
 }
 
+// RecordUnreachable records a failure of which it is known that no connection could be made.
+func (l *Reservation) RecordUnreachable() {
+	l.RecordFailure()
+	l.shard.gate.Suspect(l.backend)
+}
+
 // RecordSuccess ends the back-off of the server and adds interval, the seconds between two events of the response, to its
 // moving average; zero means that the interval is unknown.
 func (l *Reservation) RecordSuccess(interval float64) {
--- a/slots/table.go
+++ b/slots/table.go
@@ -336,8 +336,11 @@
 	if best.shard == nil {
 		return nil, nil
 	}
-	l, age := t.reserve(best, f, false), best.shard.age(best.id, f.now)
-	t.metrics.observe("newsMs", age)
+	if l = t.reserve(best, f, false); l == nil {
+		// Other requests have taken what the gate admits there, or the server is gone.
+		return t.AcquireOnline(v, skip)
+	}
+	t.metrics.observe("newsMs", best.shard.age(best.id, f.now))
 	return l, best.shard.batchVMs(best.id, f.now)
 }
 
--- a/warm/gate.go
+++ b/warm/gate.go
@@ -1,4 +1,10 @@
-// Package warm decides which backend servers may get one more request: none in a zone that operators evacuate.
+// Package warm decides which backend servers may get one more request: none in a zone that operators evacuate, and few at
+// a server that is cold, or that may be cold without this process knowing it.
+//
+// It answers the load of a server that is idle as it begins, or begins again, to serve: all processes see the same least
+// loaded server and send to it before the next report. A cold server gets at most a given number of requests in any
+// second from all processes together, so these divide the bound in advance, without messages: for each server the
+// processes that rank first hold seats, and only they send to it while it is cold. Whoever hears whom does not matter.
 package warm
 
 import (
@@ -7,22 +13,65 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlug.dev/bulrushlug"
 )
 
+const shardCount = 8
+
+// Members returns the processes that share the seats of this process's role, itself included, and a version that changes
+// with the list. The list is nil while it is not known.
+type members func() (vms []string, version uint64)
+
 // Gate implements bulrushlug.ServerGate.
 type Gate struct {
-	zones atomic.Pointer[map[string]bool] // Evacuated zones; the map is not changed.
+	self     string
+	batch    bool // The process runs batch items.
+	warmup   bulrushlug.Warmup
+	members  members
+	zones    atomic.Pointer[map[string]bool]               // Evacuated zones; the map is not changed.
+	services atomic.Pointer[map[string]bulrushlug.Service] // Services whose servers need warm-up, by name; the map is not changed.
+	isolated atomic.Bool                                   // This process hears too few others to learn that a server is cold.
+	listed   atomic.Bool                                   // The servers were listed once.
+	coldEnd  atomic.Int64                                  // No server is known to be cold after this time, in Unix nanoseconds.
+	shards   [shardCount]shard
 }
 
-// New returns a gate that is open for all servers.
-func New() *Gate {
-	g := &Gate{}
+// New returns the gate of the process on VM vm, which runs batch items if batch is set and only requests of callers
+// otherwise. The bound of a cold server is that of w; f returns the processes of the same role.
+func New(vm string, batch bool, w bulrushlug.Warmup, f members) *Gate {
+	g := &Gate{self: vm, batch: batch, warmup: w, members: f}
 	g.zones.Store(&map[string]bool{})
+	g.services.Store(&map[string]bulrushlug.Service{})
+	for i := range g.shards {
+		g.shards[i].servers = map[string]*server{}
+	}
 	return g
 }
 
+func (g *Gate) shard(id string) *shard { return &g.shards[xxhash.Sum64String(id)%shardCount] }
+
+// SetServices replaces the services; servers of those without a cold rate need no warm-up.
+func (g *Gate) SetServices(l []bulrushlug.Service) {
+	m := map[string]bulrushlug.Service{}
+	for _, s := range l {
+		if s.ColdRate() > 0 {
+			m[s.Name()] = s
+		}
+	}
+	g.services.Store(&m)
+}
+
+// Bounded reports whether any service needs warm-up.
+func (g *Gate) Bounded() bool { return len(*g.services.Load()) > 0 }
+
+// SetIsolated sets whether this process hears too few others to learn that a server is cold. Then it sends only to those
+// where it holds a seat, as if all were cold.
+func (g *Gate) SetIsolated(v bool) { g.isolated.Store(v) }
+
 // SetEvacuated replaces the evacuated zones by m, and returns the zones that are new in it and those that are no longer.
+// The servers of the latter count as cold.
 func (g *Gate) SetEvacuated(m map[string]bool) (begun, ended []string) {
 	m = maps.Clone(m)
 	old := *g.zones.Swap(&m)
@@ -38,14 +87,101 @@
 	}
 	slices.Sort(begun)
 	slices.Sort(ended)
+	if len(ended) > 0 {
+		now := time.Now()
+		for i := range g.shards {
+			g.shards[i].chill(g, ended, now)
+		}
+	}
 	return begun, ended
 }
 
+// Update replaces the list of backend servers.
+func (g *Gate) Update(l []bulrushlug.Backend) {
+	now := time.Now()
+	first := !g.listed.Swap(true)
+	listed := map[string]bool{}
+	for _, b := range l {
+		listed[b.ID()] = true
+		g.shard(b.ID()).update(g, b, first, now)
+	}
+	for i := range g.shards {
+		g.shards[i].forget(listed, now)
+	}
+}
+
+// Suspect records that no connection to b could be made, as it may have restarted when it is back. Reports tell the
+// other processes.
+func (g *Gate) Suspect(b bulrushlug.Backend) { g.suspect(b.ID(), true) }
+
+// SuspectReported records that another process could make no connection to the servers with the given identifiers.
+func (g *Gate) SuspectReported(ids []string) {
+	for _, id := range ids {
+		g.suspect(id, false)
+	}
+}
+
+func (g *Gate) suspect(id string, own bool) {
+	g.shard(id).suspect(g, id, own, time.Now())
+}
+
+// Suspects returns the identifiers of the servers to which this process lately could make no connection.
+func (g *Gate) Suspects() (l []string) {
+	now := time.Now()
+	if !g.anyCold(now) {
+		return nil
+	}
+	for i := range g.shards {
+		l = append(l, g.shards[i].suspects(now)...)
+	}
+	slices.Sort(l)
+	return l[:min(len(l), maxSuspects)]
+}
+
+// Cold returns the number of servers that count as cold.
+func (g *Gate) Cold() (n int) {
+	now := time.Now()
+	for i := range g.shards {
+		n += g.shards[i].cold(now)
+	}
+	return n
+}
+
 // Evacuated reports whether operators keep all requests from the servers of zone z.
 func (g *Gate) Evacuated(z string) bool { return (*g.zones.Load())[z] }
 
 // Open reports whether Admit would admit a request to b at time t.
-func (g *Gate) Open(b bulrushlug.Backend, _ time.Time) bool { return !g.Evacuated(b.Zone()) }
+func (g *Gate) Open(b bulrushlug.Backend, t time.Time) bool { return g.decide(b, t, false) }
 
 // Admit admits one request to b at time t and counts it, or returns false.
-func (g *Gate) Admit(b bulrushlug.Backend, t time.Time) bool { return g.Open(b, t) }
+func (g *Gate) Admit(b bulrushlug.Backend, t time.Time) bool { return g.decide(b, t, true) }
+
+func (g *Gate) decide(b bulrushlug.Backend, t time.Time, count bool) bool {
+	if g.Evacuated(b.Zone()) {
+		return false
+	}
+	if !g.anyCold(t) && !g.isolated.Load() {
+		return true
+	}
+	v, ok := g.service(b)
+	return !ok || g.shard(b.ID()).admit(g, b.ID(), v, t, count)
+}
+
+// service returns the service of b; ok is false if its servers need no warm-up.
+func (g *Gate) service(b bulrushlug.Backend) (v bulrushlug.Service, ok bool) {
+	v, ok = (*g.services.Load())[b.Service()]
+	return v, ok
+}
+
+// anyCold reports whether any server may count as cold at t.
+func (g *Gate) anyCold(t time.Time) bool { return t.UnixNano() < g.coldEnd.Load() }
+
+// extend records that a server is cold until t.
+func (g *Gate) extend(t time.Time) {
+	for n := t.UnixNano(); ; {
+		old := g.coldEnd.Load()
+		if n <= old || g.coldEnd.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/warm/gate_test.go
@@ -0,0 +1,301 @@
+package warm
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	entries     = 24
+	dataVMs     = 13
+	serverCount = 52
+	perSecond   = 450 // Requests of callers at a crest; items come on top.
+	bound       = 16
+	coldTime    = 3 * time.Second
+)
+
+// runner is a server as it is, which the processes learn late.
+type runner struct {
+	backend   bulrushlug.Backend
+	coldUntil time.Time
+	down      bool
+	arrivals  []time.Time // While it was cold.
+	running   int
+	run       int // Increases with each start.
+}
+
+type process struct {
+	gate  *Gate
+	cut   bool             // It learns nothing.
+	loads [serverCount]int // Requests at each server by the last reports, and what it has sent since.
+}
+
+// fleet is 37 processes that send to 52 servers in 4 zones, each to the least loaded one, as far as it knows, that its gate
+// admits.
+type fleet struct {
+	t         *testing.T
+	random    *rand.Rand
+	processes []*process
+	runners   []*runner
+	revision  uint64
+	joined    int // Processes that know of the entry that joined, the last process.
+	refused   int // Requests that found no server.
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, random: rand.New(rand.NewPCG(1, 2))}
+	for i := range serverCount {
+		f.runners = append(f.runners, &runner{backend: f.backend(i, 1, 0)})
+	}
+	for i := range entries + dataVMs {
+		f.processes = append(f.processes, &process{})
+		f.start(i)
+	}
+	f.run(3 * time.Second)
+	return f
+}
+
+func (f *fleet) backend(i int, start uint64, cold time.Duration) bulrushlug.Backend {
+	f.revision++
+	return bulrushlug.NewBackend(fmt.Sprint("s", i), "s", "h:1", bulrushlug.BackendZoneSlots(fmt.Sprint("z", i%4), 8),
+		bulrushlug.BackendStart(start, f.revision), bulrushlug.BackendColdTime(cold))
+}
+
+// start starts process i, which reads the list at once.
+func (f *fleet) start(i int) {
+	batch := i >= entries && i < entries+dataVMs
+	g := New(fmt.Sprint("p", i), batch, bulrushlug.NewWarmup(1.5, 5), func() (l []string, version uint64) {
+		from, n := 0, entries
+		if batch {
+			from, n = entries, dataVMs
+		}
+		for k := range n {
+			l = append(l, fmt.Sprint("p", from+k))
+		}
+		if i < f.joined || i == entries+dataVMs {
+			l = append(l, fmt.Sprint("p", entries+dataVMs))
+		}
+		return l, uint64(len(l))
+	})
+	g.SetServices([]bulrushlug.Service{bulrushlug.NewService("s", 7.6, coldTime)})
+	f.processes[i].gate = g
+	f.list(i)
+}
+
+// list gives process i the list of servers.
+func (f *fleet) list(i int) {
+	var l []bulrushlug.Backend
+	for _, x := range f.runners {
+		l = append(l, x.backend)
+	}
+	f.processes[i].gate.Update(l)
+}
+
+// tell has each process that is not cut off do g after up to 400 ms.
+func (f *fleet) tell(g func(i int, p *process)) {
+	for i, p := range f.processes {
+		time.AfterFunc(time.Duration(f.random.IntN(400))*time.Millisecond, func() {
+			if !p.cut {
+				g(i, p)
+			}
+		})
+	}
+}
+
+// chill lets servers be cold from now on: they start again if restart is set, and say so after d.
+func (f *fleet) chill(from, n, step int, restart bool, d time.Duration) {
+	for i := from; i < serverCount && n > 0; i, n = i+step, n-1 {
+		x := f.runners[i]
+		x.down, x.coldUntil, x.arrivals = false, time.Now().Add(coldTime), nil
+		if restart {
+			x.running, x.run = 0, x.run+1
+		}
+		time.AfterFunc(d, func() {
+			start := x.backend.StartTime()
+			if restart {
+				start++
+			}
+			x.backend = f.backend(i, start, coldTime-d)
+			f.tell(func(i int, _ *process) { f.list(i) })
+		})
+	}
+}
+
+func (f *fleet) stop(from, step int) {
+	for i := from; i < serverCount; i += step {
+		f.runners[i].down = true
+	}
+}
+
+// run has the processes send for d.
+func (f *fleet) run(d time.Duration) {
+	const tick = 10 * time.Millisecond
+	for n := range d / tick {
+		for i, p := range f.processes {
+			if (int(n)+7*i)%20 == 0 {
+				for k, x := range f.runners {
+					p.loads[k] = x.running
+				}
+			}
+			if batch := i >= entries && i < entries+dataVMs; f.random.Float64() < perSecond/entries*tick.Seconds() && (!batch || f.random.IntN(10) == 0) {
+				f.send(p)
+			}
+		}
+		time.Sleep(tick)
+	}
+}
+
+func (f *fleet) send(p *process) {
+	now, best, least := time.Now(), -1, 0.0
+	for i, x := range f.runners {
+		if n := float64(p.loads[i]) + 2*f.random.Float64(); p.loads[i] < 10 && (best < 0 || n < least) && p.gate.Open(x.backend, now) {
+			best, least = i, n
+		}
+	}
+	if best < 0 || !p.gate.Admit(f.runners[best].backend, now) {
+		f.refused++
+		return
+	}
+	p.loads[best]++
+	x := f.runners[best]
+	switch {
+	case x.down:
+		p.gate.Suspect(x.backend)
+		f.tell(func(_ int, q *process) { q.gate.SuspectReported([]string{x.backend.ID()}) })
+		return
+	case now.Before(x.coldUntil):
+		x.arrivals = append(x.arrivals, now)
+	}
+	x.running++
+	run := x.run
+	time.AfterFunc(700*time.Millisecond, func() {
+		if x.run == run {
+			x.running--
+		}
+	})
+}
+
+// most returns the most requests that a server got in any second after t in which it was cold.
+func (x *runner) most(t time.Time) (n int) {
+	l := slices.DeleteFunc(slices.Clone(x.arrivals), func(a time.Time) bool { return a.Before(t) })
+	for i, from := 0, 0; i < len(l); i++ {
+		for l[i].Sub(l[from]) >= time.Second {
+			from++
+		}
+		n = max(n, i-from+1)
+	}
+	return n
+}
+
+// TestColdServers replays the loads in which servers are idle and cold as a crest is there, and compares what all
+// processes together send with the exact bound in sliding seconds.
+func TestColdServers(t *testing.T) {
+	for name, x := range map[string]struct {
+		do    func(f *fleet)
+		least int // Requests that each cold server got in the first second at least, on average.
+		// unknown is the time from the start of the cold in which some process can't know of it. Only even load bounds what
+		// a warm server gets.
+		unknown time.Duration
+	}{
+		"release in turn": {least: 5, do: func(f *fleet) {
+			for i := range 8 {
+				f.chill(2*i, 2, 1, true, 0)
+				f.run(900 * time.Millisecond)
+			}
+		}},
+		"a zone returns at a crest": {least: 5, do: func(f *fleet) {
+			f.stop(0, 4)
+			f.run(2 * time.Second)
+			f.chill(0, serverCount, 4, true, 100*time.Millisecond)
+		}},
+		"all return": {least: 5, do: func(f *fleet) {
+			f.stop(0, 1)
+			f.run(2 * time.Second)
+			f.chill(0, serverCount, 1, true, 100*time.Millisecond)
+		}},
+		"cold again without a restart": {least: 1, unknown: 1600 * time.Millisecond, do: func(f *fleet) {
+			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
+		}},
+		"down and up before the list shows it": {least: 1, do: func(f *fleet) {
+			for range 3 {
+				f.stop(0, 10)
+				f.run(1400 * time.Millisecond)
+				f.chill(0, serverCount, 10, true, 1200*time.Millisecond)
+				f.run(1400 * time.Millisecond)
+			}
+		}},
+		"half of the processes learn nothing": {least: 3, do: func(f *fleet) {
+			for _, p := range f.processes[entries/2:] {
+				p.cut = true
+				p.gate.SetIsolated(true)
+			}
+			f.chill(0, serverCount, 4, true, 0)
+		}},
+		"a few processes are cut off": {least: 5, do: func(f *fleet) {
+			for _, p := range f.processes[:4] {
+				p.cut = true
+				p.gate.SetIsolated(true)
+			}
+			f.chill(0, serverCount, 4, true, 0)
+		}},
+		"processes restart during the warm-up": {least: 5, do: func(f *fleet) {
+			f.chill(0, serverCount, 4, true, 0)
+			f.run(time.Second)
+			for i := range 5 {
+				f.start(i)
+			}
+		}},
+		"a process joins, which half of the others know": {least: 5, do: func(f *fleet) {
+			f.joined = entries / 2
+			f.processes = append(f.processes, &process{})
+			f.start(len(f.processes) - 1)
+			f.chill(0, serverCount, 4, true, 0)
+		}},
+		"the end of an evacuation": {do: func(f *fleet) {
+			f.tell(func(_ int, p *process) { p.gate.SetEvacuated(map[string]bool{"z0": true}) })
+			f.run(2 * time.Second)
+			for _, x := range f.runners {
+				if x.backend.Zone() == "z0" {
+					x.coldUntil, x.arrivals = time.Now().Add(coldTime), nil
+				}
+			}
+			f.run(time.Second) // The service is down; nobody knows of the end.
+			f.tell(func(_ int, p *process) { p.gate.SetEvacuated(nil) })
+			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				f.refused = 0
+				x.do(f)
+				f.run(2 * coldTime)
+				cold, first := 0, 0
+				for _, r := range f.runners {
+					if n := r.most(r.coldUntil.Add(x.unknown - coldTime)); n > bound {
+						t.Errorf("%s got %d requests in one second", r.backend.ID(), n)
+					}
+					if r.coldUntil.IsZero() {
+						continue
+					}
+					cold++
+					for _, a := range r.arrivals {
+						if a.Before(r.coldUntil.Add(time.Second - coldTime)) {
+							first++
+						}
+					}
+				}
+				t.Logf("%d cold servers, %d requests in their first second, %d refused", cold, first, f.refused)
+				if first < x.least*cold {
+					t.Errorf("%d cold servers got %d requests in their first second", cold, first)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/warm/server.go
@@ -0,0 +1,176 @@
+package warm
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+const (
+	// window is the time in which admissions at a cold server are counted: the second in which its bound holds, and what
+	// a request may take from its admission to the server.
+	window = 1250 * time.Millisecond
+	// restartWait is the time after its start in which a process sends nothing to cold servers; with the restart itself it
+	// is longer than a second, in which the process may have sent to them before.
+	restartWait = 500 * time.Millisecond
+	// reportLag is how long a server may be cold before its registration says so.
+	reportLag = 1500 * time.Millisecond
+	// suspectMargin is added to the time for which a server is cold after a start, for one that no connection reached: it
+	// may have started any time after that.
+	suspectMargin = 2 * time.Second
+	suspectTime   = time.Second // Time for which a failed connection is reported.
+	forgetTimeout = time.Minute // Time after which a server that is not on the list is forgotten: entries that were lost in an outage come back.
+	maxSuspects   = 64          // Servers in one report.
+)
+
+// shard holds a part of the servers.
+type shard struct {
+	mu      sync.Mutex
+	servers map[string]*server // By identifier.
+}
+
+// server is what this process knows of a backend server.
+type server struct {
+	backend     bulrushlug.Backend // As registered last.
+	coldUntil   time.Time          // The server counts as cold before this time.
+	closedUntil time.Time          // Nothing is admitted before this time while it is cold.
+	failed      time.Time          // When this process could last make no connection.
+	unlisted    time.Time          // When the server was gone from the list; zero while it is on it.
+	sent        []time.Time        // Admissions within window while the server counts as cold or the process as isolated, oldest first.
+	seat        bool               // This process holds a seat, as of version.
+	version     uint64             // Version of the members; zero before the first.
+}
+
+// chillUntil lets x count as cold until t.
+func (x *server) chillUntil(g *Gate, t time.Time) {
+	if t.After(x.coldUntil) {
+		x.coldUntil = t
+		g.extend(t)
+	}
+}
+
+// update records the registration b; first means that this process has just begun to know
+// servers, and may have sent requests before it was restarted.
+func (s *shard) update(g *Gate, b bulrushlug.Backend, first bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.servers[b.ID()]
+	if !ok || !x.backend.SameInstance(b) {
+		y := &server{backend: b}
+		if first && b.ColdTime() > 0 {
+			y.closedUntil = now.Add(restartWait)
+		}
+		s.servers[b.ID()] = y
+		y.chillUntil(g, now.Add(max(b.ColdTime(), reportLag)))
+		return
+	}
+	if b.Revision() > x.backend.Revision() && b.ColdTime() > 0 {
+		if !now.Before(x.coldUntil) {
+			// All processes have sent to it without a bound.
+			x.closedUntil = now.Add(window)
+		}
+		x.chillUntil(g, now.Add(b.ColdTime()))
+	}
+	x.backend, x.unlisted = b, time.Time{}
+}
+
+// forget removes the servers that have not been listed for forgetTimeout.
+func (s *shard) forget(listed map[string]bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, x := range s.servers {
+		switch {
+		case listed[id]:
+		case x.unlisted.IsZero():
+			x.unlisted = now
+		case now.Sub(x.unlisted) > forgetTimeout:
+			delete(s.servers, id)
+		}
+	}
+}
+
+// chill lets the servers of the given zones count as cold from now on.
+func (s *shard) chill(g *Gate, zones []string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.servers {
+		if v, ok := g.service(x.backend); ok && slices.Contains(zones, x.backend.Zone()) {
+			x.chillUntil(g, now.Add(v.ColdTime()))
+		}
+	}
+}
+
+func (s *shard) suspect(g *Gate, id string, own bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.servers[id]
+	if !ok {
+		return
+	}
+	v, ok := g.service(x.backend)
+	if !ok {
+		return
+	}
+	if own {
+		x.failed = now
+	}
+	x.chillUntil(g, now.Add(v.ColdTime()+suspectMargin))
+}
+
+func (s *shard) suspects(now time.Time) (l []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, x := range s.servers {
+		if !x.failed.IsZero() && now.Sub(x.failed) < suspectTime {
+			l = append(l, id)
+		}
+	}
+	return l
+}
+
+func (s *shard) cold(now time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.servers {
+		if now.Before(x.coldUntil) {
+			n++
+		}
+	}
+	return n
+}
+
+// admit reports whether one more request may go to the server of service v, and counts it if count is set.
+func (s *shard) admit(g *Gate, id string, v bulrushlug.Service, now time.Time, count bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.servers[id]
+	if !ok {
+		return true
+	}
+	n, bounded := x.allowance(g, v, now)
+	if !bounded {
+		return true
+	}
+	x.sent = slices.DeleteFunc(x.sent, func(t time.Time) bool { return now.Sub(t) >= window })
+	if len(x.sent) >= n {
+		return false
+	}
+	if count {
+		x.sent = append(x.sent, now)
+	}
+	return true
+}
+
+// allowance returns the requests that this process may send to x within window; bounded is false if x is warm.
+func (x *server) allowance(g *Gate, v bulrushlug.Service, now time.Time) (n int, bounded bool) {
+	if !now.Before(x.coldUntil) && !g.isolated.Load() {
+		return 0, false
+	}
+	p := divide(g.warmup.Requests(v.ColdRate()), g.batch)
+	if now.Before(x.closedUntil) || !x.holdsSeat(g, p) {
+		return 0, true
+	}
+	return p.share, true
+}
--- a/wire/text_test.go
+++ b/wire/text_test.go
@@ -50,7 +50,7 @@
 var checkedText = map[string]string{
 	"Problem":       "message",                         // codec.EncodeError.
 	"Event":         "request job organisation detail", // codec.EncodeEvent.
-	"Report":        "lots",                            // platform: submissions.
+	"Report":        "lots unreachable",                // platform: submissions, entries of servers.
 	"LeavingServer": "id service address",              // platform: entries of servers.
 	"Usage":         "backend",                         // platform: entries of servers.
 	"Spending":      "organisation",                    // platform: manifests.
