--- a/setup/settings.go
+++ b/setup/settings.go
@@ -114,7 +114,8 @@
 	}
 	for n, v := range map[string]float64{"graceSeconds": s.w.GraceSeconds, "statusSeconds": s.w.StatusSeconds,
 		"rateWindowSeconds": s.w.RateWindowSeconds, "rateOverrun": s.w.RateOverrun, "rateSlack": s.w.RateSlack,
-		"bodyGraceSeconds": s.w.BodyGraceSeconds, "responseStallSeconds": s.w.ResponseStallSeconds} {
+		"bodyGraceSeconds": s.w.BodyGraceSeconds, "responseStallSeconds": s.w.ResponseStallSeconds,
+		"warmupFactor": s.w.WarmupFactor, "warmupSlack": s.w.WarmupSlack} {
 		if v < 0 {
 			invalid(n, "must not be negative")
 		}
@@ -206,6 +207,14 @@
 	return n
 }
 
+// Warmup returns the bound on requests to cold backend servers; without a factor it is the rate that they bear.
+func (s *Settings) Warmup() bulrushlug.Warmup {
+	if s.w.WarmupFactor == 0 {
+		return bulrushlug.NewWarmup(1, s.w.WarmupSlack)
+	}
+	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
+}
+
 // seconds returns n seconds as a duration, or d if n is zero.
 func seconds(n float64, d time.Duration) time.Duration {
 	if n == 0 {
