feat(meter): rates are divided among entries by demand

Entries refused 1 to 2% of the requests of an organisation within its rate at each crest: callers reach the entries unevenly, and each entry had the same part of the tokens. The part now follows the requests that each entry gets, as told in the reports, and two fifths of the tolerance cover that they are old. Refused callers are told when the token after those of earlier ones comes, instead of all at the next one.

Off without sharedAdmission.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,6 +32,11 @@
 	recovered      = 0.9
 	// uncontendedExtra is what a process may admit beyond its part in a round while an organisation is not contended.
 	uncontendedExtra = 2
+	// overlapShare is the part of the tolerance that all processes together may admit beyond the level in one round, as they
+	// divide by demand that is a report old.
+	overlapShare = 0.4
+	// maxReturnTime is the longest time after which callers are told to return; what is asked by then is unknown.
+	maxReturnTime = demandTime
 )
 
 // Limiter admits requests within rate and burst of their organisation.
@@ -47,6 +52,7 @@
 	boot      uint64                  // Start of this process, Unix milliseconds.
 	tolerance bulrushlug.Tolerance    // Tolerance beyond rate and burst.
 	startFull bool                    // Buckets start full: nothing was admitted before the start.
+	byDemand  bool                    // Rounds are divided by demand, and refused callers return one by one.
 	shards    [shardCount]shard
 }
 
@@ -72,6 +78,8 @@
 	sharedLevel    float64           // Level at sharedAt.
 	sharedAt       time.Time         // When all processes of part last reported, or the bucket was last full.
 	spent          float64           // Deducted since sharedAt.
+	demand         demand            // What this process and the others are asked for.
+	nextReturn     time.Time         // When the caller refused last was told to return.
 }
 
 // New returns a limiter that reads rates from f; full says that nothing was admitted before the start, and t is the
@@ -84,6 +92,13 @@
 	return m
 }
 
+// ByDemand makes m divide the tokens of a round by what each process is asked for, and tell refused callers to return one
+// after the other; it is called before m is used, on all processes.
+func (m *Limiter) ByDemand() *Limiter {
+	m.byDemand = true
+	return m
+}
+
 func (m *Limiter) shard(o string) *shard { return &m.shards[xxhash.Sum64String(o)%shardCount] }
 
 func (s *shard) bucket(o string) *bucket {
@@ -107,6 +122,9 @@
 	defer s.mu.Unlock()
 	b := s.bucket(o)
 	b.admitted++
+	if m.byDemand {
+		b.demand.asked++
+	}
 	b.lastRequestAt = time.Now()
 	if g.Rate() <= 0 {
 		return nil
@@ -114,14 +132,13 @@
 	heard, all := m.heard()
 	part := float64(heard) / float64(all)
 	m.refill(b, g, part, all)
-	if b.level >= 1 && b.roundAdmitted+1 <= b.share(g, heard, all) {
+	if b.level >= 1 && b.roundAdmitted+1 <= m.share(b, g, heard, all) {
 		b.spend(1)
 		b.roundAdmitted++
 		return nil
 	}
 	b.admitted--
-	w := time.Duration(max(1, 1-b.level) / (g.Rate() * part) * float64(time.Second))
-	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(w)
+	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(m.returnTime(b, g, heard, part))
 }
 
 // share returns the requests that this process may admit in this round: its part of the level and uncontendedExtra,
@@ -130,18 +147,54 @@
 // Load patterns: requests of one organisation within its rate, of which a few reach the same one of many entries in one
 // round; and requests beyond it, of which one reaches nearly every entry in each round. A round lasts until all have
 // reported, so in a partition that nobody noticed yet, what is extra comes once.
-func (b *bucket) share(g bulrushlug.Organisation, heard, all int) float64 {
+func (m *Limiter) share(b *bucket, g bulrushlug.Organisation, heard, all int) float64 {
 	if heard == 1 {
 		return b.level + b.roundAdmitted
 	}
 	b.contended = b.level < contendedLevel || b.contended && b.level < recovered*float64(g.Burst())
-	s := (b.level + b.roundAdmitted) / float64(heard)
+	l := b.level + b.roundAdmitted
+	if m.byDemand && heard == all {
+		l += overlapShare * m.tolerance.Requests(g.Rate(), float64(g.Burst()))
+	}
+	s := l * m.weight(b, heard)
 	if b.contended || heard < all {
 		return max(1, s)
 	}
 	return s + uncontendedExtra
 }
 
+// weight returns the part of the tokens of b that belongs to this one of n processes.
+func (m *Limiter) weight(b *bucket, n int) float64 {
+	if m.byDemand {
+		return b.demand.weight(n)
+	}
+	return 1 / float64(n)
+}
+
+// returnTime returns the time after which the caller of a refused request finds a token: callers refused by this process
+// return in the order in which they were refused, as fast as its share of the tokens comes.
+//
+// Load pattern: an organisation that asks for several times its rate, all of whose callers return at the time at which the
+// next token comes, and are refused again but for one.
+func (m *Limiter) returnTime(b *bucket, g bulrushlug.Organisation, heard int, part float64) time.Duration {
+	tokens := g.Rate() * part
+	w := max(0, 1-b.level) / tokens
+	if !m.byDemand {
+		return time.Duration(max(1, 1-b.level) / tokens * float64(time.Second))
+	}
+	now := time.Now()
+	t := now.Add(time.Duration(w * float64(time.Second)))
+	if b.nextReturn.After(t) {
+		t = b.nextReturn
+	}
+	gap := time.Duration(float64(time.Second) / (tokens * m.weight(b, heard)))
+	b.nextReturn = t.Add(gap)
+	if l := now.Add(maxReturnTime); b.nextReturn.After(l) {
+		b.nextReturn = l
+	}
+	return b.nextReturn.Sub(now)
+}
+
 // initialLevel returns the tokens with which a bucket of g starts at one of n processes.
 func (m *Limiter) initialLevel(g bulrushlug.Organisation, n int) float64 {
 	if m.startFull {
@@ -259,6 +312,9 @@
 		b.startSpan()
 	}
 	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
+	if m.byDemand {
+		b.demand.record(r.Member().Name(), r.Boot(), max(x.Asked(), x.Admitted()))
+	}
 }
 
 // deduct deducts x of the process on VM vm from b; later says that all of it was admitted after the start of this process or
@@ -311,7 +367,7 @@
 	defer s.mu.Unlock()
 	for o, b := range s.buckets {
 		if all || now.Sub(b.lastRequestAt) < recentTime {
-			l = append(l, bulrushlug.NewAdmissionCount(o, b.admitted, b.level))
+			l = append(l, bulrushlug.NewAdmissionCount(o, b.admitted, b.level).WithAsked(b.demand.report()))
 		}
 	}
 	return l
--- a/report.go
+++ b/report.go
@@ -38,6 +38,7 @@
 	organisation string
 	admitted     uint64  // Requests since the start of the process; never decreases.
 	level        float64 // Tokens left in the process's own bucket; may be negative.
+	asked        uint64  // Requests since the start of the process, admitted or not; never decreases.
 }
 
 // NewAdmissionCount returns the admission count of organisation o.
@@ -45,6 +46,15 @@
 	return AdmissionCount{organisation: o, admitted: admitted, level: level}
 }
 
+// WithAsked returns a copy of s with the requests since the start of the process, admitted or not.
+func (s AdmissionCount) WithAsked(n uint64) AdmissionCount {
+	s.asked = n
+	return s
+}
+
+// Asked returns the requests since the start of the process, admitted or not.
+func (s AdmissionCount) Asked() uint64 { return s.asked }
+
 // Organisation returns the organisation.
 func (s AdmissionCount) Organisation() string { return s.organisation }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -161,6 +161,9 @@
 	return bulrushlug.NewTolerance(seconds(s.w.RateWindowSeconds, 0), s.w.RateOverrun, s.w.RateSlack)
 }
 
+// SharedAdmission reports whether rates are divided among entries by demand, and short room among organisations by weight.
+func (s *Settings) SharedAdmission() bool { return s.w.SharedAdmission }
+
 // seconds returns n seconds as a duration, or d if n is zero.
 func seconds(n float64, d time.Duration) time.Duration {
 	if n == 0 {
