feat(queue, fair): requests without a place wait in an order of fair shares

When all places were taken a request went to a server that was avoided for its failures, or was refused with a constant Retry-After, whatever its organisation had got. It now waits for a slot that its process frees, for half of the time to the first event, is rejected at once if its turn can't come by then, and its caller returns after those rejected before. An organisation that exceeds its weighted share of the recent work gets idle slots only.

Off without sharedAdmission.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"bulrushlug.dev/bulrushlug/bcast"
 	"bulrushlug.dev/bulrushlug/dgram"
 	"bulrushlug.dev/bulrushlug/even"
+	"bulrushlug.dev/bulrushlug/fair"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/least"
 	"bulrushlug.dev/bulrushlug/lotcli"
@@ -59,6 +60,7 @@
 	gate           *warm.Gate
 	slotTable      *slots.Table
 	limiter        *meter.Limiter
+	shares         *fair.Shares // Nil if the settings do not call for shared admission.
 	recorder       *recorder
 	guard          *guard.Guard
 	detector       *poison.Detector
@@ -121,6 +123,7 @@
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
 	if s.SharedAdmission() {
 		x.limiter.ByDemand()
+		x.shares = fair.New(x)
 	}
 	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.guard, x.counters)
 	if err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,6 +17,7 @@
 	"bulrushlug.dev/bulrushlug/lotsrv"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/proxy"
+	"bulrushlug.dev/bulrushlug/queue"
 	"bulrushlug.dev/bulrushlug/tally"
 )
 
@@ -42,6 +43,12 @@
 func newEntry(s *Daemon) *entry {
 	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger), grace: grace.New()}
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
+	if s.shares != nil {
+		q := queue.New(s.shares)
+		s.slotTable.OnFree(q.Wake)
+		s.counters.Set("queue", q)
+		d.WithQueue(q, s.shares)
+	}
 	a := authn.New(s)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
 	e.handler = s.platform.Handler(s.manifest.Load, s.operatorMirror.Behind, p, a, e.router)
@@ -67,13 +74,20 @@
 
 // reportOptions returns the requests that the process admitted, by organisation.
 func (e *entry) reportOptions() []bulrushlug.ReportOption {
-	return []bulrushlug.ReportOption{bulrushlug.ReportAdmissionCounts(e.limiter.AdmissionCounts())}
+	l := e.limiter.AdmissionCounts()
+	if e.shares != nil {
+		l = e.shares.Add(l)
+	}
+	return []bulrushlug.ReportOption{bulrushlug.ReportAdmissionCounts(l)}
 }
 
 // handleReport applies the admission counts of other entries and the locations of lots.
 func (e *entry) handleReport(r bulrushlug.Report) {
 	if r.Member().Role() == bulrushlug.RoleEntry {
 		e.limiter.ApplyReport(r)
+		if e.shares != nil {
+			e.shares.ApplyReport(r)
+		}
 	}
 	e.router.SetPrimary(r.Disk(), r.Lots())
 }
--- /dev/null
+++ b/fair/shares_test.go
@@ -0,0 +1,64 @@
+package fair
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushlug.dev/bulrushlug"
+)
+
+type source struct{ config *bulrushlug.Config }
+
+func (s source) Config() *bulrushlug.Config { return s.config }
+func (s source) Fresh() bool                { return true }
+func (s source) Accepted() uint64           { return 1 }
+
+// TestExceeds charges work for organisations with rates 10 and 30.
+func TestExceeds(t *testing.T) {
+	for name, x := range map[string]struct {
+		small, large float64       // Work charged here.
+		remote       uint64        // Work of the small organisation that another process reports.
+		restarted    bool          // The other process restarted before the report.
+		after        time.Duration // Time between the work and the question.
+		want         bool          // The small one exceeds its share.
+	}{
+		"nothing":                        {},
+		"by weight":                      {small: 1000, large: 3000},
+		"a little more":                  {small: 1200, large: 3000},
+		"much more":                      {small: 3000, large: 3000, want: true},
+		"at another process":             {small: 1000, large: 3000, remote: 2000, want: true},
+		"at one that restarted":          {small: 1000, large: 3000, remote: 2000, restarted: true},
+		"alone":                          {small: 5000},
+		"long ago":                       {small: 3000, large: 3000, after: 10 * memory},
+		"a process that restarted alone": {restarted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(source{bulrushlug.RestoreConfig(1, []bulrushlug.Change{
+					bulrushlug.NewChange("1", "t", bulrushlug.NewOrganisation("small", 10, 10)),
+					bulrushlug.NewChange("2", "t", bulrushlug.NewOrganisation("large", 30, 30)),
+				})})
+				report := func(boot, work uint64) {
+					s.ApplyReport(bulrushlug.NewReport(bulrushlug.NewMember("e", "", "", "", ""), boot, 1,
+						bulrushlug.ReportAdmissionCounts([]bulrushlug.AdmissionCount{bulrushlug.NewAdmissionCount("small", 1, 1).WithWork(work)})))
+				}
+				report(1, 1)
+				s.Charge("small", x.small)
+				s.Charge("large", x.large)
+				boot := uint64(1)
+				if x.restarted {
+					boot = 2
+				}
+				report(boot, 1+x.remote)
+				time.Sleep(x.after)
+				if v := s.Exceeds("small"); v != x.want {
+					t.Errorf("Exceeds returned %v: %g is used, the mean is %g", v, s.Used("small"), s.mean())
+				}
+				if l := s.Add([]bulrushlug.AdmissionCount{bulrushlug.NewAdmissionCount("small", 1, 1)}); l[0].Work() != uint64(x.small) {
+					t.Errorf("the report has %d tokens, want %g", l[0].Work(), x.small)
+				}
+			})
+		})
+	}
+}
--- a/meter/demand.go
+++ b/meter/demand.go
@@ -1,8 +1,9 @@
 package meter
 
 import (
-	"math"
 	"time"
+
+	"bulrushlug.dev/bulrushlug/fade"
 )
 
 const (
@@ -16,8 +17,8 @@
 type demand struct {
 	asked    uint64 // Requests since the start of the process, admitted or not.
 	reported uint64 // Part of asked in own.
-	own      movingSum
-	others   movingSum
+	own      fade.Sum
+	others   fade.Sum
 	remote   map[string]remoteDemand // By VM.
 }
 
@@ -27,7 +28,7 @@
 // report counts the requests since the last report of this process, and returns those since its start.
 func (d *demand) report() uint64 {
 	if d.asked > d.reported {
-		d.own.add(float64(d.asked - d.reported))
+		d.own.Add(float64(d.asked-d.reported), demandTime)
 		d.reported = d.asked
 	}
 	return d.asked
@@ -43,24 +44,13 @@
 		l.asked = 0
 	}
 	if ok && n > l.asked {
-		d.others.add(float64(n - l.asked))
+		d.others.Add(float64(n-l.asked), demandTime)
 	}
 	d.remote[vm] = remoteDemand{boot, max(n, l.asked)}
 }
 
 // weight returns the share of this process among n.
 func (d *demand) weight(n int) float64 {
-	return (d.own.value() + demandPrior) / (d.own.value() + d.others.value() + float64(n)*demandPrior)
-}
-
-// movingSum is a sum whose terms fade with demandTime.
-type movingSum struct {
-	sum float64
-	at  time.Time
+	own, others := d.own.Value(demandTime), d.others.Value(demandTime)
+	return (own + demandPrior) / (own + others + float64(n)*demandPrior)
 }
-
-func (m *movingSum) value() float64 {
-	return m.sum * math.Exp(-time.Since(m.at).Seconds()/demandTime.Seconds())
-}
-
-func (m *movingSum) add(n float64) { m.sum, m.at = m.value()+n, time.Now() }
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"time"
 
+	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/slots"
 )
 
@@ -56,17 +58,54 @@
 	return r.place
 }
 
-// acquire returns the place that was taken for the next attempt, or takes one; nil if no server has capacity.
-func (a *exchange) acquire() *place {
+// acquire returns the place that was taken for the next attempt, or takes one; it fails if no server has capacity.
+func (a *exchange) acquire(c context.Context) (*place, error) {
 	if p := a.next; p != nil {
 		a.next = nil
-		return p
+		return p, nil
+	}
+	p, err := a.wait(c)
+	if p != nil || c.Err() != nil || err != nil && a.possibleRuns == 0 && a.shares.Exceeds(a.request.Organisation()) {
+		return p, err
 	}
 	l, vms := a.table.AcquireOnline(a.service, a.skip)
 	if l == nil {
-		return nil
+		if err == nil {
+			err = bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
+		}
+		return nil, err
+	}
+	return &place{slot: l, vms: vms}, nil
+}
+
+// wait takes a place at a server that is neither avoided nor leaving, once it is the request's turn; there is none if no such
+// server is known, if it would come too late, or if the stage has no queue.
+func (a *exchange) wait(c context.Context) (p *place, err error) {
+	if a.queue == nil || !a.table.HasReady(a.service, a.skip) {
+		return nil, nil
+	}
+	r := a.request
+	t := r.TargetRoute()
+	w := bulrushlug.NewWaiter(a.service, r.Organisation(), float64(r.Prompt().Tokens()+r.Prompt().MaxTokens())).
+		WithUrgency(t.Priority(), r.Deadline(), patience(t.FirstByteTarget()))
+	err = a.queue.Wait(c, w, func(idle bool) bool {
+		l, vms := a.table.AcquireReady(a.service, a.skip, idle)
+		if l == nil {
+			return false
+		}
+		p = &place{slot: l, vms: vms}
+		return true
+	})
+	return p, err
+}
+
+// patience returns how long a request may wait for a place if its first event is due after d: the rest is the server's.
+
+func patience(d time.Duration) time.Duration {
+	if d == 0 {
+		d = defaultTarget
 	}
-	return &place{slot: l, vms: vms}
+	return time.Duration(patienceShare * float64(d))
 }
 
 // releaseNext frees a place that no attempt used.
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	maxServers  = 4                      // Backend servers tried for one request, those that refuse it included.
-	retryAfter  = 300 * time.Millisecond // Retry-After of a service without capacity; about the duration of a short response.
-	maxHeld     = 4 << 10                // Bytes of events that are held while the next one is there already.
-	begunEvents = 2                      // Events of a response after which its request is not what ends the server.
+	maxServers    = 4                      // Backend servers tried for one request, those that refuse it included.
+	retryAfter    = 300 * time.Millisecond // Retry-After of a service without capacity; about the duration of a short response.
+	maxHeld       = 4 << 10                // Bytes of events that are held while the next one is there already.
+	begunEvents   = 2                      // Events of a response after which its request is not what ends the server.
+	defaultTarget = 300 * time.Millisecond // Time to the first event of a route without a target.
+	patienceShare = 0.5                    // Part of the time to the first event for which a request may wait for a place.
 	// suspectTimeout is the time without a response after which other requests avoid a server: three times the 99th
 	// percentile of the time to the first event at peak load.
 	suspectTimeout = 600 * time.Millisecond
@@ -37,7 +39,16 @@
 	recorder bulrushlug.Recorder
 	notify   func(vms []string) // Tells the processes on these VMs that a request runs on the same server as their batch items.
 	detector bulrushlug.PoisonDetector
-	memory   *memory.Budget // For what all responses hold.
+	memory   *memory.Budget    // For what all responses hold.
+	shares   bulrushlug.Shares // Not nil with queue.
+	queue    bulrushlug.Queue  // Holds requests back that find no place; nil if they are rejected.
+}
+
+// WithQueue makes requests that find no place wait in q. One that waited in vain still gets a place at a server in back-off,
+// unless its organisation exceeds its share by s. It is called before g is used.
+func (g *Stage) WithQueue(q bulrushlug.Queue, s bulrushlug.Shares) *Stage {
+	g.queue, g.shares = q, s
+	return g
 }
 
 // New returns a stage that takes slots from t and sends requests by c, unless d holds them back; f tells the processes on
@@ -116,9 +127,9 @@
 	if err := a.detector.Check(a.request.Prompt()); err != nil {
 		return false, err
 	}
-	q := a.acquire()
-	if q == nil {
-		return false, bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
+	q, err := a.acquire(c)
+	if err != nil {
+		return false, err
 	}
 	l := q.slot
 	a.slot = l
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -22,6 +22,7 @@
 	now     time.Time
 	gate    bulrushlug.ServerGate
 	backoff bool // Servers in back-off are selected too.
+	idle    bool // Servers whose slots are all taken are left out.
 	leaving bool // Leaving servers are selected too, as a last resort.
 }
 
@@ -35,3 +36,11 @@
 	}
 	return (f.backoff || !f.now.Before(e.backoffUntil)) && f.gate.Open(e.backend, f.now)
 }
+
+// places returns the online requests that a server with the given slots may have.
+func (f filter) places(slots int) int {
+	if f.idle {
+		return slots
+	}
+	return slots + slots/slotsPerQueued
+}
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -20,6 +20,7 @@
 	failed  bool // A failure was recorded.
 	success bool // The response was complete, so that its connection can be used again.
 	once    sync.Once
+	free    func(s string) // Called once the slot is free; not nil for those of a table.
 }
 
 // Backend returns the backend server.
@@ -43,17 +44,25 @@
 // Release frees the slot; further calls do nothing.
 func (l *Reservation) Release() {
 	l.once.Do(func() {
-		l.shard.mu.Lock()
-		defer l.shard.mu.Unlock()
-		if l.batch {
-			l.entry.batch--
-		} else {
-			l.entry.online--
-			l.keepConnection()
+		l.release()
+		if l.free != nil {
+			l.free(l.backend.Service())
 		}
 	})
 }
 
+// release frees the slot.
+func (l *Reservation) release() {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	if l.batch {
+		l.entry.batch--
+	} else {
+		l.entry.online--
+		l.keepConnection()
+	}
+}
+
 // keepConnection counts the connection of a complete response as idle; the caller holds the lock.
 func (l *Reservation) keepConnection() {
 	if !l.success {
--- a/slots/table.go
+++ b/slots/table.go
@@ -39,6 +39,7 @@
 	gate        bulrushlug.ServerGate
 	division    atomic.Pointer[places]
 	metrics     metrics
+	free        func(s string) // Called when this process has freed a slot of service s; nil if nobody waits for it.
 	shards      [shardCount]shard
 }
 
@@ -333,6 +334,11 @@
 		f.leaving = true
 		best = t.bestOnline(f, p)
 	}
+	return t.take(best, f)
+}
+
+// take reserves a slot at the server of best, which f selected; there is none if no server was.
+func (t *Table) take(best candidate, f filter) (l *Reservation, vms []string) {
 	if best.shard == nil {
 		return nil, nil
 	}
@@ -358,7 +364,7 @@
 	}
 	l := c.shard.reserve(c.id, batch)
 	if l != nil {
-		l.idle, l.metrics = c.idle, t.metrics
+		l.idle, l.metrics, l.free = c.idle, t.metrics, t.notifyFree
 	}
 	return l
 }
@@ -393,7 +399,7 @@
 			continue
 		}
 		l := s.load(e, p, f.now)
-		if l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued {
+		if l.Own()+l.Others() >= f.places(l.Slots()) {
 			continue
 		}
 		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
