--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/proxy"
 	"bulrushlug.dev/bulrushlug/queue"
+	"bulrushlug.dev/bulrushlug/refuse"
 	"bulrushlug.dev/bulrushlug/tally"
 )
 
@@ -49,8 +51,9 @@
 		s.counters.Set("queue", q)
 		d.WithQueue(q, s.shares)
 	}
-	a := authn.New(s)
-	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
+	a, m := authn.New(s), new(expvar.Map).Init()
+	s.counters.Set("refused", m)
+	p := pipe.New(d, tally.New(s.counters, s.recorder), refuse.New(m), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
 	e.handler = s.platform.Handler(s.manifest.Load, s.operatorMirror.Behind, p, a, e.router)
 	return e
 }
--- a/fair/shares.go
+++ b/fair/shares.go
@@ -82,7 +82,7 @@
 	defer h.mu.Unlock()
 	a := h.account(o)
 	a.own += uint64(work)
-	a.recent.Add(work, memory)
+	a.recent.Add(time.Now(), work, memory)
 }
 
 // Used returns the recent work of o divided by its weight.
@@ -91,14 +91,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a, ok := h.accounts[o]; ok {
-		return a.used() / s.weight(o)
+		return a.used(time.Now()) / s.weight(o)
 	}
 	return 0
 }
 
-// used returns the recent work, zero once less than one token is left of it.
-func (a *account) used() float64 {
-	if v := a.recent.Value(memory); v >= 1 {
+// used returns the recent work at t, zero once less than one token is left of it.
+func (a *account) used(t time.Time) float64 {
+	if v := a.recent.Value(t, memory); v >= 1 {
 		return v
 	}
 	return 0
@@ -121,7 +121,7 @@
 		h := &s.shards[i]
 		h.mu.Lock()
 		for n, a := range h.accounts {
-			if v := a.used(); v > 0 {
+			if v := a.used(now); v > 0 {
 				work, weight = work+v, weight+s.weight(n)
 			}
 		}
@@ -161,7 +161,7 @@
 // ApplyReport counts the work of the reporting process since its last report. What it did before its first report is not
 // known to be recent and does not count.
 func (s *Shares) ApplyReport(r bulrushlug.Report) {
-	vm, boot := r.Member().Name(), r.Boot()
+	vm, boot, now := r.Member().Name(), r.Boot(), time.Now()
 	for _, x := range r.AdmissionCounts() {
 		if x.Work() == 0 {
 			continue
@@ -171,7 +171,7 @@
 		a := h.account(x.Organisation())
 		l, ok := a.remote[vm]
 		if ok && l.boot == boot && x.Work() > l.work {
-			a.recent.Add(float64(x.Work()-l.work), memory)
+			a.recent.Add(now, float64(x.Work()-l.work), memory)
 		}
 		if l.boot != boot || x.Work() > l.work {
 			a.remote[vm] = remoteWork{boot, x.Work()}
--- a/fair/shares_test.go
+++ b/fair/shares_test.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,17 @@
 		})
 	}
 }
+
+// BenchmarkApplyReport takes a report with the work for 83 organisations, and asks once for the mean of all.
+func BenchmarkApplyReport(b *testing.B) {
+	s := New(source{bulrushlug.RestoreConfig(1, nil)})
+	l := make([]bulrushlug.AdmissionCount, 83)
+	for i := range b.N {
+		for j := range l {
+			l[j] = bulrushlug.NewAdmissionCount(fmt.Sprint("o", j), 1, 1).WithWork(uint64(i + 1))
+		}
+		s.ApplyReport(bulrushlug.NewReport(bulrushlug.NewMember("e", "", "", "", ""), 1, 1, bulrushlug.ReportAdmissionCounts(l)))
+		s.lastMean.Store(nil)
+		s.Exceeds("o1")
+	}
+}
--- a/meter/demand.go
+++ b/meter/demand.go
@@ -28,14 +28,14 @@
 // report counts the requests since the last report of this process, and returns those since its start.
 func (d *demand) report() uint64 {
 	if d.asked > d.reported {
-		d.own.Add(float64(d.asked-d.reported), demandTime)
+		d.own.Add(time.Now(), float64(d.asked-d.reported), demandTime)
 		d.reported = d.asked
 	}
 	return d.asked
 }
 
-// record counts the n requests that the process on VM vm had since its start at boot.
-func (d *demand) record(vm string, boot, n uint64) {
+// record counts the n requests that the process on VM vm had since its start at boot, as reported at t.
+func (d *demand) record(t time.Time, vm string, boot, n uint64) {
 	if d.remote == nil {
 		d.remote = map[string]remoteDemand{}
 	}
@@ -44,13 +44,14 @@
 		l.asked = 0
 	}
 	if ok && n > l.asked {
-		d.others.Add(float64(n-l.asked), demandTime)
+		d.others.Add(t, float64(n-l.asked), demandTime)
 	}
 	d.remote[vm] = remoteDemand{boot, max(n, l.asked)}
 }
 
 // weight returns the share of this process among n.
 func (d *demand) weight(n int) float64 {
-	own, others := d.own.Value(demandTime), d.others.Value(demandTime)
+	t := time.Now()
+	own, others := d.own.Value(t, demandTime), d.others.Value(t, demandTime)
 	return (own + demandPrior) / (own + others + float64(n)*demandPrior)
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -313,7 +313,7 @@
 	}
 	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
 	if m.byDemand {
-		b.demand.record(r.Member().Name(), r.Boot(), max(x.Asked(), x.Admitted()))
+		b.demand.record(b.refilledAt, r.Member().Name(), r.Boot(), max(x.Asked(), x.Admitted()))
 	}
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -132,7 +132,7 @@
 	if !w.try(q.shares.Exceeds(w.Organisation())) {
 		return false
 	}
-	l.placed.Add(1, rateTime)
+	l.placed.Add(time.Now(), 1, rateTime)
 	q.shares.Charge(w.Organisation(), w.Work())
 	return true
 }
@@ -190,7 +190,7 @@
 // rejectLate rejects those who would not get room within their patience, at the rate at which others did lately. The first one
 // may always wait, as room may be freed by other processes too.
 func (q *Queue) rejectLate(l *line) {
-	r := l.placed.Value(rateTime) / rateTime.Seconds()
+	r := l.placed.Value(time.Now(), rateTime) / rateTime.Seconds()
 	ahead := 0
 	for _, w := range q.order(l) {
 		left := w.Patience() - time.Since(w.since)
@@ -207,7 +207,7 @@
 // reject returns the error of w, whose caller returns after all that wait and those rejected before it.
 func (l *line) reject(w *waiter) error {
 	now := time.Now()
-	gap := rateTime.Seconds() / max(1, l.placed.Value(rateTime))
+	gap := rateTime.Seconds() / max(1, l.placed.Value(now, rateTime))
 	t := now.Add(minReturn)
 	if l.nextReturn.After(t) {
 		t = l.nextReturn
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -127,7 +127,7 @@
 func TestReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &line{}
-		l.placed.Add(10, rateTime)
+		l.placed.Add(time.Now(), 10, rateTime)
 		last := time.Duration(0)
 		for i := range 100 {
 			d := bulrushlug.RetryAfterOf(l.reject(&waiter{}))
@@ -141,3 +141,14 @@
 		}
 	})
 }
+
+// BenchmarkWait places requests while there is room.
+func BenchmarkWait(b *testing.B) {
+	q := New(&shares{used: map[string]float64{}})
+	w := bulrushlug.NewWaiter("s", "a", 1).WithUrgency(0, time.Time{}, time.Second)
+	for range b.N {
+		if err := q.Wait(b.Context(), w, func(bool) bool { return true }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
