--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -20,6 +20,8 @@
 	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/proxy"
+	"bulrushlug.dev/bulrushlug/queue"
+	"bulrushlug.dev/bulrushlug/refuse"
 	"bulrushlug.dev/bulrushlug/tally"
 )
 
@@ -45,8 +47,15 @@
 func newEntry(s *Daemon) *entry {
 	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger), grace: grace.New()}
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
-	a := authn.New(s)
-	p := pipe.New(d, tally.New(s.counters, s.recorder), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
+	if s.shares != nil {
+		q := queue.New(s.shares)
+		s.slotTable.OnFree(q.Wake)
+		s.counters.Set("queue", q)
+		d.WithQueue(q, s.shares)
+	}
+	a, m := authn.New(s), new(expvar.Map).Init()
+	s.counters.Set("refused", m)
+	p := pipe.New(d, tally.New(s.counters, s.recorder), refuse.New(m), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
 	b := memory.New(s.plan.BodyBytes())
 	s.counters.Set("bodyBytesHeld", expvar.Func(func() any { return b.Used() }))
 	s.counters.Set("bodyBytesRefused", expvar.Func(func() any { return b.Refused() }))
@@ -73,13 +82,20 @@
 
 // reportOptions returns the requests that the process admitted, by organisation.
 func (e *entry) reportOptions() []bulrushlug.ReportOption {
-	return []bulrushlug.ReportOption{bulrushlug.ReportAdmissionCounts(e.limiter.AdmissionCounts())}
+	l := e.limiter.AdmissionCounts()
+	if e.shares != nil {
+		l = e.shares.Add(l)
+	}
+	return []bulrushlug.ReportOption{bulrushlug.ReportAdmissionCounts(l)}
 }
 
 // handleReport applies the admission counts of other entries and the locations of lots.
 func (e *entry) handleReport(r bulrushlug.Report) {
 	if r.Member().Role() == bulrushlug.RoleEntry {
 		e.limiter.ApplyReport(r)
+		if e.shares != nil {
+			e.shares.ApplyReport(r)
+		}
 	}
 	e.router.SetPrimary(r.Disk(), r.Lots())
 }
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -215,6 +215,9 @@
 	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
 }
 
+// SharedAdmission reports whether rates are divided among entries by demand, and short room among organisations by weight.
+func (s *Settings) SharedAdmission() bool { return s.w.SharedAdmission }
+
 // seconds returns n seconds as a duration, or d if n is zero.
 func seconds(n float64, d time.Duration) time.Duration {
 	if n == 0 {
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -25,6 +25,7 @@
 	gate    bulrushlug.ServerGate
 	backoff bool // Servers in back-off are selected too.
 	all     bool // All servers are looked at, not only those near the places of the process.
+	idle    bool // Servers whose slots are all taken are left out.
 	leaving bool // Leaving servers are selected too, as a last resort.
 }
 
@@ -38,3 +39,11 @@
 	}
 	return (f.backoff || !f.now.Before(e.backoffUntil)) && f.gate.Open(e.backend, f.now)
 }
+
+// places returns the online requests that a server with the given slots may have.
+func (f filter) places(slots int) int {
+	if f.idle {
+		return slots
+	}
+	return slots + slots/slotsPerQueued
+}
--- a/slots/table.go
+++ b/slots/table.go
@@ -39,6 +39,7 @@
 	gate        bulrushlug.ServerGate
 	division    atomic.Pointer[places]
 	metrics     metrics
+	free        func(s string) // Called when this process has freed a slot of service s; nil if nobody waits for it.
 	shards      [shardCount]shard
 }
 
@@ -327,21 +328,25 @@
 	if best.shard == nil {
 		return nil, nil
 	}
-	if l = t.reserve(best, f, false); l == nil {
-		// Other requests have taken what the gate admits there, or the server is gone.
+	if l, vms = t.take(best, f); l == nil {
 		return t.AcquireOnline(v, skip)
 	}
+	return l, vms
+}
+
+// take reserves a slot at the server of best, which f selected. There is none if other requests have taken what the gate
+// admits there, or the server is gone.
+func (t *Table) take(best candidate, f filter) (l *Reservation, vms []string) {
+	if l = t.reserve(best, f, false); l == nil {
+		return nil, nil
+	}
 	t.metrics.observe("newsMs", best.shard.age(best.id, f.now))
 	return l, best.shard.batchVMs(best.id, f.now)
 }
 
 // chooseOnline returns the server for an online request; f is widened until it selects one that has capacity.
 func (t *Table) chooseOnline(f *filter, p *places) candidate {
-	best := t.bestOnline(*f, p)
-	f.all = true
-	if best.shard == nil && p.nearby(f.service) != nil {
-		best = t.bestOnline(*f, p)
-	}
+	best := t.chooseReady(f, p)
 	if best.shard == nil {
 		f.backoff = true
 		best = t.bestOnline(*f, p)
@@ -353,6 +358,16 @@
 	return best
 }
 
+// chooseReady returns the server for an online request that is neither in back-off nor leaving.
+func (t *Table) chooseReady(f *filter, p *places) candidate {
+	best := t.bestOnline(*f, p)
+	f.all = true
+	if best.shard == nil && p.nearby(f.service) != nil {
+		best = t.bestOnline(*f, p)
+	}
+	return best
+}
+
 // bestOnline returns the server with the lowest score of all shards.
 func (t *Table) bestOnline(f filter, p *places) (best candidate) {
 	for i := range t.shards {
@@ -370,7 +385,7 @@
 	}
 	l := c.shard.reserve(c.id, batch)
 	if l != nil {
-		l.idle, l.metrics = c.idle, t.metrics
+		l.idle, l.metrics, l.free = c.idle, t.metrics, t.notifyFree
 	}
 	return l
 }
@@ -405,7 +420,7 @@
 			return
 		}
 		l := s.load(e, p, f.now)
-		if overrun(l) {
+		if l.Own()+l.Others() >= f.places(l.Slots()) {
 			return
 		}
 		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
@@ -427,11 +442,6 @@
 	return best, ok
 }
 
-// overrun reports whether as many online requests wait at the server as may.
-func overrun(l bulrushlug.ServerLoad) bool {
-	return l.Own()+l.Others() >= l.Slots()+l.Slots()/slotsPerQueued
-}
-
 // load returns what this process knows of the load of the server of e; the caller has removed expired reports.
 func (s *shard) load(e *entry, p *places, now time.Time) bulrushlug.ServerLoad {
 	r := s.totals[e.backend.ID()]
