feat: an operator sees why a backend server gets nothing

/servers at the address of the metrics and bulrushlug backends ADDRESS list the servers that a process knows, its load there, and why it sends one nothing: evacuated, draining, leaving, failed, cold.

--- a/cmds/app.go
+++ b/cmds/app.go
@@ -30,7 +30,7 @@
 		Commands: []*cli.Command{
 			runCommand(), serveCommand(), checkCommand(), secretCommand(), certificateCommand(),
 			orgCommand(), keyCommand(), modelCommand(), vmCommand(), routeCommand(),
-			rolloutCommand(), serversCommand(), jobsCommand(), timelineCommand(), traceCommand(),
+			rolloutCommand(), serversCommand(), backendsCommand(), jobsCommand(), timelineCommand(), traceCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/cmds/backends.go
@@ -0,0 +1,49 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const backendsTimeout = 5 * time.Second
+
+func backendsCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "backends",
+		Usage:     "list the backend servers that a process sends requests to directly, and why one gets nothing",
+		ArgsUsage: "address",
+		Description: "The address is that of the setting metrics of the process. A server gets nothing as its zone is evacuated, it is draining or\n" +
+			"leaving, it has failed lately, or it is cold and this process may send it nothing more at the moment.",
+		Action: backends,
+	}
+}
+
+func backends(c context.Context, m *cli.Command) error {
+	a, err := singleArg(m, "address")
+	if err != nil {
+		return err
+	}
+	c, stop := context.WithTimeout(c, backendsTimeout)
+	defer stop()
+	q, err := http.NewRequestWithContext(c, http.MethodGet, "http://"+a+"/servers", http.NoBody)
+	if err != nil {
+		return err
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s", a, r.Status)
+	}
+	if e := writeTable(m.Root().Writer, func(w io.Writer) { _, err = io.Copy(w, r.Body) }); e != nil {
+		return e
+	}
+	return err
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,10 @@
 		s.leavingCounts.Set("lastResorts", counterValue(s.slotTable.LastResorts()))
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
+	m.HandleFunc("/servers", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		_ = s.slotTable.WriteState(w)
+	})
 	h := &http.Server{Addr: s.settings.Load().Metrics(), Handler: m, ReadHeaderTimeout: time.Second}
 	context.AfterFunc(c, func() { _ = h.Close() })
 	go func() {
