--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,10 @@
 		_, _ = w.Write([]byte(s.counters.String() + "\n" + s.recorder.histogramLines()))
 	})
 	m.HandleFunc("/explain", s.serveExplanation)
+	m.HandleFunc("/servers", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		_ = s.slotTable.WriteState(w)
+	})
 	h := s.probeServer(m)
 	context.AfterFunc(c, func() { _ = h.Close() })
 	go func() {
