fix(items): a run that is being cut counts as one that ends

Several reports tell of an online request before a cut run has released its slot, and each of them cut one more. Preempt cuts until n cut runs have yet to end.

--- a/items/runner.go
+++ b/items/runner.go
@@ -45,6 +45,7 @@
 	detector bulrushlug.PoisonDetector
 	prompt   func(route string, l []bulrushlug.Field) bulrushlug.Prompt
 	held     atomic.Int64 // Items that the detector held back at the last check.
+	waiting  atomic.Bool  // Items waited for a slot at the last check.
 	waits    *waits
 	memory   *memory.Budget
 }
@@ -116,16 +117,18 @@
 	n := r.waits.begin(time.Now())
 	l := r.collect(c, n)
 	slices.SortStableFunc(l, order)
-	full := map[string]bool{}
+	full, waiting := map[string]bool{}, false
 	for _, w := range l {
 		s := r.acquire(w.services, full)
 		if s == nil {
+			waiting = true
 			n.add(waitSlot, w.lot, w.item, w.eventAt, nil)
 			continue
 		}
 		r.startRun(c, w, s)
 		n.keep(w.lot, w.item)
 	}
+	r.waiting.Store(waiting)
 	n.end(r.waitDetail, r.waitEnd)
 }
 
@@ -208,6 +211,9 @@
 // Held returns the number of items that wait because servers ended on their prompts.
 func (r *Runner) Held() int64 { return r.held.Load() }
 
+// ItemsWait reports whether items waited for a slot at the last check.
+func (r *Runner) ItemsWait() bool { return r.waiting.Load() }
+
 // newTask returns the task of item n of lot x, which is on route t.
 func (r *Runner) newTask(x bulrushlug.Lot, n uint32, t bulrushlug.Route, now time.Time) task {
 	events, at := r.eventCount(key{x.ID(), n})
@@ -330,8 +336,8 @@
 	started time.Time
 }
 
-// Preempt cancels up to n runs at the backend server b, the last ones in the order of starts first; their items resume
-// later after the last event.
+// Preempt cancels runs at the backend server b, the last ones in the order of starts first, until n cancelled ones have yet
+// to end; their items resume later after the last event.
 func (r *Runner) Preempt(b string, n int) {
 	now := time.Now()
 	var l []victim
@@ -339,7 +345,11 @@
 		s := &r.shards[i]
 		s.mu.Lock()
 		for _, x := range s.items {
-			if x.server == b && !x.preempted {
+			switch {
+			case x.server != b:
+			case x.preempted:
+				n--
+			default:
 				e := len(x.events)
 				l = append(l, victim{s, x, task{due: x.due, late: x.pace.late(e, x.due, now), begun: e > 0}, x.started})
 			}
@@ -347,7 +357,7 @@
 		s.mu.Unlock()
 	}
 	slices.SortFunc(l, func(a, b victim) int { return cmp.Or(order(b.task, a.task), b.started.Compare(a.started)) })
-	for _, x := range l[:min(n, len(l))] {
+	for _, x := range l[:max(0, min(n, len(l)))] {
 		x.shard.mu.Lock()
 		if x.item.server == b {
 			x.item.preempted = true
