--- a/turns/rule_test.go
+++ b/turns/rule_test.go
@@ -62,3 +62,19 @@
 		})
 	}
 }
+
+func BenchmarkShare(b *testing.B) {
+	for name, n := range map[string]int{"10 processes": 10, "100 processes": 100} {
+		b.Run(name, func(b *testing.B) {
+			var order []string
+			r := New("v0")
+			for i := range n {
+				order = append(order, fmt.Sprint("v", n-1-i))
+				r.Observe(order[i], i%4 == 0)
+			}
+			for b.Loop() {
+				r.Share(order, 8)
+			}
+		})
+	}
+}
