--- a/slots/table.go
+++ b/slots/table.go
@@ -39,7 +39,7 @@
 	gate        bulrushlug.ServerGate
 	division    atomic.Pointer[places]
 	metrics     metrics
-	free        func(s string) // Called when this process has freed a slot of service s; nil if nobody waits for it.
+	free        func(s string)       // Called when this process has freed a slot of service s; nil if nobody waits for it.
 	starts      bulrushlug.StartRule // Divides idle slots among the processes; nil if they take them by rank alone.
 	startsHeld  atomic.Uint64        // Idle slots that were not taken, as it was the turn of other processes.
 	shards      [shardCount]shard
