--- a/slots/starts_test.go
+++ b/slots/starts_test.go
@@ -230,14 +230,14 @@
 }
 
 // TestStartsInTurn replays a wave beside more lots than the servers can run in time. Taking idle slots in turn cuts fewer
-// runs, hardly any of them in vain, and completes as many items in time.
+// runs, hardly any of them in vain, and completes nearly as many items in time.
 func TestStartsInTurn(t *testing.T) {
 	for name, w := range map[string]struct {
 		yard
 		plays uint64 // Few servers need many plays.
 	}{
 		"few":  {yard{wave: wave{entries: 4, servers: 10, low: 18, high: 86}, data: 3, leaving: 3, lots: 6, burst: 29}, 6},
-		"tens": {yard{wave: wave{entries: 12, servers: 28, low: 49, high: 240}, data: 10, leaving: 8, lots: 16, burst: 80}, 1},
+		"tens": {yard{wave: wave{entries: 12, servers: 28, low: 49, high: 240}, data: 10, leaving: 8, lots: 16, burst: 80}, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
