--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -294,7 +294,7 @@
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(r)
-	s.gate.SuspectReported(r.Unreachable())
+	s.gate.SuspectReported(r.Member().Name(), r.Unreachable())
 	s.roleHandler.handleReport(r)
 }
 
@@ -317,7 +317,7 @@
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(*r)
-	s.gate.SuspectReported(r.Unreachable())
+	s.gate.SuspectReported(r.Member().Name(), r.Unreachable())
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
--- a/warm/gate.go
+++ b/warm/gate.go
@@ -112,19 +112,16 @@
 
 // Suspect records that no connection to b could be made, as it may have restarted when it is back. Reports tell the
 // other processes.
-func (g *Gate) Suspect(b bulrushlug.Backend) { g.suspect(b.ID(), true) }
+func (g *Gate) Suspect(b bulrushlug.Backend) { g.shard(b.ID()).suspect(g, b.ID(), "", time.Now()) }
 
-// SuspectReported records that another process could make no connection to the servers with the given identifiers.
-func (g *Gate) SuspectReported(ids []string) {
+// SuspectReported records that the process on VM vm could make no connection to the servers with the given identifiers. One
+// process alone may be cut off, so a server counts as cold if two say so.
+func (g *Gate) SuspectReported(vm string, ids []string) {
 	for _, id := range ids {
-		g.suspect(id, false)
+		g.shard(id).suspect(g, id, vm, time.Now())
 	}
 }
 
-func (g *Gate) suspect(id string, own bool) {
-	g.shard(id).suspect(g, id, own, time.Now())
-}
-
 // Suspects returns the identifiers of the servers to which this process lately could make no connection.
 func (g *Gate) Suspects() (l []string) {
 	now := time.Now()
--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -167,7 +167,8 @@
 	switch {
 	case x.down:
 		p.gate.Suspect(x.backend)
-		f.tell(func(_ int, q *process) { q.gate.SuspectReported([]string{x.backend.ID()}) })
+		vm := p.gate.self
+		f.tell(func(_ int, q *process) { q.gate.SuspectReported(vm, []string{x.backend.ID()}) })
 		return
 	case now.Before(x.coldUntil):
 		x.arrivals = append(x.arrivals, now)
@@ -299,3 +300,44 @@
 		})
 	}
 }
+
+// TestSuspects guards against a process that is cut off from servers and lets all others count them as cold, and against a
+// server that nobody reaches and that counts as warm when it is back.
+func TestSuspects(t *testing.T) {
+	for name, x := range map[string]struct {
+		own       bool
+		reporters []string
+		pause     time.Duration // Time between two reports.
+		want      int
+	}{
+		"none":                      {},
+		"this process":              {own: true, want: 1},
+		"one other":                 {reporters: []string{"a", "a"}},
+		"two others":                {reporters: []string{"a", "b"}, want: 1},
+		"two others, not together":  {reporters: []string{"a", "b"}, pause: 2 * suspectTime},
+		"this process and an other": {own: true, reporters: []string{"a"}, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := New("p0", false, bulrushlug.NewWarmup(1.5, 5), func() ([]string, uint64) { return nil, 0 })
+				g.SetServices([]bulrushlug.Service{bulrushlug.NewService("s", 7.6, coldTime)})
+				b := bulrushlug.NewBackend("s0", "s", "h:1")
+				g.Update([]bulrushlug.Backend{b})
+				time.Sleep(reportLag)
+				if x.own {
+					g.Suspect(b)
+				}
+				for _, vm := range x.reporters {
+					g.SuspectReported(vm, []string{"s0", "unknown"})
+					time.Sleep(x.pause)
+				}
+				if n := g.Cold(); n != x.want {
+					t.Errorf("%d servers count as cold", n)
+				}
+				if l := g.Suspects(); (len(l) == 1) != x.own {
+					t.Errorf("the next report has %q", l)
+				}
+			})
+		})
+	}
+}
--- a/warm/server.go
+++ b/warm/server.go
@@ -37,10 +37,12 @@
 	coldUntil   time.Time          // The server counts as cold before this time.
 	closedUntil time.Time          // Nothing is admitted before this time while it is cold.
 	failed      time.Time          // When this process could last make no connection.
-	unlisted    time.Time          // When the server was gone from the list; zero while it is on it.
-	sent        []time.Time        // Admissions within window while the server counts as cold or the process as isolated, oldest first.
-	seat        bool               // This process holds a seat, as of version.
-	version     uint64             // Version of the members; zero before the first.
+	reporter    string             // VM of the process that last reported the same, at reported.
+	reported    time.Time
+	unlisted    time.Time   // When the server was gone from the list; zero while it is on it.
+	sent        []time.Time // Admissions within window while the server counts as cold or the process as isolated, oldest first.
+	seat        bool        // This process holds a seat, as of version.
+	version     uint64      // Version of the members; zero before the first.
 }
 
 // chillUntil lets x count as cold until t.
@@ -102,7 +104,8 @@
 	}
 }
 
-func (s *shard) suspect(g *Gate, id string, own bool, now time.Time) {
+// suspect records that the process on VM vm, or this one if vm is empty, could make no connection to the server.
+func (s *shard) suspect(g *Gate, id, vm string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.servers[id]
@@ -113,8 +116,14 @@
 	if !ok {
 		return
 	}
-	if own {
+	if vm == "" {
 		x.failed = now
+	} else {
+		alone := now.Sub(x.failed) >= suspectTime && (x.reporter == vm || now.Sub(x.reported) >= suspectTime)
+		x.reporter, x.reported = vm, now
+		if alone {
+			return
+		}
 	}
 	x.chillUntil(g, now.Add(v.ColdTime()+suspectMargin))
 }
