perf(slots): idle slots of cold servers count for the reserve of items

Beside a release, items found no slot: those at new servers, at which few may start, were not counted as idle, so that the warm ones had to keep the whole reserve free.

--- a/slots/batch.go
+++ b/slots/batch.go
@@ -7,12 +7,13 @@
 
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
-// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot. A server
-// that ranks another process first is used only if there is no other, so that processes rarely start items in the same
-// slot. Servers in back-off are used only if there is no other, by one item of this process at a time, initialBackoff after
-// the one before and the last failure. Leaving servers are a last resort, used only if the service has no other server.
+// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot; cold servers,
+// at which few items may start, have a part of it. A server that ranks another process first is used only if there is no
+// other, so that processes rarely start items in the same slot. Servers in back-off are used only if there is no other, by
+// one item of this process at a time, initialBackoff after the one before and the last failure. Leaving servers are a last
+// resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
-	f := filter{service: v, now: time.Now(), gate: t.gate}
+	f := filter{service: v, now: time.Now(), gate: t.gate, closed: true}
 	o := t.ranking()
 	best, free, all := t.bestIdle(f, o)
 	if all == 0 {
@@ -54,7 +55,7 @@
 		all += int(e.backend.Slots())
 		free += n
 		first := o.isFirst(id)
-		if n == 0 || !first && f.now.Sub(e.started) < startInterval || !e.open(f.now) {
+		if n == 0 || !first && f.now.Sub(e.started) < startInterval || !e.open(f.now) || !f.gate.Open(e.backend, f.now) {
 			continue
 		}
 		c := candidate{shard: s, id: id, fallback: !first, score: -float64(n) - jitter*rand.Float64()}
