fix(meter, queue): refused callers return at once or when the crest is over

They now return within 200 ms. Callers without room will be late in any case and returned within the same crest; they are now told a third of the time that they have left.

--- a/meter/crest_test.go
+++ b/meter/crest_test.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	promptTime    = 200 * time.Millisecond // Time after which a request is late even if it is admitted then.
 	deadline      = 5 * time.Second        // Of a request.
 	callers       = 40                     // Of one organisation; each reaches one entry.
 	usualPart     = 1 / 1.6                // Usual mean of the requests of an organisation, as a share of its rate.
@@ -61,6 +62,7 @@
 	refused  int
 	exactly  int // Refused by the exact bucket.
 	again    int // Refused after a return.
+	prompt   int // Admitted within promptTime of the first attempt.
 }
 
 func newCrest(rate float64, seed uint64) *crest {
@@ -97,13 +99,13 @@
 			p = crestPart
 		}
 		time.Sleep(time.Duration(c.random.ExpFloat64() / (c.rate * usualPart * p * x) * float64(time.Second)))
-		c.arrive(false)
+		c.arrive(time.Now(), false)
 	}
 }
 
 // arrive sends one request to the entry of a caller; one that is refused returns once, to another entry, after the time that
 // it was told or a third of what its caller has left.
-func (c *crest) arrive(again bool) {
+func (c *crest) arrive(first time.Time, again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
@@ -114,12 +116,15 @@
 	switch {
 	case err == nil:
 		c.times = append(c.times, time.Now())
+		if time.Since(first) <= promptTime {
+			c.prompt++
+		}
 	case again:
 		c.refused++
 		c.again++
 	default:
 		c.refused++
-		time.AfterFunc(min(bulrushlug.RetryAfterOf(err), deadline/3), func() { c.arrive(true) })
+		time.AfterFunc(min(bulrushlug.RetryAfterOf(err), deadline/3), func() { c.arrive(first, true) })
 	}
 }
 
@@ -164,7 +169,7 @@
 				x.play(c)
 				w.Wait()
 				bound := (x.rate*window.Seconds()+float64(c.burst))*(1+overrun) + slack
-				t.Logf("%d requests, %d refused (one bucket: %d), %d refused again; at most %d in a window, bound %.0f", c.requests, c.refused, c.exactly, c.again, c.maxInWindow(), bound)
+				t.Logf("%d requests, %d refused (one bucket: %d), %d refused again, %d admitted promptly; at most %d in a window, bound %.0f", c.requests, c.refused, c.exactly, c.again, c.prompt, c.maxInWindow(), bound)
 				if p := float64(c.refused-c.exactly) / float64(c.requests); p > x.most {
 					t.Errorf("%.4f of the requests were refused beyond those that one bucket refuses", p)
 				}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,8 +35,9 @@
 	// overlapShare is the part of the tolerance that all processes together may admit beyond the level in one round, as they
 	// divide by demand that is a report old.
 	overlapShare = 0.4
-	// maxReturnTime is the longest time after which callers are told to return; what is asked by then is unknown.
-	maxReturnTime = demandTime
+	// maxReturnTime is the longest time after which callers are told to return. One that returns later is late even if it is
+	// admitted then, and its token is missing for a new request that would be in time.
+	maxReturnTime = 200 * time.Millisecond
 )
 
 // Limiter admits requests within rate and burst of their organisation.
--- a/queue/crest_test.go
+++ b/queue/crest_test.go
@@ -224,7 +224,7 @@
 	}{
 		"1.0 of capacity":         {load: 1, hot: 0.1, gain: -0.05},
 		"1.0, servers are dark":   {load: 1, hot: 0.1, dark: 7, gain: -0.05},
-		"1.4 of capacity":         {load: 1.4, hot: 0.1, gain: -0.05, refused: 60},
+		"1.4 of capacity":         {load: 1.4, hot: 0.1, gain: -0.05, refused: 5},
 		"1.4, six in ten are hot": {load: 1.4, hot: 0.6, gain: 0.08, refused: 5},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -21,6 +21,7 @@
 	// forever behind them.
 	urgencyStep = 100 * time.Millisecond
 	minReturn   = 300 * time.Millisecond // Shortest retry delay; about the duration of a short response.
+	returnParts = 3                      // Part of the time left after which a caller returns; it can then be rejected once more.
 	maxReturn   = 2 * time.Second        // Longest retry delay; the load by then is unknown.
 )
 
@@ -204,11 +205,12 @@
 	}
 }
 
-// reject returns the error of w, whose caller returns after all that wait and those rejected before it.
+// reject returns the error of w, whose caller returns after those rejected before it, and not before a third of what it has
+// left: it will be late in any case, and room is found once the crest is over.
 func (l *line) reject(w *waiter) error {
 	now := time.Now()
 	gap := rateTime.Seconds() / max(1, l.placed.Value(now, rateTime))
-	t := now.Add(minReturn)
+	t := now.Add(min(maxReturn, max(minReturn, w.Deadline().Sub(now)/returnParts)))
 	if l.nextReturn.After(t) {
 		t = l.nextReturn
 	}
