feat(hush): a server that is silent on all streams is suspected at once

A stream counted as stalled after 2.4 s, when its caller leaves as well, so a stream whose server crashed without a word was never resumed in time (proxy.TestServerFallsSilent: resumed after 2.4 s, now after 1.2 s). The evidence is that no stream of the process heard the server meanwhile, and that three other servers were heard. Off without suspectSilence.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -13,6 +13,7 @@
 	"bulrushlug.dev/bulrushlug/authn"
 	"bulrushlug.dev/bulrushlug/drain"
 	"bulrushlug.dev/bulrushlug/grace"
+	"bulrushlug.dev/bulrushlug/hush"
 	"bulrushlug.dev/bulrushlug/inlet"
 	"bulrushlug.dev/bulrushlug/limit"
 	"bulrushlug.dev/bulrushlug/locate"
@@ -53,6 +54,9 @@
 		s.counters.Set("queue", q)
 		d.WithQueue(q, s.shares)
 	}
+	if s.settings.Load().SuspectSilence() {
+		d.WithMonitor(hush.New())
+	}
 	a, m := authn.New(s), new(expvar.Map).Init()
 	s.counters.Set("refused", m)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), refuse.New(m), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -54,6 +54,9 @@
 		if err := a.sink.pass(e, r.Buffered()); err != nil || ended {
 			return n, err
 		}
+		if a.monitor != nil && a.slot != nil {
+			a.monitor.Hear(a.slot.Backend().ID())
+		}
 		if n == 0 && a.slot != nil {
 			a.slot.RecordFirst()
 		}
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/hush"
 	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/slots"
 )
@@ -42,6 +43,13 @@
 	memory   *memory.Budget    // For what all responses hold.
 	shares   bulrushlug.Shares // Not nil with queue.
 	queue    bulrushlug.Queue  // Holds requests back that find no place; nil if they are rejected.
+	monitor  *hush.Monitor     // Hears the events of all streams; nil if each stream is judged by itself.
+}
+
+// WithMonitor makes streams go on elsewhere as soon as m finds their server silent; it is called before g is used.
+func (g *Stage) WithMonitor(m *hush.Monitor) *Stage {
+	g.monitor = m
+	return g
 }
 
 // WithQueue makes requests that find no place wait in q. One that waited in vain still gets a place at a server in back-off,
@@ -158,12 +166,17 @@
 		a.skip[l.Backend().ID()] = true
 		return a.mayRetry() && a.canResume(), bulrushlug.Errorf(bulrushlug.KindBroken, "%s answered %d to a request to resume a stream", l.Backend().ID(), p.Status())
 	}
-	w := newWatchdog(a.request.TargetRoute().EventGapTarget(), func(cut bool) {
+	stalled := func(cut bool) {
 		l.RecordFailure()
 		if cut {
 			stop()
 		}
-	})
+	}
+	w := newWatchdog(a.request.TargetRoute().EventGapTarget(), stalled)
+	if a.monitor != nil {
+		a.monitor.Hear(l.Backend().ID())
+		w.listen(a.request.TargetRoute().EventGapTarget(), func(d time.Duration) bool { return a.monitor.Silent(l.Backend().ID(), d) }, stalled)
+	}
 	n, err := a.forward(p, w)
 	if err == nil {
 		l.RecordSuccess(eventInterval(t, n))
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -11,11 +11,20 @@
 	stallGaps    = 8 // Length of a stall in the longest pauses that the route allows, if that is more.
 )
 
+const (
+	// silenceTimeout is the time without an event after which a stream has stalled if its server is silent on all streams of
+	// this process and others are not.
+	silenceTimeout = time.Second
+	silenceGaps    = 4 // Length of that silence in the longest pauses that the route allows, if that is more.
+)
+
 // watchdog detects streams that have stalled: the next event does not arrive although the caller reads.
 type watchdog struct {
 	limit time.Duration
 	timer *time.Timer
-	cut   atomic.Bool // The stream can resume at another server, so it is cut when it has stalled.
+	early *time.Timer   // Ends before timer; nil if there is no evidence from other streams.
+	quiet time.Duration // When early ends.
+	cut   atomic.Bool   // The stream can resume at another server, so it is cut when it has stalled.
 }
 
 // newWatchdog returns a watchdog for a stream whose events should be at most gap apart; f is called when it has stalled.
@@ -26,11 +35,30 @@
 	return w
 }
 
+// listen makes f be called earlier if s reports that the server has been silent for that time.
+func (w *watchdog) listen(gap time.Duration, s func(d time.Duration) bool, f func(cut bool)) {
+	w.quiet = max(silenceTimeout, silenceGaps*gap)
+	w.early = time.AfterFunc(w.quiet, func() {
+		if s(w.quiet) {
+			f(w.cut.Load())
+		}
+	})
+	w.early.Stop()
+}
+
 // start begins the wait for the next event.
 func (w *watchdog) start(cut bool) {
 	w.cut.Store(cut)
 	w.timer.Reset(w.limit)
+	if w.early != nil {
+		w.early.Reset(w.quiet)
+	}
 }
 
 // stop ends the wait.
-func (w *watchdog) stop() { w.timer.Stop() }
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	if w.early != nil {
+		w.early.Stop()
+	}
+}
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -221,6 +221,9 @@
 // SharedAdmission reports whether rates are divided among entries by demand, and short room among organisations by weight.
 func (s *Settings) SharedAdmission() bool { return s.w.SharedAdmission }
 
+// SuspectSilence reports whether a server is suspected as soon as it is silent on all streams while others are heard.
+func (s *Settings) SuspectSilence() bool { return s.w.SuspectSilence }
+
 // seconds returns n seconds as a duration, or d if n is zero.
 func seconds(n float64, d time.Duration) time.Duration {
 	if n == 0 {
