--- a/setup/settings.go
+++ b/setup/settings.go
@@ -218,9 +218,12 @@
 	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
 }
 
-// SharedAdmission reports whether rates are divided among entries by demand, and short room among organisations by weight.
+// SharedAdmission reports whether short room is divided among organisations by weight.
 func (s *Settings) SharedAdmission() bool { return s.w.SharedAdmission }
 
+// RatesByDemand reports whether rates are divided among entries by demand.
+func (s *Settings) RatesByDemand() bool { return s.w.RatesByDemand }
+
 // SuspectSilence reports whether a server is suspected as soon as it is silent on all streams while others are heard.
 func (s *Settings) SuspectSilence() bool { return s.w.SuspectSilence }
 
