perf(slots): idle slots of cold servers count for the reserve of items

Beside a release, items found no slot: those at new servers, at which few may start, were not counted as idle, so that the warm ones had to keep the whole reserve free.

--- a/slots/batch.go
+++ b/slots/batch.go
@@ -7,14 +7,15 @@
 
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
-// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot. So that
-// processes rarely start items in the same slot, they divide the idle slots of each server by the rule for starts.
-// Without one, a server that ranks another process first is used only if there is no other.
+// Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot; cold servers,
+// at which few items may start, have a part of it. So that processes rarely start items in the same slot, they divide the
+// idle slots of each server by the rule for starts. Without one, a server that ranks another process first is used only if
+// there is no other.
 //
 // Servers in back-off are used only if there is no other, by one item of this process at a time, initialBackoff after the
 // one before and the last failure. Leaving servers are a last resort, used only if the service has no other server.
 func (t *Table) AcquireBatch(v string) *Reservation {
-	f := filter{service: v, now: time.Now(), gate: t.gate}
+	f := filter{service: v, now: time.Now(), gate: t.gate, closed: true}
 	o := t.ranking()
 	best, free, all := t.bestIdle(f, o)
 	if all == 0 {
@@ -56,7 +57,7 @@
 		n := max(0, int(e.backend.Slots())-online-batch)
 		all += int(e.backend.Slots())
 		free += n
-		if n == 0 || !e.open(f.now) {
+		if n == 0 || !e.open(f.now) || !f.gate.Open(e.backend, f.now) {
 			continue
 		}
 		first := t.starts != nil || o.isFirst(id)
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -27,6 +27,7 @@
 	all     bool // All servers are looked at, not only those near the places of the process.
 	idle    bool // Servers whose slots are all taken are left out.
 	leaving bool // Leaving servers are selected too, as a last resort.
+	closed  bool // Servers to which the gate admits nothing at the moment are selected too, except in evacuated zones.
 }
 
 // selects reports whether the server of e may get the request; d is nil if the server is not leaving.
@@ -37,7 +38,10 @@
 	case d != nil && (!f.leaving || d.binding(f.now)):
 		return false
 	}
-	return (f.backoff || !f.now.Before(e.backoffUntil)) && f.gate.Open(e.backend, f.now)
+	if !f.backoff && f.now.Before(e.backoffUntil) {
+		return false
+	}
+	return f.closed && !f.gate.Evacuated(e.backend.Zone()) || f.gate.Open(e.backend, f.now)
 }
 
 // places returns the online requests that a server with the given slots may have.
--- a/slots/gate_test.go
+++ b/slots/gate_test.go
@@ -43,6 +43,7 @@
 		"all cold":                    {servers: []bulrushlug.Backend{backend("a", 8), backend("b", 8)}, admitted: quota{"a": 2, "b": 1}, want: map[string]int{"a": 2, "b": 1}},
 		"cold and closed":             {servers: []bulrushlug.Backend{backend("a", 8)}, admitted: quota{"a": 0}},
 		"items, one cold, one warm":   {servers: []bulrushlug.Backend{backend("a", 20), backend("b", 8)}, admitted: quota{"a": 2}, want: map[string]int{"a": 2, "b": 6}, items: true},
+		"items, the reserve is cold":  {servers: []bulrushlug.Backend{backend("a", 20), backend("b", 8)}, admitted: quota{"a": 0}, want: map[string]int{"b": 8}, items: true},
 		"items, all cold":             {servers: []bulrushlug.Backend{backend("a", 20)}, admitted: quota{"a": 2}, want: map[string]int{"a": 2}, items: true},
 		"items, a server that is new": {servers: []bulrushlug.Backend{backend("a", 20)}, want: map[string]int{"a": 8}, items: true},
 	} {
