--- a/warm/gate.go
+++ b/warm/gate.go
@@ -71,10 +71,10 @@
 func (g *Gate) SetIsolated(v bool) { g.isolated.Store(v) }
 
 // SetEvacuated replaces the evacuated zones by m, and returns the zones that are new in it and those that are no longer.
-// The servers of the latter count as cold.
+// The servers of the latter count as cold. It is called from one goroutine.
 func (g *Gate) SetEvacuated(m map[string]bool) (begun, ended []string) {
 	m = maps.Clone(m)
-	old := *g.zones.Swap(&m)
+	old := *g.zones.Load()
 	for z := range m {
 		if !old[z] {
 			begun = append(begun, z)
@@ -93,6 +93,7 @@
 			g.shards[i].chill(g, ended, now)
 		}
 	}
+	g.zones.Store(&m)
 	return begun, ended
 }
 
