--- a/slots/batch.go
+++ b/slots/batch.go
@@ -8,9 +8,9 @@
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
 // Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot; cold servers,
-// at which few items may start, have a part of it. So that processes rarely start items in the same slot, they divide the idle
-// slots of each server by the rule for starts. Without one, a server that ranks another process first is used only if there is
-// no other.
+// at which few items may start, have a part of it. So that processes rarely start items in the same slot, they divide the
+// idle slots of each server by the rule for starts. Without one, a server that ranks another process first is used only if
+// there is no other.
 //
 // Servers in back-off are used only if there is no other, by one item of this process at a time, initialBackoff after the
 // one before and the last failure. Leaving servers are a last resort, used only if the service has no other server.
