--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -223,6 +223,9 @@
 		"cold again without a restart": {least: 1, unknown: 1600 * time.Millisecond, do: func(f *fleet) {
 			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
 		}},
+		"cold again, before anybody can know": {least: 1, do: func(f *fleet) {
+			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
+		}},
 		"down and up before the list shows it": {least: 1, do: func(f *fleet) {
 			for range 3 {
 				f.stop(0, 10)
