fix(crowd): a connection that ends as it is asked to yield is not put back

yield took the seat out of its shard, asked it, and put it back if it kept its place. A connection that ended in between had left already: its seat came back for ever, was asked first from then on and never yielded, so that no connection did, and the count of those that end went below zero. The seat now stays in its shard, marked; only Leave removes it. TestLeaveWhileAsked failed before (asked twice, nobody yielded, -2 ending) and passes.

--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -24,7 +24,7 @@
 type Crowd struct {
 	most   int           // Places; positive.
 	open   atomic.Int64  // At most most.
-	ending atomic.Int64  // Open connections that yielded.
+	ending atomic.Int64  // Open connections that yielded or are being asked to.
 	freed  chan struct{} // Has an element if a connection has ended since it was last read.
 	next   atomic.Uint32 // Shard of the next connection.
 	shards [shardCount]shard
@@ -32,7 +32,7 @@
 
 type shard struct {
 	mu    sync.Mutex
-	seats map[*seat.Seat]bool // Those that did not yield.
+	seats map[*seat.Seat]bool // Open connections; false for those that yielded or are being asked to.
 }
 
 // New returns a crowd of at most n connections.
@@ -86,9 +86,7 @@
 
 // Leave gives up the place of s.
 func (c *Crowd) Leave(s *seat.Seat) {
-	if !c.remove(s) {
-		c.ending.Add(-1)
-	}
+	c.remove(s)
 	c.open.Add(-1)
 	select {
 	case c.freed <- struct{}{}:
@@ -96,43 +94,59 @@
 	}
 }
 
-// remove removes s, and reports whether it was there.
-func (c *Crowd) remove(s *seat.Seat) bool {
+func (c *Crowd) remove(s *seat.Seat) {
 	for i := range c.shards {
 		h := &c.shards[i]
 		h.mu.Lock()
-		ok := h.seats[s]
+		keeps, ok := h.seats[s]
 		delete(h.seats, s)
+		if ok && !keeps {
+			c.ending.Add(-1)
+		}
 		h.mu.Unlock()
 		if ok {
-			return true
+			return
 		}
 	}
-	return false
+}
+
+// mark records whether s keeps its place, and returns false if it has left or this is recorded already.
+func (c *Crowd) mark(h *shard, s *seat.Seat, keeps bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old, ok := h.seats[s]; !ok || old == keeps {
+		return false
+	}
+	h.seats[s] = keeps
+	if keeps {
+		c.ending.Add(-1)
+	} else {
+		c.ending.Add(1)
+	}
+	return true
 }
 
 // yield ends the connection that the process has waited for longest, and reports whether there is one.
 func (c *Crowd) yield() bool {
 	now := time.Now()
 	var s *seat.Seat
+	var of *shard
 	longest := time.Duration(-1)
 	for i := range c.shards {
 		h := &c.shards[i]
 		h.mu.Lock()
-		for x := range h.seats {
-			if d := x.Behind(now); d > longest {
-				s, longest = x, d
+		for x, keeps := range h.seats {
+			if d := x.Behind(now); keeps && d > longest {
+				s, of, longest = x, h, d
 			}
 		}
 		h.mu.Unlock()
 	}
-	if s == nil || !c.remove(s) {
+	if s == nil || !c.mark(of, s, false) {
 		return false
 	}
-	c.ending.Add(1)
 	if !s.Yield() {
-		c.ending.Add(-1)
-		c.add(s)
+		c.mark(of, s, true)
 		return false
 	}
 	return true
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -112,3 +112,45 @@
 		})
 	}
 }
+
+// TestLeaveWhileAsked has connections end by themselves, or turn to work, while they are asked to yield.
+func TestLeaveWhileAsked(t *testing.T) {
+	const places = 8
+	for name, x := range map[string]struct {
+		leaves bool // The connection ends as it is asked.
+		open   int  // Connections that are open in the end.
+	}{
+		"it ends":           {leaves: true, open: places - 1},
+		"its request comes": {open: places},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, asked := New(places), 0
+				var s *seat.Seat
+				s = seat.New(func() bool {
+					asked++
+					if x.leaves {
+						c.Leave(s)
+					} else {
+						s.Work()
+					}
+					return false
+				})
+				c.Enter(s)
+				time.Sleep(time.Second)
+				for range places - 1 {
+					c.Enter(seat.New(func() bool { return true }))
+				}
+				if n := c.Open(); n != x.open {
+					t.Errorf("%d connections are open", n)
+				}
+				if yielded, _ := c.Enter(seat.New(func() bool { return true })); !yielded || asked != 1 {
+					t.Errorf("yielded %v, the first one was asked %d times", yielded, asked)
+				}
+				if n := c.ending.Load(); n != 1 {
+					t.Errorf("%d connections are ending", n)
+				}
+			})
+		})
+	}
+}
