fix(inlet): a head that has begun has its own time, however little of an idle one is left

net/http ends an idle connection at its deadline, which also held for a head that came in several parts: one that began near the end of the idle time was cut there, long before headerTimeoutMs. The time of a head, from its first byte, now replaces that deadline once a part has come; the time for the first byte is as before. TestHeadsInParts failed before (both rows: unexpected EOF) and passes, three times, under the race detector.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -142,11 +142,12 @@
 	return !c.yielded
 }
 
-// pace sets the read deadline t unless the server's own is earlier, while the connection is in phase f.
+// pace sets the read deadline t while the connection is in phase f. A head has its own time, once it has begun; the rest has to
+// keep the server's deadline too.
 func (c *conn) pace(f phase, t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != f || !c.readUntil.IsZero() && c.readUntil.Before(t) {
+	if c.phase != f || f != inHead && !c.readUntil.IsZero() && c.readUntil.Before(t) {
 		return nil
 	}
 	c.paced = true
