fix(inlet): heads that began behind another request are counted whole

A head whose first bytes were in net/http's buffer and whose rest came later was counted by the rest alone: up to 4 KB of short lines, some 400 KB once parsed, took nothing from the memory for heads. The handler now counts what was parsed of every head; it reserves nothing more for one that the scanner saw whole. TestPipelinedHeads failed before (0 bytes counted for 900 lines) and passes.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -55,7 +55,6 @@
 	begun    time.Time    // When the head, or the body, began; zero before.
 	received int          // Bytes of the head or body.
 	scanner  head.Scanner // Reads the head.
-	scanned  bool         // Memory was reserved for the head before it was parsed.
 	reserved int          // Bytes reserved for the head.
 	unread   []byte       // Bytes that net/http has not read.
 	ready    int          // How many of them it may read.
@@ -104,7 +103,7 @@
 func (c *conn) idle() {
 	c.inlet.heads.Release(&c.reserved)
 	c.scanner.Reset(c.last[:])
-	c.scanned, c.ready, c.begun, c.received = false, 0, time.Time{}, 0
+	c.ready, c.begun, c.received = 0, time.Time{}, 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = inHead
@@ -265,10 +264,7 @@
 }
 
 // admit reserves memory for the head in its parsed form, and reports whether there is enough.
-func (c *conn) admit() bool {
-	c.scanned = true
-	return c.inlet.heads.Hold(&c.reserved, c.scanner.Cost())
-}
+func (c *conn) admit() bool { return c.inlet.heads.Hold(&c.reserved, c.scanner.Cost()) }
 
 // passHead passes on the first bytes of a head that was read in several parts.
 func (c *conn) passHead(p []byte) (int, error) {
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -76,7 +76,7 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		if !c.scanned && !i.heads.Hold(&c.reserved, headCost(r.Header)) {
+		if !i.heads.Hold(&c.reserved, headCost(r.Header)) {
 			i.onRefusal(headRefused)
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", retryAfter)
@@ -100,7 +100,8 @@
 	})
 }
 
-// headCost returns the memory for the fields of a head that came in one part with the end of the request before it.
+// headCost returns the memory for the fields of a head. The scanner may have missed some, if they came with the end of the
+// request before it.
 func headCost(h http.Header) int {
 	n, b := 0, 0
 	for k, l := range h {
--- a/inlet/inlet_test.go
+++ b/inlet/inlet_test.go
@@ -276,3 +276,29 @@
 		})
 	}
 }
+
+// TestPipelinedHeads has a head begin behind another request, in the same segment: all of it is counted.
+func TestPipelinedHeads(t *testing.T) {
+	const lines = 900
+	s := serve(t, limits{places: 4, heads: 16 << 20, headBytes: 8 << 10, pace: calm})
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, sized(1)+post+strings.Repeat("a:\r\n", lines))
+	if w, err := http.ReadResponse(in, nil); err != nil {
+		t.Fatal(err)
+	} else if _, err := io.Copy(io.Discard, w.Body); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	if l, err := in.ReadString('\n'); err != nil || !strings.Contains(l, " 100 ") {
+		t.Fatalf("%q, %v", l, err)
+	}
+	if n := s.heads.Used(); n < lines*200 {
+		t.Errorf("%d bytes are counted for %d lines", n, lines)
+	}
+}
