fix(inlet): the bytes of a body are counted under the lock

A handler that answers before it has read the body has net/http discard the rest, and read on in the background, while the response is written: the count of bytes was changed without the lock under which the write reads it. TestEarlyResponses failed before under the race detector and passes.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -291,9 +291,9 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	c.received += n
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.received += n
 	if c.phase != inBody {
 		return n, err
 	}
--- a/inlet/inlet_test.go
+++ b/inlet/inlet_test.go
@@ -31,6 +31,7 @@
 	places, heads, headBytes int
 	pace                     pace.Pace
 	response                 int           // Bytes of each response, if not that of the length.
+	unread                   bool          // The handler reads no body.
 	idle, header             time.Duration // Times of net/http, if not the usual ones.
 }
 
@@ -42,7 +43,11 @@
 		s.refused[reason]++
 	})
 	h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, err := io.ReadAll(r.Body)
+		var b []byte
+		var err error
+		if !x.unread {
+			b, err = io.ReadAll(r.Body)
+		}
 		if err != nil {
 			w.WriteHeader(http.StatusRequestTimeout)
 			return
@@ -302,3 +307,27 @@
 		t.Errorf("%d bytes are counted for %d lines", n, lines)
 	}
 }
+
+// TestEarlyResponses has a handler answer before it has read the body, and the next request come meanwhile.
+func TestEarlyResponses(t *testing.T) {
+	s := serve(t, limits{places: 4, heads: 1 << 20, headBytes: 8 << 10, pace: calm, response: 1 << 20, unread: true})
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, post+"Content-Length: 3\r\n\r\nab")
+	for range 20 {
+		_, _ = io.WriteString(c, "c")
+		w, err := http.ReadResponse(in, nil)
+		if err != nil || w.StatusCode != http.StatusOK {
+			t.Fatalf("response %v, %v", w, err)
+		}
+		_, _ = io.WriteString(c, post+"Content-Length: 3\r\n\r\nab")
+		if n, err := io.Copy(io.Discard, w.Body); err != nil || n != 1<<20 {
+			t.Fatalf("%d bytes, %v", n, err)
+		}
+	}
+}
