--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -20,8 +20,8 @@
 	coldTime    = 3 * time.Second
 )
 
-// runner is a server as it is, which the processes learn late.
-type runner struct {
+// instance is a server as it is, which the processes learn late.
+type instance struct {
 	backend   bulrushlug.Backend
 	coldUntil time.Time
 	down      bool
@@ -42,7 +42,7 @@
 	t         *testing.T
 	random    *rand.Rand
 	processes []*process
-	runners   []*runner
+	instances []*instance
 	revision  uint64
 	joined    int // Processes that know of the entry that joined, the last process.
 	refused   int // Requests that found no server.
@@ -51,7 +51,7 @@
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, random: rand.New(rand.NewPCG(1, 2))}
 	for i := range serverCount {
-		f.runners = append(f.runners, &runner{backend: f.backend(i, 1, 0)})
+		f.instances = append(f.instances, &instance{backend: f.backend(i, 1, 0)})
 	}
 	for i := range entries + dataVMs {
 		f.processes = append(f.processes, &process{})
@@ -91,7 +91,7 @@
 // list gives process i the list of servers.
 func (f *fleet) list(i int) {
 	var l []bulrushlug.Backend
-	for _, x := range f.runners {
+	for _, x := range f.instances {
 		l = append(l, x.backend)
 	}
 	f.processes[i].gate.Update(l)
@@ -111,7 +111,7 @@
 // chill lets servers be cold from now on: they start again if restart is set, and say so after d.
 func (f *fleet) chill(from, n, step int, restart bool, d time.Duration) {
 	for i := from; i < serverCount && n > 0; i, n = i+step, n-1 {
-		x := f.runners[i]
+		x := f.instances[i]
 		x.down, x.coldUntil, x.arrivals = false, time.Now().Add(coldTime), nil
 		if restart {
 			x.running, x.run = 0, x.run+1
@@ -129,7 +129,7 @@
 
 func (f *fleet) stop(from, step int) {
 	for i := from; i < serverCount; i += step {
-		f.runners[i].down = true
+		f.instances[i].down = true
 	}
 }
 
@@ -139,7 +139,7 @@
 	for n := range d / tick {
 		for i, p := range f.processes {
 			if (int(n)+7*i)%20 == 0 {
-				for k, x := range f.runners {
+				for k, x := range f.instances {
 					p.loads[k] = x.running
 				}
 			}
@@ -153,17 +153,17 @@
 
 func (f *fleet) send(p *process) {
 	now, best, least := time.Now(), -1, 0.0
-	for i, x := range f.runners {
+	for i, x := range f.instances {
 		if n := float64(p.loads[i]) + 2*f.random.Float64(); p.loads[i] < 10 && (best < 0 || n < least) && p.gate.Open(x.backend, now) {
 			best, least = i, n
 		}
 	}
-	if best < 0 || !p.gate.Admit(f.runners[best].backend, now) {
+	if best < 0 || !p.gate.Admit(f.instances[best].backend, now) {
 		f.refused++
 		return
 	}
 	p.loads[best]++
-	x := f.runners[best]
+	x := f.instances[best]
 	switch {
 	case x.down:
 		p.gate.Suspect(x.backend)
@@ -183,7 +183,7 @@
 }
 
 // most returns the most requests that a server got in any second after t in which it was cold.
-func (x *runner) most(t time.Time) (n int) {
+func (x *instance) most(t time.Time) (n int) {
 	l := slices.DeleteFunc(slices.Clone(x.arrivals), func(a time.Time) bool { return a.Before(t) })
 	for i, from := 0, 0; i < len(l); i++ {
 		for l[i].Sub(l[from]) >= time.Second {
@@ -261,7 +261,7 @@
 		"the end of an evacuation": {do: func(f *fleet) {
 			f.tell(func(_ int, p *process) { p.gate.SetEvacuated(map[string]bool{"z0": true}) })
 			f.run(2 * time.Second)
-			for _, x := range f.runners {
+			for _, x := range f.instances {
 				if x.backend.Zone() == "z0" {
 					x.coldUntil, x.arrivals = time.Now().Add(coldTime), nil
 				}
@@ -278,7 +278,7 @@
 				x.do(f)
 				f.run(2 * coldTime)
 				cold, first := 0, 0
-				for _, r := range f.runners {
+				for _, r := range f.instances {
 					if n := r.most(r.coldUntil.Add(x.unknown - coldTime)); n > bound {
 						t.Errorf("%s got %d requests in one second", r.backend.ID(), n)
 					}
