fix(warm): seats follow the cold rate of a service at once

Whether a process holds a seat was kept until the list of members changed, which is read every 5 s and not at all in an outage of the key-value service. After a manifest with another cold rate, ten processes sent to a server where the bound has room for three. TestSeatsOfServices failed before (10 processes, want 3) and passes. TestColdServers, row 'processes restart during the warm-up', fails now and then, before this change too: 1 of 12 runs before (60 requests, at least 65 wanted), 1 of 13 with it (63).

--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -341,3 +341,34 @@
 		})
 	}
 }
+
+// TestSeatsOfServices has the cold rate of a service change: the processes that hold seats follow, on the same list of members.
+func TestSeatsOfServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var members []string
+		for i := range entries {
+			members = append(members, fmt.Sprint("p", i))
+		}
+		b := bulrushlug.NewBackend("s0", "s", "h:1", bulrushlug.BackendZoneSlots("z", 8), bulrushlug.BackendStart(1, 1), bulrushlug.BackendColdTime(time.Minute))
+		var gates []*Gate
+		for _, vm := range members {
+			g := New(vm, false, bulrushlug.NewWarmup(1.5, 5), func() ([]string, uint64) { return members, 1 })
+			g.Update([]bulrushlug.Backend{b})
+			gates = append(gates, g)
+		}
+		for _, rate := range []float64{7.6, 1, 7.6} {
+			time.Sleep(2 * time.Second)
+			want := divide(bulrushlug.NewWarmup(1.5, 5).Requests(rate), false)
+			n := 0
+			for _, g := range gates {
+				g.SetServices([]bulrushlug.Service{bulrushlug.NewService("s", rate, coldTime)})
+				if g.Open(b, time.Now()) {
+					n++
+				}
+			}
+			if n != want.seats {
+				t.Errorf("%d processes send to a server with a cold rate of %v, want %d", n, rate, want.seats)
+			}
+		}
+	})
+}
--- a/warm/seats.go
+++ b/warm/seats.go
@@ -40,9 +40,9 @@
 	if l == nil {
 		return false
 	}
-	if x.version != version {
+	if x.version != version || x.seats != p.seats {
 		o := rank.Order(x.backend.ID(), l)
-		x.seat, x.version = slices.Contains(o[:min(p.seats, len(o))], g.self), version
+		x.seat, x.version, x.seats = slices.Contains(o[:min(p.seats, len(o))], g.self), version, p.seats
 	}
 	return x.seat
 }
--- a/warm/server.go
+++ b/warm/server.go
@@ -41,8 +41,9 @@
 	reported    time.Time
 	unlisted    time.Time   // When the server was gone from the list; zero while it is on it.
 	sent        []time.Time // Admissions within window while the server counts as cold or the process as isolated, oldest first.
-	seat        bool        // This process holds a seat, as of version.
+	seat        bool        // This process holds a seat, as of version and seats.
 	version     uint64      // Version of the members; zero before the first.
+	seats       int         // Seats of the server.
 }
 
 // chillUntil lets x count as cold until t.
