--- a/inlet/inlet_test.go
+++ b/inlet/inlet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -29,7 +30,9 @@
 type limits struct {
 	places, heads, headBytes int
 	pace                     pace.Pace
-	response                 int // Bytes of each response, if not that of the length.
+	response                 int           // Bytes of each response, if not that of the length.
+	unread                   bool          // The handler reads no body.
+	idle, header             time.Duration // Times of net/http, if not the usual ones.
 }
 
 func serve(t *testing.T, x limits) *server {
@@ -40,7 +43,11 @@
 		s.refused[reason]++
 	})
 	h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, err := io.ReadAll(r.Body)
+		var b []byte
+		var err error
+		if !x.unread {
+			b, err = io.ReadAll(r.Body)
+		}
 		if err != nil {
 			w.WriteHeader(http.StatusRequestTimeout)
 			return
@@ -50,7 +57,7 @@
 			return
 		}
 		_, _ = fmt.Fprint(w, len(b))
-	}), ReadHeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+	}), ReadHeaderTimeout: cmp.Or(x.header, time.Second), IdleTimeout: cmp.Or(x.idle, 5*time.Second)}
 	i.Attach(h)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -175,6 +182,9 @@
 			t.Parallel()
 			s := serve(t, x.limits)
 			for range x.callers {
+				if x.callers > 1 {
+					time.Sleep(10 * time.Millisecond) // All together take longer than the bytes of one head put it ahead.
+				}
 				c, err := net.Dial("tcp", s.address)
 				if err != nil {
 					t.Fatal(err)
@@ -235,3 +245,92 @@
 		}
 	}
 }
+
+// TestHeadsInParts has callers send the rest of a head late: within the time for a head, however little is left of that for an
+// idle connection.
+func TestHeadsInParts(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	for name, x := range map[string]struct {
+		idle   time.Duration // Time for an idle connection.
+		header time.Duration // Time that net/http gives a head, from the accept on.
+	}{
+		"a kept connection": {idle: 2 * pause, header: 20 * time.Second},
+		"a new connection":  {idle: 20 * time.Second, header: 2 * pause},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t, limits{places: 4, heads: 1 << 20, headBytes: 8 << 10, pace: calm, idle: x.idle, header: x.header})
+			c, err := net.Dial("tcp", s.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			in := bufio.NewReader(c)
+			_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if x.idle < x.header {
+				_, _ = io.WriteString(c, sized(1))
+				if _, err := http.ReadResponse(in, nil); err != nil {
+					t.Fatal(err)
+				}
+				_, _ = in.ReadByte()
+			}
+			for _, b := range []string{"POST / HTTP/1.1\r\n", "Host: h\r\n", "Content-Length: 0\r\n", "\r\n"} {
+				time.Sleep(pause)
+				_, _ = io.WriteString(c, b)
+			}
+			if w, err := http.ReadResponse(in, nil); err != nil || w.StatusCode != http.StatusOK {
+				t.Errorf("response %v, %v", w, err)
+			}
+		})
+	}
+}
+
+// TestPipelinedHeads has a head begin behind another request, in the same segment: all of it is counted.
+func TestPipelinedHeads(t *testing.T) {
+	const lines = 900
+	s := serve(t, limits{places: 4, heads: 16 << 20, headBytes: 8 << 10, pace: calm})
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, sized(1)+post+strings.Repeat("a:\r\n", lines))
+	if w, err := http.ReadResponse(in, nil); err != nil {
+		t.Fatal(err)
+	} else if _, err := io.Copy(io.Discard, w.Body); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	if l, err := in.ReadString('\n'); err != nil || !strings.Contains(l, " 100 ") {
+		t.Fatalf("%q, %v", l, err)
+	}
+	if n := s.heads.Used(); n < lines*200 {
+		t.Errorf("%d bytes are counted for %d lines", n, lines)
+	}
+}
+
+// TestEarlyResponses has a handler answer before it has read the body, and the next request come meanwhile.
+func TestEarlyResponses(t *testing.T) {
+	s := serve(t, limits{places: 4, heads: 1 << 20, headBytes: 8 << 10, pace: calm, response: 1 << 20, unread: true})
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, post+"Content-Length: 3\r\n\r\nab")
+	for range 20 {
+		_, _ = io.WriteString(c, "c")
+		w, err := http.ReadResponse(in, nil)
+		if err != nil || w.StatusCode != http.StatusOK {
+			t.Fatalf("response %v, %v", w, err)
+		}
+		_, _ = io.WriteString(c, post+"Content-Length: 3\r\n\r\nab")
+		if n, err := io.Copy(io.Discard, w.Body); err != nil || n != 1<<20 {
+			t.Fatalf("%d bytes, %v", n, err)
+		}
+	}
+}
