--- a/script_test.go
+++ b/script_test.go
@@ -178,6 +178,7 @@
 		if neg {
 			break
 		}
+		ts.Logf("not yet: %d %.300s", code, out)
 	}
 	ts.Fatalf("want status %d and %q, got %d %.500s", want, a[1], code, out)
 }
@@ -232,11 +233,15 @@
 	}
 }
 
-// signal sends a signal to the process whose identifier a file contains: signal NAME FILE.
+// signal sends a signal to the process whose identifier a file contains: signal NAME FILE. A stopped process goes on at the end
+// of the script, which waits for it.
 func signal(ts *testscript.TestScript, _ bool, a []string) {
 	n, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(a[1])))
 	ts.Check(err)
 	x := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "HUP": syscall.SIGHUP}
+	if a[0] == "STOP" {
+		ts.Defer(func() { _ = syscall.Kill(n, syscall.SIGCONT) })
+	}
 	ts.Check(syscall.Kill(n, x[a[0]]))
 }
 
