fix(proxy): a request that has ended before it has a place is reported, not a panic

Cause: acquire returned neither a place nor an error if the context had ended and no server was ready or the stage had no queue, also with shared admission off; try dereferenced the place. With a queue and room, a request past its deadline was still sent, and counted as one that may have run. Change: a request whose context has ended gets the error of that context, before it asks for a place and after it.

--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -65,8 +66,13 @@
 		return p, nil
 	}
 	p, err := a.wait(c)
-	if p != nil || c.Err() != nil || err != nil && a.possibleRuns == 0 && a.shares.Exceeds(a.request.Organisation()) {
-		return p, err
+	switch {
+	case p != nil:
+		return p, nil
+	case c.Err() != nil:
+		return nil, cmp.Or(err, c.Err())
+	case err != nil && a.possibleRuns == 0 && a.shares.Exceeds(a.request.Organisation()):
+		return nil, err
 	}
 	l, vms := a.table.AcquireOnline(a.service, a.skip)
 	if l == nil {
@@ -79,8 +85,12 @@
 }
 
 // wait takes a place at a server that is neither avoided nor leaving, once it is the request's turn; there is none if no such
-// server is known, if it would come too late, or if the stage has no queue.
+// server is known, if it would come too late, or if the stage has no queue. It takes none
+// once c has ended.
 func (a *exchange) wait(c context.Context) (p *place, err error) {
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
 	if a.queue == nil || !a.table.HasReady(a.service, a.skip) {
 		return nil, nil
 	}
@@ -100,7 +110,6 @@
 }
 
 // patience returns how long a request may wait for a place if its first event is due after d: the rest is the server's.
-
 func patience(d time.Duration) time.Duration {
 	if d == 0 {
 		d = defaultTarget
