fix(hush): after a standstill of the process or its network no server is suspected

Cause: the witnesses had to be heard in the second half of the silence only. After a freeze or a cut of the own network servers are heard again one after the other, so the first three made all others look silent, and their streams were cut. Change: a silence counts only if no pause of 0.3 s without any event fell into it; with fewer events the later limit of each stream holds, as before.

--- a/hush/monitor.go
+++ b/hush/monitor.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,15 +11,21 @@
 
 const (
 	shardCount = 8
-	witnesses  = 3           // Other servers that must be heard meanwhile; otherwise this process may be what stands still.
-	keepTime   = time.Minute // Time after which a server that is not heard is forgotten.
+	witnesses  = 3                      // Other servers that must be heard meanwhile; otherwise this process may be what stands still.
+	standstill = 300 * time.Millisecond // Time without any event after which this process may have stood still.
+	keepTime   = time.Minute            // Time after which a server that is not heard is forgotten.
 )
 
 // Monitor knows when an event of any response last came from each server.
 //
 // Load pattern: servers go dark in the middle of many streams without a word. Callers leave after some seconds of silence,
 // which is also when a single stream would know by itself that it has stalled.
-type Monitor struct{ shards [shardCount]shard }
+type Monitor struct {
+	start   time.Time
+	last    atomic.Int64 // Last event of any server, since start.
+	resumed atomic.Int64 // End of the last standstill, since start; the start is one.
+	shards  [shardCount]shard
+}
 
 type shard struct {
 	mu    sync.Mutex
@@ -27,7 +34,7 @@
 
 // New returns a monitor that has heard nothing.
 func New() *Monitor {
-	m := &Monitor{}
+	m := &Monitor{start: time.Now()}
 	for i := range m.shards {
 		m.shards[i].heard = map[string]time.Time{}
 	}
@@ -38,6 +45,9 @@
 func (m *Monitor) Hear(id string) {
 	s := &m.shards[xxhash.Sum64String(id)%shardCount]
 	now := time.Now()
+	if n := int64(now.Sub(m.start)); n-m.last.Swap(n) > int64(standstill) {
+		m.resumed.Store(n)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.heard[id]; !ok {
@@ -55,9 +65,14 @@
 	}
 }
 
-// Silent reports whether nothing came from server id for d, while enough others were heard in the second half of that time.
+// Silent reports whether nothing came from server id for d, while others were heard all that time, and enough of them in its
+// second half. After a standstill of this process or its network, servers are heard again one after the other.
 func (m *Monitor) Silent(id string, d time.Duration) bool {
 	now := time.Now()
+	n := now.Sub(m.start)
+	if n-time.Duration(m.last.Load()) > standstill || n-time.Duration(m.resumed.Load()) < d {
+		return false
+	}
 	others := 0
 	for i := range m.shards {
 		n, heard := m.shards[i].count(id, now, d)
