fix(proxy): the time to the first event is no silence of the server

Cause: the early limit of a stream also ran before its first event. A server that sends the head of its response at once and then reads a long prompt, with no other stream here, lost the request after 1 s, at each server that it was sent to. Change: the early limit holds from the first event on; until then the later one does, as before.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -39,7 +39,7 @@
 	defer r.Close()
 	defer func() { err = cmp.Or(err, a.sink.flush()) }()
 	for {
-		w.start(a.mayRetry() && a.canResume())
+		w.start(a.mayRetry() && a.canResume(), n > 0)
 		e, err := a.nextEvent(r, w)
 		ended := errors.Is(err, io.EOF)
 		if err != nil && !ended {
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -71,3 +71,51 @@
 		})
 	}
 }
+
+// lateStart is a client whose responses begin at once, and whose first event comes later.
+type lateStart struct {
+	delay time.Duration
+	calls int
+}
+
+func (v *lateStart) Call(c context.Context, _ bulrushlug.Backend, _ *bulrushlug.Request) (bulrushlug.Reply, error) {
+	v.calls++
+	p, w := io.Pipe()
+	context.AfterFunc(c, func() { _ = w.CloseWithError(c.Err()) })
+	go func() {
+		if bulrushlug.Sleep(c, v.delay) != nil {
+			return
+		}
+		for n := 1; n <= eventCount; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n); err != nil {
+				return
+			}
+		}
+		_ = w.Close()
+	}()
+	return &pipeReply{p}, nil
+}
+
+// TestSlowFirstEvent has a server read a long prompt while other servers are heard: that is no silence.
+func TestSlowFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := hush.New()
+		c, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() {
+			for bulrushlug.Sleep(c, 100*time.Millisecond) == nil {
+				for i := range 5 {
+					m.Hear(fmt.Sprint("other", i))
+				}
+			}
+		}()
+		v := &lateStart{delay: 1900 * time.Millisecond}
+		route := bulrushlug.NewRoute("r", "/", true, nil, bulrushlug.RouteShares(bulrushlug.NewShare("s", 1)), bulrushlug.RouteTraffic(bulrushlug.TrafficStream, true, true), bulrushlug.RouteTargets(2*time.Second, 100*time.Millisecond))
+		k := &caller{}
+		err := New(table(), v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30)).WithMonitor(m).
+			Run(c, bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(time.Now().Add(5*time.Second))), k)
+		if err != nil || v.calls != 1 || len(k.data) != eventCount*len("id: 1\ndata: 1\n\n") {
+			t.Errorf("%v after %d calls, want one; the caller got %q", err, v.calls, k.data)
+		}
+	})
+}
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -46,11 +46,12 @@
 	w.early.Stop()
 }
 
-// start begins the wait for the next event.
-func (w *watchdog) start(cut bool) {
+// start begins the wait for the next event; begun says that it is not the first one, for which a server that reads a long
+// prompt is silent without a fault.
+func (w *watchdog) start(cut, begun bool) {
 	w.cut.Store(cut)
 	w.timer.Reset(w.limit)
-	if w.early != nil {
+	if w.early != nil && begun {
 		w.early.Reset(w.quiet)
 	}
 }
