fix(queue): waiters find room that other processes freed

Cause: waiters were tried only when this process freed a slot, or each at the end of its own patience. As newcomers join behind them untried, a line stayed while servers were idle, and each request waited for its whole patience. Change: who comes to a line, and who finds room at the end of its patience, gives those in the line their turn. Result: queue.TestRoomElsewhere failed in both cases (150 and 200 ms instead of 50; 250 instead of 150).

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -107,16 +107,20 @@
 	}
 }
 
-// join gives w room, or adds it to its line, or rejects it; ok reports that it need not wait.
+// join gives w room once it is its turn, or adds it to its line, or rejects it; ok reports that it need not wait.
 func (q *Queue) join(h *shard, w *waiter) (err error, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.line(w.Service())
-	if len(l.waiters) == 0 && q.place(l, w) {
+	first := len(l.waiters) == 0
+	if first && q.place(l, w) {
 		return nil, true
 	}
 	l.waiters = append(l.waiters, w)
 	q.waiting.Add(1)
+	if !first {
+		q.serve(l) // Other processes may have freed room.
+	}
 	q.rejectLate(l)
 	select {
 	case err := <-w.done:
@@ -145,6 +149,7 @@
 	l := h.line(w.Service())
 	if q.remove(l, w) {
 		if err == nil && q.place(l, w) {
+			q.serve(l)
 			return nil
 		}
 		if err == nil {
@@ -168,7 +173,7 @@
 	return false
 }
 
-// Wake gives room to those who wait for service s, until there is none for the next one.
+// Wake gives room to those who wait for service s.
 func (q *Queue) Wake(s string) {
 	if q.waiting.Load() == 0 {
 		return
@@ -176,7 +181,11 @@
 	h := q.shard(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.line(s)
+	q.serve(h.line(s))
+}
+
+// serve gives room to those in l, until there is none for the next one; the caller holds the lock.
+func (q *Queue) serve(l *line) {
 	for len(l.waiters) > 0 {
 		w := q.order(l)[0]
 		if !q.place(l, w) {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -152,3 +152,36 @@
 		}
 	}
 }
+
+// TestRoomElsewhere has servers get room of which this process frees none, while requests wait.
+func TestRoomElsewhere(t *testing.T) {
+	const patience = 150 * time.Millisecond
+	for name, x := range map[string]struct {
+		freed time.Duration   // When there is room.
+		join  []time.Duration // When each request asks for it.
+		want  []time.Duration // When it gets it.
+	}{
+		"the next one that comes finds it":         {freed: 20 * time.Millisecond, join: []time.Duration{0, 50 * time.Millisecond}, want: []time.Duration{50 * time.Millisecond, 50 * time.Millisecond}},
+		"one whose patience ends finds it for all": {freed: 120 * time.Millisecond, join: []time.Duration{0, 100 * time.Millisecond}, want: []time.Duration{patience, patience}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := New(&shares{used: map[string]float64{}})
+				w := bulrushlug.NewWaiter("s", "a", 1).WithUrgency(0, time.Time{}, patience)
+				for range 100 {
+					_ = q.Wait(t.Context(), w, func(bool) bool { return true })
+				}
+				b := time.Now()
+				for i, d := range x.join {
+					time.AfterFunc(d, func() {
+						err := q.Wait(t.Context(), w, func(bool) bool { return time.Since(b) >= x.freed })
+						if d := time.Since(b); err != nil || d != x.want[i] {
+							t.Errorf("request %d: %v after %v, want room after %v", i, err, d, x.want[i])
+						}
+					})
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
