fix(fair): organisations that no longer exist are forgotten

Cause: an account stayed for each organisation that ever had work, and each mean looked at all of them. Change: the mean drops accounts without recent work whose organisation is not in the configuration; without one all stay. Result: fair.TestForgets failed with 1,001 accounts and passes with one, whose count has not fallen.

--- a/fair/shares.go
+++ b/fair/shares.go
@@ -110,7 +110,8 @@
 	return s.Used(o) > excess*s.mean()
 }
 
-// mean returns the recent work of all organisations for each unit of weight, computed again after meanTime.
+// mean returns the recent work of all organisations for each unit of weight, computed again after meanTime. It forgets those
+// that no longer exist and have none.
 func (s *Shares) mean() float64 {
 	now := time.Now()
 	if m := s.lastMean.Load(); m != nil && now.Sub(m.at) < meanTime {
@@ -123,6 +124,8 @@
 		for n, a := range h.accounts {
 			if v := a.used(now); v > 0 {
 				work, weight = work+v, weight+s.weight(n)
+			} else if !s.exists(n) {
+				delete(h.accounts, n)
 			}
 		}
 		h.mu.Unlock()
@@ -135,6 +138,16 @@
 	return m.value
 }
 
+// exists reports whether o is in the configuration, or none is known.
+func (s *Shares) exists(o string) bool {
+	c := s.source.Config()
+	if c == nil {
+		return true
+	}
+	_, ok := c.Organisation(o)
+	return ok
+}
+
 // weight returns the rate of o, or one if it has none.
 func (s *Shares) weight(o string) float64 {
 	if c := s.source.Config(); c != nil {
--- a/fair/shares_test.go
+++ b/fair/shares_test.go
@@ -77,3 +77,23 @@
 		s.Exceeds("o1")
 	}
 }
+
+// TestForgets has organisations come and go: of those that are no longer in the configuration nothing is kept.
+func TestForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(source{bulrushlug.RestoreConfig(1, []bulrushlug.Change{bulrushlug.NewChange("1", "t", bulrushlug.NewOrganisation("kept", 10, 10))})})
+		s.Charge("kept", 100)
+		for i := range 1000 {
+			s.Charge(fmt.Sprint("gone", i), 100)
+		}
+		time.Sleep(time.Minute)
+		s.Exceeds("kept")
+		n := 0
+		for i := range s.shards {
+			n += len(s.shards[i].accounts)
+		}
+		if l := s.Add([]bulrushlug.AdmissionCount{bulrushlug.NewAdmissionCount("kept", 1, 1)}); n != 1 || l[0].Work() != 100 {
+			t.Errorf("%d accounts, want one; it has %d tokens, want 100", n, l[0].Work())
+		}
+	})
+}
