fix(meter): a bucket that is full in a partition that nobody noticed keeps what it spent

Cause: a full bucket began a new span, in which what it had spent did not count once processes were no longer heard. In a partition that is noticed after 0.9 s, two processes that are asked for the whole rate each keep full buckets, and both spent all of it: more than the tolerance, by demand also with 4 to 24 processes. Change: a full bucket begins a span only if it spent nothing in this one; the tokens that it has no room for are left out of its part.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -77,8 +77,9 @@
 	contended      bool              // The level fell below contendedLevel and has not recovered since.
 	part           float64           // Share of rate and burst at the last refill.
 	sharedLevel    float64           // Level at sharedAt.
-	sharedAt       time.Time         // When all processes of part last reported, or the bucket was last full.
+	sharedAt       time.Time         // When all processes of part last reported, or the bucket was last full with nothing deducted before.
 	spent          float64           // Deducted since sharedAt.
+	lost           float64           // Tokens since sharedAt that came while the bucket was full.
 	demand         demand            // What this process and the others are asked for.
 	nextReturn     time.Time         // When the caller refused last was told to return.
 }
@@ -224,7 +225,9 @@
 }
 
 // startSpan starts the span whose tokens are divided anew if fewer processes are heard.
-func (b *bucket) startSpan() { b.sharedLevel, b.sharedAt, b.spent = b.level, b.refilledAt, 0 }
+func (b *bucket) startSpan() {
+	b.sharedLevel, b.sharedAt, b.spent, b.lost = b.level, b.refilledAt, 0, 0
+}
 
 // spend deducts n admissions.
 func (b *bucket) spend(n float64) {
@@ -240,10 +243,16 @@
 	}
 	b.part = part
 	limit := max(1, float64(g.Burst())*part)
-	b.level = min(limit, b.level+g.Rate()*part*now.Sub(b.refilledAt).Seconds())
+	l := b.level + g.Rate()*part*now.Sub(b.refilledAt).Seconds()
+	b.level = min(limit, l)
 	b.refilledAt = now
-	if b.level == limit {
+	switch {
+	case b.level < limit:
+	case b.spent == 0:
 		b.startSpan()
+	default:
+		// The bucket may be full only here, if a process that is not heard has gone unnoticed.
+		b.lost += l - limit
 	}
 }
 
@@ -255,7 +264,7 @@
 	if b.sharedLevel >= 1 {
 		shared = max(1, shared)
 	}
-	left := shared + g.Rate()*part*now.Sub(b.sharedAt).Seconds() - b.spent
+	left := shared - b.lost*part/b.part + g.Rate()*part*now.Sub(b.sharedAt).Seconds() - b.spent
 	b.level = min(left, b.level+g.Rate()*b.part*now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
 }
