fix(queue, proxy): a retry that finds no server left does not hold up the line

Cause: the first in line was the only one to be tried. A request that leaves servers out, because they failed or refused it, found no room where others would, and all behind it waited until its patience was over. Change: a waiter says whether it leaves servers out; if such a one finds no room, the next in line is tried.

--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -97,7 +97,7 @@
 	r := a.request
 	t := r.TargetRoute()
 	w := bulrushlug.NewWaiter(a.service, r.Organisation(), float64(r.Prompt().Tokens()+r.Prompt().MaxTokens())).
-		WithUrgency(t.Priority(), r.Deadline(), patience(t.FirstByteTarget()))
+		WithUrgency(t.Priority(), r.Deadline(), patience(t.FirstByteTarget())).WithNarrow(len(a.skip) > 0)
 	err = a.queue.Wait(c, w, func(idle bool) bool {
 		l, vms := a.table.AcquireReady(a.service, a.skip, idle)
 		if l == nil {
--- a/queue.go
+++ b/queue.go
@@ -24,6 +24,7 @@
 	priority     int           // The lowest goes first within an organisation.
 	deadline     time.Time     // Zero if there is none.
 	patience     time.Duration // Longest useful wait.
+	narrow       bool          // Some servers of the service are left out, so others may find room where this one finds none.
 }
 
 // NewWaiter returns a waiter for room at service s, for work tokens of organisation o.
@@ -37,6 +38,12 @@
 	return w
 }
 
+// WithNarrow returns a copy that says whether some servers of the service are left out.
+func (w Waiter) WithNarrow(v bool) Waiter {
+	w.narrow = v
+	return w
+}
+
 // Service returns the service.
 func (w Waiter) Service() string { return w.service }
 
@@ -54,3 +61,6 @@
 
 // Patience returns the longest useful wait.
 func (w Waiter) Patience() time.Duration { return w.patience }
+
+// Narrow reports whether some servers of the service are left out, so that others may find room where this one finds none.
+func (w Waiter) Narrow() bool { return w.narrow }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -186,17 +186,27 @@
 
 // serve gives room to those in l, until there is none for the next one; the caller holds the lock.
 func (q *Queue) serve(l *line) {
-	for len(l.waiters) > 0 {
-		w := q.order(l)[0]
-		if !q.place(l, w) {
-			return
-		}
+	for w := q.placeNext(l); w != nil; w = q.placeNext(l) {
 		q.remove(l, w)
 		q.counts.waitedMicros.Add(time.Since(w.since).Microseconds())
 		w.done <- nil
 	}
 }
 
+// placeNext takes room for the next waiter of l and returns it, or nil if there is none. A narrow one that finds none does not
+// keep the others from theirs.
+func (q *Queue) placeNext(l *line) *waiter {
+	for _, w := range q.order(l) {
+		if q.place(l, w) {
+			return w
+		}
+		if !w.Narrow() {
+			return nil
+		}
+	}
+	return nil
+}
+
 // rejectLate rejects those who would not get room within their patience, at the rate at which others did lately. The first one
 // may always wait, as room may be freed by other processes too.
 func (q *Queue) rejectLate(l *line) {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -185,3 +185,33 @@
 		})
 	}
 }
+
+// TestNarrowWaiter has the first in line find no room, and frees some for those behind it.
+func TestNarrowWaiter(t *testing.T) {
+	for name, x := range map[string]struct {
+		narrow bool
+		want   time.Duration // When the second one gets room.
+	}{
+		"the first one may use any server": {want: 150 * time.Millisecond},
+		"the first one leaves servers out": {narrow: true, want: 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := New(&shares{used: map[string]float64{}})
+				w := bulrushlug.NewWaiter("s", "a", 1).WithUrgency(0, time.Time{}, 150*time.Millisecond)
+				for range 100 {
+					_ = q.Wait(t.Context(), w, func(bool) bool { return true })
+				}
+				b := time.Now()
+				go func() { _ = q.Wait(t.Context(), w.WithNarrow(x.narrow), func(bool) bool { return false }) }()
+				synctest.Wait()
+				time.AfterFunc(50*time.Millisecond, func() { q.Wake("s") })
+				err := q.Wait(t.Context(), w.WithUrgency(1, time.Time{}, 150*time.Millisecond), func(bool) bool { return time.Since(b) >= 50*time.Millisecond })
+				if d := time.Since(b); err != nil || d != x.want {
+					t.Errorf("%v after %v, want room after %v", err, d, x.want)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
