--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -152,3 +152,66 @@
 		}
 	}
 }
+
+// TestRoomElsewhere has servers get room of which this process frees none, while requests wait.
+func TestRoomElsewhere(t *testing.T) {
+	const patience = 150 * time.Millisecond
+	for name, x := range map[string]struct {
+		freed time.Duration   // When there is room.
+		join  []time.Duration // When each request asks for it.
+		want  []time.Duration // When it gets it.
+	}{
+		"the next one that comes finds it":         {freed: 20 * time.Millisecond, join: []time.Duration{0, 50 * time.Millisecond}, want: []time.Duration{50 * time.Millisecond, 50 * time.Millisecond}},
+		"one whose patience ends finds it for all": {freed: 120 * time.Millisecond, join: []time.Duration{0, 100 * time.Millisecond}, want: []time.Duration{patience, patience}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := New(&shares{used: map[string]float64{}})
+				w := bulrushlug.NewWaiter("s", "a", 1).WithUrgency(0, time.Time{}, patience)
+				for range 100 {
+					_ = q.Wait(t.Context(), w, func(bool) bool { return true })
+				}
+				b := time.Now()
+				for i, d := range x.join {
+					time.AfterFunc(d, func() {
+						err := q.Wait(t.Context(), w, func(bool) bool { return time.Since(b) >= x.freed })
+						if d := time.Since(b); err != nil || d != x.want[i] {
+							t.Errorf("request %d: %v after %v, want room after %v", i, err, d, x.want[i])
+						}
+					})
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestNarrowWaiter has the first in line find no room, and frees some for those behind it.
+func TestNarrowWaiter(t *testing.T) {
+	for name, x := range map[string]struct {
+		narrow bool
+		want   time.Duration // When the second one gets room.
+	}{
+		"the first one may use any server": {want: 150 * time.Millisecond},
+		"the first one leaves servers out": {narrow: true, want: 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := New(&shares{used: map[string]float64{}})
+				w := bulrushlug.NewWaiter("s", "a", 1).WithUrgency(0, time.Time{}, 150*time.Millisecond)
+				for range 100 {
+					_ = q.Wait(t.Context(), w, func(bool) bool { return true })
+				}
+				b := time.Now()
+				go func() { _ = q.Wait(t.Context(), w.WithNarrow(x.narrow), func(bool) bool { return false }) }()
+				synctest.Wait()
+				time.AfterFunc(50*time.Millisecond, func() { q.Wake("s") })
+				err := q.Wait(t.Context(), w.WithUrgency(1, time.Time{}, 150*time.Millisecond), func(bool) bool { return time.Since(b) >= 50*time.Millisecond })
+				if d := time.Since(b); err != nil || d != x.want {
+					t.Errorf("%v after %v, want room after %v", err, d, x.want)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
