test(warm): the fleet's timers take its lock

Cause: timers of the replay changed its servers while processes read them; under the race detector TestColdServers failed and took six minutes. The gate itself had no race. Change: one lock in the replay.

--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,7 @@
 // fleet is 37 processes that send to 52 servers in 4 zones, each to the least loaded one, as far as it knows, that its gate
 // admits.
 type fleet struct {
+	mu        sync.Mutex // Guards all that follows while timers run.
 	t         *testing.T
 	random    *rand.Rand
 	processes []*process
@@ -101,6 +103,8 @@
 func (f *fleet) tell(g func(i int, p *process)) {
 	for i, p := range f.processes {
 		time.AfterFunc(time.Duration(f.random.IntN(400))*time.Millisecond, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			if !p.cut {
 				g(i, p)
 			}
@@ -110,6 +114,8 @@
 
 // chill lets servers be cold from now on: they start again if restart is set, and say so after d.
 func (f *fleet) chill(from, n, step int, restart bool, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i := from; i < serverCount && n > 0; i, n = i+step, n-1 {
 		x := f.instances[i]
 		x.down, x.coldUntil, x.arrivals = false, time.Now().Add(coldTime), nil
@@ -117,6 +123,8 @@
 			x.running, x.run = 0, x.run+1
 		}
 		time.AfterFunc(d, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			start := x.backend.StartTime()
 			if restart {
 				start++
@@ -128,6 +136,8 @@
 }
 
 func (f *fleet) stop(from, step int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i := from; i < serverCount; i += step {
 		f.instances[i].down = true
 	}
@@ -137,6 +147,7 @@
 func (f *fleet) run(d time.Duration) {
 	const tick = 10 * time.Millisecond
 	for n := range d / tick {
+		f.mu.Lock()
 		for i, p := range f.processes {
 			if (int(n)+7*i)%20 == 0 {
 				for k, x := range f.instances {
@@ -147,6 +158,7 @@
 				f.send(p)
 			}
 		}
+		f.mu.Unlock()
 		time.Sleep(tick)
 	}
 }
@@ -176,6 +188,8 @@
 	x.running++
 	run := x.run
 	time.AfterFunc(700*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		if x.run == run {
 			x.running--
 		}
