--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -85,8 +85,7 @@
 }
 
 // wait takes a place at a server that is neither avoided nor leaving, once it is the request's turn; there is none if no such
-// server is known, if it would come too late, or if the stage has no queue. It takes none
-// once c has ended.
+// server is known, if it would come too late, or if the stage has no queue. It takes none once c has ended.
 func (a *exchange) wait(c context.Context) (p *place, err error) {
 	if err := c.Err(); err != nil {
 		return nil, err
--- a/queue.go
+++ b/queue.go
@@ -8,8 +8,8 @@
 // Queue holds requests back for which no backend server has room.
 type Queue interface {
 	// Wait calls f until it reports that room was taken, once it is the turn of w; idle says that it may only be an idle slot
-	// and not a place behind others. It fails with KindOverloaded and a retry
-	// delay if w can't or did not get room in time, and with the error of c if that ends. f is never called after Wait returned.
+	// and not a place behind others. It fails with KindOverloaded and a retry delay if w can't or did not get room in time, and
+	// with the error of c if that ends. f is never called after Wait returned.
 	Wait(c context.Context, w Waiter, f func(idle bool) bool) error
 
 	// Wake tells the queue that there may be room at service s.
