refactor(slots): one way to reserve a chosen server, and names of counts made once

Change: acquire does both in a loop, choosing anew each time; the names of the buckets are made at the start. Choices, counts and their names stay as they were.

--- a/slots/ready.go
+++ b/slots/ready.go
@@ -15,15 +15,7 @@
 // AcquireReady reserves a slot as AcquireOnline does, but only at a server that is neither in back-off nor leaving, and if
 // idle is set, has an idle slot.
 func (t *Table) AcquireReady(v string, skip map[string]bool, idle bool) (l *Reservation, vms []string) {
-	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate, idle: idle}
-	best := t.chooseReady(&f, t.places(f.now))
-	if best.shard == nil {
-		return nil, nil
-	}
-	if l, vms = t.take(best, f); l == nil {
-		return t.AcquireReady(v, skip, idle)
-	}
-	return l, vms
+	return t.acquire(filter{service: v, skip: skip, gate: t.gate, idle: idle}, t.chooseReady)
 }
 
 // HasReady reports whether a server of service v, not in skip, is neither in back-off nor leaving; it may be full.
--- a/slots/table.go
+++ b/slots/table.go
@@ -326,25 +326,24 @@
 // Servers in skip are left out, and servers in back-off are used only if there is no other. Leaving servers are a last
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
-	f := filter{service: v, skip: skip, now: time.Now(), gate: t.gate}
-	best := t.chooseOnline(&f, t.places(f.now))
-	if best.shard == nil {
-		return nil, nil
-	}
-	if l, vms = t.take(best, f); l == nil {
-		return t.AcquireOnline(v, skip)
-	}
-	return l, vms
-}
-
-// take reserves a slot at the server of best, which f selected. There is none if other requests have taken what the gate
-// admits there, or the server is gone.
-func (t *Table) take(best candidate, f filter) (l *Reservation, vms []string) {
-	if l = t.reserve(best, f, false); l == nil {
-		return nil, nil
+	return t.acquire(filter{service: v, skip: skip, gate: t.gate}, t.chooseOnline)
+}
+
+// acquire reserves a slot at the server that choose returns for f, and chooses again while other requests have taken what the
+// gate admits there, or the server is gone.
+func (t *Table) acquire(f filter, choose func(f *filter, p *places) candidate) (l *Reservation, vms []string) {
+	for {
+		g := f
+		g.now = time.Now()
+		best := choose(&g, t.places(g.now))
+		if best.shard == nil {
+			return nil, nil
+		}
+		if l := t.reserve(best, g, false); l != nil {
+			t.metrics.observe(&newsMs, best.shard.age(best.id, g.now))
+			return l, best.shard.batchVMs(best.id, g.now)
+		}
 	}
-	t.metrics.observe("newsMs", best.shard.age(best.id, f.now))
-	return l, best.shard.batchVMs(best.id, f.now)
 }
 
 // chooseOnline returns the server for an online request; f is widened until it selects one that has capacity.
