test(lots): a full disk counts from its first refused write

Cause: TestFailedReplicaIsLastResort filled a disk for 5 s and wanted its replica replaced by then, but the harness runs items in random order. A replica counts as failing after 3 s of failed writes, and the one item left to write was at times first run 1.2 s after the disk was full (trace: first failed write at 3.8 to 4.0 s, last at 7.2 s, next attempt due at 7.5 s, checked at 7.6 s). Change: the time of a row counts from the first write that the disk gets; the disk refuses for as long as before, or longer.

--- a/lots/failing_test.go
+++ b/lots/failing_test.go
@@ -225,7 +225,7 @@
 	const promise = 18 * time.Second // Time in which an item has to be listed while all that it needs is well.
 	for name, x := range map[string]struct {
 		vms   int
-		full  time.Duration // How long the first replica's disk takes no writes.
+		full  time.Duration // How long the first replica's disk refuses the writes that it gets.
 		after time.Duration // Time from its end to the loss of the one that took its place.
 	}{
 		"three disks":                  {vms: 3, full: 5 * time.Second, after: 2 * time.Second},
@@ -268,6 +268,10 @@
 				first := byDisk(replicas()[1])
 				setFull(first, true)
 				setUndone("lot/1", false)
+				// Runs of items are in random order, and the disk does not fail before there is something to write.
+				for written := false; !written; time.Sleep(itemInterval) {
+					k.vms[p].manager.withLot("lot", func(o *lot) { written = len(o.entries) == 2 })
+				}
 				time.Sleep(x.full)
 				if second := byDisk(replicas()[1]); second == first {
 					t.Fatal("the replica was not replaced")
