fix(mirror): a removal that only a list shows is announced

Cause: a process that leaves watching to others reads again only when a report names a revision that it has not seen. After an outage, or when the history is lost, those that watch list the entries; a list holds no removals, so the newest revision that they report did not rise for a key removed before that list. A process that had noticed the outage only by the renewal of its lease, and so neither watched nor read itself, kept the key until the next change under the prefix: an evacuated zone, a VM to retire, a server that is gone.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -52,7 +52,7 @@
 	entries        map[string]bulrushlug.KVEntry
 	retained       map[string]time.Time // Entries that are gone from the service, and until when they are kept.
 	revision       uint64               // Revision up to which entries is complete according to the watch; never falls.
-	newest         uint64               // Revision of the newest change seen.
+	newest         uint64               // Revision of the newest change seen, or of the list that showed it.
 	peerRevision   uint64               // Revision of the newest change that other processes saw.
 	peerRevisionAt time.Time            // When peerRevision rose above newest.
 	cancelWatch    context.CancelFunc   // Cancels the current watch or, on standby, the wait for snapshots.
@@ -272,7 +272,11 @@
 		}
 	}
 	for k, i := range old {
-		if _, ok := m.entries[k]; !ok && own && m.inGracePeriod() && time.Since(m.reportedAt) > reportFreshness {
+		if _, ok := m.entries[k]; ok || !own {
+			continue
+		}
+		m.raise(n) // A list doesn't tell the revision of a removal; processes that don't read need to hear of it.
+		if m.inGracePeriod() && time.Since(m.reportedAt) > reportFreshness {
 			m.retain(k, i)
 		}
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -382,3 +382,61 @@
 		})
 	}
 }
+
+// TestRemovalDuringOutage guards against an entry that some processes keep for good: it is removed while the processes that
+// watch don't, so that they learn of it from a list, in which a removal has no revision.
+func TestRemovalDuringOutage(t *testing.T) {
+	for name, x := range map[string]struct {
+		options []option
+		change  func(t *testing.T, m *memtxn.Store) // Takes place at the end of the outage.
+		want    string
+	}{
+		"removed":                  {change: func(t *testing.T, m *memtxn.Store) { remove(t, m, "p/a") }, want: "p/b=1"},
+		"removed, history is lost": {change: func(t *testing.T, m *memtxn.Store) { remove(t, m, "p/a"); m.Compact() }, want: "p/b=1"},
+		"removed, with a grace period": {options: []option{WithGracePeriod()}, change: func(t *testing.T, m *memtxn.Store) { remove(t, m, "p/a") },
+			want: "p/b=1"},
+		"the newest is removed": {change: func(t *testing.T, m *memtxn.Store) { remove(t, m, "p/b") }, want: "p/a=1"},
+		"removed and put again": {change: func(t *testing.T, m *memtxn.Store) { remove(t, m, "p/a"); put(t, m, "p/a", "1", 0) }, want: "p/a=1 p/b=1"},
+		"changed":               {change: func(t *testing.T, m *memtxn.Store) { put(t, m, "p/a", "2", 0) }, want: "p/a=2 p/b=1"},
+		"one changed, one removed": {change: func(t *testing.T, m *memtxn.Store) { put(t, m, "p/a", "2", 0); remove(t, m, "p/b") },
+			want: "p/a=2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := memtxn.New()
+				put(t, m, "p/a", "1", 0)
+				put(t, m, "p/b", "1", 0)
+				c, stop := context.WithCancel(t.Context())
+				watcher := New(m, "p/", log.NewNopLogger(), func([]bulrushlug.KVEntry) {}, x.options...)
+				standby := New(m, "p/", log.NewNopLogger(), func([]bulrushlug.KVEntry) {}, append(x.options, WithWatchTimeout(func() time.Duration { return 0 }))...)
+				go func() { _ = watcher.Run(c) }()
+				go func() { _ = standby.Run(c) }()
+				reports := func(d time.Duration) {
+					for range d / (100 * time.Millisecond) {
+						time.Sleep(100 * time.Millisecond)
+						n := watcher.NewestRevision()
+						standby.NotifyRevision(n)
+						if n > standby.NewestRevision() {
+							standby.ApplySnapshot(watcher.Snapshot())
+						}
+					}
+				}
+				reports(2 * time.Second)
+				m.SetOutage(true)
+				time.Sleep(4 * time.Second)
+				m.SetOutage(false)
+				x.change(t, m)
+				reports(10 * time.Second)
+				if w, s := text(watcher.Entries()), text(standby.Entries()); w != x.want || s != x.want {
+					t.Errorf("the one that watches holds %q, the other one %q", w, s)
+				}
+				if w, s := watcher.NewestRevision(), standby.NewestRevision(); w != s {
+					t.Errorf("the one that watches has seen revision %d, the other one %d", w, s)
+				}
+				stop()
+				m.SetOutage(true)
+				synctest.Wait()
+			})
+		})
+	}
+}
