--- a/script_test.go
+++ b/script_test.go
@@ -233,8 +233,8 @@
 	}
 }
 
-// signal sends a signal to the process whose identifier a file contains: signal NAME FILE. A stopped process goes on at the end
-// of the script, which waits for it.
+// signal sends a signal to the process whose identifier a file contains: signal NAME FILE. STOP waits until the process runs no
+// more. A stopped process goes on at the end of the script, which waits for it.
 func signal(ts *testscript.TestScript, _ bool, a []string) {
 	n, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(a[1])))
 	ts.Check(err)
@@ -243,6 +243,27 @@
 		ts.Defer(func() { _ = syscall.Kill(n, syscall.SIGCONT) })
 	}
 	ts.Check(syscall.Kill(n, x[a[0]]))
+	if a[0] != "STOP" {
+		return
+	}
+	for end := time.Now().Add(commandTimeout); !stopped(n); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			ts.Fatalf("process %d runs %v after the signal", n, commandTimeout)
+		}
+	}
+}
+
+// stopped reports whether all threads of process n are stopped. They go on after the signal was sent until one of them takes it.
+func stopped(n int) bool {
+	l, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", n))
+	for _, f := range l {
+		b, err := os.ReadFile(f)
+		_, state, _ := strings.Cut(string(b), ") ")
+		if err == nil && !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return err == nil && len(l) > 0
 }
 
 // owner sets $OWNER to the process that owns the only job, $OTHER to another one and $LEFT to the HTTP address of a third:
