fix(meter): shares of a rate are handed over, and processes missed one by one lose all of their part

A process now claims a share of the rate for a round, reports it, and takes only what the reports of the others leave. When fewer are heard, what they claimed is deducted from all that was there when all had reported. As claims add up to one, the whole tolerance instead of two fifths may be spent on top in a round, divided evenly.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,7 +34,7 @@
 	uncontendedExtra = 2
 	// overlapShare is the part of the tolerance that all processes together may admit beyond the level in one round, as they
 	// divide by demand that is a report old.
-	overlapShare = 0.4
+	overlapShare = 1.0
 	// maxReturnTime is the longest time after which callers are told to return. One that returns later is late even if it is
 	// admitted then, and its token is missing for a new request that would be in time.
 	maxReturnTime = 200 * time.Millisecond
@@ -77,6 +77,7 @@
 	contended      bool              // The level fell below contendedLevel and has not recovered since.
 	part           float64           // Share of rate and burst at the last refill.
 	sharedLevel    float64           // Level at sharedAt.
+	sharedPart     float64           // Part at sharedAt; zero before the first refill.
 	sharedAt       time.Time         // When all processes of part last reported, or the bucket was last full with nothing deducted before.
 	spent          float64           // Deducted since sharedAt.
 	lost           float64           // Tokens since sharedAt that came while the bucket was full.
@@ -133,14 +134,14 @@
 	}
 	heard, all := m.heard()
 	part := float64(heard) / float64(all)
-	m.refill(b, g, part, all)
+	m.refill(s, b, g, part, all)
 	if b.level >= 1 && b.roundAdmitted+1 <= m.share(b, g, heard, all) {
 		b.spend(1)
 		b.roundAdmitted++
 		return nil
 	}
 	b.admitted--
-	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(m.returnTime(b, g, heard, part))
+	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(m.returnTime(b, g, heard, all))
 }
 
 // share returns the requests that this process may admit in this round: its part of the level and uncontendedExtra,
@@ -154,23 +155,22 @@
 		return b.level + b.roundAdmitted
 	}
 	b.contended = b.level < contendedLevel || b.contended && b.level < recovered*float64(g.Burst())
-	l := b.level + b.roundAdmitted
+	s := (b.level + b.roundAdmitted) * m.weight(b, heard, all)
 	if m.byDemand && heard == all {
-		l += overlapShare * m.tolerance.Requests(g.Rate(), float64(g.Burst()))
+		s += overlapShare * m.tolerance.Requests(g.Rate(), float64(g.Burst())) / float64(heard)
 	}
-	s := l * m.weight(b, heard)
 	if b.contended || heard < all {
 		return max(1, s)
 	}
 	return s + uncontendedExtra
 }
 
-// weight returns the part of the tokens of b that belongs to this one of n processes.
-func (m *Limiter) weight(b *bucket, n int) float64 {
+// weight returns the part of the tokens of b that belongs to this one of the processes that are heard.
+func (m *Limiter) weight(b *bucket, heard, all int) float64 {
 	if m.byDemand {
-		return b.demand.weight(n)
+		return min(1, b.demand.claimOf(all)*float64(all)/float64(heard))
 	}
-	return 1 / float64(n)
+	return 1 / float64(heard)
 }
 
 // returnTime returns the time after which the caller of a refused request finds a token: callers refused by this process
@@ -178,8 +178,8 @@
 //
 // Load pattern: an organisation that asks for several times its rate, all of whose callers return at the time at which the
 // next token comes, and are refused again but for one.
-func (m *Limiter) returnTime(b *bucket, g bulrushlug.Organisation, heard int, part float64) time.Duration {
-	tokens := g.Rate() * part
+func (m *Limiter) returnTime(b *bucket, g bulrushlug.Organisation, heard, all int) time.Duration {
+	tokens := g.Rate() * float64(heard) / float64(all)
 	w := max(0, 1-b.level) / tokens
 	if !m.byDemand {
 		return time.Duration(max(1, 1-b.level) / tokens * float64(time.Second))
@@ -189,7 +189,7 @@
 	if b.nextReturn.After(t) {
 		t = b.nextReturn
 	}
-	gap := time.Duration(float64(time.Second) / (tokens * m.weight(b, heard)))
+	gap := time.Duration(float64(time.Second) / (tokens * m.weight(b, heard, all)))
 	b.nextReturn = t.Add(gap)
 	if l := now.Add(maxReturnTime); b.nextReturn.After(l) {
 		b.nextReturn = l
@@ -208,10 +208,17 @@
 // refill adds the tokens since the last call to b, the bucket of g at one of n processes, or its first ones; part is the
 // share of rate and burst that this process may use. A bucket is filled from the first request or report on, as its level
 // never exceeds the burst.
-func (m *Limiter) refill(b *bucket, g bulrushlug.Organisation, part float64, n int) {
+func (m *Limiter) refill(s *shard, b *bucket, g bulrushlug.Organisation, part float64, n int) {
 	if !b.initialised {
 		b.initialise(m.initialLevel(g, n), m.startFull)
 	}
+	if part < b.part {
+		kept := part
+		if m.byDemand {
+			kept = min(1, b.demand.handOver(s.roundReports, part, n))
+		}
+		b.deductUnheard(g, kept, time.Now())
+	}
 	b.refill(g, part)
 }
 
@@ -226,7 +233,7 @@
 
 // startSpan starts the span whose tokens are divided anew if fewer processes are heard.
 func (b *bucket) startSpan() {
-	b.sharedLevel, b.sharedAt, b.spent, b.lost = b.level, b.refilledAt, 0, 0
+	b.sharedLevel, b.sharedPart, b.sharedAt, b.spent, b.lost = b.level, b.part, b.refilledAt, 0, 0
 }
 
 // spend deducts n admissions.
@@ -238,9 +245,6 @@
 // refill adds the tokens since the last call; part is the share of rate and burst that this process may use.
 func (b *bucket) refill(g bulrushlug.Organisation, part float64) {
 	now := time.Now()
-	if part < b.part {
-		b.deductUnheard(g, part, now)
-	}
 	b.part = part
 	limit := max(1, float64(g.Burst())*part)
 	l := b.level + g.Rate()*part*now.Sub(b.refilledAt).Seconds()
@@ -257,14 +261,21 @@
 }
 
 // deductUnheard adds the tokens since the last refill, as if all were still heard, and deducts what belongs to those that
-// are not: their share of the level when all reported and of the tokens since; part is the share of rate and burst that is
-// left.
-func (b *bucket) deductUnheard(g bulrushlug.Organisation, part float64, now time.Time) {
-	shared := b.sharedLevel * part / b.part
+// are not: their share of the level when all reported and of the tokens since; kept is the share of rate and burst that
+// those that are heard had then.
+//
+// Processes may be missed one after the other, so the share is that of all of them in all that was there.
+func (b *bucket) deductUnheard(g bulrushlug.Organisation, kept float64, now time.Time) {
+	from := b.sharedPart
+	if from == 0 {
+		from = b.part
+	}
+	kept = min(kept, from)
+	shared := b.sharedLevel * kept / from
 	if b.sharedLevel >= 1 {
 		shared = max(1, shared)
 	}
-	left := shared - b.lost*part/b.part + g.Rate()*part*now.Sub(b.sharedAt).Seconds() - b.spent
+	left := shared - b.lost*kept/from + g.Rate()*kept*now.Sub(b.sharedAt).Seconds() - b.spent
 	b.level = min(left, b.level+g.Rate()*b.part*now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
 }
@@ -281,26 +292,31 @@
 		m.applyCount(r, x, g, float64(heard)/float64(all), all)
 	}
 	for i := range m.shards {
-		m.shards[i].advanceRound(r.Member().Name(), heard-1, float64(heard)/float64(all))
+		m.advanceRound(&m.shards[i], r.Member().Name(), heard, all)
 	}
 }
 
-// advanceRound starts a new round once n other processes have reported in this one; part is the share of rate and burst
-// that this process may use. A bucket that has not deducted yet what is not heard any more keeps its span.
-func (s *shard) advanceRound(vm string, n int, part float64) {
+// advanceRound starts a new round of s once all other processes that are heard have reported in this one. A bucket that has
+// not deducted yet what is not heard any more keeps its span and its claim.
+func (m *Limiter) advanceRound(s *shard, vm string, heard, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roundReports[vm] = true
-	if len(s.roundReports) < n {
+	if len(s.roundReports) < heard-1 {
 		return
 	}
-	clear(s.roundReports)
+	part := float64(heard) / float64(all)
 	for _, b := range s.buckets {
 		b.roundAdmitted = 0
-		if b.part <= part {
-			b.startSpan()
+		if b.part > part {
+			continue
+		}
+		b.startSpan()
+		if m.byDemand {
+			b.demand.claimAnew(s.roundReports, part, all)
 		}
 	}
+	clear(s.roundReports)
 }
 
 // applyCount deducts x, which r reports, from the bucket of g; part is the share of rate and burst that this one of n
@@ -314,7 +330,7 @@
 	defer s.mu.Unlock()
 	b := s.bucket(x.Organisation())
 	if g.Rate() > 0 {
-		m.refill(b, g, part, n)
+		m.refill(s, b, g, part, n)
 	}
 	later := m.startFull || r.Boot()+uint64(restartSpan.Milliseconds()) > m.boot
 	if _, ok := b.remoteAdmitted[r.Member().Name()]; !ok && later && !m.startFull {
@@ -323,7 +339,7 @@
 	}
 	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
 	if m.byDemand {
-		b.demand.record(b.refilledAt, r.Member().Name(), r.Boot(), max(x.Asked(), x.Admitted()))
+		b.demand.record(b.refilledAt, r.Member().Name(), r.Boot(), max(x.Asked(), x.Admitted()), x.Share())
 	}
 }
 
@@ -363,22 +379,29 @@
 // AdmissionCounts returns the counts of organisations with recent requests and, of one shard in turn, of all others.
 func (m *Limiter) AdmissionCounts() []bulrushlug.AdmissionCount {
 	now := time.Now()
+	_, all := m.heard()
 	turn := int(now.UnixMilli()/turnInterval.Milliseconds()) % shardCount
 	var l []bulrushlug.AdmissionCount
 	for i := range m.shards {
-		l = append(l, m.shards[i].admissionCounts(now, i == turn)...)
+		l = append(l, m.shards[i].admissionCounts(now, i == turn, m.byDemand, all)...)
 	}
 	return l
 }
 
-// admissionCounts returns the counts of organisations with recent requests; all adds those without any.
-func (s *shard) admissionCounts(now time.Time, all bool) (l []bulrushlug.AdmissionCount) {
+// admissionCounts returns the counts of organisations with recent requests, and of those whose claim at this one of n
+// processes has fallen if byDemand is set; all adds the others.
+func (s *shard) admissionCounts(now time.Time, all, byDemand bool, n int) (l []bulrushlug.AdmissionCount) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for o, b := range s.buckets {
-		if all || now.Sub(b.lastRequestAt) < recentTime {
-			l = append(l, bulrushlug.NewAdmissionCount(o, b.admitted, b.level).WithAsked(b.demand.report()))
+		if !all && now.Sub(b.lastRequestAt) >= recentTime && !(byDemand && b.demand.fell()) {
+			continue
+		}
+		x := bulrushlug.NewAdmissionCount(o, b.admitted, b.level)
+		if byDemand {
+			x = b.demand.report(x, n)
 		}
+		l = append(l, x)
 	}
 	return l
 }
--- a/report.go
+++ b/report.go
@@ -40,6 +40,7 @@
 	level        float64 // Tokens left in the process's own bucket; may be negative.
 	work         uint64  // Tokens of prompts and responses since the start of the process; never decreases.
 	asked        uint64  // Requests since the start of the process, admitted or not; never decreases.
+	share        float64 // Share of rate and burst that the process uses; zero if it does not say.
 }
 
 // NewAdmissionCount returns the admission count of organisation o.
@@ -53,6 +54,12 @@
 	return s
 }
 
+// WithShare returns a copy of s with the share of rate and burst that the process uses.
+func (s AdmissionCount) WithShare(v float64) AdmissionCount {
+	s.share = v
+	return s
+}
+
 // WithWork returns a copy of s with the tokens of prompts and responses since the start of the process.
 func (s AdmissionCount) WithWork(n uint64) AdmissionCount {
 	s.work = n
@@ -65,6 +72,9 @@
 // Asked returns the requests since the start of the process, admitted or not.
 func (s AdmissionCount) Asked() uint64 { return s.asked }
 
+// Share returns the share of rate and burst that the process uses, or zero if it does not say.
+func (s AdmissionCount) Share() float64 { return s.share }
+
 // Organisation returns the organisation.
 func (s AdmissionCount) Organisation() string { return s.organisation }
 
