fix(crowd): ask the next connection if the one furthest behind turned to work

Enter asked only one connection to yield. If its request came whole at that moment, nobody yielded, and at full places the new connection was closed although others were idle. It now asks up to four.

--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -7,6 +7,7 @@
 package crowd
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 const (
 	shardCount = 8
 	reserve    = 8                      // One in so many places is for connections that wait for others to end.
+	mostAsked  = 4                      // Connections that are asked to yield for one new connection.
 	yieldTime  = 250 * time.Millisecond // Time that a connection has to end after it yielded.
 )
 
@@ -126,30 +128,43 @@
 	return true
 }
 
-// yield ends the connection that the process has waited for longest, and reports whether there is one.
+// yield ends the connection that the process has waited for longest, and reports whether there is one. If that turned to work
+// meanwhile, the next one is asked.
 func (c *Crowd) yield() bool {
+	var asked []*seat.Seat
+	for len(asked) < mostAsked {
+		s, of := c.furthest(asked)
+		if s == nil {
+			return false
+		}
+		asked = append(asked, s)
+		if !c.mark(of, s, false) {
+			continue
+		}
+		if s.Yield() {
+			return true
+		}
+		c.mark(of, s, true)
+	}
+	return false
+}
+
+// furthest returns the seat that is furthest behind of those that keep their places, but for the seats l, and its shard; nil if
+// the process waits for none.
+func (c *Crowd) furthest(l []*seat.Seat) (s *seat.Seat, of *shard) {
 	now := time.Now()
-	var s *seat.Seat
-	var of *shard
 	longest := time.Duration(-1)
 	for i := range c.shards {
 		h := &c.shards[i]
 		h.mu.Lock()
 		for x, keeps := range h.seats {
-			if d := x.Behind(now); keeps && d > longest {
+			if d := x.Behind(now); keeps && d > longest && !slices.Contains(l, x) {
 				s, of, longest = x, h, d
 			}
 		}
 		h.mu.Unlock()
 	}
-	if s == nil || !c.mark(of, s, false) {
-		return false
-	}
-	if !s.Yield() {
-		c.mark(of, s, true)
-		return false
-	}
-	return true
+	return s, of
 }
 
 // Open returns the number of open connections.
