fix(drain): endless new connections don't keep a shutdown from ending

A shutdown accepted whatever was queued before it closed the listener, and so waited until its deadline and then cut its requests if connections came faster than they were accepted. It now accepts queued connections for a second. All four cases of TestEndlessConnections failed before (the deadline of 15 s passed).

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -22,6 +22,7 @@
 	shardCount    = 8
 	checkInterval = 20 * time.Millisecond // Time between two looks at the open connections.
 	queueInterval = time.Millisecond      // Time between two looks at the accept queue.
+	queueTimeout  = time.Second           // How long a shutdown accepts connections that are queued; more of them may come without an end.
 	// firstRequestTimeout is how long a new connection may take to send its first request during a shutdown.
 	firstRequestTimeout = time.Second
 )
@@ -105,11 +106,11 @@
 	return err
 }
 
-// closeListener closes the listener once no connection waits to be accepted, and waits until Serve has passed on the
-// last connection that it accepted. If c ends before, it closes the listener at once and returns the error of c.
+// closeListener closes the listener once no connection waits to be accepted, or after queueTimeout, and waits until Serve has
+// passed on the last connection that it accepted. If c ends before, it closes the listener at once and returns the error of c.
 func (s *Server) closeListener(c context.Context) error {
 	var err error
-	for err == nil && hasQueued(s.open.Listener) {
+	for begun := time.Now(); err == nil && hasQueued(s.open.Listener) && time.Since(begun) < queueTimeout; {
 		err = bulrushlug.Sleep(c, queueInterval)
 	}
 	s.closing.Store(true)
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -238,6 +239,75 @@
 	}
 }
 
+// TestEndlessConnections has connections come faster than they are accepted, without an end: the shutdown ends by itself, and the
+// requests that came before it are answered.
+func TestEndlessConnections(t *testing.T) {
+	const pause = 10 * time.Millisecond
+	for name, x := range map[string]struct {
+		sent string // What each connection of the crowd sends.
+		path string // Of the request that came before.
+		want string
+	}{
+		"nothing is sent":        {path: "/x", want: "ok"},
+		"half requests":          {sent: request[:20], path: "/x", want: "ok"},
+		"requests":               {sent: request, path: "/x", want: "ok"},
+		"one request is running": {path: "/slow", want: "slow"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			h := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/slow" {
+					time.Sleep(50 * pause)
+					_, _ = io.WriteString(w, "slow")
+					return
+				}
+				_, _ = io.WriteString(w, "ok")
+			})}
+			s := New(h, &hookListener{TCPListener: l.(*net.TCPListener), acceptDelay: pause, afterRead: func(int) {}})
+			go func() { _ = s.Serve() }()
+			c := dial(t, l.Addr().String())
+			c.send(strings.Replace(request, "/x", x.path, 1))
+			var crowd, request sync.WaitGroup
+			request.Go(func() {
+				if b, _, err := c.response(); b != x.want || err != nil {
+					t.Errorf("response %q, %v, want %q", b, err, x.want)
+				}
+			})
+			ended := make(chan bool)
+			crowd.Go(func() {
+				var open []net.Conn
+				for {
+					select {
+					case <-ended:
+						for _, n := range open {
+							_ = n.Close()
+						}
+						return
+					case <-time.After(pause / 4):
+					}
+					if n, err := net.DialTimeout("tcp", l.Addr().String(), time.Second); err == nil {
+						_, _ = io.WriteString(n, x.sent)
+						open = append(open, n)
+					}
+				}
+			})
+			time.Sleep(20 * pause)
+			d, stop := context.WithTimeout(t.Context(), 15*time.Second)
+			defer stop()
+			if err := s.Shutdown(d); err != nil {
+				t.Errorf("Shutdown returned %v", err)
+			}
+			close(ended)
+			crowd.Wait()
+			request.Wait()
+		})
+	}
+}
+
 // TestShutdownBeforeServe stops a server whose goroutine has not reached Serve yet.
 func TestShutdownBeforeServe(t *testing.T) {
 	for name, x := range map[string]struct {
