feat(inlet): refusals have the identifier of their request

The 503 and 431 that answer a head before it is parsed had no identifier and no body, and a head that was not whole in time got a closed connection, which promises nothing. All three have the identifier now, if it had come, an error in JSON, and Retry-After where the same request may be served later; 408 is new. All 20 cases of TestRefusalResponses failed before. The body that TestRequests wants of a 431 is that error.

--- a/daemon/inlet.go
+++ b/daemon/inlet.go
@@ -10,6 +10,7 @@
 	"bulrushlug.dev/bulrushlug/lines"
 	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/pace"
+	"bulrushlug.dev/bulrushlug/platform"
 )
 
 // Limits of the ports for probes and metrics, which only the platform calls.
@@ -25,7 +26,7 @@
 func (s *Daemon) newInlet(n, m, h int, t time.Duration) *inlet.Inlet {
 	x := s.settings.Load()
 	p := pace.New(t, x.BodyGrace(), x.MinBodyRate(), x.ResponseStall())
-	return inlet.New(crowd.New(n), memory.New(m), h, p, s.recordRefusal)
+	return inlet.New(crowd.New(n), memory.New(m), h, p, platform.IdentifierHeader, s.recordRefusal)
 }
 
 // recordRefusal counts something of a caller that the process refused, and writes a line about some of them.
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	retryAfter   = "0.500"
-	noMemory     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	tooLarge     = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	refusalTime  = 100 * time.Millisecond // For a refusal, for which the kernel has room.
 	minHeadBytes = 4 << 10                // Bytes that a head in several parts gets at first.
 )
@@ -215,7 +212,7 @@
 		}
 		whole := c.scan(p[:n])
 		if whole && !c.admit() {
-			return c.refuse(headRefused, noMemory)
+			return c.refuse(noMemory, p[:n])
 		}
 		if whole || err != nil {
 			return n, err
@@ -231,7 +228,7 @@
 		if len(c.unread) == cap(c.unread) {
 			size := 2 * cap(c.unread)
 			if !c.inlet.heads.Hold(&c.reserved, size) {
-				return c.refuse(headRefused, noMemory)
+				return c.refuse(noMemory, c.unread)
 			}
 			c.unread = append(make([]byte, 0, size), c.unread...)
 		}
@@ -242,11 +239,11 @@
 			return c.passHead(p)
 		}
 		if len(c.unread) > c.inlet.headBytes+slack {
-			return c.refuse(headTooLarge, tooLarge)
+			return c.refuse(tooLarge, c.unread)
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				c.inlet.onRefusal(headSlow)
+				return c.refuse(tooSlow, c.unread)
 			}
 			return 0, err
 		}
@@ -269,18 +266,19 @@
 // passHead passes on the first bytes of a head that was read in several parts.
 func (c *conn) passHead(p []byte) (int, error) {
 	if !c.admit() {
-		return c.refuse(headRefused, noMemory)
+		return c.refuse(noMemory, c.unread)
 	}
 	c.ready = len(c.unread)
 	return c.take(p), nil
 }
 
-// refuse writes the response b to a request whose head was not passed on.
-func (c *conn) refuse(reason, b string) (int, error) {
-	c.inlet.onRefusal(reason)
+// refuse answers with f a request whose head, or the beginning of it, is h and was not passed on.
+func (c *conn) refuse(f refusal, h []byte) (int, error) {
+	c.inlet.onRefusal(f.reason)
+	b, err := f.encode(c.inlet.identifier, head.Value(h, c.inlet.identifier))
 	c.unread, c.ready = nil, 0
-	if c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
-		_, _ = io.WriteString(c.Conn, b)
+	if err == nil && c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
+		_, _ = c.Conn.Write(b)
 	}
 	return 0, errRefused
 }
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -34,17 +34,18 @@
 
 // Inlet is the way of callers into one HTTP server.
 type Inlet struct {
-	crowd     *crowd.Crowd
-	heads     *memory.Budget
-	headBytes int // Limit of a head.
-	pace      pace.Pace
-	onRefusal func(reason string) // Called for each refusal.
+	crowd      *crowd.Crowd
+	heads      *memory.Budget
+	headBytes  int // Limit of a head.
+	pace       pace.Pace
+	identifier string              // Field that a refusal has from its request.
+	onRefusal  func(reason string) // Called for each refusal.
 }
 
 // New returns an inlet for the connections in c, whose heads have at most n bytes and together the memory m. Callers keep the
-// pace p. f is called with the reason of each refusal.
-func New(c *crowd.Crowd, m *memory.Budget, n int, p pace.Pace, f func(reason string)) *Inlet {
-	return &Inlet{crowd: c, heads: m, headBytes: n, pace: p, onRefusal: f}
+// pace p. f is called with the reason of each refusal, whose response has the field called identifier of its request.
+func New(c *crowd.Crowd, m *memory.Budget, n int, p pace.Pace, identifier string, f func(reason string)) *Inlet {
+	return &Inlet{crowd: c, heads: m, headBytes: n, pace: p, identifier: identifier, onRefusal: f}
 }
 
 // Attach has h use the inlet; its listener has to be that of Listener.
@@ -78,9 +79,7 @@
 		}
 		if !i.heads.Hold(&c.reserved, headCost(r.Header)) {
 			i.onRefusal(headRefused)
-			w.Header().Set("Connection", "close")
-			w.Header().Set("Retry-After", retryAfter)
-			w.WriteHeader(http.StatusServiceUnavailable)
+			noMemory.respond(w, i.identifier, r.Header.Get(i.identifier))
 			return
 		}
 		if r.Body == nil || r.Body == http.NoBody {
--- a/inlet/inlet_test.go
+++ b/inlet/inlet_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -37,7 +40,7 @@
 
 func serve(t *testing.T, x limits) *server {
 	s := &server{crowd: crowd.New(x.places), heads: memory.New(x.heads), refused: map[string]int{}}
-	i := New(s.crowd, s.heads, x.headBytes, x.pace, func(reason string) {
+	i := New(s.crowd, s.heads, x.headBytes, x.pace, "X-Id", func(reason string) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.refused[reason]++
@@ -118,7 +121,7 @@
 		"a large head":                {sent: post + "a: " + strings.Repeat("x", 7000) + "\r\n\r\n" + sized(1), want: []string{"200 0", "200 1"}},
 		"many lines":                  {sent: post + strings.Repeat("a:\r\n", 1500) + "\r\n" + sized(1), want: []string{"200 0", "200 1"}},
 		"bare line feeds":             {sent: "POST / HTTP/1.1\nHost: h\n\n" + sized(1), want: []string{"200 0", "200 1"}},
-		"a head that is too large":    {sent: post + strings.Repeat("a:\r\n", 5000) + "\r\n", want: []string{"431 "}},
+		"a head that is too large":    {sent: post + strings.Repeat("a:\r\n", 5000) + "\r\n", want: []string{`431 {"error":"tooLarge"}`}},
 		"no request":                  {sent: "hello\r\n\r\n", want: []string{"400 400 Bad Request"}},
 	} {
 		for _, size := range []int{1, 7, 1000, 4096, 1 << 20} {
@@ -216,6 +219,77 @@
 	}
 }
 
+// TestRefusalResponses has requests whose heads are refused: the response has the identifier of its request, says when to come
+// back if that may help, and closes the connection.
+func TestRefusalResponses(t *testing.T) {
+	const moment = 100 * time.Millisecond
+	little := limits{places: 8, heads: 64 << 10, headBytes: 8 << 10, pace: calm}
+	much := limits{places: 8, heads: 8 << 20, headBytes: 8 << 10, pace: calm}
+	slow := limits{places: 8, heads: 8 << 20, headBytes: 8 << 10, pace: pace.New(moment, time.Minute, 100, time.Minute)}
+	id, many := "X-Id: i1\r\n", strings.Repeat("a:\r\n", 1500)
+	for name, x := range map[string]struct {
+		limits  limits
+		sent    string
+		before  int // Responses to earlier requests on the connection.
+		status  int
+		id      string
+		retries bool
+	}{
+		"no memory":                              {limits: little, sent: post + id + many + "\r\n", status: 503, id: "i1", retries: true},
+		"no memory, the identifier comes last":   {limits: little, sent: post + many + id + "\r\n", status: 503, id: "i1", retries: true},
+		"no memory for a second request":         {limits: little, sent: post + "\r\n" + post + id + strings.Repeat("a:\r\n", 900) + "\r\n", before: 1, status: 503, id: "i1", retries: true},
+		"no identifier":                          {limits: little, sent: post + many + "\r\n", status: 503, retries: true},
+		"an identifier in lower case and spaces": {limits: little, sent: post + "x-id: \t i1 \r\n" + many + "\r\n", status: 503, id: "i1", retries: true},
+		"bare line feeds":                        {limits: little, sent: post + "X-Id:i1\n" + many + "\r\n", status: 503, id: "i1", retries: true},
+		"an identifier with other bytes":         {limits: little, sent: post + "X-Id: i\x7f\r\n" + many + "\r\n", status: 503, retries: true},
+		"too large":                              {limits: much, sent: post + id + strings.Repeat("a:\r\n", 5000), status: 431, id: "i1"},
+		"too slow":                               {limits: slow, sent: post + id + "a: b", status: 408, id: "i1", retries: true},
+		"too slow, half an identifier":           {limits: slow, sent: post + "X-Id: i", status: 408, retries: true},
+	} {
+		for _, size := range []int{100, 1 << 20} {
+			t.Run(fmt.Sprint(name, " in parts of ", size), func(t *testing.T) {
+				t.Parallel()
+				s := serve(t, x.limits)
+				c, err := net.Dial("tcp", s.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+				go func() {
+					for b := range slices.Chunk([]byte(x.sent), size) {
+						if _, err := c.Write(b); err != nil {
+							return
+						}
+					}
+				}()
+				in := bufio.NewReader(c)
+				_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+				for range x.before {
+					w, err := http.ReadResponse(in, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					_, _ = io.Copy(io.Discard, w.Body)
+				}
+				w, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := w.Header.Get("X-Id"); w.StatusCode != x.status || got != x.id || !w.Close {
+					t.Errorf("status %d, identifier %q, closes %v", w.StatusCode, got, w.Close)
+				}
+				if d, err := strconv.ParseFloat(w.Header.Get("Retry-After"), 64); (err == nil && d > 0) != x.retries {
+					t.Errorf("to be sent again after %q", w.Header.Get("Retry-After"))
+				}
+				b, err := io.ReadAll(w.Body)
+				if err != nil || !json.Valid(b) || w.Header.Get("Content-Type") != "application/json" {
+					t.Errorf("body %q of type %q, %v", b, w.Header.Get("Content-Type"), err)
+				}
+			})
+		}
+	}
+}
+
 // TestMemoryComesBack has requests with large heads on kept connections, one after the other, and closes these.
 func TestMemoryComesBack(t *testing.T) {
 	s := serve(t, limits{places: 8, heads: 4 << 20, headBytes: 8 << 10, pace: calm})
