fix(inlet): the bounds of a new manifest hold on a running process

maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were read once, when an entry began to listen, so callers who kept to a new version were refused, or their idle connections closed, until the entry was started again. The inlet now asks for the bounds in force at each head and deadline, and alone decides about the size of a head; net/http has no limit of its own.

An identifier that net/http read together with the end of the request before is not in the refusal: TestRefusalResponses sends that case in one part, where the handler refuses.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -126,25 +127,21 @@
 	return e.drain(f)
 }
 
-// httpServer returns the HTTP server for callers, with the limits of the manifest or the defaults, and its inlet.
+// httpServer returns the HTTP server for callers and its inlet.
 func (e *entry) httpServer() (*http.Server, *inlet.Inlet) {
-	b := e.manifest.Load().Bounds()
-	h, i, w := b.MaxHeaderBytes(), b.IdleTimeout(), b.HeaderTimeout()
-	if h == 0 {
-		h = defaultMaxHeaderBytes
-	}
-	if i == 0 {
-		i = defaultIdleTimeout
-	}
-	if w == 0 {
-		w = defaultHeaderTimeout
-	}
-	k := e.newInlet(e.plan.Connections(), e.plan.HeadBytes(), h, w)
-	x := &http.Server{Handler: e.guard.HTTP(e.handler), ReadHeaderTimeout: w, IdleTimeout: i}
+	k := e.newInlet(e.plan.Connections(), e.plan.HeadBytes(), e.bounds)
+	x := &http.Server{Handler: e.guard.HTTP(e.handler), ReadHeaderTimeout: e.bounds().HeaderTimeout()}
 	k.Attach(x)
 	return x, k
 }
 
+// bounds returns the bounds of the present manifest, with defaults for those that it does not set.
+func (e *entry) bounds() bulrushlug.Bounds {
+	b := e.manifest.Load().Bounds()
+	return bulrushlug.NewBounds(cmp.Or(b.MaxHeaderBytes(), defaultMaxHeaderBytes), b.MaxBodyBytes(),
+		cmp.Or(b.HeaderTimeout(), defaultHeaderTimeout), cmp.Or(b.IdleTimeout(), defaultIdleTimeout))
+}
+
 func (e *entry) logListenerEnd(n string, err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		_ = e.logger.Log("event", "listenerEnded", "listener", n, "err", err)
--- a/daemon/inlet.go
+++ b/daemon/inlet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/crowd"
 	"bulrushlug.dev/bulrushlug/inlet"
 	"bulrushlug.dev/bulrushlug/lines"
@@ -19,14 +20,17 @@
 	probeHeadBytes   = 4 << 10
 	probeMemory      = 1 << 20
 	probeTimeout     = 5 * time.Second // For a response, and for an idle connection.
-	refusalLines     = 1               // Lines a second for each kind of refusal.
+	probeHeadTimeout = time.Second
+	refusalLines     = 1 // Lines a second for each kind of refusal.
 )
 
-// newInlet returns an inlet for n connections, whose heads have at most h bytes, and m together, and take at most t.
-func (s *Daemon) newInlet(n, m, h int, t time.Duration) *inlet.Inlet {
-	x := s.settings.Load()
-	p := pace.New(t, x.BodyGrace(), x.MinBodyRate(), x.ResponseStall())
-	return inlet.New(crowd.New(n), memory.New(m), h, p, platform.IdentifierHeader, s.recordRefusal)
+// newInlet returns an inlet for n connections, whose heads have at most m bytes together, and callers keep the bounds of f.
+func (s *Daemon) newInlet(n, m int, f func() bulrushlug.Bounds) *inlet.Inlet {
+	p := func() pace.Pace {
+		x := s.settings.Load()
+		return pace.New(f().HeaderTimeout(), x.BodyGrace(), x.MinBodyRate(), x.ResponseStall())
+	}
+	return inlet.New(crowd.New(n), memory.New(m), f, p, platform.IdentifierHeader, s.recordRefusal)
 }
 
 // recordRefusal counts something of a caller that the process refused, and writes a line about some of them.
@@ -40,7 +44,7 @@
 
 // probeServer returns a server that serves h to the platform.
 func (s *Daemon) probeServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: time.Second, WriteTimeout: probeTimeout, IdleTimeout: probeTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: probeHeadTimeout, WriteTimeout: probeTimeout}
 }
 
 // listenProbes serves r on address a until r is closed.
@@ -49,7 +53,8 @@
 	if err != nil {
 		return err
 	}
-	i := s.newInlet(probeConnections, probeMemory, probeHeadBytes, r.ReadHeaderTimeout)
+	b := bulrushlug.NewBounds(probeHeadBytes, 0, probeHeadTimeout, probeTimeout)
+	i := s.newInlet(probeConnections, probeMemory, func() bulrushlug.Bounds { return b })
 	i.Attach(r)
 	return r.Serve(i.Listener(l))
 }
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -44,6 +44,7 @@
 	phase      phase
 	yielded    bool
 	closed     bool
+	rests      bool      // The next read deadline of the server is that of an idle connection.
 	paced      bool      // A read deadline of the pace is in force.
 	readUntil  time.Time // Read deadline that the server set.
 	writeUntil time.Time // Write deadline that the server set.
@@ -103,7 +104,7 @@
 	c.ready, c.begun, c.received = 0, time.Time{}, 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = inHead
+	c.phase, c.rests = inHead, true
 	c.seat.Wait(time.Now(), 0)
 }
 
@@ -150,10 +151,20 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// SetReadDeadline sets the deadline of reads.
+// SetReadDeadline sets the deadline of reads. Where it is that of the next head, the bounds in force take its place; the server
+// keeps those with which it began.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	if c.phase == inHead && now.Before(t) {
+		d := c.inlet.bounds().HeaderTimeout()
+		if c.rests {
+			d = c.inlet.bounds().IdleTimeout()
+		}
+		t = now.Add(d)
+	}
+	c.rests = false
 	c.readUntil, c.paced = t, false
 	return c.Conn.SetReadDeadline(t)
 }
@@ -211,8 +222,8 @@
 			return 0, err
 		}
 		whole := c.scan(p[:n])
-		if whole && !c.admit() {
-			return c.refuse(noMemory, p[:n])
+		if f := c.verdict(whole); f != nil {
+			return c.refuse(*f, p[:n])
 		}
 		if whole || err != nil {
 			return n, err
@@ -222,7 +233,7 @@
 		return c.passHead(p)
 	}
 	for {
-		if err := c.pace(inHead, c.inlet.pace.Head(c.begun)); err != nil {
+		if err := c.pace(inHead, c.inlet.pace().Head(c.begun)); err != nil {
 			return 0, err
 		}
 		if len(c.unread) == cap(c.unread) {
@@ -238,8 +249,8 @@
 		if n > 0 && c.scan(c.unread[k:]) {
 			return c.passHead(p)
 		}
-		if len(c.unread) > c.inlet.headBytes+slack {
-			return c.refuse(tooLarge, c.unread)
+		if f := c.verdict(false); f != nil {
+			return c.refuse(*f, c.unread)
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -260,13 +271,22 @@
 	return end >= 0
 }
 
-// admit reserves memory for the head in its parsed form, and reports whether there is enough.
-func (c *conn) admit() bool { return c.inlet.heads.Hold(&c.reserved, c.scanner.Cost()) }
+// verdict returns the refusal of a head that is too large or, once it is whole, for which there is no memory in its parsed form;
+// nil for none.
+func (c *conn) verdict(whole bool) *refusal {
+	switch {
+	case c.scanner.Bytes() > c.inlet.bounds().MaxHeaderBytes()+slack:
+		return &tooLarge
+	case whole && !c.inlet.heads.Hold(&c.reserved, c.scanner.Cost()):
+		return &noMemory
+	}
+	return nil
+}
 
 // passHead passes on the first bytes of a head that was read in several parts.
 func (c *conn) passHead(p []byte) (int, error) {
-	if !c.admit() {
-		return c.refuse(noMemory, c.unread)
+	if f := c.verdict(true); f != nil {
+		return c.refuse(*f, c.unread)
 	}
 	c.ready = len(c.unread)
 	return c.take(p), nil
@@ -285,7 +305,7 @@
 
 // readBody reads a part of the body.
 func (c *conn) readBody(p []byte) (int, error) {
-	if err := c.pace(inBody, c.inlet.pace.Body(c.begun, c.received)); err != nil {
+	if err := c.pace(inBody, c.inlet.pace().Body(c.begun, c.received)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
@@ -330,11 +350,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seat.Write(now)
-	t := c.inlet.pace.Response(now)
+	t := c.inlet.pace().Response(now)
 	if !c.allowed.Before(t) || !c.allowed.IsZero() && c.allowed.Equal(c.writeUntil) {
 		return nil
 	}
-	c.allowed = c.inlet.pace.Response(t)
+	c.allowed = c.inlet.pace().Response(t)
 	if !c.writeUntil.IsZero() && c.writeUntil.Before(c.allowed) {
 		c.allowed = c.writeUntil
 	}
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 
+	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/crowd"
 	"bulrushlug.dev/bulrushlug/head"
 	"bulrushlug.dev/bulrushlug/memory"
@@ -29,28 +31,30 @@
 	responseUnread    = "responseUnread" // The caller took nothing of its response for too long.
 )
 
-// slack is what net/http allows a head beyond its limit.
+// slack is what a head may have beyond its limit, as in net/http.
 const slack = 4 << 10
 
 // Inlet is the way of callers into one HTTP server.
 type Inlet struct {
 	crowd      *crowd.Crowd
 	heads      *memory.Budget
-	headBytes  int // Limit of a head.
-	pace       pace.Pace
-	identifier string              // Field that a refusal has from its request.
-	onRefusal  func(reason string) // Called for each refusal.
+	bounds     func() bulrushlug.Bounds // In force now; none is zero.
+	pace       func() pace.Pace         // In force now.
+	identifier string                   // Field that a refusal has from its request.
+	onRefusal  func(reason string)      // Called for each refusal.
 }
 
-// New returns an inlet for the connections in c, whose heads have at most n bytes and together the memory m. Callers keep the
-// pace p. f is called with the reason of each refusal, whose response has the field called identifier of its request.
-func New(c *crowd.Crowd, m *memory.Budget, n int, p pace.Pace, identifier string, f func(reason string)) *Inlet {
-	return &Inlet{crowd: c, heads: m, headBytes: n, pace: p, identifier: identifier, onRefusal: f}
+// New returns an inlet for the connections in c, whose heads take the memory m together. Callers keep the bounds b, but for those
+// of bodies, and the pace p, as they are at each moment. f is called with the reason of each refusal, whose response has the field
+// called identifier of its request.
+func New(c *crowd.Crowd, m *memory.Budget, b func() bulrushlug.Bounds, p func() pace.Pace, identifier string, f func(reason string)) *Inlet {
+	return &Inlet{crowd: c, heads: m, bounds: b, pace: p, identifier: identifier, onRefusal: f}
 }
 
-// Attach has h use the inlet; its listener has to be that of Listener.
+// Attach has h use the inlet, which sets its bounds; its listener has to be that of Listener.
 func (i *Inlet) Attach(h *http.Server) {
-	h.MaxHeaderBytes = i.headBytes
+	h.MaxHeaderBytes = math.MaxInt32 // The inlet counts.
+	h.ReadHeaderTimeout, h.IdleTimeout = i.bounds().HeaderTimeout(), i.bounds().IdleTimeout()
 	h.Handler = i.handler(h.Handler)
 	h.ConnContext = func(c context.Context, n net.Conn) context.Context { return context.WithValue(c, connKey{}, n) }
 	h.ConnState = func(n net.Conn, s http.ConnState) {
