feat(lots): a process accepts lots only while it has room for them

Lots and their results stay in memory until they are deleted, and each has an open file. A new lot now needs room for its memory and its file on each of its disks, in the plan of the process; otherwise it is refused with 503 at once. Lots that were accepted, their results and moves are taken in any case.

--- a/budget/plan.go
+++ b/budget/plan.go
@@ -14,6 +14,7 @@
 	headPercent       = 15
 	bodyPercent       = 15
 	responsePercent   = 15
+	lotPercent        = 35 // In a process that holds lots and has no callers.
 	kernelPercent     = 10 // What arrived and was not read. The rest, 15, is for garbage.
 
 	ownDescriptors = 200 // Files, listeners, the key-value service and other processes.
@@ -53,5 +54,12 @@
 // ResponseBytes returns the memory for the responses of all backend servers.
 func (p Plan) ResponseBytes() int { return min(p.percent(responsePercent), mostMessages) }
 
+// LotBytes returns the memory for lots and their results in a process with a disk, which has neither connections, heads nor bodies
+// of callers. The rest of their parts is for what other processes send at the moment.
+func (p Plan) LotBytes() int { return p.percent(lotPercent) }
+
+// Lots returns the largest number of lots in a process with a disk. Each has an open file; as many descriptors are for connections.
+func (p Plan) Lots() int { return max(minConnections, (p.descriptors-ownDescriptors)/2) }
+
 // HeapLimit returns the size that the garbage collector keeps the heap and the stacks below.
 func (p Plan) HeapLimit() int { return p.memory - nativeBytes - p.percent(kernelPercent) }
--- a/daemon/crowd_test.go
+++ b/daemon/crowd_test.go
@@ -186,7 +186,7 @@
 			if size > 0 {
 				x.size = size
 			}
-			s := newFloodSystem(t, binary, floods["large events"], limits.settings())
+			s := newFloodSystem(t, binary, floods["large events"], limits.settings(), "")
 			idle := s.peak("e0")
 			var most atomic.Int64
 			c, stop := context.WithCancel(t.Context())
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -28,6 +28,7 @@
 	d := &data{Daemon: s}
 	d.replicas = lots.New(s.lotLog, s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger,
 		lots.WithReplicationFactor(s.settings.Load().ReplicationFactor()), lots.WithRetention(s.settings.Load().Retention()), lots.WithRetiring(s.isRetiring), lots.WithStoreDown(s.storeLost),
+		lots.WithRoom(s.plan.LotBytes(), s.plan.Lots()),
 		lots.WithWorkCallback(func() { d.runner.Wake() }),
 		lots.WithProgress(func(i string, n uint32, text, after uint64) bulrushlug.LotProgress {
 			return d.runner.Progress(i, n, text, after)
@@ -39,6 +40,8 @@
 	s.counters.Set("itemsWaiting", expvar.Func(func() any { return d.runner.Waiting() }))
 	s.counters.Set("itemsWaitingLongest", expvar.Func(func() any { return d.runner.LongestWaits() }))
 	s.counters.Set("itemStartsHeld", expvar.Func(func() any { return s.slotTable.StartsHeld() }))
+	s.counters.Set("lotBytesHeld", expvar.Func(func() any { return d.replicas.HeldBytes() }))
+	s.counters.Set("lotsRefused", expvar.Func(func() any { return d.replicas.Refused() }))
 	s.counters.Set("lotsUnserved", expvar.Func(func() any { return d.replicas.Unserved() }))
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -28,12 +28,11 @@
 )
 
 const (
-	readinessGrace        = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
-	shutdownMargin        = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
-	answerMargin          = 300 * time.Millisecond  // Time before that at which open requests are answered.
-	defaultMaxHeaderBytes = 16 << 10                // Used if the manifest sets no limit.
-	defaultIdleTimeout    = 15 * time.Second
-	defaultHeaderTimeout  = 3 * time.Second
+	readinessGrace       = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
+	shutdownMargin       = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
+	answerMargin         = 300 * time.Millisecond  // Time before that at which open requests are answered.
+	defaultIdleTimeout   = 15 * time.Second
+	defaultHeaderTimeout = 3 * time.Second
 )
 
 // entry is the role of a process that serves callers.
@@ -138,7 +137,7 @@
 // bounds returns the bounds of the present manifest, with defaults for those that it does not set.
 func (e *entry) bounds() bulrushlug.Bounds {
 	b := e.manifest.Load().Bounds()
-	return bulrushlug.NewBounds(cmp.Or(b.MaxHeaderBytes(), defaultMaxHeaderBytes), b.MaxBodyBytes(),
+	return bulrushlug.NewBounds(cmp.Or(b.MaxHeaderBytes(), bulrushlug.DefaultMaxHeaderBytes), b.MaxBodyBytes(),
 		cmp.Or(b.HeaderTimeout(), defaultHeaderTimeout), cmp.Or(b.IdleTimeout(), defaultIdleTimeout))
 }
 
--- a/daemon/flood_test.go
+++ b/daemon/flood_test.go
@@ -124,7 +124,7 @@
 }
 
 // newFloodSystem starts a system whose entry has the settings more besides its own; each of them begins with a comma.
-func newFloodSystem(t *testing.T, binary string, f flood, more string) *floodSystem {
+func newFloodSystem(t *testing.T, binary string, f flood, more, moreData string) *floodSystem {
 	s := &floodSystem{t: t, processes: map[string]*childProcess{}, front: freeAddress(), ready: freeAddress()}
 	m := memtxn.New()
 	store := serveHTTP(t, "127.0.0.1:0", &kvServer{store: m})
@@ -152,7 +152,7 @@
 		if vm == "e0" {
 			b += fmt.Sprintf(`,"role":"entry","http":%q,"ready":%q%s`, s.front, s.ready, more)
 		} else {
-			b += fmt.Sprintf(`,"role":"data","dataFolder":%q`, filepath.Join(folder, vm))
+			b += fmt.Sprintf(`,"role":"data","dataFolder":%q%s`, filepath.Join(folder, vm), moreData)
 		}
 		if err := os.WriteFile(p.settings, []byte("{"+b+"}"), 0o600); err != nil {
 			t.Fatal(err)
@@ -301,7 +301,7 @@
 	binary := buildProgram(t)
 	for name, f := range floods {
 		t.Run(name, func(t *testing.T) {
-			s := newFloodSystem(t, binary, f, "")
+			s := newFloodSystem(t, binary, f, "", "")
 			c, stop := context.WithCancel(t.Context())
 			defer stop()
 			vm := "e0"
--- a/locate/router.go
+++ b/locate/router.go
@@ -29,6 +29,7 @@
 	// noDiskRetryAfter is the retry delay named to the caller if no process with a disk is known to be alive: another
 	// entry may know one, and killed processes have restarted by then.
 	noDiskRetryAfter   = time.Second
+	noRoomRetryAfter   = time.Second            // Retry delay named if no process that was asked has room for the lot.
 	maxCachedPrimaries = 20000                  // Lots per shard whose primary is cached; a full cache is cleared.
 	retryAfter         = 400 * time.Millisecond // Retry delay named to the caller of other refused calls.
 )
@@ -136,6 +137,9 @@
 				return err
 			}
 		}
+		if !s.uncertain && bulrushlug.KindOf(err) == bulrushlug.KindOverloaded { // There will be no room for some time.
+			return l.refusal(c, x.ID(), err, noRoomRetryAfter)
+		}
 		if e := bulrushlug.Sleep(c, roundDelay); e == nil {
 			continue
 		}
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -21,6 +21,7 @@
 	entries         []bulrushlug.LotEntry // Synced on this disk; the first is the head entry.
 	former          []formerLog           // Logs of earlier epochs, until a later one is confirmed.
 	committed       int                   // Commit index: entries that all replicas have. Rises within one epoch, never above len(entries); zero while unknown.
+	size            int                   // Memory of entries and former, about.
 	pending         []bulrushlug.LotEntry // Entries not synced on this disk yet.
 	results         []int                 // Positions of the results in entries.
 	done            map[uint32]bool       // Items with a result, synced or pending.
@@ -116,6 +117,7 @@
 	if l.sameEpoch(u) && !l.stale {
 		if n := len(l.entries) - u.Offset(); n < len(u.Entries()) {
 			l.entries = append(l.entries, u.Entries()[n:]...)
+			l.size += memorySize(u.Entries()[n:])
 			l.promiseDeadline = time.Now().Add(promiseTimeout + rand.N(promiseTimeout/2))
 		}
 	} else {
@@ -123,6 +125,7 @@
 			l.former = append(l.former, formerLog{l.epoch, l.replicas, l.entries})
 		}
 		l.entries = append(l.entries[:u.Offset():u.Offset()], u.Entries()...)
+		l.resize()
 		l.verifiedAt = time.Time{}
 		l.committed = 0
 		clear(l.acked)
@@ -141,8 +144,9 @@
 	}
 	l.observeReceipt(u.ReceivedAt())
 	l.epoch, l.replicas, l.confirmed = u.Epoch(), u.Replicas(), u.Confirmed() || l.confirmed && l.sameEpoch(u)
-	if u.Confirmed() {
+	if u.Confirmed() && l.former != nil {
 		l.former = nil
+		l.resize()
 	}
 	l.rebuildIndex()
 	l.notify()
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -80,6 +80,10 @@
 	onWork     func()       // Called when items may have to be started or stopped.
 	started    time.Time
 	shards     [shardCount]shard
+	roomBytes  int64         // Memory of all lots beyond which no new one is accepted; zero for no bound.
+	roomLots   int           // Lots beyond which no new one is accepted; zero for no bound.
+	held       atomic.Int64  // Memory of all lots, and of those that are being accepted.
+	refused    atomic.Int64  // Lots for which there was no room.
 	transfers  chan struct{} // Holds a token for each transfer of a log in parts.
 	mu         sync.Mutex
 	promoted   map[string]time.Time // When this disk became the primary of a lot; entries expire after promotionReportTime.
@@ -171,7 +175,7 @@
 func (k *ReplicaManager) Load() error {
 	return k.log.Load(func(u bulrushlug.LotUpdate) {
 		l := k.getLot(u.Lot(), true)
-		k.withLot(u.Lot(), func(*lot) { l.apply(u) })
+		k.withLot(u.Lot(), func(*lot) { k.applyUpdate(l, u) })
 	})
 }
 
@@ -218,7 +222,7 @@
 		return s, err
 	}
 	k.withLot(u.Lot(), func(*lot) {
-		l.apply(u)
+		k.applyUpdate(l, u)
 		s = bulrushlug.NewLotReplicaState(true, l.epoch, len(l.entries))
 	})
 	return s, nil
@@ -237,6 +241,13 @@
 	if k.retiring(k.peers.Self().Name()) && k.getLot(u.Lot(), false) == nil {
 		return bulrushlug.LotReplicaState{}, nil
 	}
+	if u.Epoch() == firstEpoch && u.Offset() == 0 && !u.Confirmed() && k.getLot(u.Lot(), false) == nil {
+		release, err := k.claim(u.Lot(), u.Entries())
+		if err != nil {
+			return bulrushlug.LotReplicaState{}, err
+		}
+		defer release()
+	}
 	contiguous := true
 	s, err := k.persist(u, func(l *lot) bool {
 		if !follows(l, u) {
@@ -355,6 +366,7 @@
 	}
 	s.mu.Lock()
 	delete(s.lots, i)
+	k.held.Add(-int64(l.size))
 	s.mu.Unlock()
 	_ = k.logger.Log("event", "lotDropped", "lot", i, "reason", reason, "epoch", l.epoch)
 	k.onWork()
@@ -385,4 +397,12 @@
 }
 
 // LotCount returns the number of lots on this disk.
-func (k *ReplicaManager) LotCount() int { return len(k.lotIDs()) }
+func (k *ReplicaManager) LotCount() (n int) {
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		n += len(s.lots)
+		s.mu.Unlock()
+	}
+	return n
+}
--- a/lots/submit.go
+++ b/lots/submit.go
@@ -29,6 +29,11 @@
 		return bulrushlug.Errorf(bulrushlug.KindUnplaceable, "lot %s: %d of %d disks available", x.ID(), len(r), k.replicationFactor)
 	}
 	u := bulrushlug.NewLotUpdate(x.ID(), firstEpoch, r, 0, []bulrushlug.LotEntry{bulrushlug.NewLotHeadEntry(x)}, false)
+	release, err := k.claim(x.ID(), u.Entries())
+	if err != nil {
+		return err
+	}
+	defer release()
 	if err := k.replicate(c, u); err != nil {
 		k.withdraw(c, x.ID(), r)
 		if hasKind(err, bulrushlug.KindConflict) {
--- a/manifest.go
+++ b/manifest.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// DefaultMaxHeaderBytes is the maximum size of a request header in bytes if the manifest sets none.
+const DefaultMaxHeaderBytes = 16 << 10
+
 // Bounds are the size limits and timeouts for callers' HTTP requests; values are immutable.
 type Bounds struct {
 	maxHeaderBytes int           // Maximum size of a request header in bytes; zero for the default.
