fix(proxy): a stream whose caller left is not one that its server broke

Cause: when a caller closes its connection in the middle of a stream, the read from the server is cut by a deadline, and its error counted as a broken response: outcome `broken`, a line `answerBroken` naming the server, and a line `callFailed` where nothing had come yet. Work itself was ended in time before, at every point that the new test plays. Not ended before the first event: work for a caller that had sent its next request too.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -121,6 +121,10 @@
 	m["region"], m["store"] = "r", s.storeAddress
 	b := "{"
 	for k, v := range m {
+		if v == "true" {
+			b += fmt.Sprintf("%q: true,", k)
+			continue
+		}
 		b += fmt.Sprintf("%q: %q,", k, v)
 	}
 	c, err := setup.Parse("test", []byte(b+`"toleratedDisks": 1, "firstStart": true, "graceSeconds": 4}`))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -57,6 +57,7 @@
 	if s.settings.Load().SuspectSilence() {
 		d.WithMonitor(hush.New())
 	}
+	s.counters.Set("callersLeft", expvar.Func(func() any { return d.CallersLeft() }))
 	a, m := authn.New(s), new(expvar.Map).Init()
 	s.counters.Set("refused", m)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), refuse.New(m), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -128,11 +129,13 @@
 	tenants       map[string]string // Organisation header of each request.
 	keyCount      int               // Number of requests that carried an API key.
 	received      int               // Number of requests to this instance, refused ones included.
+	running       int               // Requests in progress.
 	eventCount    int
 	eventInterval time.Duration
 	leaving       bool // All answers say that the server is leaving.
 	refusals      int  // Number of requests to refuse as not run.
 	breaks        int  // Number of streams to break off after their first event.
+	stalls        int  // Number of requests that get no answer.
 }
 
 // set changes the server under its lock.
@@ -175,12 +178,23 @@
 	if broken {
 		b.breaks--
 	}
+	stalled := b.stalls > 0
+	if stalled {
+		b.stalls--
+	}
+	b.running++
+	defer b.set(func(b *fakeBackend) { b.running-- })
 	b.ran[id]++
 	b.tenants[id] = r.Header.Get("X-Tenant")
 	if r.Header.Get("X-Api-Key") != "" {
 		b.keyCount++
 	}
 	b.mu.Unlock()
+	if stalled {
+		_, _ = io.Copy(io.Discard, r.Body) // Only then net/http notices that the connection was closed.
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("X-Server-Stamp", b.id+"-stamp")
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -44,8 +45,13 @@
 	shares   bulrushlug.Shares // Not nil with queue.
 	queue    bulrushlug.Queue  // Holds requests back that find no place; nil if they are rejected.
 	monitor  *hush.Monitor     // Hears the events of all streams; nil if each stream is judged by itself.
+
+	callersLeft atomic.Uint64 // Requests at servers that ended because their callers had left.
 }
 
+// CallersLeft returns the requests at backend servers that were ended because their callers had left.
+func (g *Stage) CallersLeft() uint64 { return g.callersLeft.Load() }
+
 // WithMonitor makes streams go on elsewhere as soon as m finds their server silent; it is called before g is used.
 func (g *Stage) WithMonitor(m *hush.Monitor) *Stage {
 	g.monitor = m
@@ -195,8 +201,11 @@
 	if errors.Is(err, bulrushlug.ErrOversized) {
 		l.RecordFailure()
 	}
+	if a.callerLeft(c) {
+		return false, a.endWork(l.Backend(), n, err)
+	}
 	a.recordBroken(l.Backend(), n, err)
-	if c.Err() != nil || a.sink.callerGone {
+	if c.Err() != nil {
 		return false, err
 	}
 	a.skip[l.Backend().ID()] = true
@@ -232,6 +241,10 @@
 func (a *exchange) classify(c context.Context, l *slots.Reservation, err error) (bool, error) {
 	k := bulrushlug.KindOf(err)
 	a.skip[l.Backend().ID()] = true
+	if k == bulrushlug.KindCancelled && a.callerLeft(c) {
+		a.possibleRuns++
+		return false, a.endWork(l.Backend(), 0, err)
+	}
 	a.record("callFailed", l.Backend(), err)
 	switch k {
 	case bulrushlug.KindUnplaceable:
@@ -254,6 +267,18 @@
 	return a.mayRetry(), err
 }
 
+// callerLeft reports whether the caller takes no more of the response. The process itself ends requests with a cause.
+func (a *exchange) callerLeft(c context.Context) bool {
+	return a.sink.callerGone || context.Cause(c) == context.Canceled
+}
+
+// endWork records that the work of b for a caller that has left ended with err after n events, which says nothing of b.
+func (a *exchange) endWork(b bulrushlug.Backend, n int, err error) error {
+	a.callersLeft.Add(1)
+	a.recorder.Record(bulrushlug.NewEvent("callerLeft", bulrushlug.ForRequest(a.request), bulrushlug.WithDetail(fmt.Sprintf("%s after %d events", b.ID(), n))))
+	return bulrushlug.WrapError(bulrushlug.KindCancelled, "caller left", err)
+}
+
 // mayRetry reports whether the request is idempotent and has attempts left.
 func (a *exchange) mayRetry() bool {
 	n := a.request.TargetRoute().Attempts()
--- a/rpccli/rpccli_test.go
+++ b/rpccli/rpccli_test.go
@@ -139,3 +139,49 @@
 		})
 	}
 }
+
+// TestCallersLeave has the caller of a request leave while another process works for it: the work ends there.
+func TestCallersLeave(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	for name, x := range map[string]struct{ parts int }{
+		"before the response":       {},
+		"in the middle of response": {parts: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, ended := make(chan struct{}), make(chan time.Time, 1)
+			a := listen(t, bulrushlug.StageFunc(func(c context.Context, _ *bulrushlug.Request, s bulrushlug.Sink) error {
+				for range x.parts {
+					if err := s.Write(make([]byte, 100)); err != nil {
+						return err
+					}
+				}
+				close(begun)
+				<-c.Done()
+				ended <- time.Now()
+				return c.Err()
+			}), nil)
+			k := rpccli.New(clock.New(), nil)
+			defer func() { _ = k.Close() }()
+			c, stop := context.WithCancel(t.Context())
+			defer stop()
+			done := make(chan error, 1)
+			go func() {
+				done <- k.Dispatch(c, bulrushlug.NewCandidate("vm", a), bulrushlug.NewRequest("r", bulrushlug.WithCall("POST", "/", "", nil)), discard{})
+			}()
+			<-begun
+			left := time.Now()
+			stop()
+			if err := <-done; bulrushlug.KindOf(err) != bulrushlug.KindCancelled {
+				t.Errorf("the call ended with %v", err)
+			}
+			select {
+			case n := <-ended:
+				if d := n.Sub(left); d > bound {
+					t.Errorf("the work ended %v after the caller had left", d)
+				}
+			case <-time.After(10 * time.Second):
+				t.Error("the work goes on")
+			}
+		})
+	}
+}
