feat(health): servers are asked whether they have turned cold

A server that turns cold without a restart says so in its registration up to a heartbeat later. Until then all processes sent to it without a bound, and nobody asked for its health. Now one process asks each server that may turn cold, twice a second where the settings and the manifest call for it (`healthChecksPerSecond`, a cold rate and a health path): the first by rank of the live processes of its zone. Every response with the header is news for the gate, and the others hear of it at once in a report, which has one more field of 64 servers at most.

A health check has no identifier, as that would make it a request, so its connection is one of its own; its response is known by the identifier of the server. Nothing but the cold time is taken from it, as health checks may be wrong either way.

The row "cold again without a restart" goes on without health checks.

--- a/codec/report.go
+++ b/codec/report.go
@@ -42,6 +42,9 @@
 	}
 	w.Lots, w.Forward, w.Relayed = r.Lots(), r.ForwardTo(), r.Relayed()
 	w.Unreachable = r.Unreachable()
+	for _, x := range r.Cold() {
+		w.ColdServers = append(w.ColdServers, &wire.ColdServer{Id: x.ID(), LeftMs: milliseconds(x.Left())})
+	}
 	return w
 }
 
@@ -68,9 +71,13 @@
 	for _, x := range w.LeavingServers {
 		l = append(l, bulrushlug.NewBackend(x.Id, x.Service, x.Address, bulrushlug.BackendStart(x.StartMs, 0)))
 	}
+	var k []bulrushlug.ColdServer
+	for _, x := range w.ColdServers {
+		k = append(k, bulrushlug.NewColdServer(x.Id, time.Duration(x.LeftMs)*time.Millisecond))
+	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeenRevisions(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
 		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed), bulrushlug.ReportSuspects(p),
-		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l), bulrushlug.ReportUnreachable(w.Unreachable), bulrushlug.ReportItemsWait(w.ItemsWait))
+		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l), bulrushlug.ReportUnreachable(w.Unreachable), bulrushlug.ReportCold(k), bulrushlug.ReportItemsWait(w.ItemsWait))
 }
 
 func encodeUsage(u bulrushlug.Usage) *wire.Usage {
--- a/codec/report_test.go
+++ b/codec/report_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"reflect"
 	"slices"
 	"testing"
@@ -43,6 +44,22 @@
 	}
 }
 
+// TestReportCold encodes and decodes the servers that said that they are cold.
+func TestReportCold(t *testing.T) {
+	for name, x := range map[string]struct{ list, want []bulrushlug.ColdServer }{
+		"none":     {},
+		"two":      {list: []bulrushlug.ColdServer{bulrushlug.NewColdServer("a", 2500*time.Millisecond), bulrushlug.NewColdServer("b", 0)}, want: []bulrushlug.ColdServer{bulrushlug.NewColdServer("a", 2500*time.Millisecond), bulrushlug.NewColdServer("b", 0)}},
+		"too long": {list: []bulrushlug.ColdServer{bulrushlug.NewColdServer("a", 1<<62)}, want: []bulrushlug.ColdServer{bulrushlug.NewColdServer("a", math.MaxUint32*time.Millisecond)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := bulrushlug.NewReport(bulrushlug.NewMember("v", "h:1", "", "z", "entry"), 1, 2, bulrushlug.ReportCold(x.list))
+			if got := DecodeReport(EncodeReport(r)).Cold(); !slices.Equal(got, x.want) {
+				t.Errorf("decoded %v", got)
+			}
+		})
+	}
+}
+
 // TestReportServerEnds encodes and decodes the servers that ended.
 func TestReportServerEnds(t *testing.T) {
 	for name, l := range map[string][]bulrushlug.ServerEnd{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,7 +69,7 @@
 	guard          *guard.Guard
 	detector       *poison.Detector
 	memory         *memory.Budget                      // For what responses of backend servers hold.
-	announcing     atomic.Bool                         // A report about a crash is about to be sent.
+	announcing     atomic.Bool                         // A report about a crash or a cold server is about to be sent.
 	manifest       atomic.Pointer[bulrushlug.Manifest] // Nil before the first one; its version never decreases.
 	retiring       atomic.Pointer[map[string]bool]     // VMs that operators are retiring; nil before the first read.
 	manifestReady  chan struct{}                       // Closed when the first manifest arrives.
@@ -79,6 +79,7 @@
 	backendMirror  *mirror.Mirror // Replica of the registrations of the backend servers.
 	roleHandler    roleHandler
 
+	healthCounts     *expvar.Map // Health checks of backend servers.
 	evacuationCounts *expvar.Map
 	evacuationMu     sync.Mutex
 	evacuations      map[string]slots.Evacuation // Effect of evacuated zones by service, as last logged; guarded by evacuationMu.
@@ -113,10 +114,12 @@
 	x.counters.Set("callersRefused", x.refusals)
 	x.recorder = newRecorder(x.logger)
 	x.guard = guard.New(x.logger)
-	x.detector = poison.New(p.Refuses, x.announceCrash, x.logger, x.counters)
+	x.detector = poison.New(p.Refuses, x.announce, x.logger, x.counters)
 	x.memory = memory.New(x.plan.ResponseBytes())
 	x.leavingCounts = new(expvar.Map).Init()
 	x.counters.Set("serversLeaving", x.leavingCounts)
+	x.healthCounts = new(expvar.Map).Init()
+	x.counters.Set("healthChecks", x.healthCounts)
 	x.evacuationCounts = new(expvar.Map).Init()
 	x.counters.Set("evacuations", x.evacuationCounts)
 	x.gate = warm.New(s.Member().Name(), s.Member().Role() != bulrushlug.RoleEntry, s.Warmup(), func() ([]string, uint64) { return x.membership.SameRole() })
@@ -270,12 +273,13 @@
 		bulrushlug.ReportSuspects(s.detector.Suspects()),
 		bulrushlug.ReportLeaving(s.slotTable.Leaving()),
 		bulrushlug.ReportUnreachable(s.gate.Suspects()),
+		bulrushlug.ReportCold(s.gate.Told()),
 	}
 	return append(o, s.roleHandler.reportOptions()...)
 }
 
-// announceCrash tells the other processes of a server that ended; crashes within announceDelay share one report.
-func (s *Daemon) announceCrash() {
+// announce tells the other processes of a server that ended or turned cold; those within announceDelay share one report.
+func (s *Daemon) announce() {
 	if s.announcing.Swap(true) {
 		return
 	}
@@ -302,6 +306,7 @@
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(r)
 	s.gate.SuspectReported(r.Member().Name(), r.Unreachable())
+	s.gate.ColdReported(r.Cold())
 	s.roleHandler.handleReport(r)
 }
 
@@ -333,6 +338,7 @@
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(*r)
 	s.gate.SuspectReported(r.Member().Name(), r.Unreachable())
+	s.gate.ColdReported(r.Cold())
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
@@ -364,6 +370,7 @@
 	run(s.backendMirror.Run)
 	run(s.fetchSnapshots)
 	run(s.watchIsolation)
+	run(s.checkHealth)
 	s.serveMetrics(bg)
 	both, end := context.WithCancel(c)
 	defer end()
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -133,6 +133,19 @@
 	leaving       bool // All answers say that the server is leaving.
 	refusals      int  // Number of requests to refuse as not run.
 	breaks        int  // Number of streams to break off after their first event.
+	coldUntil     time.Time
+	checks        int // Health checks received.
+}
+
+// serveHealth answers a health check.
+func (b *fakeBackend) serveHealth(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.checks++
+	w.Header().Set("X-Instance-Id", b.id)
+	if d := time.Until(b.coldUntil); d > 0 {
+		w.Header().Set("X-Cold-Ms", strconv.FormatInt(d.Milliseconds(), 10))
+	}
 }
 
 // set changes the server under its lock.
@@ -153,6 +166,10 @@
 func sayLeaving(w http.ResponseWriter) { w.Header().Set("Server-Leaving", "1") }
 
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		b.serveHealth(w)
+		return
+	}
 	id := r.Header.Get("X-Attempt-Id")
 	if x := r.Header.Get("X-Expect-Instance"); x != "" && x != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/items/silent_test.go
+++ b/items/silent_test.go
@@ -20,6 +20,8 @@
 
 func (noObserver) ObserveDeparture(bulrushlug.Departure) {}
 
+func (noObserver) ObserveCold(bulrushlug.Backend, time.Duration) {}
+
 // writeAll writes parts, which are repeated without end if there is a pause or endless is set, until the connection is closed.
 func writeAll(w io.Writer, pause time.Duration, endless bool, head string, parts ...string) {
 	if _, err := io.WriteString(w, head); err != nil {
--- a/report.go
+++ b/report.go
@@ -91,9 +91,10 @@
 	relayed          bool      // The report was relayed by another process.
 	suspects         []Suspect // Parts of prompts on which servers may have ended.
 	serverEnds       []ServerEnd
-	itemsWait        bool      // Items of lots wait for a slot at the process.
-	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
-	unreachable      []string  // Identifiers of the backend servers to which the process lately could make no connection.
+	itemsWait        bool         // Items of lots wait for a slot at the process.
+	leaving          []Backend    // Backend servers that told the process that they are leaving; identity only.
+	unreachable      []string     // Identifiers of the backend servers to which the process lately could make no connection.
+	cold             []ColdServer // Backend servers that lately told the process that they are cold.
 }
 
 // ReportOption sets fields of a Report.
@@ -138,6 +139,9 @@
 // ReportUnreachable sets the identifiers of the backend servers to which the process lately could make no connection.
 func ReportUnreachable(l []string) ReportOption { return func(r *Report) { r.unreachable = l } }
 
+// ReportCold sets the backend servers that lately told the process that they are cold.
+func ReportCold(l []ColdServer) ReportOption { return func(r *Report) { r.cold = l } }
+
 // ReportItemsWait sets whether items of lots wait for a slot at the process.
 func ReportItemsWait(v bool) ReportOption { return func(r *Report) { r.itemsWait = v } }
 
@@ -205,6 +209,9 @@
 // Unreachable returns the identifiers of the backend servers to which the process lately could make no connection.
 func (r Report) Unreachable() []string { return r.unreachable }
 
+// Cold returns the backend servers that lately told the process that they are cold.
+func (r Report) Cold() []ColdServer { return r.cold }
+
 // Suspects returns the parts of prompts on which servers may have ended.
 func (r Report) Suspects() []Suspect { return r.suspects }
 
--- a/service.go
+++ b/service.go
@@ -7,6 +7,7 @@
 	name     string
 	coldRate float64       // Requests per second that a cold server bears; zero if its servers need no warm-up.
 	coldTime time.Duration // Time for which a server is cold after its start.
+	health   string        // Path of the health check of its servers; empty if they have none.
 }
 
 // NewService returns service n, whose servers bear rate requests per second for d after their start; a zero rate means
@@ -15,6 +16,15 @@
 	return Service{name: n, coldRate: rate, coldTime: d}
 }
 
+// WithHealthPath returns a copy of s whose servers answer health checks at path p.
+func (s Service) WithHealthPath(p string) Service {
+	s.health = p
+	return s
+}
+
+// HealthPath returns the path of the health check of its servers; empty if they have none.
+func (s Service) HealthPath() string { return s.health }
+
 // Name returns the name of the service.
 func (s Service) Name() string { return s.name }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -28,6 +28,7 @@
 
 const (
 	maxToleratedDisks = 4 // Maximum number of disks that may be lost at the same time.
+	maxHealthChecks   = 10
 	defaultGrace      = 8 * time.Second
 	defaultRetention  = 2 * time.Minute
 
@@ -126,6 +127,9 @@
 	if n := s.w.MaxDescriptors; n != 0 && n < minDescriptors {
 		invalid("maxDescriptors", "is %d, must be 0 or at least %d", n, minDescriptors)
 	}
+	if n := s.w.HealthChecksPerSecond; n > maxHealthChecks {
+		invalid("healthChecksPerSecond", "is %d, not from 0 to %d", n, maxHealthChecks)
+	}
 	return errors.Join(l...)
 }
 
@@ -218,6 +222,15 @@
 	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
 }
 
+// HealthCheckInterval returns the time between two health checks of a backend server that may turn cold; zero if there are
+// none.
+func (s *Settings) HealthCheckInterval() time.Duration {
+	if s.w.HealthChecksPerSecond == 0 {
+		return 0
+	}
+	return time.Second / time.Duration(s.w.HealthChecksPerSecond)
+}
+
 // SharedAdmission reports whether short room is divided among organisations by weight.
 func (s *Settings) SharedAdmission() bool { return s.w.SharedAdmission }
 
--- a/setup/settings_test.go
+++ b/setup/settings_test.go
@@ -39,6 +39,8 @@
 		"an unknown placement":     {old: `"firstStart"`, new: `"placement": "best", "firstStart"`, want: `placement: is "best", must be "leastLoaded" or "even"`},
 		"too little memory":        {old: `"firstStart": true`, new: `"memoryMegabytes": 32`, want: "memoryMegabytes: is 32, must be 0 or at least 48"},
 		"too few descriptors":      {old: `"firstStart": true`, new: `"maxDescriptors": 100`, want: "maxDescriptors: is 100, must be 0 or at least 300"},
+		"health checks":            {old: `"firstStart"`, new: `"healthChecksPerSecond": 2, "firstStart"`},
+		"too many health checks":   {old: `"firstStart"`, new: `"healthChecksPerSecond": 11, "firstStart"`, want: "healthChecksPerSecond: is 11, not from 0 to 10"},
 		"a negative stall":         {old: `"graceSeconds": 8`, new: `"responseStallSeconds": -1`, want: "responseStallSeconds: must not be negative"},
 		"a negative factor":        {old: `"warmupFactor": 1.5`, new: `"warmupFactor": -1`, want: "warmupFactor: must not be negative"},
 		"a negative duration":      {old: `"graceSeconds": 8`, new: `"graceSeconds": -8`, want: "graceSeconds: must not be negative"},
--- a/warm/gate.go
+++ b/warm/gate.go
@@ -10,6 +10,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,46 @@
 	return l[:min(len(l), maxSuspects)]
 }
 
+// RecordCold records that b told this process that it stays cold for d. It reports whether b counted as warm, so that the
+// other processes are to be told at once.
+func (g *Gate) RecordCold(b bulrushlug.Backend, d time.Duration) (turned bool) {
+	return g.shard(b.ID()).recordCold(g, b.ID(), d, true, time.Now())
+}
+
+// ColdReported records the servers that told another process that they are cold. One process is enough, as a server says so of
+// itself.
+func (g *Gate) ColdReported(l []bulrushlug.ColdServer) {
+	for _, x := range l {
+		g.shard(x.ID()).recordCold(g, x.ID(), x.Left(), false, time.Now())
+	}
+}
+
+// Told returns the servers that lately told this process that they are cold.
+func (g *Gate) Told() (l []bulrushlug.ColdServer) {
+	now := time.Now()
+	if !g.anyCold(now) {
+		return nil
+	}
+	for i := range g.shards {
+		l = append(l, g.shards[i].told(now)...)
+	}
+	slices.SortFunc(l, func(a, b bulrushlug.ColdServer) int { return strings.Compare(a.ID(), b.ID()) })
+	return l[:min(len(l), maxSuspects)]
+}
+
+// Warm returns the listed servers that may turn cold at any moment, to be asked whether they have: those that need warm-up and
+// count as warm. Draining servers and those in evacuated zones are left out.
+func (g *Gate) Warm() (l []bulrushlug.Backend) {
+	if !g.Bounded() {
+		return nil
+	}
+	now := time.Now()
+	for i := range g.shards {
+		l = append(l, g.shards[i].listedWarm(g, now)...)
+	}
+	return l
+}
+
 // Cold returns the number of servers that count as cold.
 func (g *Gate) Cold() (n int) {
 	now := time.Now()
--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -19,6 +19,7 @@
 	perSecond   = 450 // Requests of callers at a crest; items come on top.
 	bound       = 16
 	coldTime    = 3 * time.Second
+	checkTicks  = 50 // Ticks of 10 ms between two health checks of a server.
 )
 
 // instance is a server as it is, which the processes learn late.
@@ -46,8 +47,9 @@
 	processes []*process
 	instances []*instance
 	revision  uint64
-	joined    int // Processes that know of the entry that joined, the last process.
-	refused   int // Requests that found no server.
+	joined    int  // Processes that know of the entry that joined, the last process.
+	refused   int  // Requests that found no server.
+	checked   bool // The processes ask servers for their health.
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -143,6 +145,18 @@
 	}
 }
 
+// check has server i asked for its health by a process, which tells the others what it says.
+func (f *fleet) check(i int) {
+	x, p := f.instances[i], f.processes[7*i%(entries+dataVMs)]
+	left := time.Until(x.coldUntil)
+	if p.cut || x.down || left <= 0 || !slices.ContainsFunc(p.gate.Warm(), func(b bulrushlug.Backend) bool { return b.ID() == x.backend.ID() }) {
+		return
+	}
+	if p.gate.RecordCold(x.backend, left) {
+		f.tell(func(_ int, q *process) { q.gate.ColdReported(p.gate.Told()) })
+	}
+}
+
 // run has the processes send for d.
 func (f *fleet) run(d time.Duration) {
 	const tick = 10 * time.Millisecond
@@ -158,6 +172,11 @@
 				f.send(p)
 			}
 		}
+		for i := range f.instances {
+			if f.checked && (int(n)+11*i)%checkTicks == 0 {
+				f.check(i)
+			}
+		}
 		f.mu.Unlock()
 		time.Sleep(tick)
 	}
@@ -217,6 +236,7 @@
 		// unknown is the time from the start of the cold in which some process can't know of it. Only even load bounds what
 		// a warm server gets.
 		unknown time.Duration
+		checked bool // Servers are asked for their health.
 	}{
 		"release in turn": {least: 5, do: func(f *fleet) {
 			for i := range 8 {
@@ -224,6 +244,11 @@
 				f.run(900 * time.Millisecond)
 			}
 		}},
+		"a zone returns at a crest, with health checks": {least: 5, checked: true, do: func(f *fleet) {
+			f.stop(0, 4)
+			f.run(2 * time.Second)
+			f.chill(0, serverCount, 4, true, 100*time.Millisecond)
+		}},
 		"a zone returns at a crest": {least: 5, do: func(f *fleet) {
 			f.stop(0, 4)
 			f.run(2 * time.Second)
@@ -237,7 +262,7 @@
 		"cold again without a restart": {least: 1, unknown: 1600 * time.Millisecond, do: func(f *fleet) {
 			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
 		}},
-		"cold again, before anybody can know": {least: 1, do: func(f *fleet) {
+		"cold again, before anybody can know": {least: 1, checked: true, do: func(f *fleet) {
 			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
 		}},
 		"down and up before the list shows it": {least: 1, do: func(f *fleet) {
@@ -275,6 +300,13 @@
 			f.start(len(f.processes) - 1)
 			f.chill(0, serverCount, 4, true, 0)
 		}},
+		"cold shortly before an evacuation": {checked: true, do: func(f *fleet) {
+			f.chill(0, serverCount, 4, false, 1200*time.Millisecond)
+			f.run(time.Second)
+			f.tell(func(_ int, p *process) { p.gate.SetEvacuated(map[string]bool{"z0": true}) })
+			f.run(time.Second)
+			f.tell(func(_ int, p *process) { p.gate.SetEvacuated(nil) })
+		}},
 		"the end of an evacuation": {do: func(f *fleet) {
 			f.tell(func(_ int, p *process) { p.gate.SetEvacuated(map[string]bool{"z0": true}) })
 			f.run(2 * time.Second)
@@ -291,7 +323,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t)
-				f.refused = 0
+				f.refused, f.checked = 0, x.checked
 				x.do(f)
 				f.run(2 * coldTime)
 				cold, first := 0, 0
@@ -389,3 +421,58 @@
 		}
 	})
 }
+
+// TestToldToBeCold guards against a server that says that it is cold and gets requests all the same, against one that is
+// closed again and again by what is known, and against reports that grow or repeat what others said.
+func TestToldToBeCold(t *testing.T) {
+	const rate = 7.6
+	for name, x := range map[string]struct {
+		service string        // The server's.
+		left    time.Duration // What the server says.
+		other   bool          // It says so to another process.
+		after   time.Duration // Time since the list was read.
+		turned  bool
+		cold    time.Duration // Time for which it counts as cold.
+		told    int           // Servers in this process's next report.
+	}{
+		"it tells this process":             {service: "s", left: 2 * time.Second, after: 2 * reportLag, turned: true, cold: 2 * time.Second, told: 1},
+		"it tells another":                  {service: "s", left: 2 * time.Second, other: true, after: 2 * reportLag, cold: 2 * time.Second},
+		"it is known to be cold":            {service: "s", left: 2 * time.Second, cold: 2 * time.Second, told: 1},
+		"it is warm":                        {service: "s", after: 2 * reportLag},
+		"for very long":                     {service: "s", left: 1 << 62, after: 2 * reportLag, turned: true, cold: maxSaid, told: 1},
+		"of a service that needs no warmup": {service: "t", left: 2 * time.Second, after: 2 * reportLag},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := New("p0", false, bulrushlug.NewWarmup(1.5, 5), func() ([]string, uint64) { return []string{"p0"}, 1 })
+				g.SetServices([]bulrushlug.Service{bulrushlug.NewService("s", rate, coldTime)})
+				b := bulrushlug.NewBackend("s0", x.service, "h:1", bulrushlug.BackendStart(1, 1))
+				g.Update([]bulrushlug.Backend{b})
+				time.Sleep(x.after)
+				turned := false
+				if x.other {
+					g.ColdReported([]bulrushlug.ColdServer{bulrushlug.NewColdServer("s0", x.left), bulrushlug.NewColdServer("unknown", x.left)})
+				} else {
+					turned = g.RecordCold(b, x.left)
+				}
+				if turned != x.turned {
+					t.Errorf("turned cold: %v", turned)
+				}
+				if l := g.Told(); len(l) != x.told || x.told > 0 && l[0].Left() != x.cold {
+					t.Errorf("the next report has %v", l)
+				}
+				if closed := !g.Open(b, time.Now()); closed != (x.cold > 0 && x.after > 0) {
+					t.Errorf("closed: %v", closed)
+				}
+				time.Sleep(max(0, min(x.cold, coldTime)-time.Millisecond))
+				if n := g.Cold(); x.cold > 0 && n != 1 || len(g.Told()) > 0 {
+					t.Errorf("%d servers count as cold, the next report has %v", n, g.Told())
+				}
+				time.Sleep(x.cold)
+				if l := g.Warm(); (len(l) == 1) != (x.service == "s") {
+					t.Errorf("%d servers are asked for their health", len(l))
+				}
+			})
+		})
+	}
+}
--- a/warm/server.go
+++ b/warm/server.go
@@ -23,6 +23,9 @@
 	suspectTime   = time.Second // Time for which a failed connection is reported.
 	forgetTimeout = time.Minute // Time after which a server that is not on the list is forgotten: entries that were lost in an outage come back.
 	maxSuspects   = 64          // Servers in one report.
+	saidTime      = time.Second // Time for which reports carry what a server said of itself.
+	// maxSaid is the longest time for which a server is taken to be cold because it said so; it may say it again.
+	maxSaid = time.Minute
 )
 
 // shard holds a part of the servers.
@@ -39,6 +42,7 @@
 	failed      time.Time          // When this process could last make no connection.
 	reporter    string             // VM of the process that last reported the same, at reported.
 	reported    time.Time
+	said        time.Time   // When the server last told this process itself that it is cold.
 	unlisted    time.Time   // When the server was gone from the list; zero while it is on it.
 	sent        []time.Time // Admissions within window while the server counts as cold or the process as isolated, oldest first.
 	seat        bool        // This process holds a seat, as of version and seats.
@@ -54,6 +58,17 @@
 	}
 }
 
+// turnCold records that x is cold for d from now on, and reports whether it counted as warm before.
+func (x *server) turnCold(g *Gate, d time.Duration, now time.Time) (turned bool) {
+	turned = !now.Before(x.coldUntil)
+	if turned {
+		// All processes have sent to it without a bound.
+		x.closedUntil = now.Add(window)
+	}
+	x.chillUntil(g, now.Add(d))
+	return turned
+}
+
 // update records the registration b; first means that this process has just begun to know
 // servers, and may have sent requests before it was restarted.
 func (s *shard) update(g *Gate, b bulrushlug.Backend, first bool, now time.Time) {
@@ -70,11 +85,7 @@
 		return
 	}
 	if b.Revision() > x.backend.Revision() && b.ColdTime() > 0 {
-		if !now.Before(x.coldUntil) {
-			// All processes have sent to it without a bound.
-			x.closedUntil = now.Add(window)
-		}
-		x.chillUntil(g, now.Add(b.ColdTime()))
+		x.turnCold(g, b.ColdTime(), now)
 	}
 	x.backend, x.unlisted = b, time.Time{}
 }
@@ -129,6 +140,49 @@
 	x.chillUntil(g, now.Add(v.ColdTime()+suspectMargin))
 }
 
+// recordCold records that the server said that it stays cold for d, to this process itself if own is set; it reports whether
+// the server counted as warm before.
+func (s *shard) recordCold(g *Gate, id string, d time.Duration, own bool, now time.Time) (turned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.servers[id]
+	if !ok || d <= 0 {
+		return false
+	}
+	if _, ok := g.service(x.backend); !ok {
+		return false
+	}
+	if own {
+		x.said = now
+	}
+	return x.turnCold(g, min(d, maxSaid), now)
+}
+
+// told returns the servers that lately told this process that they are cold, and for how long they stay so.
+func (s *shard) told(now time.Time) (l []bulrushlug.ColdServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, x := range s.servers {
+		if !x.said.IsZero() && now.Sub(x.said) < saidTime && now.Before(x.coldUntil) {
+			l = append(l, bulrushlug.NewColdServer(id, x.coldUntil.Sub(now)))
+		}
+	}
+	return l
+}
+
+// listedWarm returns the listed servers that need warm-up and count as warm, are not draining and not in an evacuated zone.
+func (s *shard) listedWarm(g *Gate, now time.Time) (l []bulrushlug.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.servers {
+		b := x.backend
+		if _, ok := g.service(b); ok && x.unlisted.IsZero() && !now.Before(x.coldUntil) && !b.Draining() && !g.Evacuated(b.Zone()) {
+			l = append(l, b)
+		}
+	}
+	return l
+}
+
 func (s *shard) suspects(now time.Time) (l []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
