fix(warm): a process that was stopped, the time of day and small bounds

A process that was stopped for seconds knows servers as they were before; the reports that wait for it were sent meanwhile, so it could take itself to be in touch by them, or to be isolated before new ones came. The gate is now told several times a second that the process runs. After a gap of a second all servers count as cold for 1.5 s, from the first request on, and the process does not judge for a second whether it is isolated (`stopped ms=...` in the log).

The end of all cold times was kept as time of day, so that a step of the clock ahead would have made cold servers warm; it is counted from the start of the gate now, with the clock of the runtime. No test steps the clock of a process: found by reading.

A bound of one or two requests a second had no seat, so a cold server got nothing until it was warm. It has one now, and none to spare, so one disagreement on the processes may exceed it.

Tests: warm.TestStall, TestDivide, daemon.TestIsolationAfterStall.

--- a/daemon/isolation.go
+++ b/daemon/isolation.go
@@ -7,8 +7,12 @@
 	"bulrushlug.dev/bulrushlug"
 )
 
-// isolationInterval is the time between two checks whether this process is isolated.
-const isolationInterval = 200 * time.Millisecond
+const (
+	isolationInterval = 200 * time.Millisecond // Time between two checks whether this process is isolated.
+	// stallWait is the time after this process was stopped in which it does not judge whether it is isolated: reports that
+	// were sent meanwhile say nothing of now, and new ones are not here yet.
+	stallWait = time.Second
+)
 
 // isolated reports whether changes of servers may not reach this process: it hears less than half of the processes of its
 // role, or less than three quarters and none that reaches the key-value service. If it hears more, the service is down for
@@ -27,18 +31,38 @@
 	return false
 }
 
-// watchIsolation tells the gate whether this process is isolated.
+// watchIsolation tells the gate that this process runs, and whether it is isolated.
 func (s *Daemon) watchIsolation(c context.Context) error {
-	was := false
+	var w isolationWatch
 	for c.Err() == nil {
-		heard, all := s.membership.CountHeard()
-		is := s.gate.Bounded() && s.isolated(heard, all)
-		s.gate.SetIsolated(is)
-		if is != was {
-			_ = s.logger.Log("event", "isolation", "isolated", is, "heard", heard, "of", all)
+		if s.gate.Bounded() {
+			w.check(s, time.Now())
 		}
-		was = is
 		_ = bulrushlug.Sleep(c, isolationInterval)
 	}
 	return nil
 }
+
+// isolationWatch is what a process last found of itself.
+type isolationWatch struct {
+	isolated bool
+	judge    time.Time // Not judged before this time, as the process was stopped.
+}
+
+// check judges at time t whether s is isolated.
+func (w *isolationWatch) check(s *Daemon, t time.Time) {
+	if d := s.gate.Tick(t); d > 0 {
+		w.judge = t.Add(stallWait)
+		_ = s.logger.Log("event", "stopped", "ms", d.Milliseconds())
+	}
+	if t.Before(w.judge) {
+		return
+	}
+	heard, all := s.membership.CountHeard()
+	is := s.isolated(heard, all)
+	s.gate.SetIsolated(is)
+	if is != w.isolated {
+		_ = s.logger.Log("event", "isolation", "isolated", is, "heard", heard, "of", all)
+	}
+	w.isolated = is
+}
--- a/daemon/isolation_test.go
+++ b/daemon/isolation_test.go
@@ -55,3 +55,52 @@
 		})
 	}
 }
+
+// TestIsolationAfterStall guards against a process that was stopped and judges by reports that are missing, or old, because of
+// that.
+func TestIsolationAfterStall(t *testing.T) {
+	const silence = 600 * time.Millisecond // Real time after which the others are no longer heard.
+	for name, x := range map[string]struct {
+		heard  bool            // The others are heard until the last check.
+		checks []time.Duration // Moments of the checks from the first one; the others are heard at that one.
+		want   bool
+	}{
+		"they fall silent":               {checks: []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}, want: true},
+		"stopped, nothing came yet":      {checks: []time.Duration{5 * time.Second, 5200 * time.Millisecond}},
+		"stopped, and they stay silent":  {checks: []time.Duration{5 * time.Second, 5500 * time.Millisecond, 6100 * time.Millisecond}, want: true},
+		"stopped, and they are there":    {heard: true, checks: []time.Duration{5 * time.Second, 5500 * time.Millisecond, 6100 * time.Millisecond}},
+		"stopped again before the check": {checks: []time.Duration{5 * time.Second, 5800 * time.Millisecond, 7 * time.Second, 7500 * time.Millisecond}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := setup.Parse("test", fmt.Appendf(nil, `{"vm":"e0","region":"r","zone":"z","role":"entry","listen":%q,"http":%q,"ready":%q,"store":"127.0.0.1:1","toleratedDisks":1}`, freeAddress(), freeAddress(), freeAddress()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			d, err := New(c, log.NewNopLogger())
+			if err != nil {
+				t.Fatal(err)
+			}
+			sequence := uint64(0)
+			report := func() {
+				sequence++
+				for _, vm := range []string{"e1", "e2"} {
+					d.membership.ApplyReport(bulrushlug.NewReport(bulrushlug.NewMember(vm, "127.0.0.1:9", "r", "z", bulrushlug.RoleEntry), 1, sequence))
+				}
+			}
+			var w isolationWatch
+			begin := time.Now()
+			report()
+			w.check(d, begin)
+			time.Sleep(silence)
+			for _, m := range x.checks {
+				if x.heard {
+					report()
+				}
+				w.check(d, begin.Add(m))
+			}
+			if w.isolated != x.want {
+				t.Errorf("isolated %v", w.isolated)
+			}
+		})
+	}
+}
--- a/warm/gate.go
+++ b/warm/gate.go
@@ -35,14 +35,16 @@
 	services atomic.Pointer[map[string]bulrushlug.Service] // Services whose servers need warm-up, by name; the map is not changed.
 	isolated atomic.Bool                                   // This process hears too few others to learn that a server is cold.
 	listed   atomic.Bool                                   // The servers were listed once.
-	coldEnd  atomic.Int64                                  // No server is known to be cold after this time, in Unix nanoseconds.
+	start    time.Time                                     // The clock of the runtime counts from here, whatever becomes of the time of day.
+	ticked   atomic.Int64                                  // Last Tick, in nanoseconds since start; zero before the first.
+	coldEnd  atomic.Int64                                  // No server is known to be cold after this time, in nanoseconds since start.
 	shards   [shardCount]shard
 }
 
 // New returns the gate of the process on VM vm, which runs batch items if batch is set and only requests of callers
 // otherwise. The bound of a cold server is that of w; f returns the processes of the same role.
 func New(vm string, batch bool, w bulrushlug.Warmup, f members) *Gate {
-	g := &Gate{self: vm, batch: batch, warmup: w, members: f}
+	g := &Gate{self: vm, batch: batch, warmup: w, members: f, start: time.Now()}
 	g.zones.Store(&map[string]bool{})
 	g.services.Store(&map[string]bulrushlug.Service{})
 	for i := range g.shards {
@@ -71,6 +73,30 @@
 // where it holds a seat, as if all were cold.
 func (g *Gate) SetIsolated(v bool) { g.isolated.Store(v) }
 
+// Tick records that this process runs; once called, it is to be called several times a second. After a gap of maxGap the
+// process was stopped and what it knows of servers is old: all count as cold until it can know what it has missed. It
+// returns the length of such a gap, or zero.
+func (g *Gate) Tick(t time.Time) (gap time.Duration) {
+	now := g.since(t)
+	last := g.ticked.Swap(max(1, now))
+	if last == 0 || now-last < int64(maxGap) {
+		return 0
+	}
+	for i := range g.shards {
+		g.shards[i].chillAll(g, t)
+	}
+	return time.Duration(now - last)
+}
+
+// since returns the nanoseconds from the start of g to t.
+func (g *Gate) since(t time.Time) int64 { return int64(t.Sub(g.start)) }
+
+// blind reports whether this process can't know which servers are cold at t: it is isolated, or it was stopped until now.
+func (g *Gate) blind(t time.Time) bool {
+	last := g.ticked.Load()
+	return g.isolated.Load() || last > 0 && g.since(t)-last >= int64(maxGap)
+}
+
 // SetEvacuated replaces the evacuated zones by m, and returns the zones that are new in it and those that are no longer.
 // The servers of the latter count as cold. It is called from one goroutine.
 func (g *Gate) SetEvacuated(m map[string]bool) (begun, ended []string) {
@@ -199,7 +225,7 @@
 	if g.Evacuated(b.Zone()) {
 		return false
 	}
-	if !g.anyCold(t) && !g.isolated.Load() {
+	if !g.anyCold(t) && !g.blind(t) {
 		return true
 	}
 	v, ok := g.service(b)
@@ -213,11 +239,11 @@
 }
 
 // anyCold reports whether any server may count as cold at t.
-func (g *Gate) anyCold(t time.Time) bool { return t.UnixNano() < g.coldEnd.Load() }
+func (g *Gate) anyCold(t time.Time) bool { return g.since(t) < g.coldEnd.Load() }
 
 // extend records that a server is cold until t.
 func (g *Gate) extend(t time.Time) {
-	for n := t.UnixNano(); ; {
+	for n := g.since(t); ; {
 		old := g.coldEnd.Load()
 		if n <= old || g.coldEnd.CompareAndSwap(old, n) {
 			return
--- a/warm/gate_test.go
+++ b/warm/gate_test.go
@@ -476,3 +476,91 @@
 		})
 	}
 }
+
+// TestDivide guards against a bound of which nobody has a part, and against parts that exceed it together.
+func TestDivide(t *testing.T) {
+	for name, x := range map[string]struct{ online, items int }{"0": {}, "1": {1, 0}, "2": {1, 0}, "3": {1, 0}, "4": {1, 1}, "5": {2, 1}, "16": {10, 4}, "22": {16, 4}, "40": {32, 4}, "1000": {880, 4}} {
+		t.Run(name, func(t *testing.T) {
+			n := 0
+			if _, err := fmt.Sscan(name, &n); err != nil {
+				t.Fatal(err)
+			}
+			o, b := divide(n, false), divide(n, true)
+			if o.seats*o.share != x.online || b.seats*b.share != x.items || x.online+x.items > n {
+				t.Errorf("%+v of requests, %+v of items", o, b)
+			}
+		})
+	}
+}
+
+// TestStall stops a process that knows all servers to be warm, and looks at what it sends to one in the first moments after
+// it goes on, before and after its first Tick.
+func TestStall(t *testing.T) {
+	const step = 200 * time.Millisecond
+	for name, x := range map[string]struct {
+		watched bool
+		gap     time.Duration
+		holds   bool // The process holds a seat.
+		bounded bool
+	}{
+		"none":                        {watched: true, gap: step, holds: true},
+		"short":                       {watched: true, gap: maxGap - step, holds: true},
+		"long, with a seat":           {watched: true, gap: 5 * time.Second, holds: true, bounded: true},
+		"long, without a seat":        {watched: true, gap: 5 * time.Second, bounded: true},
+		"long, where nobody watches":  {gap: 5 * time.Second, holds: true},
+		"just too long, with a seat":  {watched: true, gap: maxGap, holds: true, bounded: true},
+		"just too long, without seat": {watched: true, gap: maxGap, bounded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := New("p0", false, bulrushlug.NewWarmup(1.5, 5), func() ([]string, uint64) {
+					if x.holds {
+						return []string{"p0"}, 1
+					}
+					return nil, 1
+				})
+				g.SetServices([]bulrushlug.Service{bulrushlug.NewService("s", 7.6, coldTime)})
+				b := bulrushlug.NewBackend("s0", "s", "h:1")
+				g.Update([]bulrushlug.Backend{b})
+				tick := func() {
+					if x.watched {
+						g.Tick(time.Now())
+					}
+				}
+				for range 20 {
+					tick()
+					time.Sleep(step)
+				}
+				tick()
+				time.Sleep(x.gap)
+				send := func() (n int) {
+					for range 10 {
+						if g.Admit(b, time.Now()) {
+							n++
+						}
+					}
+					return n
+				}
+				want := 20
+				if x.bounded {
+					want = 0
+					if x.holds {
+						want = 1
+					}
+				}
+				n := send()
+				tick()
+				if n += send(); n != want {
+					t.Errorf("%d requests after a stall, want %d", n, want)
+				}
+				for range 10 {
+					time.Sleep(step)
+					tick()
+				}
+				if n := send(); n != 10 {
+					t.Errorf("%d of 10 requests two seconds later", n)
+				}
+			})
+		})
+	}
+}
--- a/warm/seats.go
+++ b/warm/seats.go
@@ -30,7 +30,8 @@
 		return partition{b, 1}
 	}
 	n -= b
-	return partition{max(0, min(maxSeats, n-spareSeats)), max(1, n/(maxSeats+spareSeats))}
+	// A bound of one or two has a seat too, as nobody would use the server otherwise; too little is left to spare then.
+	return partition{min(maxSeats, max(min(1, n), n-spareSeats)), max(1, n/(maxSeats+spareSeats))}
 }
 
 // holdsSeat reports whether this process is one of the first p.seats members by rank for the server; the caller holds the
--- a/warm/server.go
+++ b/warm/server.go
@@ -20,6 +20,7 @@
 	// suspectMargin is added to the time for which a server is cold after a start, for one that no connection reached: it
 	// may have started any time after that.
 	suspectMargin = 2 * time.Second
+	maxGap        = time.Second // Time without a Tick after which this process was stopped.
 	suspectTime   = time.Second // Time for which a failed connection is reported.
 	forgetTimeout = time.Minute // Time after which a server that is not on the list is forgotten: entries that were lost in an outage come back.
 	maxSuspects   = 64          // Servers in one report.
@@ -44,7 +45,7 @@
 	reported    time.Time
 	said        time.Time   // When the server last told this process itself that it is cold.
 	unlisted    time.Time   // When the server was gone from the list; zero while it is on it.
-	sent        []time.Time // Admissions within window while the server counts as cold or the process as isolated, oldest first.
+	sent        []time.Time // Admissions within window while the server counts as cold or the process as blind, oldest first.
 	seat        bool        // This process holds a seat, as of version and seats.
 	version     uint64      // Version of the members; zero before the first.
 	seats       int         // Seats of the server.
@@ -116,6 +117,17 @@
 	}
 }
 
+// chillAll lets all servers count as cold for as long as registrations may lag.
+func (s *shard) chillAll(g *Gate, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.servers {
+		if _, ok := g.service(x.backend); ok {
+			x.chillUntil(g, now.Add(reportLag))
+		}
+	}
+}
+
 // suspect records that the process on VM vm, or this one if vm is empty, could make no connection to the server.
 func (s *shard) suspect(g *Gate, id, vm string, now time.Time) {
 	s.mu.Lock()
@@ -229,7 +241,7 @@
 
 // allowance returns the requests that this process may send to x within window; bounded is false if x is warm.
 func (x *server) allowance(g *Gate, v bulrushlug.Service, now time.Time) (n int, bounded bool) {
-	if !now.Before(x.coldUntil) && !g.isolated.Load() {
+	if !now.Before(x.coldUntil) && !g.blind(now) {
 		return 0, false
 	}
 	p := divide(g.warmup.Requests(v.ColdRate()), g.batch)
