fix(slots): waiters are woken when a server is new or back, and entries stay ready when all zones are evacuated

Requests that wait under shared admission were woken only by slots that this process freed, not at the end of a back-off and not by a new server, so they could be refused with room there. Each server with a failure has one timer for it now.

An entry counted as not ready while all zones were evacuated: callers would not have reached any, not even to read lots. It stays ready and refuses at once. An entry that knows no server at all is not ready, as before.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -151,9 +151,10 @@
 	}
 }
 
-// serveReadiness answers the load balancer's readiness probe.
+// serveReadiness answers the load balancer's readiness probe. An entry stays ready while operators evacuate all zones: it
+// refuses requests at once with a retry delay, and lots are read and accepted, which nobody could do otherwise.
 func (e *entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !e.listening.Load() || e.leaving.Load() || !e.Fresh() || e.slotTable.Available("") == 0 {
+	if !e.listening.Load() || e.leaving.Load() || !e.Fresh() || e.slotTable.Present() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -124,3 +125,39 @@
 		})
 	}
 }
+
+// TestAllZonesEvacuated guards against entries that callers can't reach, or that let them wait, while operators evacuate the
+// zones of all servers.
+func TestAllZonesEvacuated(t *testing.T) {
+	for name, x := range map[string]struct {
+		zones  []string
+		status int
+	}{
+		"none":               {status: 200},
+		"one without server": {zones: []string{"z7"}, status: 200},
+		"all":                {zones: []string{"z0", "z7"}, status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 1, 0, 2)
+			s.warmUp()
+			for _, z := range x.zones {
+				s.evacuate(z, true)
+			}
+			s.waitUntil("the zones are evacuated", func() bool {
+				for _, z := range x.zones {
+					if !s.entries[0].daemon.gate.Evacuated(z) {
+						return false
+					}
+				}
+				return true
+			})
+			if !s.ready(0) {
+				t.Error("the entry is not ready")
+			}
+			begin := time.Now()
+			if n, _ := s.call(0, "POST", "/ask/x", "r1", "k1", "b"); n != x.status || time.Since(begin) > time.Second {
+				t.Errorf("status %d after %v", n, time.Since(begin))
+			}
+		})
+	}
+}
--- a/slots/evacuation_test.go
+++ b/slots/evacuation_test.go
@@ -24,14 +24,15 @@
 		leaving   []string // Servers that said that they are leaving.
 		want      []string
 		left      string // Evacuations.
+		present   bool   // Callers are to be refused here, not at the load balancer.
 	}{
-		"no zone":                             {servers: []bulrushlug.Backend{a, b}, want: []string{"a", "b"}, left: "map[]"},
-		"one of two zones":                    {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z0"}, want: []string{"b"}, left: "map[s:{1 1}]"},
-		"all zones":                           {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z0", "z1"}, left: "map[s:{0 2}]"},
-		"a zone without servers":              {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z2"}, want: []string{"a", "b"}, left: "map[]"},
-		"the other zone's server has failed":  {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z0"}, failed: []string{"b"}, want: []string{"b"}, left: "map[s:{1 1}]"},
-		"the other zone's server leaves":      {servers: []bulrushlug.Backend{a, in("b", "z1", true)}, evacuated: []string{"z0"}, left: "map[s:{0 1}]"},
-		"the last server says that it leaves": {servers: []bulrushlug.Backend{a}, evacuated: []string{"z0"}, leaving: []string{"a"}, left: "map[s:{0 1}]"},
+		"no zone":                             {servers: []bulrushlug.Backend{a, b}, want: []string{"a", "b"}, left: "map[]", present: true},
+		"one of two zones":                    {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z0"}, want: []string{"b"}, left: "map[s:{1 1}]", present: true},
+		"all zones":                           {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z0", "z1"}, left: "map[s:{0 2}]", present: true},
+		"a zone without servers":              {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z2"}, want: []string{"a", "b"}, left: "map[]", present: true},
+		"the other zone's server has failed":  {servers: []bulrushlug.Backend{a, b}, evacuated: []string{"z0"}, failed: []string{"b"}, want: []string{"b"}, left: "map[s:{1 1}]", present: true},
+		"the other zone's server leaves":      {servers: []bulrushlug.Backend{a, in("b", "z1", true)}, evacuated: []string{"z0"}, left: "map[s:{0 1}]", present: true},
+		"the last server says that it leaves": {servers: []bulrushlug.Backend{a}, evacuated: []string{"z0"}, leaving: []string{"a"}, left: "map[s:{0 1}]", present: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -54,6 +55,9 @@
 				if got := chosen(b); !slices.Equal(got, x.want) {
 					t.Errorf("%q got requests, want %q", got, x.want)
 				}
+				if n := b.Present(); (n > 0) != x.present {
+					t.Errorf("%d servers are present", n)
+				}
 				if got := fmt.Sprint(b.Evacuations()); got != x.left {
 					t.Errorf("effect %s, want %s", got, x.left)
 				}
--- a/slots/leaving.go
+++ b/slots/leaving.go
@@ -170,7 +170,7 @@
 // staying reports whether service v has a server that is not leaving.
 func (t *Table) staying(v string) bool {
 	for i := range t.shards {
-		if t.shards[i].count(v, func(d *departure) bool { return d == nil }) > 0 {
+		if t.shards[i].count(v, false, func(d *departure) bool { return d == nil }) > 0 {
 			return true
 		}
 	}
--- a/slots/ready.go
+++ b/slots/ready.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// OnFree makes t call f when this process has freed a slot of service s. It is called before t is used.
+// OnFree makes t call f when this process has freed a slot of service s, or may use a server of it that is new or whose
+// back-off has ended. It is called before t is used.
 func (t *Table) OnFree(f func(s string)) { t.free = f }
 
-// notifyFree reports that a slot of service s was freed.
+// notifyFree reports that there may be room at service s.
 func (t *Table) notifyFree(s string) {
 	if t.free != nil {
 		t.free(s)
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -20,7 +20,7 @@
 	failed  bool // A failure was recorded.
 	success bool // The response was complete, so that its connection can be used again.
 	once    sync.Once
-	free    func(s string) // Called once the slot is free; not nil for those of a table.
+	free    func(s string) // Called once the slot is free or the server's back-off ends; not nil for those of a table.
 }
 
 // Backend returns the backend server.
@@ -110,6 +110,14 @@
 	}
 	e.backoff = min(max(initialBackoff, 2*e.backoff), maxBackoff)
 	e.backoffUntil = time.Now().Add(e.backoff)
+	if l.free == nil {
+		return
+	}
+	if e.returns != nil {
+		e.returns.Reset(e.backoff)
+		return
+	}
+	e.returns = time.AfterFunc(e.backoff, func() { l.free(l.backend.Service()) })
 }
 
 // RecordUnreachable records a failure of which it is known that no connection could be made.
--- a/slots/table.go
+++ b/slots/table.go
@@ -39,7 +39,7 @@
 	gate        bulrushlug.ServerGate
 	division    atomic.Pointer[places]
 	metrics     metrics
-	free        func(s string)       // Called when this process has freed a slot of service s; nil if nobody waits for it.
+	free        func(s string)       // Called when there may be room at service s; nil if nobody waits for it.
 	starts      bulrushlug.StartRule // Divides idle slots among the processes; nil if they take them by rank alone.
 	startsHeld  atomic.Uint64        // Idle slots that were not taken, as it was the turn of other processes.
 	shards      [shardCount]shard
@@ -63,6 +63,7 @@
 	online        int           // Online requests of this process in progress, at least zero.
 	batch         int           // Batch items of this process in progress, at least zero.
 	backoffUntil  time.Time     // The server is avoided before this time.
+	returns       *time.Timer   // Tells those who wait that the back-off has ended; nil before the first one.
 	backoff       time.Duration // Length of the last back-off; zero after a success.
 	eventInterval float64       // Exponential moving average of the time between events, in seconds; zero before the first response.
 	started       time.Time     // Last start of a batch item by this process.
@@ -146,12 +147,18 @@
 	for i := range t.shards {
 		changed = t.shards[i].update(listed) || changed
 	}
+	added := map[string]bool{} // Services.
 	for id, b := range listed {
-		changed = t.shard(id).add(b) || changed
+		if t.shard(id).add(b) {
+			added[b.Service()] = true
+		}
 	}
-	if changed {
+	if changed || len(added) > 0 {
 		t.version.Add(1)
 	}
+	for s := range added {
+		t.notifyFree(s)
+	}
 }
 
 // update removes the servers that are not in m or that restarted, and reports whether there were any.
@@ -285,18 +292,28 @@
 func (t *Table) Available(v string) (n int) {
 	now := time.Now()
 	for i := range t.shards {
-		n += t.shards[i].count(v, func(d *departure) bool { return d == nil || !d.binding(now) })
+		n += t.shards[i].count(v, false, func(d *departure) bool { return d == nil || !d.binding(now) })
+	}
+	return n
+}
+
+// Present returns the number of servers as Available does for all services, with those in evacuated zones.
+func (t *Table) Present() (n int) {
+	now := time.Now()
+	for i := range t.shards {
+		n += t.shards[i].count("", true, func(d *departure) bool { return d == nil || !d.binding(now) })
 	}
 	return n
 }
 
-// count returns the number of servers of service v, or of all services if v is empty, that are neither draining nor in an
-// evacuated zone, and for whose departure f returns true; the departure is nil if the server is not leaving.
-func (s *shard) count(v string, f func(d *departure) bool) (n int) {
+// count returns the number of servers of service v, or of all services if v is empty, that are neither draining nor, unless
+// evacuated is set, in an evacuated zone, and for whose departure f returns true; the departure is nil if the server is not
+// leaving.
+func (s *shard) count(v string, evacuated bool, f func(d *departure) bool) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
-		if (v == "" || e.backend.Service() == v) && !e.backend.Draining() && !s.gate.Evacuated(e.backend.Zone()) && f(s.leaving[id]) {
+		if (v == "" || e.backend.Service() == v) && !e.backend.Draining() && (evacuated || !s.gate.Evacuated(e.backend.Zone())) && f(s.leaving[id]) {
 			n++
 		}
 	}
