--- a/codec/report.go
+++ b/codec/report.go
@@ -22,7 +22,6 @@
 		Disk:      r.Disk(),
 		Manifest:  r.Manifest(),
 		StoreLost: r.StoreLost(),
-		ItemsWait: r.ItemsWait(),
 	}
 	w.Operated, w.Servers = r.SeenRevisions()
 	for _, u := range r.Usages() {
@@ -70,7 +69,7 @@
 	}
 	return bulrushlug.NewReport(m, w.Boot, w.Sequence, bulrushlug.ReportState(w.Disk, w.Manifest), bulrushlug.ReportSeenRevisions(w.Operated, w.Servers), bulrushlug.ReportStoreLost(w.StoreLost),
 		bulrushlug.ReportUsages(u), bulrushlug.ReportAdmissionCounts(s), bulrushlug.ReportLots(w.Lots), bulrushlug.ReportForwardTo(w.Forward), bulrushlug.ReportRelayed(w.Relayed), bulrushlug.ReportSuspects(p),
-		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l), bulrushlug.ReportUnreachable(w.Unreachable), bulrushlug.ReportItemsWait(w.ItemsWait))
+		bulrushlug.ReportServerEnds(e), bulrushlug.ReportLeaving(l), bulrushlug.ReportUnreachable(w.Unreachable))
 }
 
 func encodeUsage(u bulrushlug.Usage) *wire.Usage {
--- a/codec/report_test.go
+++ b/codec/report_test.go
@@ -58,17 +58,6 @@
 	}
 }
 
-func TestReportItemsWait(t *testing.T) {
-	for name, want := range map[string]bool{"items wait": true, "none waits": false} {
-		t.Run(name, func(t *testing.T) {
-			r := bulrushlug.NewReport(bulrushlug.NewMember("v", "h:1", "", "z", "data"), 1, 2, bulrushlug.ReportItemsWait(want))
-			if got := DecodeReport(EncodeReport(r)).ItemsWait(); got != want {
-				t.Errorf("items wait: %v", got)
-			}
-		})
-	}
-}
-
 // TestReportOfLeavingServers checks that the receiver of a report recognises the runs of servers that it names.
 func TestReportOfLeavingServers(t *testing.T) {
 	zone := bulrushlug.BackendZoneSlots("z", 8)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,7 +35,6 @@
 	"bulrushlug.dev/bulrushlug/poison"
 	"bulrushlug.dev/bulrushlug/setup"
 	"bulrushlug.dev/bulrushlug/slots"
-	"bulrushlug.dev/bulrushlug/turns"
 	"bulrushlug.dev/bulrushlug/warm"
 )
 
@@ -62,7 +61,6 @@
 	lotClient      *lotcli.Client
 	gate           *warm.Gate
 	slotTable      *slots.Table
-	startRule      bulrushlug.StartRule // Nil if the processes don't divide idle slots.
 	limiter        *meter.Limiter
 	shares         *fair.Shares // Nil if the settings do not call for shared admission.
 	recorder       *recorder
@@ -131,10 +129,7 @@
 	boot := uint64(time.Now().UnixMilli())
 	lease := max(leaseTTL, s.MinLease())
 	x.membership = peers.New(s.Member(), boot, disk, p.Store(), memberPrefix, lease, x.logger)
-	if s.SharesItemStarts() {
-		x.startRule = turns.New(s.Member().Name())
-	}
-	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate), slots.WithChooser(newChooser(s.Placement())), slots.WithStartRule(x.startRule))
+	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate), slots.WithChooser(newChooser(s.Placement())))
 	x.counters.Set("placements", x.slotTable.Counts())
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
 	if s.RatesByDemand() {
@@ -297,7 +292,7 @@
 	if p, ok := s.membership.ByVM(r.Member().Name()); ok && p.Alive() {
 		return
 	}
-	s.applyUsage(r)
+	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(r)
@@ -305,14 +300,6 @@
 	s.roleHandler.handleReport(r)
 }
 
-// applyUsage applies the requests that the sender of r has in flight, and whether its items wait.
-func (s *Daemon) applyUsage(r bulrushlug.Report) {
-	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
-	if s.startRule != nil && r.Member().Role() != bulrushlug.RoleEntry {
-		s.startRule.Observe(r.Member().Name(), r.ItemsWait())
-	}
-}
-
 // handleMessage handles a message from another process.
 func (s *Daemon) handleMessage(m bulrushlug.Message) {
 	r := m.Report()
@@ -328,7 +315,7 @@
 	case !s.membership.ApplyReport(*r):
 		return
 	}
-	s.applyUsage(*r)
+	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(*r)
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -38,7 +38,6 @@
 	s.counters.Set("itemsQuarantined", expvar.Func(func() any { return d.runner.Held() }))
 	s.counters.Set("itemsWaiting", expvar.Func(func() any { return d.runner.Waiting() }))
 	s.counters.Set("itemsWaitingLongest", expvar.Func(func() any { return d.runner.LongestWaits() }))
-	s.counters.Set("itemStartsHeld", expvar.Func(func() any { return s.slotTable.StartsHeld() }))
 	s.counters.Set("lotsUnserved", expvar.Func(func() any { return d.replicas.Unserved() }))
 	if err := d.replicas.Load(); err != nil {
 		return nil, err
@@ -48,9 +47,9 @@
 
 func (d *data) rpcServer() *lotsrv.Server { return lotsrv.New(d.replicas, d.guard, d.snapshot) }
 
-// reportOptions returns the lots of which this process recently became the primary, and whether items wait for a slot.
+// reportOptions returns the lots of which this process recently became the primary.
 func (d *data) reportOptions() []bulrushlug.ReportOption {
-	return []bulrushlug.ReportOption{bulrushlug.ReportLots(d.replicas.RecentlyPromoted()), bulrushlug.ReportItemsWait(d.runner.ItemsWait())}
+	return []bulrushlug.ReportOption{bulrushlug.ReportLots(d.replicas.RecentlyPromoted())}
 }
 
 // handleReport preempts batch items whose slots online requests need according to the slot table, which has the usage
--- a/items/runner.go
+++ b/items/runner.go
@@ -45,7 +45,6 @@
 	detector bulrushlug.PoisonDetector
 	prompt   func(route string, l []bulrushlug.Field) bulrushlug.Prompt
 	held     atomic.Int64 // Items that the detector held back at the last check.
-	waiting  atomic.Bool  // Items waited for a slot at the last check.
 	waits    *waits
 	memory   *memory.Budget
 }
@@ -117,18 +116,16 @@
 	n := r.waits.begin(time.Now())
 	l := r.collect(c, n)
 	slices.SortStableFunc(l, order)
-	full, waiting := map[string]bool{}, false
+	full := map[string]bool{}
 	for _, w := range l {
 		s := r.acquire(w.services, full)
 		if s == nil {
-			waiting = true
 			n.add(waitSlot, w.lot, w.item, w.eventAt, nil)
 			continue
 		}
 		r.startRun(c, w, s)
 		n.keep(w.lot, w.item)
 	}
-	r.waiting.Store(waiting)
 	n.end(r.waitDetail, r.waitEnd)
 }
 
@@ -211,9 +208,6 @@
 // Held returns the number of items that wait because servers ended on their prompts.
 func (r *Runner) Held() int64 { return r.held.Load() }
 
-// ItemsWait reports whether items waited for a slot at the last check.
-func (r *Runner) ItemsWait() bool { return r.waiting.Load() }
-
 // newTask returns the task of item n of lot x, which is on route t.
 func (r *Runner) newTask(x bulrushlug.Lot, n uint32, t bulrushlug.Route, now time.Time) task {
 	events, at := r.eventCount(key{x.ID(), n})
--- a/report.go
+++ b/report.go
@@ -101,7 +101,6 @@
 	relayed          bool      // The report was relayed by another process.
 	suspects         []Suspect // Parts of prompts on which servers may have ended.
 	serverEnds       []ServerEnd
-	itemsWait        bool      // Items of lots wait for a slot at the process.
 	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
 	unreachable      []string  // Identifiers of the backend servers to which the process lately could make no connection.
 }
@@ -148,9 +147,6 @@
 // ReportUnreachable sets the identifiers of the backend servers to which the process lately could make no connection.
 func ReportUnreachable(l []string) ReportOption { return func(r *Report) { r.unreachable = l } }
 
-// ReportItemsWait sets whether items of lots wait for a slot at the process.
-func ReportItemsWait(v bool) ReportOption { return func(r *Report) { r.itemsWait = v } }
-
 // ReportForwardTo sets the addresses to which the receiver relays the report.
 func ReportForwardTo(l []string) ReportOption { return func(r *Report) { r.forwardTo = l } }
 
@@ -218,8 +214,5 @@
 // Suspects returns the parts of prompts on which servers may have ended.
 func (r Report) Suspects() []Suspect { return r.suspects }
 
-// ItemsWait reports whether items of lots wait for a slot at the process.
-func (r Report) ItemsWait() bool { return r.itemsWait }
-
 // Leaving returns the backend servers that told the process that they are leaving, without zone and slots.
 func (r Report) Leaving() []Backend { return r.leaving }
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -172,9 +172,6 @@
 	return s.w.Placement
 }
 
-// SharesItemStarts reports whether processes divide the idle slots of backend servers among them before they start items.
-func (s *Settings) SharesItemStarts() bool { return s.w.ShareItemStarts }
-
 // Tolerance returns the tolerated overrun of organisations' rate limits.
 func (s *Settings) Tolerance() bulrushlug.Tolerance {
 	return bulrushlug.NewTolerance(seconds(s.w.RateWindowSeconds, 0), s.w.RateOverrun, s.w.RateSlack)
--- a/slots/batch.go
+++ b/slots/batch.go
@@ -8,9 +8,8 @@
 // AcquireBatch reserves a slot for a batch item at a server of service v, or returns nil.
 //
 // Only slots that online requests leave idle are taken, and none of the reserve, which is never the only slot; cold servers,
-// at which few items may start, have a part of it. So that processes rarely start items in the same slot, they divide the
-// idle slots of each server by the rule for starts. Without one, a server that ranks another process first is used only if
-// there is no other.
+// at which few items may start, have a part of it. A server that ranks another process first is used only if there is no
+// other, so that processes rarely start items in the same slot.
 //
 // Servers in back-off are used only if there is no other, by one item of this process at a time, initialBackoff after the
 // one before and the last failure. Leaving servers are a last resort, used only if the service has no other server.
@@ -27,14 +26,13 @@
 	if best.shard == nil || float64(free-1) < min(batchReserve*float64(all), float64(all-1)) {
 		return nil
 	}
-	t.countStart(best, f.now)
 	return t.reserve(best, f, true)
 }
 
 // bestIdle returns the best server with an idle slot, and counts the idle and all slots of the servers that f selects.
 func (t *Table) bestIdle(f filter, o *ranking) (best candidate, free, all int) {
 	for i := range t.shards {
-		c, ok, m, n := t.shards[i].bestIdle(t, f, o)
+		c, ok, m, n := t.shards[i].bestIdle(f, o)
 		free += m
 		all += n
 		if ok && c.better(best) {
@@ -46,7 +44,7 @@
 
 // bestIdle returns the best server of the shard with an idle slot, and counts the idle and all slots of the servers that
 // f selects.
-func (s *shard) bestIdle(t *Table, f filter, o *ranking) (best candidate, ok bool, free, all int) {
+func (s *shard) bestIdle(f filter, o *ranking) (best candidate, ok bool, free, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
@@ -60,9 +58,9 @@
 		if n == 0 || !e.open(f.now) || !f.gate.Open(e.backend, f.now) {
 			continue
 		}
-		first := t.starts != nil || o.isFirst(id)
+		first := o.isFirst(id)
 		c := candidate{shard: s, id: id, fallback: !first, score: -float64(n) - jitter*rand.Float64()}
-		if c.better(best) && t.mayStart(e, o, n, f.now) {
+		if c.better(best) && (first || f.now.Sub(e.started) >= startInterval) {
 			best, ok = c, true
 		}
 	}
--- a/slots/table.go
+++ b/slots/table.go
@@ -39,9 +39,7 @@
 	gate        bulrushlug.ServerGate
 	division    atomic.Pointer[places]
 	metrics     metrics
-	free        func(s string)       // Called when this process has freed a slot of service s; nil if nobody waits for it.
-	starts      bulrushlug.StartRule // Divides idle slots among the processes; nil if they take them by rank alone.
-	startsHeld  atomic.Uint64        // Idle slots that were not taken, as it was the turn of other processes.
+	free        func(s string) // Called when this process has freed a slot of service s; nil if nobody waits for it.
 	shards      [shardCount]shard
 }
 
@@ -66,7 +64,6 @@
 	backoff       time.Duration // Length of the last back-off; zero after a success.
 	eventInterval float64       // Exponential moving average of the time between events, in seconds; zero before the first response.
 	started       time.Time     // Last start of a batch item by this process.
-	starts        []time.Time   // Starts of batch items by this process that others may not have heard of; only under a rule for starts.
 	idle          int           // Idle connections of this process to the server, as of idleUntil.
 	idleUntil     time.Time     // The idle connections are closed after this time.
 	answers       answers       // What this process lately had from the server.
