refactor(proxy): the queue of requests without a place and shares by work are removed

Packages queue and fair, their interfaces, setting, metric, field of the report and tests are removed; proxy.TestEndedBefore keeps its rows without a queue. fair.remoteWork, the twin of meter.remoteDemand, is gone with them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"bulrushlug.dev/bulrushlug/budget"
 	"bulrushlug.dev/bulrushlug/dgram"
 	"bulrushlug.dev/bulrushlug/even"
-	"bulrushlug.dev/bulrushlug/fair"
 	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/least"
 	"bulrushlug.dev/bulrushlug/lotcli"
@@ -62,7 +61,6 @@
 	gate           *warm.Gate
 	slotTable      *slots.Table
 	limiter        *meter.Limiter
-	shares         *fair.Shares // Nil if the settings do not call for shared admission.
 	recorder       *recorder
 	guard          *guard.Guard
 	detector       *poison.Detector
@@ -135,9 +133,6 @@
 	if s.RatesByDemand() {
 		x.limiter.ByDemand()
 	}
-	if s.SharedAdmission() {
-		x.shares = fair.New(x)
-	}
 	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.guard, x.counters)
 	if err != nil {
 		return nil, err
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -21,7 +21,6 @@
 	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/pipe"
 	"bulrushlug.dev/bulrushlug/proxy"
-	"bulrushlug.dev/bulrushlug/queue"
 	"bulrushlug.dev/bulrushlug/refuse"
 	"bulrushlug.dev/bulrushlug/tally"
 )
@@ -48,12 +47,6 @@
 func newEntry(s *Daemon) *entry {
 	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger), grace: grace.New()}
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
-	if s.shares != nil {
-		q := queue.New(s.shares)
-		s.slotTable.OnFree(q.Wake)
-		s.counters.Set("queue", q)
-		d.WithQueue(q, s.shares)
-	}
 	if s.settings.Load().SuspectSilence() {
 		d.WithMonitor(hush.New())
 	}
@@ -86,20 +79,13 @@
 
 // reportOptions returns the requests that the process admitted, by organisation.
 func (e *entry) reportOptions() []bulrushlug.ReportOption {
-	l := e.limiter.AdmissionCounts()
-	if e.shares != nil {
-		l = e.shares.Add(l)
-	}
-	return []bulrushlug.ReportOption{bulrushlug.ReportAdmissionCounts(l)}
+	return []bulrushlug.ReportOption{bulrushlug.ReportAdmissionCounts(e.limiter.AdmissionCounts())}
 }
 
 // handleReport applies the admission counts of other entries and the locations of lots.
 func (e *entry) handleReport(r bulrushlug.Report) {
 	if r.Member().Role() == bulrushlug.RoleEntry {
 		e.limiter.ApplyReport(r)
-		if e.shares != nil {
-			e.shares.ApplyReport(r)
-		}
 	}
 	e.router.SetPrimary(r.Disk(), r.Lots())
 }
--- a/proxy/ended_test.go
+++ b/proxy/ended_test.go
@@ -7,24 +7,19 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/memory"
-	"bulrushlug.dev/bulrushlug/queue"
 )
 
 // TestEndedBefore runs requests whose caller has left, or whose deadline is over, before a server is chosen.
 func TestEndedBefore(t *testing.T) {
 	for name, x := range map[string]struct {
-		queue   bool
 		expired bool // The deadline is over; otherwise the caller has left.
 		full    bool // No server has room.
 		kind    bulrushlug.Kind
 	}{
-		"the caller has left":                      {kind: bulrushlug.KindCancelled},
-		"the deadline is over":                     {expired: true, kind: bulrushlug.KindOverloaded},
-		"the caller has left, with a queue":        {queue: true, kind: bulrushlug.KindCancelled},
-		"the deadline is over, with a queue":       {queue: true, expired: true, kind: bulrushlug.KindOverloaded},
-		"the caller has left, no server":           {queue: true, full: true, kind: bulrushlug.KindCancelled},
-		"the deadline is over, and no server":      {queue: true, expired: true, full: true, kind: bulrushlug.KindOverloaded},
-		"the deadline is over, no queue or server": {expired: true, full: true, kind: bulrushlug.KindOverloaded},
+		"the caller has left":                 {kind: bulrushlug.KindCancelled},
+		"the deadline is over":                {expired: true, kind: bulrushlug.KindOverloaded},
+		"the caller has left, no server":      {full: true, kind: bulrushlug.KindCancelled},
+		"the deadline is over, and no server": {expired: true, full: true, kind: bulrushlug.KindOverloaded},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := table()
@@ -33,9 +28,6 @@
 			}
 			v := &servers{steps: []step{steps["ok"]}}
 			g := New(b, v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30))
-			if x.queue {
-				g.WithQueue(queue.New(verdict(false)), verdict(false))
-			}
 			c, stop := context.WithCancel(t.Context())
 			defer stop()
 			d := time.Now().Add(time.Minute)
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -65,57 +64,16 @@
 		a.next = nil
 		return p, nil
 	}
-	p, err := a.wait(c)
-	switch {
-	case p != nil:
-		return p, nil
-	case c.Err() != nil:
-		return nil, cmp.Or(err, c.Err())
-	case err != nil && a.possibleRuns == 0 && a.shares.Exceeds(a.request.Organisation()):
+	if err := c.Err(); err != nil {
 		return nil, err
 	}
 	l, vms := a.table.AcquireOnline(a.service, a.skip)
 	if l == nil {
-		if err == nil {
-			err = bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
-		}
-		return nil, err
+		return nil, bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
 	}
 	return &place{slot: l, vms: vms}, nil
 }
 
-// wait takes a place at a server that is neither avoided nor leaving, once it is the request's turn; there is none if no such
-// server is known, if it would come too late, or if the stage has no queue. It takes none once c has ended.
-func (a *exchange) wait(c context.Context) (p *place, err error) {
-	if err := c.Err(); err != nil {
-		return nil, err
-	}
-	if a.queue == nil || !a.table.HasReady(a.service, a.skip) {
-		return nil, nil
-	}
-	r := a.request
-	t := r.TargetRoute()
-	w := bulrushlug.NewWaiter(a.service, r.Organisation(), float64(r.Prompt().Tokens()+r.Prompt().MaxTokens())).
-		WithUrgency(t.Priority(), r.Deadline(), patience(t.FirstByteTarget())).WithNarrow(len(a.skip) > 0)
-	err = a.queue.Wait(c, w, func(idle bool) bool {
-		l, vms := a.table.AcquireReady(a.service, a.skip, idle)
-		if l == nil {
-			return false
-		}
-		p = &place{slot: l, vms: vms}
-		return true
-	})
-	return p, err
-}
-
-// patience returns how long a request may wait for a place if its first event is due after d: the rest is the server's.
-func patience(d time.Duration) time.Duration {
-	if d == 0 {
-		d = defaultTarget
-	}
-	return time.Duration(patienceShare * float64(d))
-}
-
 // releaseNext frees a place that no attempt used.
 func (a *exchange) releaseNext() {
 	if a.next != nil {
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -16,12 +16,10 @@
 )
 
 const (
-	maxServers    = 4                      // Backend servers tried for one request, those that refuse it included.
-	retryAfter    = 300 * time.Millisecond // Retry-After of a service without capacity; about the duration of a short response.
-	maxHeld       = 4 << 10                // Bytes of events that are held while the next one is there already.
-	begunEvents   = 2                      // Events of a response after which its request is not what ends the server.
-	defaultTarget = 300 * time.Millisecond // Time to the first event of a route without a target.
-	patienceShare = 0.5                    // Part of the time to the first event for which a request may wait for a place.
+	maxServers  = 4                      // Backend servers tried for one request, those that refuse it included.
+	retryAfter  = 300 * time.Millisecond // Retry-After of a service without capacity; about the duration of a short response.
+	maxHeld     = 4 << 10                // Bytes of events that are held while the next one is there already.
+	begunEvents = 2                      // Events of a response after which its request is not what ends the server.
 	// suspectTimeout is the time without a response after which other requests avoid a server: three times the 99th
 	// percentile of the time to the first event at peak load.
 	suspectTimeout = 600 * time.Millisecond
@@ -40,10 +38,8 @@
 	recorder bulrushlug.Recorder
 	notify   func(vms []string) // Tells the processes on these VMs that a request runs on the same server as their batch items.
 	detector bulrushlug.PoisonDetector
-	memory   *memory.Budget    // For what all responses hold.
-	shares   bulrushlug.Shares // Not nil with queue.
-	queue    bulrushlug.Queue  // Holds requests back that find no place; nil if they are rejected.
-	monitor  *hush.Monitor     // Hears the events of all streams; nil if each stream is judged by itself.
+	memory   *memory.Budget // For what all responses hold.
+	monitor  *hush.Monitor  // Hears the events of all streams; nil if each stream is judged by itself.
 }
 
 // WithMonitor makes streams go on elsewhere as soon as m finds their server silent; it is called before g is used.
@@ -52,13 +48,6 @@
 	return g
 }
 
-// WithQueue makes requests that find no place wait in q. One that waited in vain still gets a place at a server in back-off,
-// unless its organisation exceeds its share by s. It is called before g is used.
-func (g *Stage) WithQueue(q bulrushlug.Queue, s bulrushlug.Shares) *Stage {
-	g.queue, g.shares = q, s
-	return g
-}
-
 // New returns a stage that takes slots from t and sends requests by c, unless d holds them back; f tells the processes on
 // the given VMs that a request runs on the same server as their batch items. Responses hold what m allows.
 func New(t *slots.Table, c bulrushlug.BackendClient, e bulrushlug.Recorder, f func(vms []string), d bulrushlug.PoisonDetector, m *memory.Budget) *Stage {
--- a/report.go
+++ b/report.go
@@ -38,7 +38,6 @@
 	organisation string
 	admitted     uint64  // Requests since the start of the process; never decreases.
 	level        float64 // Tokens left in the process's own bucket; may be negative.
-	work         uint64  // Tokens of prompts and responses since the start of the process; never decreases.
 	asked        uint64  // Requests since the start of the process, admitted or not; never decreases.
 	share        float64 // Share of rate and burst that the process uses; zero if it does not say.
 }
@@ -60,15 +59,6 @@
 	return s
 }
 
-// WithWork returns a copy of s with the tokens of prompts and responses since the start of the process.
-func (s AdmissionCount) WithWork(n uint64) AdmissionCount {
-	s.work = n
-	return s
-}
-
-// Work returns the tokens of prompts and responses since the start of the process.
-func (s AdmissionCount) Work() uint64 { return s.work }
-
 // Asked returns the requests since the start of the process, admitted or not.
 func (s AdmissionCount) Asked() uint64 { return s.asked }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -215,9 +215,6 @@
 	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
 }
 
-// SharedAdmission reports whether short room is divided among organisations by weight.
-func (s *Settings) SharedAdmission() bool { return s.w.SharedAdmission }
-
 // RatesByDemand reports whether rates are divided among entries by demand.
 func (s *Settings) RatesByDemand() bool { return s.w.RatesByDemand }
 
--- a/slots/explain.go
+++ b/slots/explain.go
@@ -51,7 +51,7 @@
 			r = r.Scored(best.score).Chosen(f.rule())
 		case n != "":
 			r = r.Excluded(n)
-		case y.Own()+y.Others() >= f.places(y.Slots()):
+		case y.Own()+y.Others() >= capacity(y.Slots()):
 			r = r.Excluded("full")
 		default:
 			r = r.Scored(x.Score(y))
--- a/slots/filter.go
+++ b/slots/filter.go
@@ -25,7 +25,6 @@
 	gate    bulrushlug.ServerGate
 	backoff bool // Servers in back-off are selected too.
 	all     bool // All servers are looked at, not only those near the places of the process.
-	idle    bool // Servers whose slots are all taken are left out.
 	leaving bool // Leaving servers are selected too, as a last resort.
 	closed  bool // Servers to which the gate admits nothing at the moment are selected too, except in evacuated zones.
 }
@@ -44,10 +43,5 @@
 	return f.closed && !f.gate.Evacuated(e.backend.Zone()) || f.gate.Open(e.backend, f.now)
 }
 
-// places returns the online requests that a server with the given slots may have.
-func (f filter) places(slots int) int {
-	if f.idle {
-		return slots
-	}
-	return slots + slots/slotsPerQueued
-}
+// capacity returns the online requests that a server with n slots may have.
+func capacity(n int) int { return n + n/slotsPerQueued }
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -20,7 +20,6 @@
 	failed  bool // A failure was recorded.
 	success bool // The response was complete, so that its connection can be used again.
 	once    sync.Once
-	free    func(s string) // Called once the slot is free; not nil for those of a table.
 }
 
 // Backend returns the backend server.
@@ -43,12 +42,7 @@
 
 // Release frees the slot; further calls do nothing.
 func (l *Reservation) Release() {
-	l.once.Do(func() {
-		l.release()
-		if l.free != nil {
-			l.free(l.backend.Service())
-		}
-	})
+	l.once.Do(l.release)
 }
 
 // release frees the slot.
--- a/slots/table.go
+++ b/slots/table.go
@@ -39,7 +39,6 @@
 	gate        bulrushlug.ServerGate
 	division    atomic.Pointer[places]
 	metrics     metrics
-	free        func(s string) // Called when this process has freed a slot of service s; nil if nobody waits for it.
 	shards      [shardCount]shard
 }
 
@@ -323,16 +322,10 @@
 // Servers in skip are left out, and servers in back-off are used only if there is no other. Leaving servers are a last
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
-	return t.acquire(filter{service: v, skip: skip, gate: t.gate}, t.chooseOnline)
-}
-
-// acquire reserves a slot at the server that choose returns for f, and chooses again while other requests have taken what the
-// gate admits there, or the server is gone.
-func (t *Table) acquire(f filter, choose func(f *filter, p *places) candidate) (l *Reservation, vms []string) {
 	for {
-		g := f
-		g.now = time.Now()
-		best := choose(&g, t.places(g.now))
+		// Chooses again if other requests have taken what the gate admits there, or the server is gone.
+		g := filter{service: v, skip: skip, gate: t.gate, now: time.Now()}
+		best := t.chooseOnline(&g, t.places(g.now))
 		if best.shard == nil {
 			return nil, nil
 		}
@@ -345,7 +338,11 @@
 
 // chooseOnline returns the server for an online request; f is widened until it selects one that has capacity.
 func (t *Table) chooseOnline(f *filter, p *places) candidate {
-	best := t.chooseReady(f, p)
+	best := t.bestOnline(*f, p)
+	f.all = true
+	if best.shard == nil && p.nearby(f.service) != nil {
+		best = t.bestOnline(*f, p)
+	}
 	if best.shard == nil {
 		f.backoff = true
 		best = t.bestOnline(*f, p)
@@ -357,16 +354,6 @@
 	return best
 }
 
-// chooseReady returns the server for an online request that is neither in back-off nor leaving.
-func (t *Table) chooseReady(f *filter, p *places) candidate {
-	best := t.bestOnline(*f, p)
-	f.all = true
-	if best.shard == nil && p.nearby(f.service) != nil {
-		best = t.bestOnline(*f, p)
-	}
-	return best
-}
-
 // bestOnline returns the server with the lowest score of all shards.
 func (t *Table) bestOnline(f filter, p *places) (best candidate) {
 	for i := range t.shards {
@@ -384,7 +371,7 @@
 	}
 	l := c.shard.reserve(c.id, batch)
 	if l != nil {
-		l.idle, l.metrics, l.free = c.idle, t.metrics, t.notifyFree
+		l.idle, l.metrics = c.idle, t.metrics
 	}
 	return l
 }
@@ -419,7 +406,7 @@
 			return
 		}
 		l := s.load(e, p, f.now)
-		if l.Own()+l.Others() >= f.places(l.Slots()) {
+		if l.Own()+l.Others() >= capacity(l.Slots()) {
 			return
 		}
 		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
