refactor(slots): one list of reasons for servers that get nothing, and table.go split by concept

Cause: WriteState and Explain named the same reasons in other words and order (failed and backOff, cold and closed). Both use one list in reason.go now; the test of WriteState expects backOff.

--- a/slots/explain.go
+++ b/slots/explain.go
@@ -46,13 +46,13 @@
 		}
 		y := s.load(e, p, f.now)
 		r := bulrushlug.NewProspect(e.backend, y, s.totals[id].age(f.now.Sub(s.start)))
-		switch n := f.exclusion(e, s.leaving[id]); {
+		switch n := s.exclusionBy(f, e); {
 		case s == best.shard && id == best.id:
 			r = r.Scored(best.score).Chosen(f.rule())
 		case n != "":
 			r = r.Excluded(n)
 		case y.Own()+y.Others() >= capacity(y.Slots()):
-			r = r.Excluded("full")
+			r = r.Excluded(reasonFull)
 		default:
 			r = r.Scored(x.Score(y))
 		}
@@ -71,20 +71,3 @@
 	}
 	return "lowestScore"
 }
-
-// exclusion returns why f does not select the server of e, or an empty string if it does.
-func (f filter) exclusion(e *entry, d *departure) string {
-	switch {
-	case f.selects(e, d):
-		return ""
-	case e.backend.Draining():
-		return "draining"
-	case d != nil:
-		return "leaving"
-	case f.gate.Evacuated(e.backend.Zone()):
-		return "evacuated"
-	case !f.gate.Open(e.backend, f.now):
-		return "closed"
-	}
-	return "backOff"
-}
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -22,6 +22,36 @@
 	once    sync.Once
 }
 
+// reserve counts one more request at the server of c, which f selected.
+func (t *Table) reserve(c candidate, f filter, batch bool) *Reservation {
+	if f.leaving {
+		t.lastResorts.Add(1)
+	}
+	l := c.shard.reserve(c.id, batch)
+	if l != nil {
+		l.idle, l.metrics = c.idle, t.metrics
+	}
+	return l
+}
+
+// reserve counts one more request at server id, and returns nil if the server is gone or the gate no longer admits it.
+func (s *shard) reserve(id string, batch bool) *Reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok || !s.gate.Admit(e.backend, time.Now()) {
+		return nil
+	}
+	if batch {
+		e.batch++
+		e.started = time.Now()
+	} else {
+		e.online++
+		e.idle = max(0, e.idle-1)
+	}
+	return &Reservation{shard: s, entry: e, backend: e.backend, batch: batch, began: time.Now()}
+}
+
 // Backend returns the backend server.
 func (l *Reservation) Backend() bulrushlug.Backend { return l.backend }
 
--- a/slots/state.go
+++ b/slots/state.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -28,24 +29,7 @@
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
 		online, batch := s.totalLoad(e, now)
-		l = append(l, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s\n", id, e.backend.Service(), e.backend.Zone(), e.backend.Slots(), online, batch, s.closedBy(e, now)))
+		l = append(l, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s\n", id, e.backend.Service(), e.backend.Zone(), e.backend.Slots(), online, batch, cmp.Or(s.exclusion(e, now), "-")))
 	}
 	return l
 }
-
-// closedBy returns why this process sends the server of e nothing, or a dash; the caller holds the lock.
-func (s *shard) closedBy(e *entry, now time.Time) string {
-	switch {
-	case s.gate.Evacuated(e.backend.Zone()):
-		return "evacuated"
-	case e.backend.Draining():
-		return "draining"
-	case s.leaving[e.backend.ID()] != nil:
-		return "leaving"
-	case now.Before(e.backoffUntil):
-		return "failed"
-	case !s.gate.Open(e.backend, now):
-		return "cold"
-	}
-	return "-"
-}
--- a/slots/state_test.go
+++ b/slots/state_test.go
@@ -23,7 +23,7 @@
 			l, _ := b.AcquireOnline("s", nil)
 			l.RecordFailure()
 			l.Release()
-		}, want: "a\ts\tz\t8\t0\t0\tfailed\n"},
+		}, want: "a\ts\tz\t8\t0\t0\tbackOff\n"},
 		"cold": {warmup: true, do: func(_ *Table, g *warm.Gate) { g.SetIsolated(true) }, want: "a\ts\tz\t8\t0\t0\tcold\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
