fix(meter): the bound of a rate holds in cuts that nobody has noticed; rates by demand are removed

Cause of the fault: a round that began just before a cut ended while some of the cut-off entries were still counted as heard, with reports from before the cut, so that what they had spent since was forgotten. Once fewer are heard, all of them report anew before a round ends.

--- a/codec/report.go
+++ b/codec/report.go
@@ -28,7 +28,7 @@
 		w.Usages = append(w.Usages, encodeUsage(u))
 	}
 	for _, s := range r.AdmissionCounts() {
-		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level(), Asked: s.Asked(), Share: s.Share()})
+		w.Spendings = append(w.Spendings, &wire.Spending{Organisation: s.Organisation(), Admitted: s.Admitted(), Level: s.Level()})
 	}
 	for _, x := range r.Suspects() {
 		w.Suspects = append(w.Suspects, encodeSuspect(x))
@@ -53,7 +53,7 @@
 	}
 	var s []bulrushlug.AdmissionCount
 	for _, x := range w.Spendings {
-		s = append(s, bulrushlug.NewAdmissionCount(x.Organisation, x.Admitted, x.Level).WithAsked(x.Asked).WithShare(x.Share))
+		s = append(s, bulrushlug.NewAdmissionCount(x.Organisation, x.Admitted, x.Level))
 	}
 	var p []bulrushlug.Suspect
 	for _, x := range w.Suspects {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,9 +130,6 @@
 	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate), slots.WithChooser(newChooser(s.Placement())))
 	x.counters.Set("placements", x.slotTable.Counts())
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
-	if s.RatesByDemand() {
-		x.limiter.ByDemand()
-	}
 	m, err := dgram.New(s.Member().Name(), s.Member().Address(), nil, x.guard, x.counters)
 	if err != nil {
 		return nil, err
--- a/meter/cuts_test.go
+++ b/meter/cuts_test.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	entries = 24
-	half    = entries / 2
+	entries   = 24
+	half      = entries / 2
+	minReport = 100 * time.Millisecond // Time between two reports of a process.
+	maxReport = 208 * time.Millisecond
 )
 
 // cutGroup is a group whose processes report at different times, hear each other or not, and may be frozen.
@@ -31,8 +33,8 @@
 	report bulrushlug.Report
 }
 
-func newCutGroup(rate float64, burst uint32, notice time.Duration, byDemand bool) *cutGroup {
-	g := &cutGroup{group: newGroupOf(entries, true, &group{rate: rate, burst: burst, notice: notice, byDemand: byDemand, random: rand.New(rand.NewPCG(44, 1))})}
+func newCutGroup(rate float64, burst uint32, notice time.Duration) *cutGroup {
+	g := &cutGroup{group: newGroupOf(entries, true, &group{rate: rate, burst: burst, notice: notice, random: rand.New(rand.NewPCG(44, 1))})}
 	for range entries {
 		g.nextReport = append(g.nextReport, time.Now())
 		l := make([]time.Time, entries)
@@ -174,23 +176,21 @@
 				"a large burst of 5 s": {200, 1000},
 				"a small one":          {10, 10},
 			} {
-				for _, v := range []bool{false, true} {
-					t.Run(fmt.Sprint(name, "/", size, "/", d, "/by demand ", v), func(t *testing.T) {
-						t.Parallel()
-						synctest.Test(t, func(t *testing.T) {
-							g := newCutGroup(x.rate, x.burst, d, v)
-							g.play(5*time.Second, 0.4, 0, half)
-							f(g, d)
-							p := g.play(6*time.Second, 7, 0, entries)
-							bound := (g.rate*window.Seconds()+float64(g.burst))*(1+overrun) + slack
-							n := g.maxInWindow()
-							t.Logf("%d admissions within %v, the bound is %.0f, %.3f admitted", n, window, bound, p)
-							if float64(n) > bound {
-								t.Errorf("%d admissions within %v, the bound is %.0f", n, window, bound)
-							}
-						})
+				t.Run(fmt.Sprint(name, "/", size, "/", d), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						g := newCutGroup(x.rate, x.burst, d)
+						g.play(5*time.Second, 0.4, 0, half)
+						f(g, d)
+						p := g.play(6*time.Second, 7, 0, entries)
+						bound := (g.rate*window.Seconds()+float64(g.burst))*(1+overrun) + slack
+						n := g.maxInWindow()
+						t.Logf("%d admissions within %v, the bound is %.0f, %.3f admitted", n, window, bound, p)
+						if float64(n) > bound {
+							t.Errorf("%d admissions within %v, the bound is %.0f", n, window, bound)
+						}
 					})
-				}
+				})
 			}
 		}
 	}
--- a/meter/late_test.go
+++ b/meter/late_test.go
@@ -10,20 +10,16 @@
 // its bucket stays full.
 func TestLateNotice(t *testing.T) {
 	for name, x := range map[string]struct {
-		rate     float64
-		burst    uint32
-		notice   time.Duration
-		byDemand bool
+		rate   float64
+		burst  uint32
+		notice time.Duration
 	}{
-		"a large rate, evenly":    {rate: 400, burst: 800, notice: 900 * time.Millisecond},
-		"a large rate, by demand": {rate: 400, burst: 400, notice: 900 * time.Millisecond, byDemand: true},
-		"late, evenly":            {rate: 200, burst: 400, notice: 1500 * time.Millisecond},
-		"late, by demand":         {rate: 200, burst: 200, notice: 1500 * time.Millisecond, byDemand: true},
+		"a large rate": {rate: 400, burst: 800, notice: 900 * time.Millisecond},
+		"late":         {rate: 200, burst: 400, notice: 1500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroupOf(2, true, &group{rate: x.rate, burst: x.burst, interval: 300 * time.Millisecond, notice: x.notice})
-				g.divideByDemand(x.byDemand)
 				g.run(time.Second, 1)
 				g.split(1)
 				g.run(8*time.Second, 2*x.rate)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,12 +32,6 @@
 	recovered      = 0.9
 	// uncontendedExtra is what a process may admit beyond its part in a round while an organisation is not contended.
 	uncontendedExtra = 2
-	// overlapShare is the part of the tolerance that all processes together may admit beyond the level in one round, as they
-	// divide by demand that is a report old.
-	overlapShare = 1.0
-	// maxReturnTime is the longest time after which callers are told to return. One that returns later is late even if it is
-	// admitted then, and its token is missing for a new request that would be in time.
-	maxReturnTime = 200 * time.Millisecond
 )
 
 // Limiter admits requests within rate and burst of their organisation.
@@ -53,7 +47,6 @@
 	boot      uint64                  // Start of this process, Unix milliseconds.
 	tolerance bulrushlug.Tolerance    // Tolerance beyond rate and burst.
 	startFull bool                    // Buckets start full: nothing was admitted before the start.
-	byDemand  bool                    // Rounds are divided by demand, and refused callers return one by one.
 	shards    [shardCount]shard
 }
 
@@ -62,6 +55,7 @@
 	buckets      map[string]*bucket // By organisation.
 	boots        map[string]uint64  // Boot of each process that reported, by VM.
 	roundReports map[string]bool    // VMs of the processes that reported in this round.
+	roundPart    float64            // Share of rate and burst that belongs to the processes heard in this round.
 }
 
 // bucket is the token bucket of one organisation.
@@ -81,8 +75,6 @@
 	sharedAt       time.Time         // When all processes of part last reported, or the bucket was last full with nothing deducted before.
 	spent          float64           // Deducted since sharedAt.
 	lost           float64           // Tokens since sharedAt that came while the bucket was full.
-	demand         demand            // What this process and the others are asked for.
-	nextReturn     time.Time         // When the caller refused last was told to return.
 }
 
 // New returns a limiter that reads rates from f; full says that nothing was admitted before the start, and t is the
@@ -95,13 +87,6 @@
 	return m
 }
 
-// ByDemand makes m divide the tokens of a round by what each process is asked for, and tell refused callers to return one
-// after the other; it is called before m is used, on all processes.
-func (m *Limiter) ByDemand() *Limiter {
-	m.byDemand = true
-	return m
-}
-
 func (m *Limiter) shard(o string) *shard { return &m.shards[xxhash.Sum64String(o)%shardCount] }
 
 func (s *shard) bucket(o string) *bucket {
@@ -125,23 +110,20 @@
 	defer s.mu.Unlock()
 	b := s.bucket(o)
 	b.admitted++
-	if m.byDemand {
-		b.demand.asked++
-	}
 	b.lastRequestAt = time.Now()
 	if g.Rate() <= 0 {
 		return nil
 	}
 	heard, all := m.heard()
 	part := float64(heard) / float64(all)
-	m.refill(s, b, g, part, all)
-	if b.level >= 1 && b.roundAdmitted+1 <= m.share(b, g, heard, all) {
+	m.refill(b, g, part, all)
+	if b.level >= 1 && b.roundAdmitted+1 <= b.share(g, heard, all) {
 		b.spend(1)
 		b.roundAdmitted++
 		return nil
 	}
 	b.admitted--
-	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(m.returnTime(b, g, heard, all))
+	return bulrushlug.Errorf(bulrushlug.KindRateLimited, "organisation %s exceeds its rate of %g requests per second: %.1f admissions left", o, g.Rate(), b.level).WithRetryAfter(b.returnTime(g, part))
 }
 
 // share returns the requests that this process may admit in this round: its part of the level and uncontendedExtra,
@@ -149,52 +131,22 @@
 //
 // Load patterns: requests of one organisation within its rate, of which a few reach the same one of many entries in one
 // round; and requests beyond it, of which one reaches nearly every entry in each round. A round lasts until all have
-// reported, so in a partition that nobody noticed yet, what is extra comes once.
-func (m *Limiter) share(b *bucket, g bulrushlug.Organisation, heard, all int) float64 {
+// reported, so in a partition that nobody noticed yet, what is extra comes in the round that it interrupts and at most one more.
+func (b *bucket) share(g bulrushlug.Organisation, heard, all int) float64 {
 	if heard == 1 {
 		return b.level + b.roundAdmitted
 	}
 	b.contended = b.level < contendedLevel || b.contended && b.level < recovered*float64(g.Burst())
-	s := (b.level + b.roundAdmitted) * m.weight(b, heard, all)
-	if m.byDemand && heard == all {
-		s += overlapShare * m.tolerance.Requests(g.Rate(), float64(g.Burst())) / float64(heard)
-	}
+	s := (b.level + b.roundAdmitted) / float64(heard)
 	if b.contended || heard < all {
 		return max(1, s)
 	}
 	return s + uncontendedExtra
 }
 
-// weight returns the part of the tokens of b that belongs to this one of the processes that are heard.
-func (m *Limiter) weight(b *bucket, heard, all int) float64 {
-	if m.byDemand {
-		return min(1, b.demand.claimOf(all)*float64(all)/float64(heard))
-	}
-	return 1 / float64(heard)
-}
-
-// returnTime returns the time after which the caller of a refused request finds a token: callers refused by this process
-// return in the order in which they were refused, as fast as its share of the tokens comes.
-//
-// Load pattern: an organisation that asks for several times its rate, all of whose callers return at the time at which the
-// next token comes, and are refused again but for one.
-func (m *Limiter) returnTime(b *bucket, g bulrushlug.Organisation, heard, all int) time.Duration {
-	tokens := g.Rate() * float64(heard) / float64(all)
-	w := max(0, 1-b.level) / tokens
-	if !m.byDemand {
-		return time.Duration(max(1, 1-b.level) / tokens * float64(time.Second))
-	}
-	now := time.Now()
-	t := now.Add(time.Duration(w * float64(time.Second)))
-	if b.nextReturn.After(t) {
-		t = b.nextReturn
-	}
-	gap := time.Duration(float64(time.Second) / (tokens * m.weight(b, heard, all)))
-	b.nextReturn = t.Add(gap)
-	if l := now.Add(maxReturnTime); b.nextReturn.After(l) {
-		b.nextReturn = l
-	}
-	return b.nextReturn.Sub(now)
+// returnTime returns the time after which there will be a token, if nobody else takes it.
+func (b *bucket) returnTime(g bulrushlug.Organisation, part float64) time.Duration {
+	return time.Duration(max(1, 1-b.level) / (g.Rate() * part) * float64(time.Second))
 }
 
 // initialLevel returns the tokens with which a bucket of g starts at one of n processes.
@@ -208,17 +160,10 @@
 // refill adds the tokens since the last call to b, the bucket of g at one of n processes, or its first ones; part is the
 // share of rate and burst that this process may use. A bucket is filled from the first request or report on, as its level
 // never exceeds the burst.
-func (m *Limiter) refill(s *shard, b *bucket, g bulrushlug.Organisation, part float64, n int) {
+func (m *Limiter) refill(b *bucket, g bulrushlug.Organisation, part float64, n int) {
 	if !b.initialised {
 		b.initialise(m.initialLevel(g, n), m.startFull)
 	}
-	if part < b.part {
-		kept := part
-		if m.byDemand {
-			kept = min(1, b.demand.handOver(s.roundReports, part, n))
-		}
-		b.deductUnheard(g, kept, time.Now())
-	}
 	b.refill(g, part)
 }
 
@@ -245,6 +190,9 @@
 // refill adds the tokens since the last call; part is the share of rate and burst that this process may use.
 func (b *bucket) refill(g bulrushlug.Organisation, part float64) {
 	now := time.Now()
+	if part < b.part {
+		b.deductUnheard(g, part, now)
+	}
 	b.part = part
 	limit := max(1, float64(g.Burst())*part)
 	l := b.level + g.Rate()*part*now.Sub(b.refilledAt).Seconds()
@@ -261,21 +209,20 @@
 }
 
 // deductUnheard adds the tokens since the last refill, as if all were still heard, and deducts what belongs to those that
-// are not: their share of the level when all reported and of the tokens since; kept is the share of rate and burst that
-// those that are heard had then.
+// are not: their share of the level when all reported and of the tokens since; part is the share of rate and burst that is
+// left.
 //
 // Processes may be missed one after the other, so the share is that of all of them in all that was there.
-func (b *bucket) deductUnheard(g bulrushlug.Organisation, kept float64, now time.Time) {
+func (b *bucket) deductUnheard(g bulrushlug.Organisation, part float64, now time.Time) {
 	from := b.sharedPart
 	if from == 0 {
 		from = b.part
 	}
-	kept = min(kept, from)
-	shared := b.sharedLevel * kept / from
+	shared := b.sharedLevel * part / from
 	if b.sharedLevel >= 1 {
 		shared = max(1, shared)
 	}
-	left := shared - b.lost*kept/from + g.Rate()*kept*now.Sub(b.sharedAt).Seconds() - b.spent
+	left := shared - b.lost*part/from + g.Rate()*part*now.Sub(b.sharedAt).Seconds() - b.spent
 	b.level = min(left, b.level+g.Rate()*b.part*now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
 }
@@ -292,31 +239,33 @@
 		m.applyCount(r, x, g, float64(heard)/float64(all), all)
 	}
 	for i := range m.shards {
-		m.advanceRound(&m.shards[i], r.Member().Name(), heard, all)
+		m.shards[i].advanceRound(r.Member().Name(), heard-1, float64(heard)/float64(all))
 	}
 }
 
-// advanceRound starts a new round of s once all other processes that are heard have reported in this one. A bucket that has
-// not deducted yet what is not heard any more keeps its span and its claim.
-func (m *Limiter) advanceRound(s *shard, vm string, heard, all int) {
+// advanceRound starts a new round once n other processes have reported in this one; part is the share of rate and burst
+// that this process may use. A bucket that has not deducted yet what is not heard any more keeps its span.
+//
+// Once fewer processes are heard, all of them have to report anew: of those still counted as heard, some may have been cut off
+// since they reported in this round.
+func (s *shard) advanceRound(vm string, n int, part float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if part < s.roundPart {
+		clear(s.roundReports)
+	}
+	s.roundPart = part
 	s.roundReports[vm] = true
-	if len(s.roundReports) < heard-1 {
+	if len(s.roundReports) < n {
 		return
 	}
-	part := float64(heard) / float64(all)
+	clear(s.roundReports)
 	for _, b := range s.buckets {
 		b.roundAdmitted = 0
-		if b.part > part {
-			continue
-		}
-		b.startSpan()
-		if m.byDemand {
-			b.demand.claimAnew(s.roundReports, part, all)
+		if b.part <= part {
+			b.startSpan()
 		}
 	}
-	clear(s.roundReports)
 }
 
 // applyCount deducts x, which r reports, from the bucket of g; part is the share of rate and burst that this one of n
@@ -330,7 +279,7 @@
 	defer s.mu.Unlock()
 	b := s.bucket(x.Organisation())
 	if g.Rate() > 0 {
-		m.refill(s, b, g, part, n)
+		m.refill(b, g, part, n)
 	}
 	later := m.startFull || r.Boot()+uint64(restartSpan.Milliseconds()) > m.boot
 	if _, ok := b.remoteAdmitted[r.Member().Name()]; !ok && later && !m.startFull {
@@ -338,9 +287,6 @@
 		b.startSpan()
 	}
 	s.deduct(b, r.Member().Name(), r.Boot(), x, later)
-	if m.byDemand {
-		b.demand.record(b.refilledAt, r.Member().Name(), r.Boot(), max(x.Asked(), x.Admitted()), x.Share())
-	}
 }
 
 // deduct deducts x of the process on VM vm from b; later says that all of it was admitted after the start of this process or
@@ -379,29 +325,22 @@
 // AdmissionCounts returns the counts of organisations with recent requests and, of one shard in turn, of all others.
 func (m *Limiter) AdmissionCounts() []bulrushlug.AdmissionCount {
 	now := time.Now()
-	_, all := m.heard()
 	turn := int(now.UnixMilli()/turnInterval.Milliseconds()) % shardCount
 	var l []bulrushlug.AdmissionCount
 	for i := range m.shards {
-		l = append(l, m.shards[i].admissionCounts(now, i == turn, m.byDemand, all)...)
+		l = append(l, m.shards[i].admissionCounts(now, i == turn)...)
 	}
 	return l
 }
 
-// admissionCounts returns the counts of organisations with recent requests, and of those whose claim at this one of n
-// processes has fallen if byDemand is set; all adds the others.
-func (s *shard) admissionCounts(now time.Time, all, byDemand bool, n int) (l []bulrushlug.AdmissionCount) {
+// admissionCounts returns the counts of organisations with recent requests; all adds those without any.
+func (s *shard) admissionCounts(now time.Time, all bool) (l []bulrushlug.AdmissionCount) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for o, b := range s.buckets {
-		if !all && now.Sub(b.lastRequestAt) >= recentTime && !(byDemand && b.demand.fell()) {
-			continue
-		}
-		x := bulrushlug.NewAdmissionCount(o, b.admitted, b.level)
-		if byDemand {
-			x = b.demand.report(x, n)
+		if all || now.Sub(b.lastRequestAt) < recentTime {
+			l = append(l, bulrushlug.NewAdmissionCount(o, b.admitted, b.level))
 		}
-		l = append(l, x)
 	}
 	return l
 }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -44,8 +44,7 @@
 	burst    uint32
 	interval time.Duration // Of reports.
 	notice   time.Duration // Time after which a process that is not heard is noticed.
-	byDemand bool
-	random   *rand.Rand // Picks the process of each request; nil for one after the other.
+	random   *rand.Rand    // Picks the process of each request; nil for one after the other.
 }
 
 func newGroup(n int, full bool) *group {
@@ -65,19 +64,7 @@
 }
 
 func (g *group) newLimiter(i int, full bool) *Limiter {
-	m := New(organisation(g.rate, g.burst), func() (int, int) { return int(g.heard[i].Load()), len(g.heard) }, g.boots[i], full, bulrushlug.NewTolerance(window, overrun, slack))
-	if g.byDemand {
-		m.ByDemand()
-	}
-	return m
-}
-
-// divideByDemand sets whether the limiters divide by demand; none has admitted anything yet.
-func (g *group) divideByDemand(v bool) {
-	g.byDemand = v
-	for i := range g.limiters {
-		g.limiters[i] = g.newLimiter(i, true)
-	}
+	return New(organisation(g.rate, g.burst), func() (int, int) { return int(g.heard[i].Load()), len(g.heard) }, g.boots[i], full, bulrushlug.NewTolerance(window, overrun, slack))
 }
 
 // restart replaces the limiter of process i by one with a later boot.
@@ -203,13 +190,10 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				bound := (rate*window.Seconds()+burst)*(1+overrun) + slack
-				for _, v := range []bool{false, true} {
-					g := newGroup(4, true)
-					g.divideByDemand(v)
-					x(g)
-					if n := g.maxInWindow(); float64(n) > bound {
-						t.Errorf("by demand %v: %d admissions within %v, the bound is %.0f", v, n, window, bound)
-					}
+				g := newGroup(4, true)
+				x(g)
+				if n := g.maxInWindow(); float64(n) > bound {
+					t.Errorf("%d admissions within %v, the bound is %.0f", n, window, bound)
 				}
 			})
 		})
--- a/report.go
+++ b/report.go
@@ -38,8 +38,6 @@
 	organisation string
 	admitted     uint64  // Requests since the start of the process; never decreases.
 	level        float64 // Tokens left in the process's own bucket; may be negative.
-	asked        uint64  // Requests since the start of the process, admitted or not; never decreases.
-	share        float64 // Share of rate and burst that the process uses; zero if it does not say.
 }
 
 // NewAdmissionCount returns the admission count of organisation o.
@@ -47,24 +45,6 @@
 	return AdmissionCount{organisation: o, admitted: admitted, level: level}
 }
 
-// WithAsked returns a copy of s with the requests since the start of the process, admitted or not.
-func (s AdmissionCount) WithAsked(n uint64) AdmissionCount {
-	s.asked = n
-	return s
-}
-
-// WithShare returns a copy of s with the share of rate and burst that the process uses.
-func (s AdmissionCount) WithShare(v float64) AdmissionCount {
-	s.share = v
-	return s
-}
-
-// Asked returns the requests since the start of the process, admitted or not.
-func (s AdmissionCount) Asked() uint64 { return s.asked }
-
-// Share returns the share of rate and burst that the process uses, or zero if it does not say.
-func (s AdmissionCount) Share() float64 { return s.share }
-
 // Organisation returns the organisation.
 func (s AdmissionCount) Organisation() string { return s.organisation }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -215,9 +215,6 @@
 	return bulrushlug.NewWarmup(s.w.WarmupFactor, s.w.WarmupSlack)
 }
 
-// RatesByDemand reports whether rates are divided among entries by demand.
-func (s *Settings) RatesByDemand() bool { return s.w.RatesByDemand }
-
 // SuspectSilence reports whether a server is suspected as soon as it is silent on all streams while others are heard.
 func (s *Settings) SuspectSilence() bool { return s.w.SuspectSilence }
 
--- a/setup/settings_test.go
+++ b/setup/settings_test.go
@@ -13,7 +13,7 @@
   "vm": "edge-a-1", "region": "r", "zone": "a", "role": "entry", "listen": "10.0.0.1:7360",
   "http": "10.0.0.1:80", "ready": "10.0.0.1:81", "metrics": "10.0.0.1:9100", "store": "10.0.0.9:80",
   "toleratedDisks": 1, "firstStart": true, "leaseMinMs": 1000, "graceSeconds": 8, "statusSeconds": 120.5,
-  "rateWindowSeconds": 5, "rateOverrun": 0.1, "rateSlack": 20, "ratesByDemand": true,
+  "rateWindowSeconds": 5, "rateOverrun": 0.1, "rateSlack": 20, "suspectSilence": true,
   "warmupFactor": 1.5, "warmupSlack": 5,
 }`
 
@@ -54,7 +54,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if s.Member().Name() != "edge-a-1" || s.ReplicationFactor() != 2 || s.Grace() != 8*time.Second || s.Retention() < 2*time.Minute || !s.FirstStart() || !s.RatesByDemand() || s.Warmup().Requests(7.6) != 16 {
+			if s.Member().Name() != "edge-a-1" || s.ReplicationFactor() != 2 || s.Grace() != 8*time.Second || s.Retention() < 2*time.Minute || !s.FirstStart() || !s.SuspectSilence() || s.Warmup().Requests(7.6) != 16 {
 				t.Errorf("wrong settings: %+v", s)
 			}
 		})
