feat(intake): bound what connections of other processes cost

The port on which processes call each other had no bound: 300 connections with half a message took a process with 80 MB to 417 MB, 800 that send nothing took 823 descriptors where it had 500, and neither ever ended. Connections have places now, of which the oldest yields, and what comes on them takes memory from the plan. A drpc reader that waits for a stream does not see that its connection was closed, so the server cancels its calls.

--- a/budget/plan.go
+++ b/budget/plan.go
@@ -15,10 +15,15 @@
 	bodyPercent       = 15
 	responsePercent   = 15
 	lotPercent        = 35 // In a process that holds lots and has no callers.
+	messagePercent    = 25 // In such a process.
 	kernelPercent     = 10 // What arrived and was not read. The rest, 15, is for garbage.
 
 	ownDescriptors = 200 // Files, listeners, the key-value service and other processes.
 	minConnections = 16
+	// Connections of other processes: few call one without a disk, and these are in ownDescriptors.
+	fewPeers  = 64
+	mostPeers = 1024
+	fewBytes  = 2 << 20 // Bytes of their messages.
 )
 
 // Plan is the division of one VM. Its parts and runtimeBytes are together less than memory.
@@ -54,8 +59,24 @@
 // ResponseBytes returns the memory for the responses of all backend servers.
 func (p Plan) ResponseBytes() int { return min(p.percent(responsePercent), mostMessages) }
 
+// Peers returns the largest number of connections of other processes, for a process with a disk or without.
+func (p Plan) Peers(disk bool) int {
+	if !disk {
+		return fewPeers
+	}
+	return max(minConnections, min((p.descriptors-ownDescriptors)/4, mostPeers))
+}
+
+// MessageBytes returns the memory for what comes on these connections.
+func (p Plan) MessageBytes(disk bool) int {
+	if !disk {
+		return fewBytes
+	}
+	return p.percent(messagePercent)
+}
+
 // LotBytes returns the memory for lots and their results in a process with a disk, which has neither connections, heads nor bodies
-// of callers. The rest of their parts is for what other processes send at the moment.
+// of callers.
 func (p Plan) LotBytes() int { return p.percent(lotPercent) }
 
 // Lots returns the largest number of lots in a process with a disk. Each has an open file; as many descriptors are for connections.
--- a/budget/plan_test.go
+++ b/budget/plan_test.go
@@ -34,11 +34,11 @@
 			if sum*100 > m*85 {
 				t.Errorf("the parts have %d MB of %d", sum>>20, x.megabytes)
 			}
-			if l := runtimeBytes + p.LotBytes() + p.ResponseBytes(); l*100 > m*85 {
+			if l := runtimeBytes + p.LotBytes() + p.MessageBytes(true) + p.ResponseBytes(); l*100 > m*85 {
 				t.Errorf("the parts of a process with lots have %d MB of %d", l>>20, x.megabytes)
 			}
-			if l := p.Lots(); l < 1 || 2*l+ownDescriptors > x.descriptors {
-				t.Errorf("%d lots do not fit %d descriptors", l, x.descriptors)
+			if l := p.Lots() + p.Peers(true); l < 2 || l > (x.descriptors-ownDescriptors)*3/4 {
+				t.Errorf("%d lots and %d connections do not fit %d descriptors", p.Lots(), p.Peers(true), x.descriptors)
 			}
 			if p.HeapLimit() >= m || p.HeapLimit() < sum-nativeBytes {
 				t.Errorf("the heap has %d MB of %d, its parts %d", p.HeapLimit()>>20, x.megabytes, (sum-nativeBytes)>>20)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,10 +19,12 @@
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/bcast"
 	"bulrushlug.dev/bulrushlug/budget"
+	"bulrushlug.dev/bulrushlug/crowd"
 	"bulrushlug.dev/bulrushlug/dgram"
 	"bulrushlug.dev/bulrushlug/even"
 	"bulrushlug.dev/bulrushlug/fair"
 	"bulrushlug.dev/bulrushlug/guard"
+	"bulrushlug.dev/bulrushlug/intake"
 	"bulrushlug.dev/bulrushlug/least"
 	"bulrushlug.dev/bulrushlug/lotcli"
 	"bulrushlug.dev/bulrushlug/lotlog"
@@ -356,7 +358,9 @@
 			}
 		})
 	}
-	run(func(c context.Context) error { return s.roleHandler.rpcServer().Run(c, l) })
+	disk := s.lotLog != nil
+	i := intake.New(l, crowd.New(s.plan.Peers(disk)), memory.New(s.plan.MessageBytes(disk)), s.recordRefusal)
+	run(func(c context.Context) error { return s.roleHandler.rpcServer().Run(c, i) })
 	run(s.transport.Run)
 	run(s.membership.Run)
 	run(s.broadcaster.Run)
--- a/daemon/flood_test.go
+++ b/daemon/flood_test.go
@@ -119,13 +119,15 @@
 type floodSystem struct {
 	t         *testing.T
 	processes map[string]*childProcess
-	front     string // Address of the entry for callers.
-	ready     string // Address of its readiness probe.
+	front     string            // Address of the entry for callers.
+	ready     string            // Address of its readiness probe.
+	listen    map[string]string // Address for the other processes, by VM.
 }
 
-// newFloodSystem starts a system whose entry has the settings more besides its own; each of them begins with a comma.
+// newFloodSystem starts a system whose entry has the settings more besides its own, and its data processes moreData; each of them
+// begins with a comma.
 func newFloodSystem(t *testing.T, binary string, f flood, more, moreData string) *floodSystem {
-	s := &floodSystem{t: t, processes: map[string]*childProcess{}, front: freeAddress(), ready: freeAddress()}
+	s := &floodSystem{t: t, processes: map[string]*childProcess{}, front: freeAddress(), ready: freeAddress(), listen: map[string]string{}}
 	m := memtxn.New()
 	store := serveHTTP(t, "127.0.0.1:0", &kvServer{store: m})
 	put := func(key, v string) {
@@ -148,7 +150,8 @@
 	folder := t.TempDir()
 	for i, vm := range []string{"d0", "d1", "e0"} {
 		p := &childProcess{settings: filepath.Join(folder, vm+".json"), log: filepath.Join(folder, vm+".log")}
-		b := fmt.Sprintf(`"vm":%q,"region":"r","zone":"z%d","listen":%q,"store":%q,"toleratedDisks":1,"graceSeconds":4`, vm, i, freeAddress(), store)
+		s.listen[vm] = freeAddress()
+		b := fmt.Sprintf(`"vm":%q,"region":"r","zone":"z%d","listen":%q,"store":%q,"toleratedDisks":1,"graceSeconds":4`, vm, i, s.listen[vm], store)
 		if vm == "e0" {
 			b += fmt.Sprintf(`,"role":"entry","http":%q,"ready":%q%s`, s.front, s.ready, more)
 		} else {
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -3,7 +3,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync"
+	"time"
 
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -16,6 +19,9 @@
 	"bulrushlug.dev/bulrushlug/wire"
 )
 
+// acceptDelay is the time to the next connection after one could not be accepted.
+const acceptDelay = 100 * time.Millisecond
+
 // Server serves lots and the entries that this process has read from the key-value service.
 type Server struct {
 	manager  *lots.ReplicaManager // Nil for a process without a disk.
@@ -40,7 +46,34 @@
 	if err := wire.DRPCRegisterSite(m, s); err != nil {
 		return bulrushlug.WrapError(bulrushlug.KindInternal, "drpc", err)
 	}
-	return drpcserver.NewWithOptions(s.guard.RPC(m), drpcserver.Options{Manager: lotcli.ConnOptions()}).Serve(c, l)
+	d := drpcserver.NewWithOptions(s.guard.RPC(m), drpcserver.Options{Manager: lotcli.ConnOptions()})
+	defer context.AfterFunc(c, func() { _ = l.Close() })()
+	var w sync.WaitGroup
+	defer w.Wait()
+	for {
+		n, err := l.Accept()
+		switch {
+		case err == nil:
+			w.Go(func() { serveConn(c, d, n) })
+		case c.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return bulrushlug.WrapError(bulrushlug.KindInternal, "drpc", err)
+		default: // No descriptor is free, or the caller is gone.
+			_ = bulrushlug.Sleep(c, acceptDelay)
+		}
+	}
+}
+
+// serveConn serves the calls on n until it or c ends. A reader of drpc may wait for a stream instead of bytes, and would not see that
+// n was closed.
+func serveConn(c context.Context, d *drpcserver.Server, n net.Conn) {
+	c, stop := context.WithCancel(c)
+	defer stop()
+	if o, ok := n.(interface{ OnClose(f func()) }); ok {
+		o.OnClose(stop)
+	}
+	_ = d.ServeOne(c, n)
 }
 
 // Snapshot returns the entries that this process has read from the key-value service and that are newer than the
