--- a/codec/lot_test.go
+++ b/codec/lot_test.go
@@ -114,34 +114,43 @@
 // TestBytesFromOutside puts what a caller or a server may send into each message that carries it: any bytes are encoded.
 func TestBytesFromOutside(t *testing.T) {
 	for name, s := range map[string]string{"empty": "", "text": "å", "not UTF-8": "a\xffb", "half a character": "\xe2\x82", "zero": "\x00"} {
-		t.Run(name, func(t *testing.T) {
-			u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(1, true, s))}, true).
-				WithProgress([]bulrushlug.LotProgress{bulrushlug.NewLotProgress(0, 1, 1, []string{s, "x"})})
-			a := &wire.LotAppend{}
-			transfer(t, EncodeLotUpdate(u), a)
-			if got, err := DecodeLotUpdate(a); err != nil || !reflect.DeepEqual(got, u) {
-				t.Errorf("update %+v, %v", got, err)
-			}
-			p := bulrushlug.NewLotPage(1, 1, []bulrushlug.LotListedResult{bulrushlug.NewLotListedResult("i", true, s)})
-			w := &wire.LotPage{}
-			transfer(t, EncodeLotPage(p), w)
-			if got := DecodeLotPage(w); !reflect.DeepEqual(got, p) {
-				t.Errorf("page %+v", got)
-			}
-			c := &wire.Call{}
-			transfer(t, EncodeCall(bulrushlug.NewRequest(s, bulrushlug.WithModel(s), bulrushlug.WithCall("POST", s, s, []byte(s)))), c)
-			if r := DecodeCall(c); r.ID() != s || r.Model() != s || r.Path() != s || r.ContentType() != s {
-				t.Errorf("call %+v", r)
-			}
-			transfer(t, &wire.Piece{ContentType: []byte(s)}, &wire.Piece{})
-			transfer(t, &wire.Known{Items: []*wire.KnownItem{{Key: []byte(s)}}}, &wire.Known{})
-			transfer(t, EncodeEvent(bulrushlug.NewEvent("e", bulrushlug.ForIDs(s, s, s), bulrushlug.WithDetail(s))), &wire.Event{})
-			e := &wire.Problem{}
-			transfer(t, EncodeError(bulrushlug.Errorf(bulrushlug.KindBroken, "server said %s", s)), e)
-			if got := DecodeError(e); bulrushlug.KindOf(got) != bulrushlug.KindBroken {
-				t.Errorf("error %v", got)
-			}
-		})
+		t.Run(name, func(t *testing.T) { transferBytes(t, s) })
+	}
+}
+
+// FuzzBytesFromOutside does so with arbitrary bytes.
+func FuzzBytesFromOutside(f *testing.F) {
+	f.Add("a\xffb")
+	f.Fuzz(func(t *testing.T, s string) { transferBytes(t, s) })
+}
+
+// transferBytes transfers each message that carries bytes from outside, with the bytes s.
+func transferBytes(t *testing.T, s string) {
+	u := bulrushlug.NewLotUpdate("l", 1, []string{"a"}, 0, []bulrushlug.LotEntry{bulrushlug.NewLotResultEntry(bulrushlug.NewLotResult(1, true, s))}, true).
+		WithProgress([]bulrushlug.LotProgress{bulrushlug.NewLotProgress(0, 1, 1, []string{s, "x"})})
+	a := &wire.LotAppend{}
+	transfer(t, EncodeLotUpdate(u), a)
+	if got, err := DecodeLotUpdate(a); err != nil || !reflect.DeepEqual(got, u) {
+		t.Errorf("update %+v, %v", got, err)
+	}
+	p := bulrushlug.NewLotPage(1, 1, []bulrushlug.LotListedResult{bulrushlug.NewLotListedResult("i", true, s)})
+	w := &wire.LotPage{}
+	transfer(t, EncodeLotPage(p), w)
+	if got := DecodeLotPage(w); !reflect.DeepEqual(got, p) {
+		t.Errorf("page %+v", got)
+	}
+	c := &wire.Call{}
+	transfer(t, EncodeCall(bulrushlug.NewRequest(s, bulrushlug.WithModel(s), bulrushlug.WithCall("POST", s, s, []byte(s)))), c)
+	if r := DecodeCall(c); r.ID() != s || r.Model() != s || r.Path() != s || r.ContentType() != s {
+		t.Errorf("call %+v", r)
+	}
+	transfer(t, &wire.Piece{ContentType: []byte(s)}, &wire.Piece{})
+	transfer(t, &wire.Known{Items: []*wire.KnownItem{{Key: []byte(s)}}}, &wire.Known{})
+	transfer(t, EncodeEvent(bulrushlug.NewEvent("e", bulrushlug.ForIDs(s, s, s), bulrushlug.WithDetail(s))), &wire.Event{})
+	e := &wire.Problem{}
+	transfer(t, EncodeError(bulrushlug.Errorf(bulrushlug.KindBroken, "server said %s", s)), e)
+	if got := DecodeError(e); bulrushlug.KindOf(got) != bulrushlug.KindBroken {
+		t.Errorf("error %v", got)
 	}
 }
 
