--- a/health/plan_test.go
+++ b/health/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,3 +79,37 @@
 		})
 	}
 }
+
+// TestShareFollows guards against servers that nobody checks, or somebody for ever, after processes or servers came or went.
+func TestShareFollows(t *testing.T) {
+	server := func(id, zone string) bulrushlug.Backend {
+		return bulrushlug.NewBackend(id, "s", "h:1", bulrushlug.BackendZoneSlots(zone, 8))
+	}
+	other := bulrushlug.NewMember("q", "h:1", "r", "z1", bulrushlug.RoleEntry)
+	a, b := server("a", "z0"), server("b", "z1")
+	for name, x := range map[string]struct {
+		before, after []bulrushlug.Backend
+		alive         [2][]bulrushlug.Member
+		want          string
+	}{
+		"nothing":                       {before: []bulrushlug.Backend{a, b}, after: []bulrushlug.Backend{b, a}, want: "[a b]"},
+		"a server is new":               {before: []bulrushlug.Backend{a}, after: []bulrushlug.Backend{a, b}, want: "[a b]"},
+		"a server is gone":              {before: []bulrushlug.Backend{a, b}, after: []bulrushlug.Backend{b}, want: "[b]"},
+		"a server comes back elsewhere": {before: []bulrushlug.Backend{b}, after: []bulrushlug.Backend{server("b", "z0")}, alive: [2][]bulrushlug.Member{{other}, {other}}, want: "[b]"},
+		"a process joins":               {before: []bulrushlug.Backend{a, b}, after: []bulrushlug.Backend{a, b}, alive: [2][]bulrushlug.Member{nil, {other}}, want: "[a]"},
+		"a process falls silent":        {before: []bulrushlug.Backend{a, b}, after: []bulrushlug.Backend{a, b}, alive: [2][]bulrushlug.Member{{other}, nil}, want: "[a b]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(bulrushlug.NewMember("p", "h:1", "r", "z0", bulrushlug.RoleEntry), time.Second)
+			p.Share(x.before, x.alive[0])
+			var got []string
+			for _, s := range p.Share(x.after, x.alive[1]) {
+				got = append(got, s.ID())
+			}
+			slices.Sort(got)
+			if fmt.Sprint(got) != x.want {
+				t.Errorf("checks %v, want %s", got, x.want)
+			}
+		})
+	}
+}
