test(daemon): a read that waits at a process with a disk ends when its caller leaves

Cause: nothing showed that the hop from an entry to a process with a disk passes on that a caller has left. Change: TestReadersLeave closes or resets the connection of a read that waits for the first result of a lot.

--- a/daemon/left_test.go
+++ b/daemon/left_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -131,3 +133,36 @@
 		})
 	}
 }
+
+// reading returns the number of goroutines that serve reads of lots.
+func reading() int {
+	b := make([]byte, 16<<20)
+	return strings.Count(string(b[:runtime.Stack(b, true)]), "lots.(*ReplicaManager).Read(")
+}
+
+// TestReadersLeave has a caller leave while a process with a disk waits for the first result of its lot: the wait ends there.
+func TestReadersLeave(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 1, 2, 1)
+			s.backends[0].set(func(b *fakeBackend) { b.stalls = 99 })
+			s.waitUntil("a lot is accepted", func() bool { n, _ := s.call(0, "POST", "/in/l", "lot1", "k1", lotBody("lot1", 2)); return n == 202 })
+			s.waitUntil("the lot can be read", func() bool { return s.resultCount(0, "lot1") == 0 })
+			c, err := net.Dial("tcp", s.entries[0].settings["http"])
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(c, "GET /lots/lot1?after=0 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: read\r\nX-Api-Key: k1\r\nX-Wait-Ms: 1500\r\n\r\n")
+			s.waitUntil("the read waits", func() bool { return reading() > 0 })
+			begun := time.Now()
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+			s.waitUntil("the read has ended", func() bool { return reading() == 0 })
+			if d := time.Since(begun); d > leftBound {
+				t.Errorf("the read ended %v after the caller had left", d)
+			}
+		})
+	}
+}
