test(daemon): the request that waits for a place does so for longer than its caller stays

Cause: its patience was 150 ms, so on a busy machine it could be refused before the caller had left. Change: a route with a target of 4 s; the caller leaves after 300 ms.

--- a/daemon/left_test.go
+++ b/daemon/left_test.go
@@ -61,7 +61,7 @@
 		"in the middle of a stream, reset":                 {path: ask, servers: long, runs: 1, lines: 9, reset: true},
 		"in the middle of a stream, the next request sent": {path: ask, servers: long, runs: 1, lines: 9, next: true},
 		"in a pause of a stream":                           {path: ask, servers: func(b *fakeBackend) { b.eventCount, b.eventInterval = 9, 800*time.Millisecond }, runs: 1, lines: 9},
-		"while it waits for a place":                       {path: ask, servers: stall(99), others: 20, queue: true, after: 20 * time.Millisecond},
+		"while it waits for a place":                       {path: "/patient/x", servers: stall(99), others: 20, queue: true, after: 300 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -70,8 +70,9 @@
 				b.set(x.servers)
 			}
 			m := map[string]string{"vm": "e0", "zone": "z0", "role": "entry", "http": freeAddress(), "ready": freeAddress(), "metrics": freeAddress()}
-			if x.queue {
+			if x.queue { // For half of the target.
 				m["sharedAdmission"] = "true"
+				s.manifestWith("k1", onlineRoutes, `{"name":"patient","host":"h.example","prefix":"/patient/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":4000,"service":"s","maxAttempts":2}`)
 			}
 			s.entries = append(s.entries, s.start(m))
 			s.waitUntil("the entry is ready", func() bool { return s.ready(0) })
