--- a/prompt.go
+++ b/prompt.go
@@ -10,7 +10,6 @@
 	scope uint64   // Hash of the route and model; parts of different scopes have nothing in common.
 	parts []uint64 // Hashes of the parts in order, at most maxPromptParts; the last one belongs to the request itself or to its session.
 
-	tokens    uint64 // Tokens of the prompt itself; zero if the request does not say.
 	maxTokens uint64 // Most tokens that the response may have; zero if the request does not say.
 }
 
@@ -32,15 +31,6 @@
 // Parts returns the hashes of the parts in order; empty if the request says nothing of its prompt.
 func (p Prompt) Parts() []uint64 { return p.parts }
 
-// WithTokens returns a copy that has n tokens.
-func (p Prompt) WithTokens(n uint64) Prompt {
-	p.tokens = n
-	return p
-}
-
-// Tokens returns the tokens of the prompt itself; zero if the request does not say.
-func (p Prompt) Tokens() uint64 { return p.tokens }
-
 // WithMaxTokens returns a copy whose response may have at most n tokens.
 func (p Prompt) WithMaxTokens(n uint64) Prompt {
 	p.maxTokens = n
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -58,7 +58,7 @@
 	return r.place
 }
 
-// acquire returns the place that was taken for the next attempt, or takes one; it fails if no server has capacity.
+// acquire returns the place that was taken for the next attempt, or takes one; it fails if no server has capacity or c has ended.
 func (a *exchange) acquire(c context.Context) (*place, error) {
 	if p := a.next; p != nil {
 		a.next = nil
--- a/slots/online.go
+++ b/slots/online.go
@@ -29,16 +29,16 @@
 // Servers in skip are left out, and servers in back-off are used only if there is no other. Leaving servers are a last
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
+	// A choice is made again if other requests have taken what the gate admits there, or the server is gone.
 	for {
-		// Chooses again if other requests have taken what the gate admits there, or the server is gone.
-		g := filter{service: v, skip: skip, gate: t.gate, now: time.Now()}
-		best := t.chooseOnline(&g, t.places(g.now))
+		f := filter{service: v, skip: skip, gate: t.gate, now: time.Now()}
+		best := t.chooseOnline(&f, t.places(f.now))
 		if best.shard == nil {
 			return nil, nil
 		}
-		if l := t.reserve(best, g, false); l != nil {
-			t.metrics.observe(&newsMs, best.shard.age(best.id, g.now))
-			return l, best.shard.batchVMs(best.id, g.now)
+		if l := t.reserve(best, f, false); l != nil {
+			t.metrics.observe(&newsMs, best.shard.age(best.id, f.now))
+			return l, best.shard.batchVMs(best.id, f.now)
 		}
 	}
 }
