--- a/daemon/isolation.go
+++ b/daemon/isolation.go
@@ -35,9 +35,7 @@
 func (s *Daemon) watchIsolation(c context.Context) error {
 	var w isolationWatch
 	for c.Err() == nil {
-		if s.gate.Bounded() {
-			w.check(s, time.Now())
-		}
+		w.check(s, time.Now())
 		_ = bulrushlug.Sleep(c, isolationInterval)
 	}
 	return nil
@@ -59,7 +57,7 @@
 		return
 	}
 	heard, all := s.membership.CountHeard()
-	is := s.isolated(heard, all)
+	is := s.gate.Bounded() && s.isolated(heard, all)
 	s.gate.SetIsolated(is)
 	if is != w.isolated {
 		_ = s.logger.Log("event", "isolation", "isolated", is, "heard", heard, "of", all)
--- a/daemon/isolation_test.go
+++ b/daemon/isolation_test.go
@@ -87,6 +87,7 @@
 					d.membership.ApplyReport(bulrushlug.NewReport(bulrushlug.NewMember(vm, "127.0.0.1:9", "r", "z", bulrushlug.RoleEntry), 1, sequence))
 				}
 			}
+			d.gate.SetServices([]bulrushlug.Service{bulrushlug.NewService("s", 7.6, time.Second)})
 			var w isolationWatch
 			begin := time.Now()
 			report()
