--- a/warm/gate.go
+++ b/warm/gate.go
@@ -73,19 +73,19 @@
 // where it holds a seat, as if all were cold.
 func (g *Gate) SetIsolated(v bool) { g.isolated.Store(v) }
 
-// Tick records that this process runs; once called, it is to be called several times a second. After a gap of maxGap the
-// process was stopped and what it knows of servers is old: all count as cold until it can know what it has missed. It
-// returns the length of such a gap, or zero.
+// Tick records that this process runs; once called, it is to be called several times a second, from one goroutine. After a gap
+// of maxGap the process was stopped and what it knows of servers is old: all count as cold until it can know what it has
+// missed. It returns the length of such a gap, or zero.
 func (g *Gate) Tick(t time.Time) (gap time.Duration) {
-	now := g.since(t)
-	last := g.ticked.Swap(max(1, now))
-	if last == 0 || now-last < int64(maxGap) {
-		return 0
-	}
-	for i := range g.shards {
-		g.shards[i].chillAll(g, t)
+	now, last := g.since(t), g.ticked.Load()
+	if last > 0 && now-last >= int64(maxGap) {
+		gap = time.Duration(now - last)
+		for i := range g.shards {
+			g.shards[i].chillAll(g, t)
+		}
 	}
-	return time.Duration(now - last)
+	g.ticked.Store(max(1, now)) // Only now do requests go by the cold times alone.
+	return gap
 }
 
 // since returns the nanoseconds from the start of g to t.
