fix(intake): messages count until the server has dropped them, and twice

A connection that yielded gave its memory back while drpc still held its message. It now does once the calls on it have ended, and each message counts twice, as it is copied while its buffer grows.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -21,6 +21,9 @@
 	messagesRefused = "messagesRefused" // There is no memory for the messages of a connection.
 )
 
+// messageCopies is how often a message counts: it is copied as the memory for it grows.
+const messageCopies = 2
+
 var errNoMemory = errors.New("no memory for the messages of this connection")
 
 // Listener is a listener whose connections are bounded.
@@ -64,9 +67,10 @@
 	listener *Listener
 	seat     *seat.Seat
 	mu       sync.Mutex
-	received int  // Bytes that were read.
-	reserved int  // Bytes reserved for them.
-	closed   bool // Nothing is reserved any more.
+	received int // Bytes that were read.
+	reserved int // Bytes reserved for them.
+	closed   bool
+	ended    bool // Nothing is reserved any more.
 	onClose  func()
 }
 
@@ -85,7 +89,7 @@
 func (c *conn) count(n int) error {
 	c.mu.Lock()
 	c.received += n
-	ok := c.closed || c.listener.memory.Hold(&c.reserved, c.received)
+	ok := c.ended || c.listener.memory.Hold(&c.reserved, messageCopies*c.received)
 	c.mu.Unlock()
 	if ok {
 		return nil
@@ -103,20 +107,28 @@
 	return n, err
 }
 
-// Close closes the connection, and gives back its place and its memory.
+// Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	first := !c.closed
+	first, f := !c.closed, c.onClose
 	c.closed = true
-	f := c.onClose
-	c.listener.memory.Release(&c.reserved)
 	c.mu.Unlock()
 	err := c.Conn.Close()
+	if first && f != nil {
+		f()
+	}
+	return err
+}
+
+// End closes the connection, and gives back its place and its memory. The server calls it once it holds nothing more of it.
+func (c *conn) End() {
+	_ = c.Close()
+	c.mu.Lock()
+	first := !c.ended
+	c.ended = true
+	c.listener.memory.Release(&c.reserved)
+	c.mu.Unlock()
 	if first {
 		c.listener.crowd.Leave(c.seat)
-		if f != nil {
-			f()
-		}
 	}
-	return err
 }
--- a/lotsrv/server.go
+++ b/lotsrv/server.go
@@ -70,8 +70,12 @@
 func serveConn(c context.Context, d *drpcserver.Server, n net.Conn) {
 	c, stop := context.WithCancel(c)
 	defer stop()
-	if o, ok := n.(interface{ OnClose(f func()) }); ok {
+	if o, ok := n.(interface {
+		OnClose(f func())
+		End()
+	}); ok {
 		o.OnClose(stop)
+		defer o.End()
 	}
 	_ = d.ServeOne(c, n)
 }
