test(daemon): crowds of lots come once a lot is accepted

Cause: TestCrowdsOfLots sent its crowd as soon as the entry answered requests. Where the machine was less busy, the entry had not heard the data processes yet and refused all 700 small lots within 0.3 s: 0 lots accepted, one or two rows in 3 of 5 runs. Change: a first lot is submitted until it is accepted, as by a caller that returns; crowds and bounds stay.

--- a/daemon/lotcrowd_test.go
+++ b/daemon/lotcrowd_test.go
@@ -64,6 +64,17 @@
 	return accepted
 }
 
+// takesLots reports whether a lot is accepted, as by a caller that asks again after a refusal: the processes have to know each
+// other.
+func (s *floodSystem) takesLots() bool {
+	for begun := time.Now(); time.Since(begun) < waitTimeout; time.Sleep(50 * time.Millisecond) {
+		if n, _ := s.call(s.t.Context(), "POST", "/in/l", "first", lotBody("first", 1)); n == http.StatusAccepted {
+			return true
+		}
+	}
+	return false
+}
+
 // readable reports whether lot id can be read, as a caller does that asks again after a refusal.
 func (s *floodSystem) readable(id string) bool {
 	for begun := time.Now(); time.Since(begun) < waitTimeout; time.Sleep(50 * time.Millisecond) {
@@ -85,6 +96,9 @@
 	for name, x := range lotCrowds {
 		t.Run(name, func(t *testing.T) {
 			s := newFloodSystem(t, binary, floods["large events"], "", lowLimits.settings())
+			if !s.takesLots() {
+				t.Fatal("a lot is not accepted before the crowd")
+			}
 			accepted := s.submitCrowd(x)
 			if (len(accepted) == 0) != x.invalid {
 				t.Errorf("%d lots are accepted", len(accepted))
