test(wire): the identifier of a cold server is on the list of checked fields

Cause: TestTextFields wants each field of text on one list, and ColdServer.id was on none: the whole script failed on the merged code. It is that of an entry of the list of servers (platform.decodeBackend checks it), as in LeavingServer. Change: it is on the list.

--- a/wire/text_test.go
+++ b/wire/text_test.go
@@ -52,6 +52,7 @@
 	"Event":         "request job organisation detail", // codec.EncodeEvent.
 	"Report":        "lots unreachable",                // platform: submissions, entries of servers.
 	"LeavingServer": "id service address",              // platform: entries of servers.
+	"ColdServer":    "id",                              // platform: entries of servers.
 	"Usage":         "backend",                         // platform: entries of servers.
 	"Spending":      "organisation",                    // platform: manifests.
 	"File":          "name purpose",                    // front: uploads.
