fix(items): a failed run that was preempted as it ended counts for the replicas too

Cause: a whole answer of 500 to a run that an online request preempts at that moment was counted by the runner but not told to the replicas. An item starts only once all replicas know of its failed runs, so it was never run again and never given up. Change: a whole answer counts whether or not its run was preempted, and gives the item up as any other.

--- a/items/run.go
+++ b/items/run.go
@@ -76,7 +76,8 @@
 }
 
 // recordFailure sets the back-off of an item after run a, which gave no result, and gives the item up if it can't be done. A
-// response that broke off or has no end, as err says, is no answer, whatever its status.
+// response that broke off or has no end, as err says, is no answer, whatever its status; a whole one counts even if the run was
+// preempted meanwhile.
 func (r *Runner) recordFailure(c context.Context, a *attempt, status int, err error) {
 	oversized := errors.Is(err, bulrushlug.ErrOversized)
 	if oversized {
@@ -103,7 +104,7 @@
 	r.endings.record(e, "lot", a.task.lot.ID(), "request", a.request.ID(), "server", a.slot.Backend().ID(),
 		"status", status, "failed", failures, "resumedAfter", a.request.ResumeFrom(), "events", events, "ran", time.Since(a.begun),
 		"online", online, "batch", batch, "age", age, "err", err)
-	if preempted || c.Err() != nil || err != nil {
+	if err != nil {
 		return
 	}
 	if status == statusError {
