--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -27,12 +28,11 @@
 )
 
 const (
-	readinessGrace        = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
-	shutdownMargin        = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
-	answerMargin          = 300 * time.Millisecond  // Time before that at which open requests are answered.
-	defaultMaxHeaderBytes = 16 << 10                // Used if the manifest sets no limit.
-	defaultIdleTimeout    = 15 * time.Second
-	defaultHeaderTimeout  = 3 * time.Second
+	readinessGrace       = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
+	shutdownMargin       = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
+	answerMargin         = 300 * time.Millisecond  // Time before that at which open requests are answered.
+	defaultIdleTimeout   = 15 * time.Second
+	defaultHeaderTimeout = 3 * time.Second
 )
 
 // entry is the role of a process that serves callers.
@@ -57,6 +57,7 @@
 	if s.settings.Load().SuspectSilence() {
 		d.WithMonitor(hush.New())
 	}
+	s.counters.Set("callersLeft", expvar.Func(func() any { return d.CallersLeft() }))
 	a, m := authn.New(s), new(expvar.Map).Init()
 	s.counters.Set("refused", m)
 	p := pipe.New(d, tally.New(s.counters, s.recorder), refuse.New(m), latencyFilter{s.recorder}, e.grace, a, limit.New(s.limiter))
@@ -126,34 +127,31 @@
 	return e.drain(f)
 }
 
-// httpServer returns the HTTP server for callers, with the limits of the manifest or the defaults, and its inlet.
+// httpServer returns the HTTP server for callers and its inlet.
 func (e *entry) httpServer() (*http.Server, *inlet.Inlet) {
-	b := e.manifest.Load().Bounds()
-	h, i, w := b.MaxHeaderBytes(), b.IdleTimeout(), b.HeaderTimeout()
-	if h == 0 {
-		h = defaultMaxHeaderBytes
-	}
-	if i == 0 {
-		i = defaultIdleTimeout
-	}
-	if w == 0 {
-		w = defaultHeaderTimeout
-	}
-	k := e.newInlet(e.plan.Connections(), e.plan.HeadBytes(), h, w)
-	x := &http.Server{Handler: e.guard.HTTP(e.handler), ReadHeaderTimeout: w, IdleTimeout: i}
+	k := e.newInlet(e.plan.Connections(), e.plan.HeadBytes(), e.bounds)
+	x := &http.Server{Handler: e.guard.HTTP(e.handler), ReadHeaderTimeout: e.bounds().HeaderTimeout()}
 	k.Attach(x)
 	return x, k
 }
 
+// bounds returns the bounds of the present manifest, with defaults for those that it does not set.
+func (e *entry) bounds() bulrushlug.Bounds {
+	b := e.manifest.Load().Bounds()
+	return bulrushlug.NewBounds(cmp.Or(b.MaxHeaderBytes(), bulrushlug.DefaultMaxHeaderBytes), b.MaxBodyBytes(),
+		cmp.Or(b.HeaderTimeout(), defaultHeaderTimeout), cmp.Or(b.IdleTimeout(), defaultIdleTimeout))
+}
+
 func (e *entry) logListenerEnd(n string, err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		_ = e.logger.Log("event", "listenerEnded", "listener", n, "err", err)
 	}
 }
 
-// serveReadiness answers the load balancer's readiness probe.
+// serveReadiness answers the load balancer's readiness probe. An entry stays ready while operators evacuate all zones: it
+// refuses requests at once with a retry delay, and lots are read and accepted, which nobody could do otherwise.
 func (e *entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !e.listening.Load() || e.leaving.Load() || !e.Fresh() || e.slotTable.Available("") == 0 {
+	if !e.listening.Load() || e.leaving.Load() || !e.Fresh() || e.slotTable.Present() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -128,11 +129,26 @@
 	tenants       map[string]string // Organisation header of each request.
 	keyCount      int               // Number of requests that carried an API key.
 	received      int               // Number of requests to this instance, refused ones included.
+	running       int               // Requests in progress.
 	eventCount    int
 	eventInterval time.Duration
 	leaving       bool // All answers say that the server is leaving.
 	refusals      int  // Number of requests to refuse as not run.
 	breaks        int  // Number of streams to break off after their first event.
+	stalls        int  // Number of requests that get no answer.
+	coldUntil     time.Time
+	checks        int // Health checks received.
+}
+
+// serveHealth answers a health check.
+func (b *fakeBackend) serveHealth(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.checks++
+	w.Header().Set("X-Instance-Id", b.id)
+	if d := time.Until(b.coldUntil); d > 0 {
+		w.Header().Set("X-Cold-Ms", strconv.FormatInt(d.Milliseconds(), 10))
+	}
 }
 
 // set changes the server under its lock.
@@ -153,6 +169,10 @@
 func sayLeaving(w http.ResponseWriter) { w.Header().Set("Server-Leaving", "1") }
 
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		b.serveHealth(w)
+		return
+	}
 	id := r.Header.Get("X-Attempt-Id")
 	if x := r.Header.Get("X-Expect-Instance"); x != "" && x != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -175,12 +195,23 @@
 	if broken {
 		b.breaks--
 	}
+	stalled := b.stalls > 0
+	if stalled {
+		b.stalls--
+	}
+	b.running++
+	defer b.set(func(b *fakeBackend) { b.running-- })
 	b.ran[id]++
 	b.tenants[id] = r.Header.Get("X-Tenant")
 	if r.Header.Get("X-Api-Key") != "" {
 		b.keyCount++
 	}
 	b.mu.Unlock()
+	if stalled {
+		_, _ = io.Copy(io.Discard, r.Body) // Only then net/http notices that the connection was closed.
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("X-Server-Stamp", b.id+"-stamp")
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -238,6 +239,75 @@
 	}
 }
 
+// TestEndlessConnections has connections come faster than they are accepted, without an end: the shutdown ends by itself, and the
+// requests that came before it are answered.
+func TestEndlessConnections(t *testing.T) {
+	const pause = 10 * time.Millisecond
+	for name, x := range map[string]struct {
+		sent string // What each connection of the crowd sends.
+		path string // Of the request that came before.
+		want string
+	}{
+		"nothing is sent":        {path: "/x", want: "ok"},
+		"half requests":          {sent: request[:20], path: "/x", want: "ok"},
+		"requests":               {sent: request, path: "/x", want: "ok"},
+		"one request is running": {path: "/slow", want: "slow"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			h := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/slow" {
+					time.Sleep(50 * pause)
+					_, _ = io.WriteString(w, "slow")
+					return
+				}
+				_, _ = io.WriteString(w, "ok")
+			})}
+			s := New(h, &hookListener{TCPListener: l.(*net.TCPListener), acceptDelay: pause, afterRead: func(int) {}})
+			go func() { _ = s.Serve() }()
+			c := dial(t, l.Addr().String())
+			c.send(strings.Replace(request, "/x", x.path, 1))
+			var crowd, request sync.WaitGroup
+			request.Go(func() {
+				if b, _, err := c.response(); b != x.want || err != nil {
+					t.Errorf("response %q, %v, want %q", b, err, x.want)
+				}
+			})
+			ended := make(chan bool)
+			crowd.Go(func() {
+				var open []net.Conn
+				for {
+					select {
+					case <-ended:
+						for _, n := range open {
+							_ = n.Close()
+						}
+						return
+					case <-time.After(pause / 4):
+					}
+					if n, err := net.DialTimeout("tcp", l.Addr().String(), time.Second); err == nil {
+						_, _ = io.WriteString(n, x.sent)
+						open = append(open, n)
+					}
+				}
+			})
+			time.Sleep(20 * pause)
+			d, stop := context.WithTimeout(t.Context(), 15*time.Second)
+			defer stop()
+			if err := s.Shutdown(d); err != nil {
+				t.Errorf("Shutdown returned %v", err)
+			}
+			close(ended)
+			crowd.Wait()
+			request.Wait()
+		})
+	}
+}
+
 // TestShutdownBeforeServe stops a server whose goroutine has not reached Serve yet.
 func TestShutdownBeforeServe(t *testing.T) {
 	for name, x := range map[string]struct {
@@ -292,6 +362,8 @@
 // handler saw gets its response.
 func TestStopsUnderLoad(t *testing.T) {
 	const stops, callers = 300, 8
+	x, stop := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer stop()
 	for range stops {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -306,6 +378,8 @@
 		var w sync.WaitGroup
 		for i := range callers {
 			c := dial(t, l.Addr().String())
+			// A deadline that passes as the process gets no processor looks like a cut; all callers end with the server.
+			_ = c.SetDeadline(time.Time{})
 			w.Go(func() {
 				for n := 0; ; n++ {
 					id := fmt.Sprintf("/%d-%d", i, n)
@@ -327,7 +401,7 @@
 			})
 		}
 		time.Sleep(rand.N(4 * time.Millisecond))
-		if err := s.Shutdown(t.Context()); err != nil {
+		if err := s.Shutdown(x); err != nil {
 			t.Fatal(err)
 		}
 		w.Wait()
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	retryAfter   = "0.500"
-	noMemory     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	tooLarge     = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	refusalTime  = 100 * time.Millisecond // For a refusal, for which the kernel has room.
 	minHeadBytes = 4 << 10                // Bytes that a head in several parts gets at first.
 )
@@ -47,6 +44,7 @@
 	phase      phase
 	yielded    bool
 	closed     bool
+	rests      bool      // The next read deadline of the server is that of an idle connection.
 	paced      bool      // A read deadline of the pace is in force.
 	readUntil  time.Time // Read deadline that the server set.
 	writeUntil time.Time // Write deadline that the server set.
@@ -106,7 +104,7 @@
 	c.ready, c.begun, c.received = 0, time.Time{}, 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = inHead
+	c.phase, c.rests = inHead, true
 	c.seat.Wait(time.Now(), 0)
 }
 
@@ -153,10 +151,20 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// SetReadDeadline sets the deadline of reads.
+// SetReadDeadline sets the deadline of reads. Where it is that of the next head, the bounds in force take its place; the server
+// keeps those with which it began.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	if c.phase == inHead && now.Before(t) {
+		d := c.inlet.bounds().HeaderTimeout()
+		if c.rests {
+			d = c.inlet.bounds().IdleTimeout()
+		}
+		t = now.Add(d)
+	}
+	c.rests = false
 	c.readUntil, c.paced = t, false
 	return c.Conn.SetReadDeadline(t)
 }
@@ -214,8 +222,8 @@
 			return 0, err
 		}
 		whole := c.scan(p[:n])
-		if whole && !c.admit() {
-			return c.refuse(headRefused, noMemory)
+		if f := c.verdict(whole); f != nil {
+			return c.refuse(*f, p[:n])
 		}
 		if whole || err != nil {
 			return n, err
@@ -225,13 +233,13 @@
 		return c.passHead(p)
 	}
 	for {
-		if err := c.pace(inHead, c.inlet.pace.Head(c.begun)); err != nil {
+		if err := c.pace(inHead, c.inlet.pace().Head(c.begun)); err != nil {
 			return 0, err
 		}
 		if len(c.unread) == cap(c.unread) {
 			size := 2 * cap(c.unread)
 			if !c.inlet.heads.Hold(&c.reserved, size) {
-				return c.refuse(headRefused, noMemory)
+				return c.refuse(noMemory, c.unread)
 			}
 			c.unread = append(make([]byte, 0, size), c.unread...)
 		}
@@ -241,12 +249,12 @@
 		if n > 0 && c.scan(c.unread[k:]) {
 			return c.passHead(p)
 		}
-		if len(c.unread) > c.inlet.headBytes+slack {
-			return c.refuse(headTooLarge, tooLarge)
+		if f := c.verdict(false); f != nil {
+			return c.refuse(*f, c.unread)
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				c.inlet.onRefusal(headSlow)
+				return c.refuse(tooSlow, c.unread)
 			}
 			return 0, err
 		}
@@ -263,31 +271,41 @@
 	return end >= 0
 }
 
-// admit reserves memory for the head in its parsed form, and reports whether there is enough.
-func (c *conn) admit() bool { return c.inlet.heads.Hold(&c.reserved, c.scanner.Cost()) }
+// verdict returns the refusal of a head that is too large or, once it is whole, for which there is no memory in its parsed form;
+// nil for none.
+func (c *conn) verdict(whole bool) *refusal {
+	switch {
+	case c.scanner.Bytes() > c.inlet.bounds().MaxHeaderBytes()+slack:
+		return &tooLarge
+	case whole && !c.inlet.heads.Hold(&c.reserved, c.scanner.Cost()):
+		return &noMemory
+	}
+	return nil
+}
 
 // passHead passes on the first bytes of a head that was read in several parts.
 func (c *conn) passHead(p []byte) (int, error) {
-	if !c.admit() {
-		return c.refuse(headRefused, noMemory)
+	if f := c.verdict(true); f != nil {
+		return c.refuse(*f, c.unread)
 	}
 	c.ready = len(c.unread)
 	return c.take(p), nil
 }
 
-// refuse writes the response b to a request whose head was not passed on.
-func (c *conn) refuse(reason, b string) (int, error) {
-	c.inlet.onRefusal(reason)
+// refuse answers with f a request whose head, or the beginning of it, is h and was not passed on.
+func (c *conn) refuse(f refusal, h []byte) (int, error) {
+	c.inlet.onRefusal(f.reason)
+	b, err := f.encode(c.inlet.identifier, head.Value(h, c.inlet.identifier))
 	c.unread, c.ready = nil, 0
-	if c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
-		_, _ = io.WriteString(c.Conn, b)
+	if err == nil && c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
+		_, _ = c.Conn.Write(b)
 	}
 	return 0, errRefused
 }
 
 // readBody reads a part of the body.
 func (c *conn) readBody(p []byte) (int, error) {
-	if err := c.pace(inBody, c.inlet.pace.Body(c.begun, c.received)); err != nil {
+	if err := c.pace(inBody, c.inlet.pace().Body(c.begun, c.received)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
@@ -332,11 +350,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seat.Write(now)
-	t := c.inlet.pace.Response(now)
+	t := c.inlet.pace().Response(now)
 	if !c.allowed.Before(t) || !c.allowed.IsZero() && c.allowed.Equal(c.writeUntil) {
 		return nil
 	}
-	c.allowed = c.inlet.pace.Response(t)
+	c.allowed = c.inlet.pace().Response(t)
 	if !c.writeUntil.IsZero() && c.writeUntil.Before(c.allowed) {
 		c.allowed = c.writeUntil
 	}
--- a/report.go
+++ b/report.go
@@ -40,6 +40,7 @@
 	level        float64 // Tokens left in the process's own bucket; may be negative.
 	work         uint64  // Tokens of prompts and responses since the start of the process; never decreases.
 	asked        uint64  // Requests since the start of the process, admitted or not; never decreases.
+	share        float64 // Share of rate and burst that the process uses; zero if it does not say.
 }
 
 // NewAdmissionCount returns the admission count of organisation o.
@@ -53,6 +54,12 @@
 	return s
 }
 
+// WithShare returns a copy of s with the share of rate and burst that the process uses.
+func (s AdmissionCount) WithShare(v float64) AdmissionCount {
+	s.share = v
+	return s
+}
+
 // WithWork returns a copy of s with the tokens of prompts and responses since the start of the process.
 func (s AdmissionCount) WithWork(n uint64) AdmissionCount {
 	s.work = n
@@ -65,6 +72,9 @@
 // Asked returns the requests since the start of the process, admitted or not.
 func (s AdmissionCount) Asked() uint64 { return s.asked }
 
+// Share returns the share of rate and burst that the process uses, or zero if it does not say.
+func (s AdmissionCount) Share() float64 { return s.share }
+
 // Organisation returns the organisation.
 func (s AdmissionCount) Organisation() string { return s.organisation }
 
@@ -91,9 +101,10 @@
 	relayed          bool      // The report was relayed by another process.
 	suspects         []Suspect // Parts of prompts on which servers may have ended.
 	serverEnds       []ServerEnd
-	itemsWait        bool      // Items of lots wait for a slot at the process.
-	leaving          []Backend // Backend servers that told the process that they are leaving; identity only.
-	unreachable      []string  // Identifiers of the backend servers to which the process lately could make no connection.
+	itemsWait        bool         // Items of lots wait for a slot at the process.
+	leaving          []Backend    // Backend servers that told the process that they are leaving; identity only.
+	unreachable      []string     // Identifiers of the backend servers to which the process lately could make no connection.
+	cold             []ColdServer // Backend servers that lately told the process that they are cold.
 }
 
 // ReportOption sets fields of a Report.
@@ -138,6 +149,9 @@
 // ReportUnreachable sets the identifiers of the backend servers to which the process lately could make no connection.
 func ReportUnreachable(l []string) ReportOption { return func(r *Report) { r.unreachable = l } }
 
+// ReportCold sets the backend servers that lately told the process that they are cold.
+func ReportCold(l []ColdServer) ReportOption { return func(r *Report) { r.cold = l } }
+
 // ReportItemsWait sets whether items of lots wait for a slot at the process.
 func ReportItemsWait(v bool) ReportOption { return func(r *Report) { r.itemsWait = v } }
 
@@ -205,6 +219,9 @@
 // Unreachable returns the identifiers of the backend servers to which the process lately could make no connection.
 func (r Report) Unreachable() []string { return r.unreachable }
 
+// Cold returns the backend servers that lately told the process that they are cold.
+func (r Report) Cold() []ColdServer { return r.cold }
+
 // Suspects returns the parts of prompts on which servers may have ended.
 func (r Report) Suspects() []Suspect { return r.suspects }
 
