--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -20,7 +20,36 @@
 	failed  bool // A failure was recorded.
 	success bool // The response was complete, so that its connection can be used again.
 	once    sync.Once
-	free    func(s string) // Called once the slot is free or the server's back-off ends; not nil for those of a table.
+}
+
+// reserve counts one more request at the server of c, which f selected.
+func (t *Table) reserve(c candidate, f filter, batch bool) *Reservation {
+	if f.leaving {
+		t.lastResorts.Add(1)
+	}
+	l := c.shard.reserve(c.id, batch)
+	if l != nil {
+		l.idle, l.metrics = c.idle, t.metrics
+	}
+	return l
+}
+
+// reserve counts one more request at server id, and returns nil if the server is gone or the gate no longer admits it.
+func (s *shard) reserve(id string, batch bool) *Reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok || !s.gate.Admit(e.backend, time.Now()) {
+		return nil
+	}
+	if batch {
+		e.batch++
+		e.started = time.Now()
+	} else {
+		e.online++
+		e.idle = max(0, e.idle-1)
+	}
+	return &Reservation{shard: s, entry: e, backend: e.backend, batch: batch, began: time.Now()}
 }
 
 // Backend returns the backend server.
@@ -43,12 +72,7 @@
 
 // Release frees the slot; further calls do nothing.
 func (l *Reservation) Release() {
-	l.once.Do(func() {
-		l.release()
-		if l.free != nil {
-			l.free(l.backend.Service())
-		}
-	})
+	l.once.Do(l.release)
 }
 
 // release frees the slot.
@@ -110,14 +134,6 @@
 	}
 	e.backoff = min(max(initialBackoff, 2*e.backoff), maxBackoff)
 	e.backoffUntil = time.Now().Add(e.backoff)
-	if l.free == nil {
-		return
-	}
-	if e.returns != nil {
-		e.returns.Reset(e.backoff)
-		return
-	}
-	e.returns = time.AfterFunc(e.backoff, func() { l.free(l.backend.Service()) })
 }
 
 // RecordUnreachable records a failure of which it is known that no connection could be made.
