refactor: bounds know their defaults

Change: the accessors of Bounds return the default; Attach alone sets the timeouts. Values are the same.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -27,11 +26,9 @@
 )
 
 const (
-	readinessGrace       = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
-	shutdownMargin       = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
-	answerMargin         = 300 * time.Millisecond  // Time before that at which open requests are answered.
-	defaultIdleTimeout   = 15 * time.Second
-	defaultHeaderTimeout = 3 * time.Second
+	readinessGrace = 2500 * time.Millisecond // Long enough for the load balancer to see two failed readiness probes.
+	shutdownMargin = 500 * time.Millisecond  // Time before the end of the grace period at which connections are cut.
+	answerMargin   = 300 * time.Millisecond  // Time before that at which open requests are answered.
 )
 
 // entry is the role of a process that serves callers.
@@ -116,17 +113,13 @@
 // httpServer returns the HTTP server for callers and its inlet.
 func (e *entry) httpServer() (*http.Server, *inlet.Inlet) {
 	k := e.newInlet(e.plan.Connections(), e.plan.HeadBytes(), e.bounds)
-	x := &http.Server{Handler: e.guard.HTTP(e.handler), ReadHeaderTimeout: e.bounds().HeaderTimeout()}
+	x := &http.Server{Handler: e.guard.HTTP(e.handler)}
 	k.Attach(x)
 	return x, k
 }
 
-// bounds returns the bounds of the present manifest, with defaults for those that it does not set.
-func (e *entry) bounds() bulrushlug.Bounds {
-	b := e.manifest.Load().Bounds()
-	return bulrushlug.NewBounds(cmp.Or(b.MaxHeaderBytes(), bulrushlug.DefaultMaxHeaderBytes), b.MaxBodyBytes(),
-		cmp.Or(b.HeaderTimeout(), defaultHeaderTimeout), cmp.Or(b.IdleTimeout(), defaultIdleTimeout))
-}
+// bounds returns the bounds of the present manifest.
+func (e *entry) bounds() bulrushlug.Bounds { return e.manifest.Load().Bounds() }
 
 func (e *entry) logListenerEnd(n string, err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/daemon/inlet.go
+++ b/daemon/inlet.go
@@ -44,7 +44,7 @@
 
 // probeServer returns a server that serves h to the platform.
 func (s *Daemon) probeServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: probeHeadTimeout, WriteTimeout: probeTimeout}
+	return &http.Server{Handler: h, WriteTimeout: probeTimeout}
 }
 
 // listenProbes serves r on address a until r is closed.
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -38,7 +38,7 @@
 type Inlet struct {
 	crowd      *crowd.Crowd
 	heads      *memory.Budget
-	bounds     func() bulrushlug.Bounds // In force now; none is zero.
+	bounds     func() bulrushlug.Bounds // In force now.
 	pace       func() pace.Pace         // In force now.
 	identifier string                   // Field that a refusal has from its request.
 	onRefusal  func(reason string)      // Called for each refusal.
--- a/manifest.go
+++ b/manifest.go
@@ -1,9 +1,16 @@
 package bulrushlug
 
-import "time"
-
-// DefaultMaxHeaderBytes is the maximum size of a request header in bytes if the manifest sets none.
-const DefaultMaxHeaderBytes = 16 << 10
+import (
+	"cmp"
+	"time"
+)
+
+// Bounds in force where the manifest sets none.
+const (
+	defaultMaxHeaderBytes = 16 << 10
+	defaultHeaderTimeout  = 3 * time.Second
+	defaultIdleTimeout    = 15 * time.Second
+)
 
 // Bounds are the size limits and timeouts for callers' HTTP requests; values are immutable.
 type Bounds struct {
@@ -13,22 +20,22 @@
 	idleTimeout    time.Duration // Idle timeout of a keep-alive connection; zero for the default.
 }
 
-// NewBounds returns bounds with header and body sizes in bytes.
+// NewBounds returns bounds with header and body sizes in bytes; zero stands for the default, but for the body.
 func NewBounds(header int, body int64, headerTimeout, idleTimeout time.Duration) Bounds {
 	return Bounds{maxHeaderBytes: header, maxBodyBytes: body, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
 }
 
-// MaxHeaderBytes returns the maximum size of a request header in bytes; zero for the default.
-func (b Bounds) MaxHeaderBytes() int { return b.maxHeaderBytes }
+// MaxHeaderBytes returns the maximum size of a request header in bytes.
+func (b Bounds) MaxHeaderBytes() int { return cmp.Or(b.maxHeaderBytes, defaultMaxHeaderBytes) }
 
 // MaxBodyBytes returns the maximum size of a request body in bytes.
 func (b Bounds) MaxBodyBytes() int64 { return b.maxBodyBytes }
 
-// HeaderTimeout returns the timeout for reading a request header; zero for the default.
-func (b Bounds) HeaderTimeout() time.Duration { return b.headerTimeout }
+// HeaderTimeout returns the timeout for reading a request header.
+func (b Bounds) HeaderTimeout() time.Duration { return cmp.Or(b.headerTimeout, defaultHeaderTimeout) }
 
-// IdleTimeout returns the idle timeout of a keep-alive connection; zero for the default.
-func (b Bounds) IdleTimeout() time.Duration { return b.idleTimeout }
+// IdleTimeout returns the idle timeout of a keep-alive connection.
+func (b Bounds) IdleTimeout() time.Duration { return cmp.Or(b.idleTimeout, defaultIdleTimeout) }
 
 // Manifest is the operators' whole configuration at one version; values are immutable.
 type Manifest struct {
