--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -290,13 +290,18 @@
 	if p, ok := s.membership.ByVM(r.Member().Name()); ok && p.Alive() {
 		return
 	}
+	s.applyServers(r)
+	s.roleHandler.handleReport(r)
+}
+
+// applyServers applies what r says of backend servers.
+func (s *Daemon) applyServers(r bulrushlug.Report) {
 	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
 	s.detector.MergeServerEnds(r.ServerEnds())
 	s.detector.Merge(r.Suspects())
 	s.applyLeaving(r)
 	s.gate.SuspectReported(r.Member().Name(), r.Unreachable())
 	s.gate.ColdReported(r.Cold())
-	s.roleHandler.handleReport(r)
 }
 
 // handleMessage handles a message from another process.
@@ -314,12 +319,7 @@
 	case !s.membership.ApplyReport(*r):
 		return
 	}
-	s.slotTable.UpdateRemote(r.Member().Name(), r.Usages())
-	s.detector.MergeServerEnds(r.ServerEnds())
-	s.detector.Merge(r.Suspects())
-	s.applyLeaving(*r)
-	s.gate.SuspectReported(r.Member().Name(), r.Unreachable())
-	s.gate.ColdReported(r.Cold())
+	s.applyServers(*r)
 	s.observeRevisions(*r)
 	s.roleHandler.handleReport(*r)
 }
