--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -158,9 +158,10 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	if c.phase == inHead && now.Before(t) {
-		d := c.inlet.bounds().HeaderTimeout()
+		b := c.inlet.bounds()
+		d := b.HeaderTimeout()
 		if c.rests {
-			d = c.inlet.bounds().IdleTimeout()
+			d = b.IdleTimeout()
 		}
 		t = now.Add(d)
 	}
@@ -346,15 +347,15 @@
 
 // beginWrite sets the deadline of a write. One that is still far enough is kept.
 func (c *conn) beginWrite() error {
-	now := time.Now()
+	now, p := time.Now(), c.inlet.pace()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seat.Write(now)
-	t := c.inlet.pace().Response(now)
+	t := p.Response(now)
 	if !c.allowed.Before(t) || !c.allowed.IsZero() && c.allowed.Equal(c.writeUntil) {
 		return nil
 	}
-	c.allowed = c.inlet.pace().Response(t)
+	c.allowed = p.Response(t)
 	if !c.writeUntil.IsZero() && c.writeUntil.Before(c.allowed) {
 		c.allowed = c.writeUntil
 	}
