--- a/slots/table.go
+++ b/slots/table.go
@@ -147,22 +147,18 @@
 	return true
 }
 
-// Available returns the number of servers of service v that accept requests; an empty v selects all services.
+// Available returns the number of servers of service v that accept requests.
 //
 // Servers in evacuated zones are not included. Leaving servers that may be used as a last resort are included.
-func (t *Table) Available(v string) (n int) {
-	now := time.Now()
-	for i := range t.shards {
-		n += t.shards[i].count(v, false, func(d *departure) bool { return d == nil || !d.binding(now) })
-	}
-	return n
-}
+func (t *Table) Available(v string) int { return t.available(v, false) }
 
 // Present returns the number of servers as Available does for all services, with those in evacuated zones.
-func (t *Table) Present() (n int) {
+func (t *Table) Present() int { return t.available("", true) }
+
+func (t *Table) available(v string, evacuated bool) (n int) {
 	now := time.Now()
 	for i := range t.shards {
-		n += t.shards[i].count("", true, func(d *departure) bool { return d == nil || !d.binding(now) })
+		n += t.shards[i].count(v, evacuated, func(d *departure) bool { return d == nil || !d.binding(now) })
 	}
 	return n
 }
