--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -10,7 +10,6 @@
 	"github.com/go-kit/log"
 
 	"bulrushlug.dev/bulrushlug"
-	"bulrushlug.dev/bulrushlug/setup"
 )
 
 // evacuate writes the operators' request to evacuate zone z, or takes it back.
@@ -96,15 +95,8 @@
 			lines: []string{"event=evacuation zone=z0 state=begun", "event=serversEvacuated service=s evacuated=1 left=1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, err := setup.Parse("test", fmt.Appendf(nil, `{"vm":"e0","region":"r","zone":"z","role":"entry","listen":%q,"http":%q,"ready":%q,"store":"127.0.0.1:1","toleratedDisks":1}`, freeAddress(), freeAddress(), freeAddress()))
-			if err != nil {
-				t.Fatal(err)
-			}
 			var out strings.Builder
-			d, err := New(c, log.NewLogfmtLogger(&out))
-			if err != nil {
-				t.Fatal(err)
-			}
+			d := newLoneEntry(t, log.NewLogfmtLogger(&out))
 			d.slotTable.Update([]bulrushlug.Backend{
 				bulrushlug.NewBackend("a", "s", "h:1", bulrushlug.BackendZoneSlots("z0", 8)),
 				bulrushlug.NewBackend("b", "s", "h:2", bulrushlug.BackendZoneSlots("z1", 8)),
--- a/daemon/isolation_test.go
+++ b/daemon/isolation_test.go
@@ -11,6 +11,20 @@
 	"bulrushlug.dev/bulrushlug/setup"
 )
 
+// newLoneEntry returns an entry that is not run, and whose key-value service is not there.
+func newLoneEntry(t *testing.T, l log.Logger) *Daemon {
+	t.Helper()
+	c, err := setup.Parse("test", fmt.Appendf(nil, `{"vm":"e0","region":"r","zone":"z","role":"entry","listen":%q,"http":%q,"ready":%q,"store":"127.0.0.1:1","toleratedDisks":1}`, freeAddress(), freeAddress(), freeAddress()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := New(c, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // TestIsolation guards against a process that counts cold servers as warm behind a partition, and against one that counts
 // all servers as cold because the key-value service is down.
 func TestIsolation(t *testing.T) {
@@ -31,14 +45,7 @@
 		"it is the only one":                  {heard: 1, all: 1, lost: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, err := setup.Parse("test", fmt.Appendf(nil, `{"vm":"e0","region":"r","zone":"z","role":"entry","listen":%q,"http":%q,"ready":%q,"store":"127.0.0.1:1","toleratedDisks":1}`, freeAddress(), freeAddress(), freeAddress()))
-			if err != nil {
-				t.Fatal(err)
-			}
-			d, err := New(c, log.NewNopLogger())
-			if err != nil {
-				t.Fatal(err)
-			}
+			d := newLoneEntry(t, log.NewNopLogger())
 			if x.lost {
 				go func() { _ = d.operatorMirror.Run(t.Context()) }()
 				for d.operatorMirror.OutageDuration() == 0 {
@@ -72,14 +79,7 @@
 		"stopped again before the check": {checks: []time.Duration{5 * time.Second, 5800 * time.Millisecond, 7 * time.Second, 7500 * time.Millisecond}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, err := setup.Parse("test", fmt.Appendf(nil, `{"vm":"e0","region":"r","zone":"z","role":"entry","listen":%q,"http":%q,"ready":%q,"store":"127.0.0.1:1","toleratedDisks":1}`, freeAddress(), freeAddress(), freeAddress()))
-			if err != nil {
-				t.Fatal(err)
-			}
-			d, err := New(c, log.NewNopLogger())
-			if err != nil {
-				t.Fatal(err)
-			}
+			d := newLoneEntry(t, log.NewNopLogger())
 			sequence := uint64(0)
 			report := func() {
 				sequence++
