--- a/cmds/run.go
+++ b/cmds/run.go
@@ -23,6 +23,8 @@
 }
 
 func run(c context.Context, m *cli.Command) error {
+	// Settings are only read at startup, and a terminal hangup must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	p, err := singleArg(m, "settings")
 	if err != nil {
 		return err
@@ -36,7 +38,6 @@
 	if err != nil {
 		return err
 	}
-	signal.Ignore(syscall.SIGHUP) // Settings are only read at startup, and a terminal hangup must not end the process.
 	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return n.Run(c)
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -30,7 +30,11 @@
 }
 
 func serve(c context.Context, p string) error {
-	s, err := setup.Load(p)
+	f, err := reload.New(p)
+	if err != nil {
+		return err
+	}
+	s, err := setup.Parse(p, f.Content())
 	if err != nil {
 		return err
 	}
@@ -41,11 +45,13 @@
 	if err != nil {
 		return err
 	}
-	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
+	// Settings may change while the process finishes its requests, so the watcher does not end with the first SIGTERM.
+	watched, end := context.WithCancel(c)
+	defer end()
+	go f.Run(watched, func(b []byte) error { return reloadSettings(x, p, b) }, func(err error) { _ = l.Log("event", "notReloaded", "err", err) })
+	running, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	f := reload.New(p, func(b []byte) error { return reloadSettings(x, p, b) }, func(err error) { _ = l.Log("event", "notReloaded", "err", err) })
-	go f.Run(c)
-	return x.Run(c)
+	return x.Run(running)
 }
 
 // reloadSettings parses the settings in b and applies them to the running process x; p is the path used in errors.
--- a/daemon/flood_test.go
+++ b/daemon/flood_test.go
@@ -115,7 +115,7 @@
 	return l.Addr().String()
 }
 
-// floodSystem is one entry and two data processes, two ordinary servers, and one that answers by a flood.
+// floodSystem is one entry and two data processes, two ordinary servers, and a stand-in for a server in trouble.
 type floodSystem struct {
 	t         *testing.T
 	processes map[string]*childProcess
@@ -124,9 +124,15 @@
 	listen    map[string]string // Address for the other processes, by VM.
 }
 
-// newFloodSystem starts a system whose entry has the settings more besides its own, and its data processes moreData; each of them
+// standIn is what the third server of a floodSystem does.
+type standIn interface {
+	// serve listens on a loopback address, which it returns, until the test ends.
+	serve(t *testing.T) string
+}
+
+// newFloodSystem starts a system with stand-in f whose entry has the settings more besides its own, and its data processes moreData; each of them
 // begins with a comma.
-func newFloodSystem(t *testing.T, binary string, f flood, more, moreData string) *floodSystem {
+func newFloodSystem(t *testing.T, binary string, f standIn, more, moreData string) *floodSystem {
 	s := &floodSystem{t: t, processes: map[string]*childProcess{}, front: freeAddress(), ready: freeAddress(), listen: map[string]string{}}
 	m := memtxn.New()
 	store := serveHTTP(t, "127.0.0.1:0", &kvServer{store: m})
--- a/reload/watcher_test.go
+++ b/reload/watcher_test.go
@@ -24,19 +24,22 @@
 			if err := os.WriteFile(p, []byte("old"), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			got, failed := "", false
-			f := New(p, func(b []byte) error {
+			w, err := New(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := x.change(p); err != nil {
+				t.Fatal(err)
+			}
+			got := ""
+			err = w.poll(func(b []byte) error {
 				if got = string(b); got == "bad" {
 					return errors.New("bad")
 				}
 				return nil
-			}, func(error) { failed = true })
-			if err := x.change(p); err != nil {
-				t.Fatal(err)
-			}
-			f.poll()
-			if got != x.read || failed != x.failed {
-				t.Errorf("onChange got %q, failed %v", got, failed)
+			})
+			if got != x.read || (err != nil) != x.failed {
+				t.Errorf("onChange got %q, error %v", got, err)
 			}
 		})
 	}
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -1,4 +1,4 @@
-// Package setup reads and validates the settings of a process that sends requests directly to backend servers.
+// Package setup parses and validates the settings of a process that sends requests directly to backend servers.
 package setup
 
 import (
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/tailscale/hujson"
@@ -44,15 +43,6 @@
 // Settings are the validated settings of a process; values are immutable.
 type Settings struct{ w *wire.SiteSettings }
 
-// Load reads and validates the settings file at path p. Errors have KindBadRequest and name every invalid field.
-func Load(p string) (*Settings, error) {
-	b, err := os.ReadFile(p)
-	if err != nil {
-		return nil, bulrushlug.WrapError(bulrushlug.KindBadRequest, p, err)
-	}
-	return Parse(p, b)
-}
-
 // Matches reports whether b holds settings for this package and not for package conf, whose settings have no field
 // toleratedDisks.
 func Matches(b []byte) bool {
