fix: a process outlives what reads its log

What callers would see: all connections of a process end once the reader of its standard output does, as at a restart of a log collector.

Cause: a write to a standard output without a reader raises SIGPIPE, whose default action ends a Go program.

Change: SIGPIPE is ignored, so the write fails, and the line is lost.

Test, before: daemon.TestLogReaderEnds failed ("the process has ended" after the first line). After: passes.

--- a/cmds/run.go
+++ b/cmds/run.go
@@ -23,8 +23,8 @@
 }
 
 func run(c context.Context, m *cli.Command) error {
-	// Settings are only read at startup, and a terminal hangup must not end the process.
-	signal.Ignore(syscall.SIGHUP)
+	// Settings are only read at startup; neither the end of a terminal nor that of what reads the log must end the process.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	p, err := singleArg(m, "settings")
 	if err != nil {
 		return err
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -30,6 +30,7 @@
 }
 
 func serve(c context.Context, p string) error {
+	signal.Ignore(syscall.SIGPIPE) // The end of what reads the log must not end the process.
 	f, err := reload.New(p)
 	if err != nil {
 		return err
