--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,16 +34,20 @@
 	"bulrushlug.dev/bulrushlug/peers"
 	"bulrushlug.dev/bulrushlug/platform"
 	"bulrushlug.dev/bulrushlug/poison"
+	"bulrushlug.dev/bulrushlug/reach"
 	"bulrushlug.dev/bulrushlug/setup"
 	"bulrushlug.dev/bulrushlug/slots"
 	"bulrushlug.dev/bulrushlug/warm"
 )
 
 const (
-	memberPrefix   = "bulrushlug/vm/"
-	lotPrefix      = "bulrushlug/lot/"
-	leaseTTL       = 9 * time.Second // TTL of the lease on the process's membership entry, in which it is renewed three times or more.
-	watcherCount   = 2               // Number of processes that watch the key-value service; the others fetch changes from them when a report announces one.
+	memberPrefix = "bulrushlug/vm/"
+	lotPrefix    = "bulrushlug/lot/"
+	leaseTTL     = 9 * time.Second // TTL of the lease on the process's membership entry, in which it is renewed three times or more.
+	// watcherCount is the number of processes that watch the key-value service; the others fetch changes from them when a report
+	// announces one. It is outageWatchers while some processes don't reach the service: those that follow may not either.
+	watcherCount   = 2
+	outageWatchers = 4
 	announceDelay  = 5 * time.Millisecond
 	watcherTimeout = 2 * time.Second // Timeout of each watch; shorter than the time after an outage of the service for which time limits are suspended.
 )
@@ -55,6 +59,7 @@
 	counters       *expvar.Map
 	leavingCounts  *expvar.Map // What told this process that backend servers are leaving.
 	platform       *platform.Platform
+	store          *reach.Store
 	lotLog         *lotlog.Log // Nil without a data directory.
 	membership     *peers.Membership
 	transport      *dgram.Transport
@@ -105,7 +110,7 @@
 func New(s *setup.Settings, l log.Logger) (*Daemon, error) {
 	p := platform.New(s.Store(), func() {})
 	x := &Daemon{logger: log.With(l, "vm", s.Member().Name()), counters: new(expvar.Map).Init(),
-		platform: p, lotClient: lotcli.New(), manifestReady: make(chan struct{}), snapshotPeers: make(chan bulrushlug.Member, 1)}
+		platform: p, store: reach.New(p.Store()), lotClient: lotcli.New(), manifestReady: make(chan struct{}), snapshotPeers: make(chan bulrushlug.Member, 1)}
 	x.settings.Store(s)
 	x.plan = budget.New(s.Memory(), s.Descriptors(), s.MaxConnections())
 	x.refusals = new(expvar.Map).Init()
@@ -131,7 +136,7 @@
 	}
 	boot := uint64(time.Now().UnixMilli())
 	lease := max(leaseTTL, s.MinLease())
-	x.membership = peers.New(s.Member(), boot, disk, p.Store(), memberPrefix, lease, x.logger)
+	x.membership = peers.New(s.Member(), boot, disk, x.store, memberPrefix, lease, x.logger, peers.WithLookout(func() bool { return x.watchTimeout() > 0 }))
 	x.slotTable = slots.New(s.Member().Name(), x.batchRunners, slots.WithGate(x.gate), slots.WithChooser(newChooser(s.Placement())))
 	x.counters.Set("placements", x.slotTable.Counts())
 	x.limiter = meter.New(x, x.membership.CountHeard, boot, s.FirstStart(), s.Tolerance())
@@ -142,8 +147,8 @@
 	m.OnMessage(x.handleMessage)
 	x.transport = m
 	x.broadcaster = bcast.New(x.membership, m, boot, x.buildReport)
-	x.operatorMirror = mirror.New(p.Store(), platform.ManifestPrefix, x.logger, x.protect("manifest", x.setManifest), mirror.WithWatchTimeout(x.watchTimeout))
-	x.backendMirror = mirror.New(p.Store(), platform.BackendPrefix, x.logger, x.protect("servers", x.setBackends), mirror.WithGracePeriod(), mirror.WithWatchTimeout(x.watchTimeout))
+	x.operatorMirror = mirror.New(x.store, platform.ManifestPrefix, x.logger, x.protect("manifest", x.setManifest), mirror.WithWatchTimeout(x.watchTimeout))
+	x.backendMirror = mirror.New(x.store, platform.BackendPrefix, x.logger, x.protect("servers", x.setBackends), mirror.WithGracePeriod(), mirror.WithWatchTimeout(x.watchTimeout))
 	if s.Member().Role() == bulrushlug.RoleEntry {
 		x.roleHandler = newEntry(x)
 		return x, nil
@@ -257,7 +262,7 @@
 		bulrushlug.ReportState(s.membership.DiskID(), s.manifestVersion()),
 		bulrushlug.ReportSeenRevisions(s.operatorMirror.NewestRevision(), s.backendMirror.NewestRevision()),
 		bulrushlug.ReportUsages(s.slotTable.Usages()),
-		bulrushlug.ReportStoreLost(s.storeLost()),
+		bulrushlug.ReportStoreLost(s.storeSilent()),
 		bulrushlug.ReportServerEnds(s.detector.ServerEnds()),
 		bulrushlug.ReportSuspects(s.detector.Suspects()),
 		bulrushlug.ReportLeaving(s.slotTable.Leaving()),
@@ -283,6 +288,9 @@
 	return s.operatorMirror.OutageDuration() > 0 || s.backendMirror.OutageDuration() > 0 || s.membership.StoreLost()
 }
 
+// storeSilent is storeLost, or true as soon as a call should have been answered.
+func (s *Daemon) storeSilent() bool { return s.store.Overdue() || s.storeLost() }
+
 // handleRelayedReport applies usage, leaving servers, admission counts and lots of a relayed report whose origin is not
 // heard from directly. It does not update the membership, since a relayed report is no evidence that its origin is
 // reachable.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -30,7 +30,9 @@
 type testSystem struct {
 	t            *testing.T
 	store        *memtxn.Store
+	kv           *kvServer
 	storeAddress string
+	storeProxies map[string]*faultProxy // Between each process and the key-value service, by VM; nil if there are none.
 	backends     []*fakeBackend
 	entries      []*process
 	data         []*process
@@ -49,8 +51,23 @@
 
 func newSystem(t *testing.T, entries, data, backends int) *testSystem {
 	s := &testSystem{t: t, store: memtxn.New(), folder: t.TempDir()}
+	s.boot(entries, data, backends)
+	return s
+}
+
+// newSystemWithStoreProxies is newSystem with a proxy between each process and the key-value service.
+func newSystemWithStoreProxies(t *testing.T, entries, data, backends int) *testSystem {
+	s := &testSystem{t: t, store: memtxn.New(), folder: t.TempDir(), storeProxies: map[string]*faultProxy{}}
+	s.boot(entries, data, backends)
+	return s
+}
+
+// boot starts the system and waits until all entries are ready.
+func (s *testSystem) boot(entries, data, backends int) {
+	t := s.t
 	t.Cleanup(s.end)
-	s.storeAddress = serveHTTP(t, "127.0.0.1:0", &kvServer{store: s.store})
+	s.kv = &kvServer{store: s.store, renewed: map[string]time.Time{}, keys: map[uint64]string{}}
+	s.storeAddress = serveHTTP(t, "127.0.0.1:0", s.kv)
 	for i := range backends {
 		b := &fakeBackend{id: fmt.Sprint("b", i), ran: map[string]int{}, tenants: map[string]string{}, eventCount: 5, eventInterval: 5 * time.Millisecond}
 		b.address = serveHTTP(t, "127.0.0.1:0", b)
@@ -67,7 +84,6 @@
 	for i := range entries {
 		s.waitUntil("an entry is ready", func() bool { return s.ready(i) })
 	}
-	return s
 }
 
 var loopback = ports.New()
@@ -119,6 +135,9 @@
 		m["listen"] = freeAddress()
 	}
 	m["region"], m["store"] = "r", s.storeAddress
+	if s.storeProxies != nil {
+		s.storeProxies[m["vm"]], m["store"] = newFaultProxy(s.t, s.storeAddress)
+	}
 	b := "{"
 	for k, v := range m {
 		if v == "true" {
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -26,7 +26,7 @@
 
 func newData(s *Daemon) (*data, error) {
 	d := &data{Daemon: s}
-	d.replicas = lots.New(s.lotLog, s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger,
+	d.replicas = lots.New(s.lotLog, s.lotClient, s.store, lotPrefix, s.membership, s.logger,
 		lots.WithReplicationFactor(s.settings.Load().ReplicationFactor()), lots.WithRetention(s.settings.Load().Retention()), lots.WithRetiring(s.isRetiring), lots.WithStoreDown(s.storeLost),
 		lots.WithRoom(s.plan.LotBytes(), s.plan.Lots()),
 		lots.WithWorkCallback(func() { d.runner.Wake() }),
@@ -95,7 +95,7 @@
 		if s == reported {
 			continue
 		}
-		if _, err := d.platform.Store().Commit(c, nil, []bulrushlug.Write{d.platform.RetirementStatus(v, s == "done")}); err != nil {
+		if _, err := d.store.Commit(c, nil, []bulrushlug.Write{d.platform.RetirementStatus(v, s == "done")}); err != nil {
 			_ = d.logger.Log("event", "retireNotSaid", "state", s, "err", err)
 			continue
 		}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -42,7 +42,7 @@
 }
 
 func newEntry(s *Daemon) *entry {
-	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.platform.Store(), lotPrefix, s.membership, s.logger), grace: grace.New()}
+	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.store, lotPrefix, s.membership, s.logger), grace: grace.New()}
 	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
 	if s.settings.Load().SuspectSilence() {
 		d.WithMonitor(hush.New())
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -22,7 +22,30 @@
 
 // kvServer serves the HTTP protocol of the platform's key-value service from an in-memory store.
 type kvServer struct {
-	store *memtxn.Store
+	store   *memtxn.Store
+	mu      sync.Mutex
+	keys    map[uint64]string    // Key written last under each lease; nil if renewals are not recorded.
+	renewed map[string]time.Time // Last renewal of the lease of each key.
+}
+
+// recordRenewal records a renewal of lease l, or that key k was written under it unless k is empty.
+func (s *kvServer) recordRenewal(l uint64, k string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys == nil {
+		return
+	}
+	if k != "" {
+		s.keys[l] = k
+	}
+	s.renewed[s.keys[l]] = time.Now()
+}
+
+// sinceRenewal returns the time since the last renewal of the lease of key k.
+func (s *kvServer) sinceRenewal(k string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.renewed[k])
 }
 
 func encodeEntry(i bulrushlug.KVEntry) map[string]any {
@@ -81,6 +104,7 @@
 		if err := s.store.Renew(c, n); err != nil {
 			return 404, nil
 		}
+		s.recordRenewal(n, "")
 		return 200, map[string]any{}
 	case strings.HasPrefix(p, "/kv-lease-end/"):
 		n, _ := strconv.ParseUint(strings.TrimPrefix(p, "/kv-lease-end/"), 10, 64)
@@ -101,6 +125,9 @@
 			return 0, err
 		}
 		w = append(w, bulrushlug.PutWrite(x.Get("key").String(), v, x.Get("lease").Uint()))
+		if l := x.Get("lease").Uint(); l != 0 {
+			s.recordRenewal(l, x.Get("key").String())
+		}
 	}
 	for _, x := range b.Get("remove").Array() {
 		w = append(w, bulrushlug.RemoveWrite(x.String()))
--- a/daemon/faultproxy_test.go
+++ b/daemon/faultproxy_test.go
@@ -13,6 +13,7 @@
 	mu    sync.Mutex
 	mode  string // Injected fault: "" (none), "delay", "stall" (both directions), "stall replies" or "reset".
 	conns map[net.Conn]bool
+	dead  map[net.Conn]bool // Connections that stay open and are silent for good.
 }
 
 // newFaultProxy returns a proxy to address a and the address at which it listens.
@@ -21,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &faultProxy{to: a, conns: map[net.Conn]bool{}}
+	g := &faultProxy{to: a, conns: map[net.Conn]bool{}, dead: map[net.Conn]bool{}}
 	t.Cleanup(func() { _ = l.Close(); g.set("reset") })
 	go func() {
 		for {
@@ -54,6 +55,22 @@
 	}
 }
 
+// silenceOpen makes the open connections silent for good; new ones work.
+func (g *faultProxy) silenceOpen() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		g.dead[c] = true
+	}
+}
+
+// silent reports whether c is silent for good.
+func (g *faultProxy) silent(c net.Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dead[c]
+}
+
 func (g *faultProxy) track(c net.Conn, v bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -73,12 +90,13 @@
 	defer func() { _ = x.Close() }()
 	g.track(c, true)
 	defer g.track(c, false)
-	go func() { g.forward(c, x, "stall replies"); _ = c.Close() }()
-	g.forward(x, c, "")
+	go func() { g.forward(c, x, c, "stall replies"); _ = c.Close() }()
+	g.forward(x, c, c, "")
 }
 
-// forward copies bytes from b to a; in addition to "stall", the mode stallMode stalls this direction.
-func (g *faultProxy) forward(a, b net.Conn, stallMode string) {
+// forward copies bytes from b to a until the connection c of the caller is silent, and drops them then; in addition to "stall", the
+// mode stallMode stalls this direction.
+func (g *faultProxy) forward(a, b, c net.Conn, stallMode string) {
 	p := make([]byte, 16<<10)
 	for {
 		n, err := b.Read(p)
@@ -88,7 +106,7 @@
 		if g.state() == "delay" {
 			time.Sleep(300 * time.Millisecond)
 		}
-		if n > 0 {
+		if n > 0 && !g.silent(c) {
 			if _, e := a.Write(p[:n]); e != nil {
 				return
 			}
--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -17,11 +17,11 @@
 )
 
 // lookouts returns the processes that this one hears from and that reach the service, itself included, in the order in
-// which they pass on changes: the first ones watch the service, each other one asks the one above it in a tree. Without
-// any, those that don't reach the service. All processes must use the same ranking key.
-func (s *Daemon) lookouts() []string {
+// which they pass on changes: the first ones, whose number it returns, watch the service, each other one asks the one above it in
+// a tree. Without any, those that don't reach the service. All processes must use the same ranking key.
+func (s *Daemon) lookouts() (l []string, watchers int) {
 	self := s.membership.Self().Name()
-	var l, unreachable []string
+	var unreachable []string
 	for _, p := range s.membership.All() {
 		switch {
 		case !p.Alive() || p.Member().Leaving():
@@ -31,21 +31,25 @@
 			l = append(l, p.Member().Name())
 		}
 	}
-	if s.storeLost() {
+	if s.storeSilent() {
 		unreachable = append(unreachable, self)
 	} else {
 		l = append(l, self)
 	}
-	if len(l) == 0 {
-		l = unreachable
+	switch {
+	case len(l) == 0:
+		return rank.Order("lookout", unreachable), watcherCount
+	case len(unreachable) > 0:
+		return rank.Order("lookout", l), outageWatchers
 	}
-	return rank.Order("lookout", l)
+	return rank.Order("lookout", l), watcherCount
 }
 
 // watchTimeout returns how long a watch on the key-value service waits; zero if this process leaves watching to others.
 // A process that hears from no other watches for itself.
 func (s *Daemon) watchTimeout() time.Duration {
-	if i := slices.Index(s.lookouts(), s.membership.Self().Name()); i >= 0 && i < watcherCount {
+	l, n := s.lookouts()
+	if i := slices.Index(l, s.membership.Self().Name()); i >= 0 && i < n {
 		return watcherTimeout
 	}
 	return 0
@@ -53,8 +57,8 @@
 
 // snapshotParent returns the process that this one asks for changes first; ok is false if it is to ask no one.
 func (s *Daemon) snapshotParent() (m bulrushlug.Member, ok bool) {
-	l := s.lookouts()
-	i := rank.Parent(slices.Index(l, s.membership.Self().Name()), watcherCount, snapshotFanout)
+	l, n := s.lookouts()
+	i := rank.Parent(slices.Index(l, s.membership.Self().Name()), n, snapshotFanout)
 	if i < 0 {
 		return m, false
 	}
@@ -116,10 +120,10 @@
 		s.operatorMirror.NotifyRevision(operatorRevision)
 		s.backendMirror.NotifyRevision(backendRevision)
 	}
-	if operatorRevision <= s.operatorMirror.NewestRevision() && backendRevision <= s.backendMirror.NewestRevision() || s.watchTimeout() > 0 && !s.storeLost() {
+	if operatorRevision <= s.operatorMirror.NewestRevision() && backendRevision <= s.backendMirror.NewestRevision() || s.watchTimeout() > 0 && !s.storeSilent() {
 		return
 	}
-	missed := s.storeLost() && operatorRevision > s.operatorMirror.NewestRevision()
+	missed := s.storeSilent() && operatorRevision > s.operatorMirror.NewestRevision()
 	if r.StoreLost() && !missed && s.operatorMirror.NewestRevision() > 0 && s.backendMirror.NewestRevision() > 0 {
 		return
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -39,6 +39,9 @@
 	// each other process, which bounds the calls of all, up to a third of the lease.
 	minRenewal     = time.Second
 	renewalPerPeer = 30 * time.Millisecond
+	// lookoutRenewal is the time between renewals of a process on which others rely to see changes: a service that does not answer
+	// it any more shows by the next renewal. A renewal costs a tenth of a read.
+	lookoutRenewal = 250 * time.Millisecond
 	initialBackoff = 200 * time.Millisecond
 )
 
@@ -51,6 +54,7 @@
 	lease     time.Duration
 	store     bulrushlug.TxnStore
 	logger    log.Logger
+	lookout   func() bool // Whether others rely on this process to see changes of the key-value service.
 	shards    [shardCount]shard
 	storeLost atomic.Bool   // The last call for this process's entry failed.
 	version   atomic.Uint64 // Increases when a process comes or goes.
@@ -70,10 +74,19 @@
 	peers map[string]*Peer // By VM.
 }
 
+// option configures a membership.
+type option func(p *Membership)
+
+// WithLookout makes the process renew its lease often while f reports that others rely on it to see changes.
+func WithLookout(f func() bool) option { return func(p *Membership) { p.lookout = f } }
+
 // New returns the membership whose entries in t have key prefix p. Run registers self, with the given disk
 // identifier, under a lease with time to live d.
-func New(self bulrushlug.Member, boot uint64, disk string, t bulrushlug.TxnStore, p string, d time.Duration, l log.Logger) *Membership {
-	x := &Membership{self: self, boot: boot, diskID: disk, prefix: p, lease: d, store: t, logger: l}
+func New(self bulrushlug.Member, boot uint64, disk string, t bulrushlug.TxnStore, p string, d time.Duration, l log.Logger, o ...option) *Membership {
+	x := &Membership{self: self, boot: boot, diskID: disk, prefix: p, lease: d, store: t, logger: l, lookout: func() bool { return false }}
+	for _, f := range o {
+		f(x)
+	}
 	for i := range x.shards {
 		x.shards[i].peers = map[string]*Peer{}
 	}
@@ -119,7 +132,6 @@
 	var lease uint64
 	retry := initialBackoff
 	for c.Err() == nil {
-		d := p.renewalInterval()
 		if lease != 0 {
 			err := p.store.Renew(c, lease)
 			p.recordStoreResult(err)
@@ -132,14 +144,14 @@
 			p.recordStoreResult(err)
 			if err != nil && c.Err() == nil {
 				_ = p.logger.Log("event", "notRegistered", "err", err)
-				d = retry/2 + rand.N(retry)
+				_ = bulrushlug.Sleep(c, retry/2+rand.N(retry))
 				retry = min(2*retry, p.lease)
-			} else {
-				retry = initialBackoff
+				continue
 			}
+			retry = initialBackoff
 			lease = l
 		}
-		_ = bulrushlug.Sleep(c, d)
+		p.awaitRenewal(c)
 	}
 	if lease == 0 {
 		return
@@ -151,6 +163,15 @@
 	}
 }
 
+// awaitRenewal waits until the lease is to be renewed.
+func (p *Membership) awaitRenewal(c context.Context) {
+	for last := time.Now(); time.Since(last) < p.renewalInterval(); {
+		if bulrushlug.Sleep(c, lookoutRenewal) != nil || p.lookout() {
+			return
+		}
+	}
+}
+
 // recordStoreResult records whether the key-value service answered a call.
 func (p *Membership) recordStoreResult(err error) {
 	k := bulrushlug.KindOf(err)
