fix(slots): the last place of a server is taken once

What callers saw: nothing by itself; a server got a request more than it has places for, which then waits or is refused there.

Cause: an online request chooses a server and takes its place in two steps, and the second one did not look whether the place was still there. Requests that choose at the same moment all got it. Found by tracing proxy.TestSlowServer/the_other_one_has_a_single_place, which failed in 52 of 300 runs on: two requests got the single place of a server at the same instant.

Change: the number of places that was chosen by is checked again under the lock of the shard; the request chooses again if they are taken.

Tests, before: slots.TestLastPlace, 3 of 4 rows failed (2 requests for one place, 3 for two). After: passes; proxy.TestSlowServer passed in 300 runs of 300, and in 50 with the race detector.

--- a/slots/online.go
+++ b/slots/online.go
@@ -12,6 +12,7 @@
 	id       string
 	score    float64 // The lowest score wins.
 	idle     bool    // The server has an idle slot.
+	places   int     // Online requests that the server may have; zero for a batch item.
 	fallback bool    // The server is chosen only if no other can be.
 }
 
@@ -29,7 +30,7 @@
 // Servers in skip are left out, and servers in back-off are used only if there is no other. Leaving servers are a last
 // resort, used only if the service has no other server. If no server has capacity, the reservation is nil.
 func (t *Table) AcquireOnline(v string, skip map[string]bool) (l *Reservation, vms []string) {
-	// A choice is made again if other requests have taken what the gate admits there, or the server is gone.
+	// A choice is made again if other requests have taken the last place or what the gate admits there, or the server is gone.
 	for {
 		f := filter{service: v, skip: skip, gate: t.gate, now: time.Now()}
 		best := t.chooseOnline(&f, t.places(f.now))
@@ -81,10 +82,11 @@
 			return
 		}
 		l := s.load(e, p, f.now)
-		if l.Own()+l.Others() >= capacity(l.Slots()) {
+		n := capacity(l.Slots())
+		if l.Own()+l.Others() >= n {
 			return
 		}
-		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle()}
+		c := candidate{shard: s, id: id, score: x.Score(l), idle: l.Idle(), places: n}
 		if c.better(best) {
 			best, ok = c, true
 		}
--- a/slots/reservation.go
+++ b/slots/reservation.go
@@ -27,7 +27,12 @@
 	if f.leaving {
 		t.lastResorts.Add(1)
 	}
-	l := c.shard.reserve(c.id, batch)
+	var l *Reservation
+	if c.places > 0 {
+		l = c.shard.reserveOnline(c.id, c.places)
+	} else {
+		l = c.shard.reserve(c.id, batch)
+	}
 	if l != nil {
 		l.idle, l.metrics = c.idle, t.metrics
 	}
@@ -38,6 +43,21 @@
 func (s *shard) reserve(id string, batch bool) *Reservation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.take(id, batch)
+}
+
+// reserveOnline is reserve for an online request; it returns nil too if others have taken the last of n places.
+func (s *shard) reserveOnline(id string, n int) *Reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[id]; !ok || e.online+s.totals[id].online >= n {
+		return nil
+	}
+	return s.take(id, false)
+}
+
+// take is reserve for callers that hold the lock.
+func (s *shard) take(id string, batch bool) *Reservation {
 	e, ok := s.entries[id]
 	if !ok || !s.gate.Admit(e.backend, time.Now()) {
 		return nil
