fix(proxy): silence alone ends no response

What callers saw: a stream whose server paused for a second or two ended in the middle, with neither the rest nor a refusal.

Cause: a stream was cut for silence, and only then another server was looked for. If none had a place, or the one chosen refused, failed or reset, the stream ended, though its own server would have gone on. The same before the head of a response: a request was cut after 1.2 s once another server had a place, and failed if that one did.

Change: another server gets the request while the silent one may still go on, and the one that sends the next event first has the stream. The other one is ended then.

Why it works: nothing is given up before its replacement has answered. The overlap ends with the first event of the second run.

TestEventsTogether follows the new signatures; its rows and checks are the same.

--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -159,10 +159,11 @@
 	running       int               // Requests in progress.
 	eventCount    int
 	eventInterval time.Duration
-	leaving       bool // All answers say that the server is leaving.
-	refusals      int  // Number of requests to refuse as not run.
-	breaks        int  // Number of streams to break off after their first event.
-	stalls        int  // Number of requests that get no answer.
+	leaving       bool      // All answers say that the server is leaving.
+	refusals      int       // Number of requests to refuse as not run.
+	breaks        int       // Number of streams to break off after their first event.
+	stalls        int       // Number of requests that get no answer.
+	pausedUntil   time.Time // Until then no event of any stream is sent.
 	coldUntil     time.Time
 	checks        int // Health checks received.
 }
@@ -185,6 +186,13 @@
 	f(b)
 }
 
+// pauseLeft returns how much longer the server sends no event.
+func (b *fakeBackend) pauseLeft() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, time.Until(b.pausedUntil))
+}
+
 // total returns the number of runs and refusals.
 func (b *fakeBackend) total() int {
 	b.mu.Lock()
@@ -243,7 +251,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := after + 1; n <= b.eventCount; n++ {
-		if bulrushlug.Sleep(r.Context(), b.eventInterval) != nil {
+		if bulrushlug.Sleep(r.Context(), b.eventInterval) != nil || bulrushlug.Sleep(r.Context(), b.pauseLeft()) != nil {
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -17,9 +17,9 @@
 )
 
 // forward copies the response p to the caller and returns the number of events.
-func (a *exchange) forward(p bulrushlug.Reply, w *watchdog) (int, error) {
+func (a *exchange) forward(p *started, r *relief, w *watchdog) (int, error) {
 	if isEventStream(p) {
-		return a.forwardEvents(p, w)
+		return a.forwardEvents(p, r, w)
 	}
 	return 0, a.forwardBody(p)
 }
@@ -34,24 +34,33 @@
 //
 // Load pattern: many streams whose servers send small events faster than they can be passed on one by one. Each event by
 // itself would cost a system call, and the requests of others would wait for the processor.
-func (a *exchange) forwardEvents(p bulrushlug.Reply, w *watchdog) (n int, err error) {
-	r := stream.New(p, a.memory)
-	defer r.Close()
+func (a *exchange) forwardEvents(p *started, r *relief, w *watchdog) (n int, err error) {
+	if p.events == nil {
+		p.events = stream.New(p, a.memory)
+	}
 	defer func() { err = cmp.Or(err, a.sink.flush()) }()
 	for {
-		w.start(a.mayRetry() && a.canResume(), n > 0)
-		e, err := a.nextEvent(r, w)
+		e, err := a.nextEvent(p, r, w, n > 0)
+		if a.next != nil {
+			return n, errNoResponse
+		}
 		ended := errors.Is(err, io.EOF)
 		if err != nil && !ended {
 			return n, brokenError(err)
 		}
-		if err := a.checkSequence(r, n, ended); err != nil {
+		last := a.request.ResumeFrom()
+		if ended {
+			err = checkEnd(n, last)
+		} else {
+			err = checkSequence(p.events, last)
+		}
+		if err != nil {
 			return n, err
 		}
 		if err := a.sink.head(p); err != nil {
 			return n, err
 		}
-		if err := a.sink.pass(e, r.Buffered()); err != nil || ended {
+		if err := a.sink.pass(e, p.events.Buffered()); err != nil || ended {
 			return n, err
 		}
 		if a.monitor != nil && a.slot != nil {
@@ -63,33 +72,53 @@
 		if n++; n == begunEvents {
 			a.detector.RecordBegun(a.request.Prompt())
 		}
-		if id, ok := r.ID(); ok {
+		if id, ok := p.events.ID(); ok {
 			a.request.SkipEvents(id)
 			a.sink.resumable = true
 		}
 	}
 }
 
-// checkSequence fails if the last event of r does not follow the last one that the caller has, or if the stream ended
-// without any event; a resumed one may have ended before.
-func (a *exchange) checkSequence(r *stream.Reader, n int, ended bool) error {
-	last := a.request.ResumeFrom()
-	if ended {
-		if n == 0 && last == 0 {
-			return bulrushlug.Errorf(bulrushlug.KindBroken, "the stream ended without an event")
-		}
-		return nil
+// checkEnd fails if a stream ended after n events, and the caller has none; a resumed one may have ended before.
+func checkEnd(n int, last uint64) error {
+	if n == 0 && last == 0 {
+		return bulrushlug.Errorf(bulrushlug.KindBroken, "the stream ended without an event")
 	}
+	return nil
+}
+
+// checkSequence fails if the last event of r does not follow event last.
+func checkSequence(r *stream.Reader, last uint64) error {
 	if id, _ := r.ID(); r.Identified() && id != last+1 {
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, last)
 	}
 	return nil
 }
 
-// nextEvent reads the next event with data, and returns it behind the events without any that came before it. These are
-// no progress: a server that sends only comments has stalled.
-func (a *exchange) nextEvent(r *stream.Reader, w *watchdog) (b []byte, err error) {
-	defer w.stop()
+// nextEvent returns the next event of p, or sets a.next to the place of a server that goes on for that of p, as it is silent.
+// begun says that the event is not the first one.
+func (a *exchange) nextEvent(p *started, r *relief, w *watchdog, begun bool) ([]byte, error) {
+	if e, err := p.event, p.err; len(e) > 0 || err != nil {
+		p.event, p.err = nil, nil
+		return e, err
+	}
+	if a.mayRetry() && a.canResume() {
+		r.arm(a.runsLeft())
+	}
+	w.start(begun)
+	pass := a.sink.write
+	if !a.sink.headSent {
+		pass = nil
+	}
+	e, err := readEvent(p.events, pass)
+	w.stop()
+	a.next = r.disarm()
+	return e, err
+}
+
+// readEvent reads the next event with data, and returns it behind the events without any that came before it, unless f passes
+// these on. They are no progress: a server that sends only comments has stalled.
+func readEvent(r *stream.Reader, f func(b []byte) error) (b []byte, err error) {
 	for {
 		e, err := r.Next()
 		if err == nil && r.Progress() && len(b) == 0 {
@@ -101,8 +130,8 @@
 			return b, err
 		case len(b) > maxCommentBytes:
 			return nil, bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("%d bytes without an event", len(b)), bulrushlug.ErrOversized)
-		case a.sink.headSent:
-			if err := a.sink.write(b); err != nil {
+		case f != nil:
+			if err := f(b); err != nil {
 				return nil, err
 			}
 			b = b[:0]
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -82,7 +82,7 @@
 	a := &exchange{Stage: g, request: r, sink: &sink{sink: s}, service: pickService(r.TargetRoute()), skip: map[string]bool{}}
 	defer a.releaseNext()
 	var err error
-	for range maxServers {
+	for n := 0; n < maxServers || a.next != nil; n++ {
 		var retry bool
 		if retry, err = a.try(c); !retry || c.Err() != nil {
 			break
@@ -127,9 +127,6 @@
 
 // try sends the request to one server; it reports whether the request may be retried at another one after the error.
 func (a *exchange) try(c context.Context) (bool, error) {
-	if err := a.detector.Check(a.request.Prompt()); err != nil {
-		return false, err
-	}
 	q, err := a.acquire(c)
 	if err != nil {
 		return false, err
@@ -137,22 +134,22 @@
 	l := q.slot
 	a.slot = l
 	defer l.Release()
-	a.notify(q.vms)
 	t := time.Now()
 	x, stop := context.WithCancel(c)
 	defer stop()
-	p, err := a.call(x, stop, l)
-	if err != nil {
-		switch {
-		case c.Err() == nil && x.Err() != nil:
-			err = errNoResponse
-		case bulrushlug.KindOf(err) == bulrushlug.KindUncertain:
-			a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
+	p := q.started
+	if p != nil {
+		x, stop = p.context, p.stop
+	}
+	r := a.newRelief(c, l, stop)
+	if p == nil {
+		a.notify(q.vms)
+		if p, err = a.call(x, stop, r, l); err != nil {
+			return a.handleFailedCall(c, x, l, err)
 		}
-		return a.classify(c, l, err)
+		a.possibleRuns++
 	}
-	defer p.Close()
-	a.possibleRuns++
+	defer p.close()
 	if p.Status() >= statusServerError && a.mayRetry() {
 		a.skip[l.Backend().ID()] = true
 		return true, bulrushlug.Errorf(bulrushlug.KindUncertain, "%s answered %d", l.Backend().ID(), p.Status())
@@ -161,18 +158,8 @@
 		a.skip[l.Backend().ID()] = true
 		return a.mayRetry() && a.canResume(), bulrushlug.Errorf(bulrushlug.KindBroken, "%s answered %d to a request to resume a stream", l.Backend().ID(), p.Status())
 	}
-	stalled := func(cut bool) {
-		l.RecordFailure()
-		if cut {
-			stop()
-		}
-	}
-	w := newWatchdog(a.request.TargetRoute().EventGapTarget(), stalled)
-	if a.monitor != nil {
-		a.monitor.Hear(l.Backend().ID())
-		w.listen(a.request.TargetRoute().EventGapTarget(), func(d time.Duration) bool { return a.monitor.Silent(l.Backend().ID(), d) }, stalled)
-	}
-	n, err := a.forward(p, w)
+	w := a.watch(l, r)
+	n, err := a.forward(p, r, w)
 	if err == nil {
 		l.RecordSuccess(eventInterval(t, n))
 		if p.Status() < statusRedirection {
@@ -180,6 +167,65 @@
 		}
 		return false, nil
 	}
+	return a.handleBroken(c, x, l, n, err)
+}
+
+// acquire returns the place that was taken for the next attempt, or takes one; it fails if the prompt is held back, no server has
+// capacity, or c has ended.
+func (a *exchange) acquire(c context.Context) (*place, error) {
+	if p := a.next; p != nil {
+		a.next = nil
+		return p, nil
+	}
+	if err := a.detector.Check(a.request.Prompt()); err != nil {
+		return nil, err
+	}
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	l, vms := a.table.AcquireOnline(a.service, a.skip)
+	if l == nil {
+		return nil, bulrushlug.Errorf(bulrushlug.KindOverloaded, "no server of service %s has capacity: %d available, %d tried", a.service, a.table.Available(a.service), len(a.skip)).WithRetryAfter(retryAfter)
+	}
+	return &place{slot: l, vms: vms}, nil
+}
+
+// releaseNext frees a place that no attempt used.
+func (a *exchange) releaseNext() {
+	if a.next != nil {
+		a.next.release()
+	}
+}
+
+// watch returns a watchdog for a stream from the server of l, which r relieves if it is silent.
+func (a *exchange) watch(l *slots.Reservation, r *relief) *watchdog {
+	gap := a.request.TargetRoute().EventGapTarget()
+	stalled := func() {
+		l.RecordFailure()
+		r.start()
+	}
+	w := newWatchdog(gap, stalled)
+	if a.monitor != nil {
+		a.monitor.Hear(l.Backend().ID())
+		w.listen(gap, func(d time.Duration) bool { return a.monitor.Silent(l.Backend().ID(), d) }, stalled)
+	}
+	return w
+}
+
+// handleFailedCall handles an attempt in x at the server of l that has no response; it reports whether the request may be retried.
+func (a *exchange) handleFailedCall(c, x context.Context, l *slots.Reservation, err error) (bool, error) {
+	switch {
+	case c.Err() == nil && x.Err() != nil:
+		err = errNoResponse
+	case bulrushlug.KindOf(err) == bulrushlug.KindUncertain:
+		a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
+	}
+	return a.classify(c, l, err)
+}
+
+// handleBroken handles a response in x of the server of l that ended with err after n events; it reports whether the request may be
+// retried.
+func (a *exchange) handleBroken(c, x context.Context, l *slots.Reservation, n int, err error) (bool, error) {
 	switch {
 	case x.Err() != nil || a.sink.callerGone:
 	case n < begunEvents:
@@ -193,29 +239,42 @@
 	if a.callerLeft(c) {
 		return false, a.endWork(l.Backend(), n, err)
 	}
-	a.recordBroken(l.Backend(), n, err)
+	a.recordBroken(a.request, l.Backend(), n, err)
 	if c.Err() != nil {
 		return false, err
 	}
 	a.skip[l.Backend().ID()] = true
-	return a.mayRetry() && a.canResume(), err
+	return a.next != nil || a.mayRetry() && a.canResume(), err
 }
 
-// call sends the request to the server of l. After suspectTimeout other requests avoid the server, and after
-// responseTimeout a request that may be retried is cancelled by stop once it has a place at another server: a request that
-// would find none goes on waiting.
-func (a *exchange) call(c context.Context, stop context.CancelFunc, l *slots.Reservation) (bulrushlug.Reply, error) {
+// call sends the request to the server of l. After suspectTimeout other requests avoid the server, and after responseTimeout
+// another one may answer in its place.
+func (a *exchange) call(c context.Context, stop func(), r *relief, l *slots.Reservation) (*started, error) {
 	t := time.AfterFunc(suspectTimeout, l.RecordFailure)
 	defer t.Stop()
-	if a.mayRetry() && a.request.TargetRoute().Attempts() != a.possibleRuns+1 {
-		r := a.seekReplacement(l, stop)
-		defer func() { a.next = r.end() }()
+	if a.request.Idempotent() {
+		if n := a.runsLeft(); n < 0 {
+			r.arm(n)
+		} else {
+			r.arm(n - 1) // This attempt runs too.
+		}
 	}
-	return a.client.Call(c, l.Backend(), a.request)
+	u := time.AfterFunc(responseTimeout, r.start)
+	defer u.Stop()
+	p, err := a.client.Call(c, l.Backend(), a.request)
+	a.next = r.disarm()
+	switch {
+	case err != nil:
+		return nil, err
+	case a.next != nil:
+		p.Close()
+		return nil, errNoResponse
+	}
+	return &started{Reply: p, context: c, stop: stop}, nil
 }
 
-// errNoResponse is the error of an attempt that was cancelled after responseTimeout; the request may have run.
-var errNoResponse = bulrushlug.Errorf(bulrushlug.KindUncertain, "the server did not answer in time")
+// errNoResponse is the error of an attempt whose server is silent while another one goes on; the request may have run.
+var errNoResponse = bulrushlug.Errorf(bulrushlug.KindUncertain, "the server is silent, and another one goes on")
 
 // eventInterval returns the average seconds between the n events of a response whose request was sent at t; zero if
 // n is less than two.
@@ -234,26 +293,35 @@
 		a.possibleRuns++
 		return false, a.endWork(l.Backend(), 0, err)
 	}
-	a.record("callFailed", l.Backend(), err)
-	switch k {
-	case bulrushlug.KindUnplaceable:
-		l.RecordUnreachable()
-		return true, err
-	case bulrushlug.KindMisdirected:
-		l.RecordFailure()
-		return true, err
-	case bulrushlug.KindOverloaded:
-		l.RecordRefusal()
+	a.record("callFailed", a.request, l.Backend(), err)
+	if !recordCall(c, l, err) {
 		return true, err
 	}
 	a.possibleRuns++
 	if c.Err() != nil {
 		return false, err
 	}
-	if k == bulrushlug.KindUncertain {
+	return a.next != nil || a.mayRetry(), err
+}
+
+// recordCall records at l why a call failed, and reports whether the server may have run the request.
+func recordCall(c context.Context, l *slots.Reservation, err error) bool {
+	switch bulrushlug.KindOf(err) {
+	case bulrushlug.KindUnplaceable:
+		l.RecordUnreachable()
+		return false
+	case bulrushlug.KindMisdirected:
 		l.RecordFailure()
+		return false
+	case bulrushlug.KindOverloaded:
+		l.RecordRefusal()
+		return false
+	case bulrushlug.KindUncertain:
+		if c.Err() == nil {
+			l.RecordFailure()
+		}
 	}
-	return a.mayRetry(), err
+	return true
 }
 
 // callerLeft reports whether the caller takes no more of the response. The process itself ends requests with a cause.
@@ -269,9 +337,15 @@
 }
 
 // mayRetry reports whether the request is idempotent and has attempts left.
-func (a *exchange) mayRetry() bool {
+func (a *exchange) mayRetry() bool { return a.request.Idempotent() && a.runsLeft() != 0 }
+
+// runsLeft returns how many more times the request may run if it is idempotent; negative for any number.
+func (a *exchange) runsLeft() int {
 	n := a.request.TargetRoute().Attempts()
-	return a.request.Idempotent() && (n == 0 || a.possibleRuns < n)
+	if n == 0 {
+		return -1
+	}
+	return max(0, n-a.possibleRuns)
 }
 
 // canResume reports whether the response has not begun or can resume at another server after the last event.
@@ -279,19 +353,19 @@
 	return !a.sink.headSent || a.request.TargetRoute().Resumable() && a.sink.resumable
 }
 
-func (a *exchange) record(w string, b bulrushlug.Backend, err error) {
-	a.recorder.Record(bulrushlug.NewEvent(w, bulrushlug.ForRequest(a.request),
+func (a *exchange) record(w string, r *bulrushlug.Request, b bulrushlug.Backend, err error) {
+	a.recorder.Record(bulrushlug.NewEvent(w, bulrushlug.ForRequest(r),
 		bulrushlug.WithDetail(b.ID()+" "+bulrushlug.KindOf(err).String()+": "+err.Error())))
 }
 
 // recordBroken records a response that broke off after n events. One without any may be that of the request that ended the
 // server, so the parts of its prompt are in the record.
-func (a *exchange) recordBroken(b bulrushlug.Backend, n int, err error) {
+func (a *exchange) recordBroken(r *bulrushlug.Request, b bulrushlug.Backend, n int, err error) {
 	d := fmt.Sprintf("%s %s after %d events: %v", b.ID(), bulrushlug.KindOf(err), n, err)
 	if n == 0 {
-		d += fmt.Sprintf(", prompt %x", a.request.Prompt().Parts())
+		d += fmt.Sprintf(", prompt %x", r.Prompt().Parts())
 	}
-	a.recorder.Record(bulrushlug.NewEvent("answerBroken", bulrushlug.ForRequest(a.request), bulrushlug.WithDetail(d)))
+	a.recorder.Record(bulrushlug.NewEvent("answerBroken", bulrushlug.ForRequest(r), bulrushlug.WithDetail(d)))
 }
 
 // sink forwards the parts of several responses to the caller as one response.
--- a/proxy/together_test.go
+++ b/proxy/together_test.go
@@ -70,8 +70,8 @@
 		t.Run(name, func(t *testing.T) {
 			k := &counter{}
 			a := &exchange{Stage: New(table(), nil, noRecorder{}, nil, noDetector{}, memory.New(1<<20)), request: bulrushlug.NewRequest("q"), sink: &sink{sink: k}}
-			w := newWatchdog(0, func(bool) {})
-			_, _ = a.forwardEvents(&reply{status: 200, contentType: eventStream, in: &parts{left: x.in, err: x.err}}, w)
+			w := newWatchdog(0, func() {})
+			_, _ = a.forwardEvents(&started{Reply: &reply{status: 200, contentType: eventStream, in: &parts{left: x.in, err: x.err}}}, &relief{}, w)
 			if n := strings.Count(strings.ReplaceAll(k.data, "\r", ""), "\n\n"); n != x.events || k.writes > x.writes {
 				t.Errorf("%d events in %d parts, want %d in at most %d", n, k.writes, x.events, x.writes)
 			}
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -1,9 +1,6 @@
 package proxy
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 const (
 	// stallTimeout is the time without an event after which a stream has stalled; callers wait for two seconds or longer.
@@ -24,23 +21,22 @@
 	timer *time.Timer
 	early *time.Timer   // Ends before timer; nil if there is no evidence from other streams.
 	quiet time.Duration // When early ends.
-	cut   atomic.Bool   // The stream can resume at another server, so it is cut when it has stalled.
 }
 
 // newWatchdog returns a watchdog for a stream whose events should be at most gap apart; f is called when it has stalled.
-func newWatchdog(gap time.Duration, f func(cut bool)) *watchdog {
+func newWatchdog(gap time.Duration, f func()) *watchdog {
 	w := &watchdog{limit: max(stallTimeout, stallGaps*gap)}
-	w.timer = time.AfterFunc(w.limit, func() { f(w.cut.Load()) })
+	w.timer = time.AfterFunc(w.limit, f)
 	w.timer.Stop()
 	return w
 }
 
 // listen makes f be called earlier if s reports that the server has been silent for that time.
-func (w *watchdog) listen(gap time.Duration, s func(d time.Duration) bool, f func(cut bool)) {
+func (w *watchdog) listen(gap time.Duration, s func(d time.Duration) bool, f func()) {
 	w.quiet = max(silenceTimeout, silenceGaps*gap)
 	w.early = time.AfterFunc(w.quiet, func() {
 		if s(w.quiet) {
-			f(w.cut.Load())
+			f()
 		}
 	})
 	w.early.Stop()
@@ -48,8 +44,7 @@
 
 // start begins the wait for the next event; begun says that it is not the first one, for which a server that reads a long
 // prompt is silent without a fault.
-func (w *watchdog) start(cut, begun bool) {
-	w.cut.Store(cut)
+func (w *watchdog) start(begun bool) {
 	w.timer.Reset(w.limit)
 	if w.early != nil && begun {
 		w.early.Reset(w.quiet)
--- a/request.go
+++ b/request.go
@@ -166,6 +166,12 @@
 // SetCandidates sets the backend servers in order of preference.
 func (r *Request) SetCandidates(l []Candidate) { r.candidates = l }
 
+// Clone returns a copy of r for an attempt beside those of r; what they share is not modified.
+func (r *Request) Clone() *Request {
+	q := *r
+	return &q
+}
+
 // NextAttempt increments the attempt number.
 func (r *Request) NextAttempt() { r.attempt++ }
 
