fix: a response that is reset during its upload is not taken for a whole one

Cause: the kernel reports a reset once. The write of the upload got it, and the next read found the connection closed, as at the clean end of a response without a length. Uploads that fit into the kernel's buffers have no write left that could get it.

Change: package dial makes connections whose reads fail once a write has failed or while one is in progress. Calls to backend servers, the key-value service and between processes use it, and so do the clients of engines and plain services of the own interface.

Why it works: such a response has no other mark of its end, so its end counts only if the request was written.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/dial"
 )
 
 const (
@@ -114,8 +115,8 @@
 func (p *Pool) shard(a string) *shard { return &p.shards[xxhash.Sum64String(a)%shardCount] }
 
 // Dialer returns the dialer of connections that detect an unresponsive peer by keep-alive probes and TCP_USER_TIMEOUT.
-func Dialer() *net.Dialer {
-	return &net.Dialer{
+func Dialer() *dial.Dialer {
+	return dial.New(net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
@@ -123,7 +124,7 @@
 				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
 			})
 		},
-	}
+	})
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -13,6 +14,7 @@
 
 	"bulrushlug.dev/bulrushlug"
 	"bulrushlug.dev/bulrushlug/codec"
+	"bulrushlug.dev/bulrushlug/dial"
 	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/stream"
 	"bulrushlug.dev/bulrushlug/wire"
@@ -38,7 +40,7 @@
 // New returns the client of the engine at URL u, which has no trailing slash.
 func New(u string) *Client {
 	// A stale response on a reused connection would pass for the next one: engines need not repeat identifiers.
-	t := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	t := &http.Transport{DialContext: dial.New(net.Dialer{}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		base:    u,
 		client:  &http.Client{Transport: t},
--- a/plain/client.go
+++ b/plain/client.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/dial"
 )
 
 const (
@@ -25,7 +27,7 @@
 // New returns the client of the service at URL u, which has no trailing slash.
 func New(u string) *Client {
 	return &Client{base: u, client: &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+		Transport:     &http.Transport{DialContext: dial.New(net.Dialer{}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
