fix(conns): a status that no response may have ends the run at once

What callers saw: a server answered with status 000 and kept its connection open; each such request got 504 only after its whole 5 s. 600 and 999 were passed on.

Cause: every status below 200 counted as that of an interim response, and none above 599 was looked at.

Change: a final response has a status from 200 to 599; an interim one is not 101 and announces no body. Anything else is an error at once, after which the request may have run: idempotent requests and streams go on elsewhere, others get 502. The clients of plain services and engines check it too.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -309,6 +309,9 @@
 			}
 			return nil, err
 		}
+		if err := checkStatus(w); err != nil {
+			return nil, err
+		}
 		if w.StatusCode < http.StatusOK {
 			continue
 		}
@@ -331,6 +334,20 @@
 	return nil, bulrushlug.Errorf(bulrushlug.KindUncertain, "only stale responses to other requests arrived")
 }
 
+// checkStatus fails if w can't be a response, so that its connection holds nothing that could be read: its status is none of HTTP, it
+// is an interim response that announces a body, or it switches to a protocol that nobody asked for.
+func checkStatus(w *http.Response) error {
+	n := w.StatusCode
+	interim := n >= http.StatusContinue && n < http.StatusOK && n != http.StatusSwitchingProtocols
+	switch {
+	case !interim && !bulrushlug.IsFinalStatus(n):
+		return bulrushlug.Errorf(bulrushlug.KindUncertain, "a response has status %q", w.Status)
+	case interim && (w.Header.Get("Content-Length") != "" || len(w.TransferEncoding) > 0):
+		return bulrushlug.Errorf(bulrushlug.KindUncertain, "an interim response with status %q announces a body", w.Status)
+	}
+	return nil
+}
+
 // write sends head and body in as few packets as possible.
 func write(c *conn, r *http.Request, b []byte) error {
 	r.ContentLength = int64(len(b))
--- a/engine/client.go
+++ b/engine/client.go
@@ -88,6 +88,9 @@
 		b, _ := io.ReadAll(io.LimitReader(a.Body, bufferBytes))
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "engine: status %d: %s", a.StatusCode, bytes.TrimSpace(b))
 	}
+	if !bulrushlug.IsFinalStatus(a.StatusCode) {
+		return bulrushlug.Errorf(bulrushlug.KindBroken, "engine: a response has status %q", a.Status)
+	}
 	t := a.Header.Get("Content-Type")
 	if err := s.Head(a.StatusCode, t); err != nil {
 		return err
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -87,6 +87,9 @@
 		"a text that is too short":           {response: text + "Content-Length: 3\r\n\r\n{}", want: "{}", kind: bulrushlug.KindBroken},
 		"a text in chunks without their end": {response: text + chunked("{}"), want: "{}", kind: bulrushlug.KindBroken},
 		"a failure":                          {response: "HTTP/1.1 500 Failed\r\n\r\nit failed", kind: bulrushlug.KindBroken},
+		"a status that none may have":        {response: "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok", kind: bulrushlug.KindBroken},
+		"a status above all":                 {response: "HTTP/1.1 999 Odd\r\nContent-Length: 2\r\n\r\nok", kind: bulrushlug.KindBroken},
+		"a switch of protocols":              {response: "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", kind: bulrushlug.KindBroken},
 		"no response":                        {response: "", kind: bulrushlug.KindUncertain},
 		"bytes that are no response":         {response: "it failed\r\n\r\n", kind: bulrushlug.KindUncertain},
 	} {
--- a/plain/client.go
+++ b/plain/client.go
@@ -54,6 +54,9 @@
 		return bulrushlug.WrapError(bulrushlug.KindUncertain, r.Route(), err)
 	}
 	defer func() { _ = a.Body.Close() }()
+	if !bulrushlug.IsFinalStatus(a.StatusCode) {
+		return bulrushlug.Errorf(bulrushlug.KindUncertain, "%s: a response has status %q", r.Route(), a.Status)
+	}
 	return relay(a, s)
 }
 
--- a/reply.go
+++ b/reply.go
@@ -2,6 +2,14 @@
 
 import "context"
 
+const (
+	firstFinalStatus = 200
+	lastStatus       = 599
+)
+
+// IsFinalStatus reports whether a response that is not an interim one may have HTTP status n.
+func IsFinalStatus(n int) bool { return n >= firstFinalStatus && n <= lastStatus }
+
 // Reply is the streamed response of a backend server.
 type Reply interface {
 	// Status returns the HTTP status.
