--- a/disk/disk.go
+++ b/disk/disk.go
@@ -47,7 +47,24 @@
 	if err := os.MkdirAll(v.root, dirMode); err != nil {
 		return nil, bulrushlug.WrapError(bulrushlug.KindStorage, d, err)
 	}
-	return v, v.removeTemporary()
+	return v, errors.Join(v.removeTemporary(), v.syncDirs())
+}
+
+// syncDirs syncs all directories: a process that was killed may have created some, and their chunks, without doing so.
+func (v *Store) syncDirs() error {
+	l, err := os.ReadDir(v.root)
+	for _, e := range l {
+		if e.IsDir() && err == nil {
+			err = syncDir(filepath.Join(v.root, e.Name()))
+		}
+	}
+	if err == nil {
+		err = syncDir(v.root)
+	}
+	if err != nil {
+		return bulrushlug.WrapError(bulrushlug.KindStorage, v.root, err)
+	}
+	return nil
 }
 
 func (v *Store) removeTemporary() error {
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -186,11 +186,11 @@
 
 // start starts a process on VM n with the log d.
 func (g *group) start(n string, d *memLog) {
+	c, stop := context.WithCancel(g.c)
+	w := log.With(g.logger, "vm", n)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.boots++
-	c, stop := context.WithCancel(g.c)
-	w := log.With(g.logger, "vm", n)
 	p := &process{vm: n, log: d, boot: g.boots, alive: true, stop: stop}
 	p.peers = peers.New(bulrushlug.NewMember(n, n, "r", "z"+n, "data").WithDataFolder(true), p.boot, n, g.store, "vm/", time.Second, log.NewNopLogger())
 	p.table = slots.New(n, func() []string { return nil })
@@ -204,7 +204,9 @@
 			return p.runner.Progress(i, n, text, after)
 		}))
 	p.runner = New(p.manager, p.table, g.backends(), p.routes, g.detector, prompt, guard.New(log.NewNopLogger()), w, new(expvar.Map).Init(), memory.New(1<<30))
+	g.mu.Unlock() // The log looks at the group.
 	_ = p.manager.Load()
+	g.mu.Lock()
 	g.processes[n] = p
 	go func() { _ = p.manager.Run(c) }()
 	go func() { _ = p.runner.Run(c) }()
--- a/lotlog/log.go
+++ b/lotlog/log.go
@@ -64,7 +64,7 @@
 	b, err := os.ReadFile(p)
 	if err == nil && len(b) == len(uuid.UUID{})*2 {
 		l.diskID = string(b)
-		return l, nil
+		return l, l.syncDiskID(p)
 	}
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, bulrushlug.WrapError(bulrushlug.KindStorage, p, err)
@@ -74,6 +74,18 @@
 	return l, l.writeDiskID(p)
 }
 
+// syncDiskID syncs the identifier of the disk in file p: the process that wrote it may have been killed before it had.
+func (l *Log) syncDiskID(p string) error {
+	f, err := os.Open(p)
+	if err == nil {
+		err = errors.Join(f.Sync(), f.Close(), l.syncFolder())
+	}
+	if err != nil {
+		return bulrushlug.WrapError(bulrushlug.KindStorage, p, err)
+	}
+	return nil
+}
+
 // writeDiskID writes the identifier of the disk to the file p. It is synced before any replica is written, as a
 // torn identifier would lose all of them.
 func (l *Log) writeDiskID(p string) error {
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -18,7 +18,7 @@
 	coordinator     string                // Disk of the process that runs the reconfiguration to this epoch; empty if unknown.
 	whole           bool                  // This disk runs that reconfiguration, and has the whole log.
 	refused         bool                  // A replica refused it: it needs a later epoch.
-	entries         []bulrushlug.LotEntry // Synced on this disk; the first is the head entry.
+	entries         []bulrushlug.LotEntry // Synced on this disk, unless unsynced; the first is the head entry.
 	former          []formerLog           // Logs of earlier epochs, until a later one is confirmed.
 	committed       int                   // Commit index: entries that all replicas have. Rises within one epoch, never above len(entries); zero while unknown.
 	size            int                   // Memory of entries and former, about.
@@ -27,6 +27,7 @@
 	done            map[uint32]bool       // Items with a result, synced or pending.
 	ended           bool                  // The end of the lot is among entries or pending.
 	busy            bool                  // A goroutine runs the tasks of the lot.
+	unsynced        bool                  // Entries were read from the disk and may not be synced; they count for nothing.
 	dropped         bool                  // The log is being removed; the lot accepts nothing and counts as absent.
 	epochChanged    bool                  // The record has to be read again: a replica follows another epoch, or a caller took this replica for the primary.
 	stale           bool                  // The entries were received in another epoch; the primary has to resend all of them or reconfigure the lot.
@@ -279,7 +280,7 @@
 
 // serving reports whether disk d may answer for the lot, once the other replicas verified its epoch.
 func (l *lot) serving(d string) bool {
-	return l.confirmed && l.isPrimary(d) && l.head != nil && !l.epochChanged
+	return l.confirmed && l.isPrimary(d) && l.head != nil && !l.epochChanged && !l.unsynced
 }
 
 // recordAttempt records whether an update was stored on disk d; a replica in another epoch does not fail.
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -171,12 +171,59 @@
 	return l
 }
 
-// Load rebuilds the lots from the logs on the disk.
+// Load rebuilds the lots from the logs on the disk, and makes what it has found durable: a process that was killed may have
+// written what it did not sync, which a loss of power takes away.
 func (k *ReplicaManager) Load() error {
-	return k.log.Load(func(u bulrushlug.LotUpdate) {
+	err := k.log.Load(func(u bulrushlug.LotUpdate) {
 		l := k.getLot(u.Lot(), true)
-		k.withLot(u.Lot(), func(*lot) { k.applyUpdate(l, u) })
+		k.withLot(u.Lot(), func(*lot) {
+			k.applyUpdate(l, u)
+			l.unsynced = true
+		})
 	})
+	if err != nil {
+		return err
+	}
+	for _, i := range k.lotIDs() {
+		if err := k.sync(i); err != nil {
+			_ = k.logger.Log("event", "lotNotSynced", "lot", i, "err", err)
+		}
+	}
+	return nil
+}
+
+// sync appends a record that changes nothing to the log of lot i, as a sync covers all that was written before.
+func (k *ReplicaManager) sync(i string) error {
+	l := k.getLot(i, false)
+	if l == nil {
+		return nil
+	}
+	if err := l.beginWrite(); err != nil {
+		return err
+	}
+	defer l.endWrite()
+	var u bulrushlug.LotUpdate
+	needed := false
+	k.withLot(i, func(x *lot) {
+		needed = x == l && l.unsynced
+		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), nil, l.confirmed)
+	})
+	if !needed {
+		return nil
+	}
+	return k.appendLog(l, u)
+}
+
+// appendLog writes u to the log of l, for which the caller has begun a write.
+func (k *ReplicaManager) appendLog(l *lot, u bulrushlug.LotUpdate) error {
+	k.withLot(u.Lot(), func(*lot) { l.writingSince = time.Now() })
+	err := k.log.Append(u)
+	k.withLot(u.Lot(), func(*lot) {
+		l.writingSince = time.Time{}
+		l.recordAttempt(k.disk, err)
+		l.unsynced = l.unsynced && err != nil
+	})
+	return err
 }
 
 // Run checks all lots for pending tasks until c ends.
@@ -203,7 +250,7 @@
 	var s bulrushlug.LotReplicaState
 	ok, duplicate := false, false
 	k.withLot(u.Lot(), func(x *lot) {
-		ok, duplicate = x == l && accept(l), l.contains(u)
+		ok, duplicate = x == l && accept(l), l.contains(u) && !l.unsynced
 		if !l.isReplacedBy(u) {
 			u = u.WithReceivedAt(earlier(l.receivedAt, u.ReceivedAt()))
 		}
@@ -212,13 +259,7 @@
 	if !ok || duplicate || u.Offset() > s.Length() {
 		return s, nil
 	}
-	k.withLot(u.Lot(), func(*lot) { l.writingSince = time.Now() })
-	err := k.log.Append(u.WithProgress(nil).WithProgressWanted(false))
-	k.withLot(u.Lot(), func(*lot) {
-		l.writingSince = time.Time{}
-		l.recordAttempt(k.disk, err)
-	})
-	if err != nil {
+	if err := k.appendLog(l, u.WithProgress(nil).WithProgressWanted(false)); err != nil {
 		return s, err
 	}
 	k.withLot(u.Lot(), func(*lot) {
@@ -323,7 +364,7 @@
 	var s bulrushlug.LotReplicaState
 	k.withLot(i, func(l *lot) {
 		length := len(l.entries)
-		if l.storesNothing(k.disk) {
+		if l.unsynced || l.storesNothing(k.disk) {
 			length = 0
 		}
 		s = bulrushlug.NewLotReplicaState(l.epoch == n, l.epoch, length)
--- a/lots/task.go
+++ b/lots/task.go
@@ -19,6 +19,7 @@
 	taskCommit      // Entries have to be synced or replicated, or the replicas verified.
 	taskReconfigure // The replicas have to change.
 	taskProbe       // The primary may have lost the lot.
+	taskSync        // What was read from the disk may not be synced.
 )
 
 // schedule starts the next task of lot i unless one is running.
@@ -73,6 +74,8 @@
 		return k.reconfigure(c, i)
 	case taskProbe:
 		return k.probe(c, i)
+	case taskSync:
+		return k.sync(i)
 	}
 	return nil
 }
@@ -85,6 +88,8 @@
 	}
 	own := l.isPrimary(k.disk)
 	switch {
+	case l.unsynced:
+		return taskSync
 	case l.epochChanged, k.confirmationOverdue(l), l.confirmed && !slices.Contains(l.replicas, k.disk):
 		return taskReadRecord
 	case k.expired(l):
