--- a/items/failures_test.go
+++ b/items/failures_test.go
@@ -49,6 +49,12 @@
 		"the primary is replaced":   {disturb: func(g *group) { g.kill(g.primary()) }},
 		"the primary restarts":      {disturb: func(g *group) { g.restart(g.primary()) }},
 		"each run is preempted too": {disturb: func(*group) {}, preempt: true},
+		"all restart":               {disturb: (*group).restartAll},
+		"the primary is replaced, then all restart": {disturb: func(g *group) {
+			g.restart(g.primary())
+			time.Sleep(100 * time.Millisecond)
+			g.restartAll()
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/items/takeover_test.go
+++ b/items/takeover_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -40,7 +41,7 @@
 func (g *memLog) Append(u bulrushlug.LotUpdate) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.updates = append(g.updates, u.WithProgress(nil))
+	g.updates = append(g.updates, u)
 	return nil
 }
 
@@ -235,6 +236,18 @@
 	g.start(n, g.processes[n].log)
 }
 
+// restartAll kills all processes at the same moment and starts them again.
+func (g *group) restartAll() {
+	names := slices.Sorted(maps.Keys(g.processes))
+	for _, n := range names {
+		g.kill(n)
+	}
+	time.Sleep(restartTime)
+	for _, n := range names {
+		g.start(n, g.processes[n].log)
+	}
+}
+
 // report delivers a report of each process to all others.
 func (g *group) report() {
 	g.mu.Lock()
--- a/lots/lot.go
+++ b/lots/lot.go
@@ -46,6 +46,7 @@
 	probeAt         time.Time             // When the primary is asked whether it has the lot; zero while nothing calls for it.
 	progress        map[uint32]text       // Events of items without a result, as the primary replicated them.
 	failures        map[uint32]int        // Failed runs of items without a result, under all primaries; never decreases.
+	storedFailures  map[uint32]int        // What the log on this disk says of failures; never more than failures.
 	acked           map[uint32]position   // What all replicas acknowledged of the items in this epoch.
 	failing         map[string]failure    // Of the replicas on these disks, all writes of which have failed lately; this disk may be one.
 	writingSince    time.Time             // When the write to this disk began that is in progress; zero if none is.
@@ -81,7 +82,7 @@
 }
 
 func newLot(i string) *lot {
-	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, failures: map[uint32]int{}, acked: map[uint32]position{}, failing: map[string]failure{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
+	return &lot{id: i, done: map[uint32]bool{}, progress: map[uint32]text{}, failures: map[uint32]int{}, storedFailures: map[uint32]int{}, acked: map[uint32]position{}, failing: map[string]failure{}, changed: make(chan struct{}), writes: make(chan struct{}, 1), firstSeen: time.Now()}
 }
 
 // beginWrite waits until no other write to the log is in progress; the caller calls endWrite. It fails if a write takes so long
@@ -190,6 +191,37 @@
 	}
 }
 
+// failuresIn returns the failed runs in p, by item.
+func failuresIn(p []bulrushlug.LotProgress) map[uint32]int {
+	f := map[uint32]int{}
+	for _, x := range p {
+		if x.Failures() > 0 {
+			f[x.Item()] = x.Failures()
+		}
+	}
+	return f
+}
+
+// unstoredFailures returns those of the failed runs f that the log on this disk does not have yet.
+func (l *lot) unstoredFailures(f map[uint32]int) (p []bulrushlug.LotProgress) {
+	for n, x := range f {
+		if x > l.storedFailures[n] && !l.ended && !l.done[n] {
+			p = append(p, bulrushlug.NewLotProgress(n, 0, 1, nil).WithFailures(x))
+		}
+	}
+	return p
+}
+
+// storeFailures notes that the log on this disk has the failed runs in p.
+func (l *lot) storeFailures(p []bulrushlug.LotProgress) {
+	for _, x := range p {
+		l.countFailures(x.Item(), x.Failures())
+		if x.Failures() > l.storedFailures[x.Item()] && l.failures[x.Item()] >= x.Failures() {
+			l.storedFailures[x.Item()] = x.Failures()
+		}
+	}
+}
+
 // knownProgress returns the events and failed runs of the items without a result.
 func (l *lot) knownProgress() (p []bulrushlug.LotProgress) {
 	for n, t := range l.progress {
@@ -254,10 +286,12 @@
 		l.done[e.Result().Item()] = true
 		delete(l.progress, e.Result().Item())
 		delete(l.failures, e.Result().Item())
+		delete(l.storedFailures, e.Result().Item())
 	case e.Ended():
 		l.ended = true
 		clear(l.progress)
 		clear(l.failures)
+		clear(l.storedFailures)
 	}
 }
 
--- a/lots/manager.go
+++ b/lots/manager.go
@@ -178,6 +178,7 @@
 		l := k.getLot(u.Lot(), true)
 		k.withLot(u.Lot(), func(*lot) {
 			k.applyUpdate(l, u)
+			l.storeFailures(u.Progress())
 			l.unsynced = true
 		})
 	})
@@ -237,7 +238,8 @@
 	return nil
 }
 
-// persist writes u to the log and applies it if accept allows it, and returns the state of the replica.
+// persist writes u to the log and applies it if accept allows it, and returns the state of the replica. Of the progress, only
+// failed runs are written, as they bound how often an item may run.
 func (k *ReplicaManager) persist(u bulrushlug.LotUpdate, accept func(l *lot) bool) (bulrushlug.LotReplicaState, error) {
 	l := k.getLot(u.Lot(), u.Offset() == 0 && len(u.Entries()) > 0)
 	if l == nil {
@@ -249,8 +251,10 @@
 	defer l.endWrite()
 	var s bulrushlug.LotReplicaState
 	ok, duplicate := false, false
+	var failures []bulrushlug.LotProgress
 	k.withLot(u.Lot(), func(x *lot) {
-		ok, duplicate = x == l && accept(l), l.contains(u) && !l.unsynced
+		failures = l.unstoredFailures(failuresIn(u.Progress()))
+		ok, duplicate = x == l && accept(l), l.contains(u) && !l.unsynced && len(failures) == 0
 		if !l.isReplacedBy(u) {
 			u = u.WithReceivedAt(earlier(l.receivedAt, u.ReceivedAt()))
 		}
@@ -259,11 +263,12 @@
 	if !ok || duplicate || u.Offset() > s.Length() {
 		return s, nil
 	}
-	if err := k.appendLog(l, u.WithProgress(nil).WithProgressWanted(false)); err != nil {
+	if err := k.appendLog(l, u.WithProgress(failures).WithProgressWanted(false)); err != nil {
 		return s, err
 	}
 	k.withLot(u.Lot(), func(*lot) {
 		k.applyUpdate(l, u)
+		l.storeFailures(failures)
 		s = bulrushlug.NewLotReplicaState(true, l.epoch, len(l.entries))
 	})
 	return s, nil
--- a/lots/task.go
+++ b/lots/task.go
@@ -298,13 +298,14 @@
 	return p
 }
 
-// syncPending writes the first part of the pending entries of lot i to the log on this disk.
+// syncPending writes the first part of the pending entries of lot i, and its failed runs, to the log on this disk.
 func (k *ReplicaManager) syncPending(i string) error {
 	var u bulrushlug.LotUpdate
 	k.withLot(i, func(l *lot) {
 		u = bulrushlug.NewLotUpdate(i, l.epoch, l.replicas, len(l.entries), slices.Clone(l.pending[:partLength(l.pending)]), true)
+		u = u.WithProgress(l.unstoredFailures(l.failures))
 	})
-	if len(u.Entries()) == 0 {
+	if len(u.Entries()) == 0 && len(u.Progress()) == 0 {
 		return nil
 	}
 	s, err := k.persist(u, func(l *lot) bool { return l.epoch == u.Epoch() && l.confirmed && l.isPrimary(k.disk) })
