--- a/front/server.go
+++ b/front/server.go
@@ -165,9 +165,10 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	id := uuid.NewString()
 	k := &sink{w: w, id: id}
-	t, ok := s.source.Config().Route(r.URL.Path)
+	path := r.URL.EscapedPath() // The service gets the bytes by which the route is selected.
+	t, ok := s.source.Config().Route(path)
 	if !ok {
-		k.fail(bulrushlug.Errorf(bulrushlug.KindNotFound, "no route for path %s", r.URL.Path))
+		k.fail(bulrushlug.Errorf(bulrushlug.KindNotFound, "no route for path %s", path))
 		return
 	}
 	b, err := s.body(w, r)
@@ -175,7 +176,7 @@
 		k.fail(err)
 		return
 	}
-	p := "/" + strings.TrimLeft(strings.TrimPrefix(r.URL.Path, t.Prefix()), "/")
+	p := "/" + strings.TrimLeft(strings.TrimPrefix(path, t.Prefix()), "/")
 	if r.URL.RawQuery != "" {
 		p += "?" + r.URL.RawQuery
 	}
