--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -111,7 +111,8 @@
 	crashed := m.crashed
 	f.mu.Unlock()
 	in, out := io.Pipe()
-	go func() { _ = out.CloseWithError(f.respond(c, m, crashed, out, r, deadly)) }()
+	q := r.Clone() // The exchange goes on with r.
+	go func() { _ = out.CloseWithError(f.respond(c, m, crashed, out, q, deadly)) }()
 	return &pipeReply{PipeReader: in}, nil
 }
 
--- a/proxy/stage.go
+++ b/proxy/stage.go
@@ -227,7 +227,7 @@
 // retried.
 func (a *exchange) handleBroken(c, x context.Context, l *slots.Reservation, n int, err error) (bool, error) {
 	switch {
-	case x.Err() != nil || a.sink.callerGone:
+	case x.Err() != nil || a.next != nil || a.sink.callerGone:
 	case n < begunEvents:
 		a.detector.RecordBroken(x, l.Backend(), a.request.Prompt())
 	case !errors.Is(err, bulrushlug.ErrOversized):
@@ -253,11 +253,11 @@
 	t := time.AfterFunc(suspectTimeout, l.RecordFailure)
 	defer t.Stop()
 	if a.request.Idempotent() {
-		if n := a.runsLeft(); n < 0 {
-			r.arm(n)
-		} else {
-			r.arm(n - 1) // This attempt runs too.
+		n := a.runsLeft()
+		if n > 0 {
+			n-- // This attempt may run too.
 		}
+		r.arm(n)
 	}
 	u := time.AfterFunc(responseTimeout, r.start)
 	defer u.Stop()
