fix(proxy): a search for another server is guarded and rests after a few

Cause: the goroutine that looks for a server beside a silent one was under no guard, so an unexpected error in it would have ended the process; and where many servers refuse it tried them all at once. Found in reading. Test, before: proxy.TestSilenceEndsNoResponse/an_unexpected_error ends the test binary without the guard. After: passes, and so does the package.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -43,7 +43,7 @@
 
 func newEntry(s *Daemon) *entry {
 	e := &entry{Daemon: s, router: locate.New(s.lotClient, s.store, lotPrefix, s.membership, s.logger), grace: grace.New()}
-	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory)
+	d := proxy.New(s.slotTable, s.platform.BackendClient(s), s.recorder, s.broadcaster.SendTo, s.detector, s.memory).WithGuard(s.guard)
 	if s.settings.Load().SuspectSilence() {
 		d.WithMonitor(hush.New())
 	}
--- a/proxy/relief.go
+++ b/proxy/relief.go
@@ -41,7 +41,7 @@
 		return
 	}
 	r.search = newSearch(r)
-	go r.search.run()
+	go r.exchange.protect(r.search.run)
 }
 
 // disarm ends the wait. It returns the place of the server that goes on with the response, or nil.
--- a/proxy/relief_test.go
+++ b/proxy/relief_test.go
@@ -10,7 +10,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"bulrushlug.dev/bulrushlug"
+	"bulrushlug.dev/bulrushlug/guard"
 	"bulrushlug.dev/bulrushlug/memory"
 	"bulrushlug.dev/bulrushlug/slots"
 )
@@ -28,6 +31,7 @@
 	pause   time.Duration   // Pause after them.
 	broken  bool            // The response breaks off after the pause.
 	status  int             // Of a response that is no stream; zero for a stream.
+	panics  bool            // The call panics.
 }
 
 // run is one run of the request.
@@ -55,6 +59,10 @@
 	m := &run{}
 	v.runs = append(v.runs, m)
 	v.mu.Unlock()
+	if x.panics {
+		v.end(m)
+		panic("an unexpected error")
+	}
 	if bulrushlug.Sleep(c, x.before) != nil {
 		v.end(m)
 		return nil, c.Err()
@@ -127,6 +135,7 @@
 		"another server fails":                  {parts: []part{paused, {status: 500}}, attempts: 2, runs: 2, within: 5 * time.Second},
 		"another server has no such stream":     {parts: []part{paused, {status: 404}}, attempts: 2, runs: 2, within: 5 * time.Second},
 		"another server fails, a third goes on": {parts: []part{paused, {status: 500}, {}}, runs: 3, within: 3 * time.Second},
+		"an unexpected error":                   {parts: []part{paused, {panics: true}}, runs: 2, within: 5 * time.Second},
 		"a single attempt":                      {parts: []part{paused, {}}, attempts: 1, runs: 1, within: 5 * time.Second},
 		"two pause, one after the other":        {parts: []part{paused, {events: 2, pause: pause}, {}}, runs: 3, within: 6 * time.Second},
 		"both of two attempts pause":            {parts: []part{paused, {events: 2, pause: pause}, {}}, attempts: 2, runs: 2, within: 8 * time.Second},
@@ -151,7 +160,7 @@
 				begun := time.Now()
 				c, stop := context.WithCancel(t.Context())
 				defer stop()
-				err := New(b, v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30)).
+				err := New(b, v, noRecorder{}, func([]string) {}, noDetector{}, memory.New(1<<30)).WithGuard(guard.New(log.NewNopLogger())).
 					Run(c, bulrushlug.NewRequest("r", bulrushlug.WithTarget(route), bulrushlug.WithDeadline(begun.Add(20*time.Second))), k)
 				if d := time.Since(begun); err != nil || d > x.within {
 					t.Errorf("%v after %v, want none within %v", err, d, x.within)
--- a/proxy/search.go
+++ b/proxy/search.go
@@ -73,16 +73,18 @@
 	return s
 }
 
-// run tries servers until one has answered, no run is left, or the search has ended.
+// run tries servers until one has answered, no run is left, or the search has ended. It rests where none has capacity, and after
+// each maxServers of them.
 func (s *search) run() {
 	a := s.relief.exchange
-	for {
+	for tried := 0; ; {
 		var l *slots.Reservation
 		var vms []string
-		if a.detector.Check(s.request.Prompt()) == nil {
+		if tried < maxServers && a.detector.Check(s.request.Prompt()) == nil {
 			l, vms = a.table.AcquireOnline(a.service, s.skip)
 		}
 		if l == nil {
+			tried = 0
 			if bulrushlug.Sleep(s.context, searchInterval) != nil {
 				return
 			}
@@ -92,17 +94,26 @@
 			l.Release()
 			return
 		}
+		tried++
 		a.notify(vms)
-		p := &place{slot: l, vms: vms}
-		if s.try(p) && s.take(p) {
+		if s.useIfAnswered(&place{slot: l, vms: vms}) {
 			s.relief.stop()
 			return
 		}
-		p.release()
 		s.skip[l.Backend().ID()] = true
 	}
 }
 
+// useIfAnswered hands p over if its server answers, and releases it otherwise.
+func (s *search) useIfAnswered(p *place) (used bool) {
+	defer func() {
+		if !used {
+			p.release()
+		}
+	}()
+	return s.try(p) && s.take(p)
+}
+
 // beginRun counts a run, unless none is left or the search has ended.
 func (s *search) beginRun() bool {
 	s.mu.Lock()
