--- a/lots/lot.go
+++ b/lots/lot.go
@@ -191,13 +191,16 @@
 	}
 }
 
-// failuresIn returns the failed runs in p, by item.
-func failuresIn(p []bulrushlug.LotProgress) map[uint32]int {
-	f := map[uint32]int{}
+// failuresIn returns the failed runs in p, by item; nil if there are none, as in most updates.
+func failuresIn(p []bulrushlug.LotProgress) (f map[uint32]int) {
 	for _, x := range p {
-		if x.Failures() > 0 {
-			f[x.Item()] = x.Failures()
+		if x.Failures() == 0 {
+			continue
+		}
+		if f == nil {
+			f = map[uint32]int{}
 		}
+		f[x.Item()] = x.Failures()
 	}
 	return f
 }
--- a/proxy/relief_test.go
+++ b/proxy/relief_test.go
@@ -140,13 +140,19 @@
 		"two pause, one after the other":        {parts: []part{paused, {events: 2, pause: pause}, {}}, runs: 3, within: 6 * time.Second},
 		"both of two attempts pause":            {parts: []part{paused, {events: 2, pause: pause}, {}}, attempts: 2, runs: 2, within: 8 * time.Second},
 		"another breaks off, a third goes on":   {parts: []part{paused, {events: 1, broken: true}, {}}, runs: 3, within: 4 * time.Second},
-		"before the first event":                {parts: []part{{before: time.Millisecond, events: 0, pause: 0}}, runs: 1, within: time.Second},
+		"before its head, others are full":      {parts: []part{{before: pause}, {refused: bulrushlug.KindOverloaded}, {refused: bulrushlug.KindOverloaded}, {refused: bulrushlug.KindOverloaded}, {refused: bulrushlug.KindOverloaded}}, runs: 1, within: 5 * time.Second},
+		"before its head, another one resets":   {parts: []part{{before: pause}, {refused: bulrushlug.KindUncertain}}, attempts: 2, runs: 1, within: 5 * time.Second},
+		"before its head, another one answers":  {parts: []part{{before: pause}, {}}, runs: 2, within: 2 * time.Second},
+		"no pause":                              {parts: []part{{before: time.Millisecond, events: 0, pause: 0}}, runs: 1, within: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := slots.New("e", func() []string { return nil })
 				var l []bulrushlug.Backend
-				for i := range max(x.servers, 1) + 4*(1-min(x.servers, 1)) {
+				if x.servers == 0 {
+					x.servers = 5
+				}
+				for i := range x.servers {
 					l = append(l, bulrushlug.NewBackend(fmt.Sprint("b", i), "s", fmt.Sprintf("h%d:1", i), bulrushlug.BackendZoneSlots("z", 8)))
 				}
 				b.Update(l)
