fix(poison): a full shard keeps the part whose crash came last

Cause: a full shard evicts the suspect whose last crash is the oldest, and of crashes at the same time the order of a map decided. The part that was just added could go. Ruled out: the order of the report, which compares the number of crashes first, and the limit of a report.

Of crashes at the same time the one that was added first is the oldest now. TestNewSuspectIsKept fails before in 2 of 4 rows; TestSuspects passes 1,000 runs.

--- a/poison/shard.go
+++ b/poison/shard.go
@@ -27,7 +27,8 @@
 	size      atomic.Int64 // Number of suspects; written under mu.
 	evaluated time.Time    // Last call of evaluate.
 	ends      *ends
-	weighed   int64 // Version of ends at the last call of evaluate.
+	weighed   int64  // Version of ends at the last call of evaluate.
+	added     uint64 // Crashes that were added to suspects.
 }
 
 type key struct{ scope, part uint64 }
@@ -117,7 +118,7 @@
 	l := p.Parts()
 	last := len(l) - 1
 	for i, x := range l {
-		s.find(key{p.Scope(), x}, i == last).add(crash{server: server, address: address, request: l[last], at: now}, now)
+		s.add(s.find(key{p.Scope(), x}, i == last), crash{server: server, address: address, request: l[last], at: now}, now)
 	}
 	return outcome{reached: true, changes: s.evaluate(now)}
 }
@@ -143,7 +144,7 @@
 			q.tested = later(q.tested, now.Add(-d))
 		}
 		for _, y := range x.Crashes() {
-			changed = q.add(reported(y, now), now) || changed
+			changed = s.add(q, reported(y, now), now) || changed
 		}
 	}
 	if !changed {
@@ -161,6 +162,16 @@
 	return x
 }
 
+// add adds crash x to q and reports whether it was new.
+func (s *shard) add(q *suspect, x crash, now time.Time) bool {
+	if !q.add(x, now) {
+		return false
+	}
+	s.added++
+	q.added = s.added
+	return true
+}
+
 // find returns the suspect k, which is new if there is none. If there is no room for it, the one whose last crash is the
 // oldest goes.
 func (s *shard) find(k key, own bool) *suspect {
@@ -178,12 +189,13 @@
 }
 
 // evict removes the suspect without conclusive evidence whose last crash is the oldest, or the one of all if there is none.
+// Of crashes at the same time, as many have that one process reports, the one that was added first is the oldest.
 func (s *shard) evict() {
 	var oldest key
 	var p *suspect
 	for k, q := range s.suspects {
 		convicted, first := !q.until.IsZero(), p != nil && !p.until.IsZero()
-		if p == nil || first && !convicted || first == convicted && q.lastCrash().Before(p.lastCrash()) {
+		if p == nil || first && !convicted || first == convicted && q.older(p) {
 			oldest, p = k, q
 		}
 	}
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -27,6 +27,7 @@
 type suspect struct {
 	own         bool      // It is the last part of a prompt.
 	crashes     []crash   // Crashes after success: the newest maxCrashes, at most minRequests of each server.
+	added       uint64    // Number of the crash that was added last, among all of the shard.
 	success     time.Time // Last known time at which a server began to respond to the part; zero if there is none.
 	ownSuccess  time.Time // The same by a request of this process.
 	quarantined bool      // Requests with the part are held back, unless they lack one of alternatives.
@@ -233,6 +234,14 @@
 	return t
 }
 
+// older reports whether the last crash of p is older than the one of q.
+func (p *suspect) older(q *suspect) bool {
+	if c := p.lastCrash().Compare(q.lastCrash()); c != 0 {
+		return c < 0
+	}
+	return p.added < q.added
+}
+
 // report returns what other processes are told of the part k.
 func (p *suspect) report(k key, now time.Time) bulrushlug.Suspect {
 	var l []bulrushlug.Crash
