fix(items): an end that no length or chunk marks completes no item by itself

Cause: the connections of a process that is killed end as those of one that has finished, and that end completed the item. Ruled out: an end within an event and a reset, which counted as broken already. A bound by servers that have ended is not enough, as the look at them may come too early.

Such an end is followed by a run that resumes after the last event. The item is complete if that run brings no event and its server goes on, or after three runs without a response or from the first event, as some servers answer it. Cost: one run more for each such item, none where responses have a length or chunks.

--- a/items/item.go
+++ b/items/item.go
@@ -37,6 +37,8 @@
 	text      uint64   // Identifies the events; no other process, and no other item, has this text.
 	events    []string // Data of the events received, from event 1 on; only gets longer, unless the text is dropped.
 	textBytes int      // Bytes of the text, the line feeds between its events included.
+	unframed  bool     // A response that is not framed ended after the last event.
+	emptyRuns int      // Runs after that which brought nothing.
 	reserved  int      // Bytes reserved for the text.
 	failures  int      // Runs that the server answered with status 500.
 	backoff   time.Duration
@@ -72,6 +74,7 @@
 	}
 	x.textBytes = n
 	x.events = append(x.events, d)
+	x.unframed, x.emptyRuns = false, 0
 	return nil
 }
 
@@ -79,6 +82,7 @@
 func (x *item) drop(m *memory.Budget) {
 	m.Release(&x.reserved)
 	x.text, x.events, x.textBytes = rand.Uint64(), nil, 0
+	x.unframed, x.emptyRuns = false, 0
 }
 
 // adopt takes over the events l of another process, or none of them if there is no memory for all.
@@ -114,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if id != uint64(len(x.events))+1 {
-		return bulrushlug.Errorf(bulrushlug.KindBroken, "event %d follows event %d", id, len(x.events))
+		return bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("event %d follows event %d", id, len(x.events)), errSequence)
 	}
 	if n := p.MaxTokens(); n > 0 && id > n+spareEvents {
 		return bulrushlug.WrapError(bulrushlug.KindBroken, fmt.Sprintf("event %d of a response of at most %d tokens", id, n), bulrushlug.ErrOversized)
--- a/items/poison_test.go
+++ b/items/poison_test.go
@@ -33,16 +33,18 @@
 	d.begun++
 }
 
-func (d *fakeDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {
+func (d *fakeDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.broken++
+	return false
 }
 
-func (d *fakeDetector) RecordEnded(context.Context, bulrushlug.Backend) {
+func (d *fakeDetector) RecordEnded(context.Context, bulrushlug.Backend) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ended++
+	return false
 }
 
 // TestItemOnWhichServersEnd has a detector that holds back the item for some time.
--- a/items/run.go
+++ b/items/run.go
@@ -86,7 +86,7 @@
 	x, h := a.item, r.shard(a.key())
 	h.mu.Lock()
 	preempted := x.preempted
-	if !preempted {
+	if !preempted && !errors.Is(err, errUnframed) {
 		x.backoff = min(max(initialBackoff, 2*x.backoff), maxBackoff)
 		x.notBefore = time.Now().Add(x.backoff)
 	}
@@ -130,6 +130,8 @@
 		return "preempted"
 	case stopped:
 		return "stopped"
+	case errors.Is(err, errUnframed):
+		return "unframed"
 	case err != nil:
 		return bulrushlug.KindOf(err).String()
 	}
@@ -144,8 +146,9 @@
 	defer t.Stop()
 	p, err := r.client.Call(c, s.Backend(), q)
 	if err != nil {
-		if c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain {
-			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+		if c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain && !r.detector.RecordBroken(c, s.Backend(), q.Prompt()) &&
+			errors.Is(err, io.ErrUnexpectedEOF) && h.confirmEnd(x) {
+			return statusOK, nil
 		}
 		switch bulrushlug.KindOf(err) {
 		case bulrushlug.KindUnplaceable:
@@ -165,11 +168,16 @@
 	e := stream.New(p, r.memory)
 	defer e.Close()
 	n, err := r.receive(h, x, s.Backend(), q, e, t)
+	if err == nil && !p.Framed() {
+		err = r.checkEnd(c, h, x, s.Backend(), n)
+	}
 	if err != nil {
 		switch {
 		case c.Err() != nil:
 		case n < begunEvents:
-			r.detector.RecordBroken(c, s.Backend(), q.Prompt())
+			if !r.detector.RecordBroken(c, s.Backend(), q.Prompt()) && errors.Is(err, errSequence) && h.confirmEnd(x) {
+				return statusOK, nil
+			}
 		case !errors.Is(err, bulrushlug.ErrOversized):
 			r.detector.RecordEnded(c, s.Backend())
 		}
--- a/items/runner_test.go
+++ b/items/runner_test.go
@@ -189,21 +189,25 @@
 	*io.PipeReader
 	status      int
 	contentType string
+	unframed    bool
 }
 
 func (r *run) Status() int { return r.status }
 func (r *run) Fields() []bulrushlug.Field {
 	return []bulrushlug.Field{bulrushlug.NewField("Content-Type", r.contentType)}
 }
-func (r *run) Close() { _ = r.PipeReader.Close() }
+func (r *run) Framed() bool { return !r.unframed }
+func (r *run) Close()       { _ = r.PipeReader.Close() }
 
 // noDetector suspects no prompt.
 type noDetector struct{}
 
-func (noDetector) Check(bulrushlug.Prompt) error                                       { return nil }
-func (noDetector) RecordBegun(bulrushlug.Prompt)                                       {}
-func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {}
-func (noDetector) RecordEnded(context.Context, bulrushlug.Backend)                     {}
+func (noDetector) Check(bulrushlug.Prompt) error { return nil }
+func (noDetector) RecordBegun(bulrushlug.Prompt) {}
+func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) bool {
+	return false
+}
+func (noDetector) RecordEnded(context.Context, bulrushlug.Backend) bool { return false }
 
 // tokensField names a header field with the most tokens of a response.
 const tokensField = "tokens"
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -98,21 +98,26 @@
 	}
 }
 
-// RecordBroken suspects the parts of p if server b has ended. A connection that breaks while b goes on is no evidence.
-func (d *Detector) RecordBroken(c context.Context, b bulrushlug.Backend, p bulrushlug.Prompt) {
+// RecordBroken suspects the parts of p if server b has ended, and reports whether it has. A connection that breaks while b
+// goes on is no evidence.
+func (d *Detector) RecordBroken(c context.Context, b bulrushlug.Backend, p bulrushlug.Prompt) bool {
 	server, ok := d.recordEnd(c, b)
 	if !ok || len(p.Parts()) == 0 {
-		return
+		return ok
 	}
 	d.counters.Add("serverCrashes", 1)
 	now := time.Now()
 	d.apply(now, d.shard(p.Scope()).suspect(p, server, xxhash.Sum64String(b.Address()), now))
 	d.changed()
+	return true
 }
 
-// RecordEnded notes the end of server b, if it has ended, for the verdict on parts with which other servers ended. It goes
-// out with the next report.
-func (d *Detector) RecordEnded(c context.Context, b bulrushlug.Backend) { d.recordEnd(c, b) }
+// RecordEnded notes the end of server b, if it has ended, for the verdict on parts with which other servers ended, and reports
+// whether it has. The end goes out with the next report.
+func (d *Detector) RecordEnded(c context.Context, b bulrushlug.Backend) bool {
+	_, ok := d.recordEnd(c, b)
+	return ok
+}
 
 // recordEnd returns the hash of server b, and whether it has ended.
 func (d *Detector) recordEnd(c context.Context, b bulrushlug.Backend) (uint64, bool) {
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -150,7 +150,8 @@
 func (p *pipeReply) Fields() []bulrushlug.Field {
 	return []bulrushlug.Field{bulrushlug.NewField("Content-Type", eventStream)}
 }
-func (p *pipeReply) Close() { _ = p.PipeReader.Close() }
+func (p *pipeReply) Framed() bool { return true }
+func (p *pipeReply) Close()       { _ = p.PipeReader.Close() }
 
 // crashEntry is one process that serves callers.
 type crashEntry struct {
--- a/proxy/evidence_test.go
+++ b/proxy/evidence_test.go
@@ -16,10 +16,14 @@
 }
 
 func (d *countingDetector) RecordBegun(bulrushlug.Prompt) { d.begun++ }
-func (d *countingDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {
+func (d *countingDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) bool {
 	d.broken++
+	return false
+}
+func (d *countingDetector) RecordEnded(context.Context, bulrushlug.Backend) bool {
+	d.ended++
+	return false
 }
-func (d *countingDetector) RecordEnded(context.Context, bulrushlug.Backend) { d.ended++ }
 
 // TestRefusalClearsPrompt checks which responses count for and against a prompt: an error does not say that the server
 // can run it.
--- a/proxy/stage_test.go
+++ b/proxy/stage_test.go
@@ -23,10 +23,12 @@
 // noDetector suspects no prompt.
 type noDetector struct{}
 
-func (noDetector) Check(bulrushlug.Prompt) error                                       { return nil }
-func (noDetector) RecordBegun(bulrushlug.Prompt)                                       {}
-func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) {}
-func (noDetector) RecordEnded(context.Context, bulrushlug.Backend)                     {}
+func (noDetector) Check(bulrushlug.Prompt) error { return nil }
+func (noDetector) RecordBegun(bulrushlug.Prompt) {}
+func (noDetector) RecordBroken(context.Context, bulrushlug.Backend, bulrushlug.Prompt) bool {
+	return false
+}
+func (noDetector) RecordEnded(context.Context, bulrushlug.Backend) bool { return false }
 
 // step is the behaviour of one server for one request.
 type step struct {
@@ -40,6 +42,8 @@
 	lost   int  // Event that is missing; zero for none.
 	twice  int  // Event that comes twice; zero for none.
 	empty  bool // A response from the start has no events.
+	bare   bool // The response is not framed.
+	ends   bool // The server ends with its connection.
 }
 
 const eventCount = 4 // Events of a complete response.
@@ -124,7 +128,7 @@
 	if s.text {
 		t = "text/plain"
 	}
-	return &reply{status: s.status, contentType: t, in: io.MultiReader(strings.NewReader(b.String()), errReader{end})}, nil
+	return &reply{status: s.status, contentType: t, in: io.MultiReader(strings.NewReader(b.String()), errReader{end}), bare: s.bare}, nil
 }
 
 type errReader struct{ err error }
@@ -135,6 +139,7 @@
 	status      int
 	contentType string
 	in          io.Reader
+	bare        bool
 }
 
 func (p *reply) Status() int { return p.status }
@@ -145,6 +150,8 @@
 
 func (p *reply) Read(b []byte) (int, error) { return p.in.Read(b) }
 
+func (p *reply) Framed() bool { return !p.bare }
+
 func (p *reply) Close() {}
 
 // caller records the response that a caller receives.
--- a/reply.go
+++ b/reply.go
@@ -16,7 +16,9 @@
 	Status() int
 	// Fields returns the header fields to pass on to the caller.
 	Fields() []Field
-	// Read reads the body; io.EOF means that the response is complete.
+	// Framed reports whether the response says where its body ends.
+	Framed() bool
+	// Read reads the body; io.EOF means that the response is complete, unless it isn't framed and its server crashed.
 	Read(p []byte) (int, error)
 	// Close ends the exchange and cancels a response that was not read to its end.
 	Close()
--- a/suspect.go
+++ b/suspect.go
@@ -82,10 +82,9 @@
 	Check(p Prompt) error
 	// RecordBegun records that a server began to respond to the prompt p and did not end.
 	RecordBegun(p Prompt)
-	// RecordBroken records that the connection to b broke before a response to the prompt p had begun. It returns once it
-	// is known whether b ended.
-	RecordBroken(c context.Context, b Backend, p Prompt)
-	// RecordEnded records that the connection to b broke after a response had begun. It returns once it is known whether b
+	// RecordBroken records that the connection to b broke before a response to the prompt p had begun. It reports whether b
 	// ended.
-	RecordEnded(c context.Context, b Backend)
+	RecordBroken(c context.Context, b Backend, p Prompt) bool
+	// RecordEnded records that the connection to b broke after a response had begun. It reports whether b ended.
+	RecordEnded(c context.Context, b Backend) bool
 }
