fix(proxy): a response that its server's crash may have cut goes on elsewhere

A response without a length and chunks ends with its connection, and so does that of a server that crashes between two events or within a text: callers took the part for the whole.

Such an end is followed by a look whether the server still accepts connections. If it does not, and the route allows another run, the stream goes on after its last event or the request is sent to another server. Other callers get what there is, as the end may be right. Cost: one connection for each such response of a route that allows another run.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -50,7 +50,7 @@
 		}
 		last := a.request.ResumeFrom()
 		if ended {
-			err = checkEnd(n, last)
+			err = cmp.Or(checkEnd(n, last), a.checkServer(p))
 		} else {
 			err = checkSequence(p.events, last)
 		}
@@ -87,6 +87,14 @@
 	return nil
 }
 
+// checkServer fails if the end of p is that of its server, and another one may answer in its place or go on.
+func (a *exchange) checkServer(p *started) error {
+	if p.Framed() || a.slot == nil || !a.mayRetry() || !a.canResume() || !a.detector.RecordEnded(p.context, a.slot.Backend()) {
+		return nil
+	}
+	return bulrushlug.Errorf(bulrushlug.KindBroken, "%s ended, and its response does not say where it ends", a.slot.Backend().ID())
+}
+
 // checkSequence fails if the last event of r does not follow event last.
 func checkSequence(r *stream.Reader, last uint64) error {
 	if id, _ := r.ID(); r.Identified() && id != last+1 {
@@ -141,13 +149,18 @@
 
 // forwardBody copies a response once it is complete, so that another one can take its place until then; one that is too
 // large to be held is copied as it arrives.
-func (a *exchange) forwardBody(p bulrushlug.Reply) error {
+func (a *exchange) forwardBody(p *started) error {
 	b := buffer{memory: a.memory}
 	defer b.release()
 	whole, err := b.fill(p)
 	if err != nil {
 		return brokenError(err)
 	}
+	if whole {
+		if err := a.checkServer(p); err != nil {
+			return err
+		}
+	}
 	if err := a.sink.head(p); err != nil {
 		return err
 	}
