test(daemon): pairs of events on a small fleet under load

Most faults of late lay between two events that each have a test. TestPairs plays each two of 23 events (signals, a freeze, a lost disk, a retirement, manifests of each kind, a store that is silent for some, a server that crashes, leaves, falls silent, or answers early and resets), in both orders and up to 2 s apart, on three data processes, two entries and three servers, under online requests, uploads of 4 MB, and lots. The oracle judges what callers and servers saw; where no event excuses it, each request that a server ran has a whole answer.

--- a/daemon/oracle_test.go
+++ b/daemon/oracle_test.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// checkAnswered checks that request id has an answer; complete is false if it was cut off, or if there is none. A request that no
+// server has run may have crossed the end of its connection.
+func (j *oracle) checkAnswered(id string, status int, complete bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !complete && j.runs[id] > 0 || status > 500 && status != 503 {
+		j.addViolation("request %s: status %d, complete %v, after %d runs", id, status, complete, j.runs[id])
+	}
+}
+
 // recordAccepted records that lot i was accepted.
 func (j *oracle) recordAccepted(i string) {
 	j.mu.Lock()
@@ -223,6 +233,8 @@
 			j.checkRead("l", 0, time.Now(), 200, all[:2])
 			j.checkRead("l", 1, time.Now(), 200, all[1:3])
 		}, final: all},
+		"a request without an answer": {observe: func(j *oracle) { j.recordRun("a", "b0-1"); j.checkAnswered("a", 0, false) }, final: all, want: "after 1 runs"},
+		"a request that crossed":      {observe: func(j *oracle) { j.checkAnswered("a", 0, false) }, final: all},
 		"a wrong response":            {observe: func(j *oracle) { j.checkResponse("a", 200, responseBody("b"), true) }, final: all, want: "wrong response"},
 		"an event is missing":         {observe: func(j *oracle) { j.checkResponse("a", 200, responseBody("a")[20:], true) }, final: all, want: "wrong response"},
 		"cut off after foreign bytes": {observe: func(j *oracle) { j.checkResponse("a", 200, "id: 2\n", false) }, final: all, want: "cut off after foreign bytes"},
--- a/daemon/soak_test.go
+++ b/daemon/soak_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,6 +45,7 @@
 	storeProxy *faultProxy // Between the process and the key-value service.
 	mu         sync.Mutex
 	command    *exec.Cmd // Nil while the process is down.
+	removed    bool      // It doesn't start any more.
 }
 
 // soak is a system of separate operating system processes into which faults are injected.
@@ -57,16 +59,25 @@
 	servers      []*soakBackend
 	rng          *rand.Rand
 	lastDiskLoss time.Time // Time of the last loss of a disk.
+	calm         bool      // No fault excuses a request without an answer.
+	store        *memtxn.Store
+	long         atomic.Int64 // Long requests that were served.
+	mu           sync.Mutex
+	version      int // Of the manifest.
 }
 
 // soakBackend is a backend server that responds with events that contain the request's identifier.
 type soakBackend struct {
 	id       string
+	address  string // In its entry.
 	oracle   *oracle
 	register func(start int) // Writes the entry of the run that started at the given time.
 	mu       sync.Mutex
 	starts   int  // Number of the current run.
 	leaving  bool // All answers say that the server is leaving.
+	interval time.Duration
+	faults   serverFaults
+	server   *http.Server // Serves at the address, unless a proxy does; nil after a crash.
 }
 
 // start begins the next run of the server.
@@ -94,6 +105,10 @@
 }
 
 func (s *soakBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("X-Instance-Id", s.id)
+		return
+	}
 	id := r.Header.Get("X-Attempt-Id")
 	if x := r.Header.Get("X-Expect-Instance"); x != "" && x != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -108,8 +123,16 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	interval, early := s.timing()
+	if early && r.ContentLength > earlyBytes {
+		answerEarly(w, id)
+		return
+	}
+	if n, err := io.Copy(io.Discard, r.Body); err != nil || n != r.ContentLength {
+		return
+	}
 	for n := after + 1; n <= soakEvents; n++ {
-		if bulrushlug.Sleep(r.Context(), eventInterval) != nil {
+		if bulrushlug.Sleep(r.Context(), interval) != nil || bulrushlug.Sleep(r.Context(), s.silence()) != nil {
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
@@ -128,7 +151,7 @@
 func (p *childProcess) start(binary string, f func()) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command != nil {
+	if p.command != nil || p.removed {
 		return nil
 	}
 	f()
@@ -163,46 +186,39 @@
 	}
 }
 
-// waitStopped waits until p has ended, and kills it after the given time.
+// waitStopped waits until the present run of p has ended, and kills it after the given time.
 func (p *childProcess) waitStopped(wait time.Duration) {
-	for t := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-		p.mu.Lock()
-		running := p.command != nil
-		p.mu.Unlock()
-		if !running {
-			return
-		}
+	run := p.run()
+	for t := time.Now(); run != nil && p.run() == run; time.Sleep(20 * time.Millisecond) {
 		if time.Since(t) > wait {
 			p.signal(syscall.SIGKILL)
 		}
 	}
 }
 
+// run returns the command of the present run of p, or nil if p is down.
+func (p *childProcess) run() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command
+}
+
 // newSoak starts a system of three data processes and two entries.
 func newSoak(t *testing.T, binary string, seed uint64, folder string) *soak {
-	s := &soak{t: t, binary: binary, oracle: newOracle(), rng: rand.New(rand.NewPCG(seed, 3)), lastDiskLoss: time.Now()}
-	m := memtxn.New()
-	store := serveHTTP(t, "127.0.0.1:0", &kvServer{store: m})
-	put := func(key, v string) {
-		if _, err := m.Commit(t.Context(), nil, []bulrushlug.Write{bulrushlug.PutWrite(key, []byte(v), 0)}); err != nil {
-			t.Fatal(err)
-		}
-	}
+	s := &soak{t: t, binary: binary, oracle: newOracle(), rng: rand.New(rand.NewPCG(seed, 3)), lastDiskLoss: time.Now(), store: memtxn.New()}
+	store := serveHTTP(t, "127.0.0.1:0", &kvServer{store: s.store})
 	for i := range 3 {
 		id := fmt.Sprint("b", i)
-		b := &soakBackend{id: id, oracle: s.oracle}
-		g, a := newFaultProxy(t, serveHTTP(t, "127.0.0.1:0", b))
+		b := &soakBackend{id: id, oracle: s.oracle, interval: eventInterval}
+		var g *faultProxy
+		g, b.address = newFaultProxy(t, serveHTTP(t, "127.0.0.1:0", b))
 		s.backends, s.servers = append(s.backends, g), append(s.servers, b)
 		b.register = func(start int) {
-			put("servers/"+id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"callSeq":1,"born":%d}`, a, start))
+			s.write(bulrushlug.PutWrite("servers/"+id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"callSeq":1,"born":%d}`, b.address, start), 0))
 		}
 		b.start()
 	}
-	put("op/config", `{"version":1,"routes":[
-{"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":4000,"service":"s","maxAttempts":3,"resumable":true},
-{"name":"once","host":"h.example","prefix":"/once/","kind":"streaming","timeoutMs":4000,"service":"s","maxAttempts":3},
-{"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":600,"service":"s","maxAttempts":3}],
-"services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"o","apiKeys":["k1"]}]}`)
+	s.manifest(soakManifest)
 	for i := range 5 {
 		p := &childProcess{settings: filepath.Join(folder, fmt.Sprint("p", i, ".json")), log: filepath.Join(folder, fmt.Sprint("p", i, ".log")), entry: i - 3}
 		var a string
@@ -225,16 +241,44 @@
 	return s
 }
 
+// soakManifest follows the version in the manifest of a soak.
+const soakManifest = `"routes":[
+{"name":"ask","host":"h.example","prefix":"/ask/","kind":"streaming","timeoutMs":4000,"service":"s","maxAttempts":3,"resumable":true},
+{"name":"once","host":"h.example","prefix":"/once/","kind":"streaming","timeoutMs":4000,"service":"s","maxAttempts":3},
+{"name":"lots","host":"h.example","prefix":"/in/","kind":"batch","timeoutMs":5000,"dueMs":18000,"retentionS":600,"service":"s","maxAttempts":3}],
+"services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":5000000},"tenants":[{"name":"o","apiKeys":["k1"]}]}`
+
+// manifest writes the next version of the manifest, which has m.
+func (s *soak) manifest(m string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.write(bulrushlug.PutWrite("op/config", fmt.Appendf(nil, `{"version":%d,%s`, s.version, m), 0))
+}
+
+// write writes w to the key-value service.
+func (s *soak) write(w bulrushlug.Write) {
+	if _, err := s.store.Commit(context.Background(), nil, []bulrushlug.Write{w}); err != nil {
+		s.t.Error(err)
+	}
+}
+
 // call sends one request to a random entry; complete is false if the response was cut off.
 func (s *soak) call(method, path, id, body string) (status int, b string, complete bool) {
+	return s.send(method, path, id, strings.NewReader(body), int64(len(body)))
+}
+
+// send is call with a body of n bytes.
+func (s *soak) send(method, path, id string, body io.Reader, n int64) (status int, b string, complete bool) {
 	c, stop := context.WithTimeout(context.Background(), 6*time.Second)
 	defer stop()
 	entry := rand.IntN(len(s.entries))
-	r, err := http.NewRequestWithContext(c, method, "http://"+s.entries[entry]+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(c, method, "http://"+s.entries[entry]+path, body)
 	if err != nil {
 		s.t.Error(err)
 		return 0, "", false
 	}
+	r.ContentLength = n
 	r.Host = "h.example"
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Api-Key", "k1")
@@ -259,6 +303,9 @@
 		id := fmt.Sprint(path, "-", n, "-", i)
 		status, b, complete := s.call("POST", "/"+path+"/x", id, "body")
 		s.oracle.checkResponse(id, status, b, complete)
+		if s.calm {
+			s.oracle.checkAnswered(id, status, complete)
+		}
 	}
 }
 
@@ -365,6 +412,19 @@
 	time.Sleep(quietDuration)
 	stopLoad()
 	w.Wait()
+	s.oracle.checkFinal(s.finalResults())
+	t.Logf("seed %d: %d requests served, %d lots, %d answers of leaving servers, logs in %s", seed, s.oracle.served, len(s.oracle.accepted), s.oracle.answers, folder)
+	if s.oracle.served == 0 || len(s.oracle.accepted) == 0 || s.oracle.answers == 0 {
+		return append(s.oracle.violations, "no request, lot or answer of a leaving server was seen")
+	}
+	if len(s.oracle.violations) == 0 {
+		_ = os.RemoveAll(folder)
+	}
+	return s.oracle.violations
+}
+
+// finalResults returns the results of each accepted lot once they are complete.
+func (s *soak) finalResults() map[string][]string {
 	l := map[string][]string{}
 	for i := range s.oracle.accepted {
 		for t := time.Now(); time.Since(t) < waitTimeout; time.Sleep(200 * time.Millisecond) {
@@ -374,15 +434,7 @@
 			}
 		}
 	}
-	s.oracle.checkFinal(l)
-	t.Logf("seed %d: %d requests served, %d lots, %d answers of leaving servers, logs in %s", seed, s.oracle.served, len(s.oracle.accepted), s.oracle.answers, folder)
-	if s.oracle.served == 0 || len(s.oracle.accepted) == 0 || s.oracle.answers == 0 {
-		return append(s.oracle.violations, "no request, lot or answer of a leaving server was seen")
-	}
-	if len(s.oracle.violations) == 0 {
-		_ = os.RemoveAll(folder)
-	}
-	return s.oracle.violations
+	return l
 }
 
 // buildProgram builds the program and returns its path.
