refactor: what an empty run of an item says has functions of its own

The read of the change as a newcomer: the two conditions that tell the detector and confirm the end of a text stood inside the exchange. The end of a stream is checked in one place in proxy. No change of behaviour; the tests of both packages pass.

--- a/items/run.go
+++ b/items/run.go
@@ -146,16 +146,10 @@
 	defer t.Stop()
 	p, err := r.client.Call(c, s.Backend(), q)
 	if err != nil {
-		if c.Err() == nil && bulrushlug.KindOf(err) == bulrushlug.KindUncertain && !r.detector.RecordBroken(c, s.Backend(), q.Prompt()) &&
-			errors.Is(err, io.ErrUnexpectedEOF) && h.confirmEnd(x) {
+		if r.endsWithoutResponse(c, h, x, s.Backend(), q, err) {
 			return statusOK, nil
 		}
-		switch bulrushlug.KindOf(err) {
-		case bulrushlug.KindUnplaceable:
-			s.RecordUnreachable()
-		case bulrushlug.KindMisdirected, bulrushlug.KindUncertain:
-			s.RecordFailure()
-		}
+		recordFailedCall(s, err)
 		return 0, err
 	}
 	defer p.Close()
@@ -172,14 +166,8 @@
 		err = r.checkEnd(c, h, x, s.Backend(), n)
 	}
 	if err != nil {
-		switch {
-		case c.Err() != nil:
-		case n < begunEvents:
-			if !r.detector.RecordBroken(c, s.Backend(), q.Prompt()) && errors.Is(err, errSequence) && h.confirmEnd(x) {
-				return statusOK, nil
-			}
-		case !errors.Is(err, bulrushlug.ErrOversized):
-			r.detector.RecordEnded(c, s.Backend())
+		if r.endsFromStart(c, h, x, s.Backend(), q, n, err) {
+			return statusOK, nil
 		}
 		return 0, err
 	}
@@ -188,6 +176,16 @@
 	return statusOK, nil
 }
 
+// recordFailedCall records at s that its server had no response, as err says.
+func recordFailedCall(s *slots.Reservation, err error) {
+	switch bulrushlug.KindOf(err) {
+	case bulrushlug.KindUnplaceable:
+		s.RecordUnreachable()
+	case bulrushlug.KindMisdirected, bulrushlug.KindUncertain:
+		s.RecordFailure()
+	}
+}
+
 // discard reads the body of a response without a result; one that breaks off or has no end is no answer.
 func discard(p bulrushlug.Reply) error {
 	_, err := io.CopyN(io.Discard, p, maxFailureBytes)
--- a/items/unframed.go
+++ b/items/unframed.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 
 	"bulrushlug.dev/bulrushlug"
 )
 
-// maxEmptyRuns is the number of runs without an answer, or with the wrong one, that show the end of a text too.
+// maxEmptyRuns is the number of runs without a response, or from the first event, that show the end of a text.
 const maxEmptyRuns = 3
 
 var (
@@ -32,8 +33,32 @@
 	return nil
 }
 
-// confirmEnd notes that a server which goes on has closed the connection of a run of x without a response, or has begun with
-// another event, and reports whether the text of x is complete. Some servers do so if there is nothing to resume.
+// endsWithoutResponse tells the detector of a run of x at b that ended with err instead of a response, and reports whether it shows
+// that the text is complete: some servers close the connection if there is nothing to resume.
+func (r *Runner) endsWithoutResponse(c context.Context, h *shard, x *item, b bulrushlug.Backend, q *bulrushlug.Request, err error) bool {
+	if c.Err() != nil || bulrushlug.KindOf(err) != bulrushlug.KindUncertain {
+		return false
+	}
+	ended := r.detector.RecordBroken(c, b, q.Prompt())
+	return !ended && errors.Is(err, io.ErrUnexpectedEOF) && h.confirmEnd(x)
+}
+
+// endsFromStart tells the detector of a run of x at b that ended with err after n events, and reports whether it shows that the text is
+// complete: some servers begin again if there is nothing to resume.
+func (r *Runner) endsFromStart(c context.Context, h *shard, x *item, b bulrushlug.Backend, q *bulrushlug.Request, n int, err error) bool {
+	switch {
+	case c.Err() != nil:
+	case n < begunEvents:
+		ended := r.detector.RecordBroken(c, b, q.Prompt())
+		return !ended && errors.Is(err, errSequence) && h.confirmEnd(x)
+	case !errors.Is(err, bulrushlug.ErrOversized):
+		r.detector.RecordEnded(c, b)
+	}
+	return false
+}
+
+// confirmEnd notes a run of x that a server which goes on ended without an event to add, and reports whether there were enough of
+// them to take the text for complete. Only after a response that isn't framed they say so.
 func (s *shard) confirmEnd(x *item) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -50,7 +50,7 @@
 		}
 		last := a.request.ResumeFrom()
 		if ended {
-			err = cmp.Or(checkEnd(n, last), a.checkServer(p))
+			err = a.checkEnd(p, n, last)
 		} else {
 			err = checkSequence(p.events, last)
 		}
@@ -79,12 +79,13 @@
 	}
 }
 
-// checkEnd fails if a stream ended after n events, and the caller has none; a resumed one may have ended before.
-func checkEnd(n int, last uint64) error {
+// checkEnd fails if stream p ended after n events, and the caller has none, or if its server has ended; a resumed one may have ended
+// before.
+func (a *exchange) checkEnd(p *started, n int, last uint64) error {
 	if n == 0 && last == 0 {
 		return bulrushlug.Errorf(bulrushlug.KindBroken, "the stream ended without an event")
 	}
-	return nil
+	return a.checkServer(p)
 }
 
 // checkServer fails if the end of p is that of its server, and another one may answer in its place or go on.
