fix(daemon): a process waits for the address of its probes

Cause: it tried to listen once, and only a line of the log told of the error. Ruled out: the readiness itself, as the port answered nobody.

It tries again every 0.2 s while the address is in use, says so once, and waits likewise for the port of its metrics.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -92,7 +92,7 @@
 func (e *entry) serve(c context.Context) error {
 	r := e.probeServer(http.HandlerFunc(e.serveReadiness))
 	defer func() { _ = r.Close() }()
-	go func() { e.logListenerEnd("readiness", e.listenProbes(r, e.settings.Load().Ready())) }()
+	go func() { e.logListenerEnd("readiness", e.listenProbes(c, r, e.settings.Load().Ready())) }()
 	select {
 	case <-e.manifestReady:
 	case <-c.Done():
@@ -122,7 +122,7 @@
 func (e *entry) bounds() bulrushlug.Bounds { return e.manifest.Load().Bounds() }
 
 func (e *entry) logListenerEnd(n string, err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, context.Canceled) {
 		_ = e.logger.Log("event", "listenerEnded", "listener", n, "err", err)
 	}
 }
--- a/daemon/inlet.go
+++ b/daemon/inlet.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"bulrushlug.dev/bulrushlug"
@@ -21,7 +24,8 @@
 	probeMemory      = 1 << 20
 	probeTimeout     = 5 * time.Second // For a response, and for an idle connection.
 	probeHeadTimeout = time.Second
-	refusalLines     = 1 // Lines a second for each kind of refusal.
+	addressInterval  = 200 * time.Millisecond // Between two tries to listen on an address that is in use.
+	refusalLines     = 1                      // Lines a second for each kind of refusal.
 )
 
 // newInlet returns an inlet for n connections, whose heads have at most m bytes together, and callers keep the bounds of f.
@@ -47,9 +51,17 @@
 	return &http.Server{Handler: h, WriteTimeout: probeTimeout}
 }
 
-// listenProbes serves r on address a until r is closed.
-func (s *Daemon) listenProbes(r *http.Server, a string) error {
+// listenProbes serves r on address a until r is closed. It waits for an address that is in use, until c ends.
+func (s *Daemon) listenProbes(c context.Context, r *http.Server, a string) error {
 	l, err := net.Listen("tcp", a)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		_ = s.logger.Log("event", "addressInUse", "address", a)
+	}
+	for ; errors.Is(err, syscall.EADDRINUSE); l, err = net.Listen("tcp", a) {
+		if e := bulrushlug.Sleep(c, addressInterval); e != nil {
+			return e
+		}
+	}
 	if err != nil {
 		return err
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -31,7 +31,7 @@
 	h := s.probeServer(m)
 	context.AfterFunc(c, func() { _ = h.Close() })
 	go func() {
-		if err := s.listenProbes(h, s.settings.Load().Metrics()); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.listenProbes(c, h, s.settings.Load().Metrics()); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, context.Canceled) {
 			_ = s.logger.Log("event", "noMetrics", "err", err)
 		}
 	}()
