--- a/daemon/faults_test.go
+++ b/daemon/faults_test.go
@@ -6,25 +6,45 @@
 	"time"
 )
 
+// kill kills p and starts it again after d.
+func (s *soak) kill(p *childProcess, d time.Duration) {
+	p.signal(syscall.SIGKILL)
+	p.waitStopped(0)
+	time.Sleep(d)
+	s.start(p)
+}
+
+// restart stops p by plan, and starts it again.
+func (s *soak) restart(p *childProcess) {
+	p.signal(syscall.SIGTERM)
+	p.waitStopped(8 * time.Second)
+	s.start(p)
+}
+
+// freeze stops p for d, without it noticing.
+func (s *soak) freeze(p *childProcess, d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	s.oracle.excuse(p.entry)
+	p.signal(syscall.SIGCONT)
+}
+
+// loseDisk kills p, which starts again after d with an empty disk.
+func (s *soak) loseDisk(p *childProcess, d time.Duration) {
+	p.signal(syscall.SIGKILL)
+	p.waitStopped(0)
+	if err := os.RemoveAll(p.folder); err != nil {
+		s.t.Error(err)
+	}
+	time.Sleep(d)
+	s.start(p)
+}
+
 // soakFaults are the faults that a soak injects into processes and connections; each returns once the fault is over.
 var soakFaults = map[string]func(s *soak, p *childProcess, d time.Duration, n int){
-	"kill": func(s *soak, p *childProcess, d time.Duration, _ int) {
-		p.signal(syscall.SIGKILL)
-		p.waitStopped(0)
-		time.Sleep(d / 2)
-		s.start(p)
-	},
-	"freeze": func(s *soak, p *childProcess, d time.Duration, _ int) {
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(d)
-		s.oracle.excuse(p.entry)
-		p.signal(syscall.SIGCONT)
-	},
-	"stop": func(s *soak, p *childProcess, d time.Duration, _ int) {
-		p.signal(syscall.SIGTERM)
-		p.waitStopped(8 * time.Second)
-		s.start(p)
-	},
+	"kill":   func(s *soak, p *childProcess, d time.Duration, _ int) { s.kill(p, d/2) },
+	"freeze": func(s *soak, p *childProcess, d time.Duration, _ int) { s.freeze(p, d) },
+	"stop":   func(s *soak, p *childProcess, _ time.Duration, _ int) { s.restart(p) },
 	"reload": func(_ *soak, p *childProcess, _ time.Duration, _ int) { p.signal(syscall.SIGHUP) },
 	"service": func(_ *soak, p *childProcess, d time.Duration, n int) {
 		p.storeProxy.set([]string{"delay", "stall", "stall replies", "reset"}[n%4])
@@ -63,13 +83,7 @@
 			return
 		}
 		s.lastDiskLoss = time.Now()
-		p.signal(syscall.SIGKILL)
-		p.waitStopped(0)
-		if err := os.RemoveAll(p.folder); err != nil {
-			s.t.Error(err)
-		}
-		time.Sleep(d / 4)
-		s.start(p)
+		s.loseDisk(p, d/4)
 		time.Sleep(diskLossInterval)
 		s.lastDiskLoss = time.Now()
 	},
--- a/daemon/pairs_test.go
+++ b/daemon/pairs_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,7 +25,9 @@
 	pairInterval   = 100 * time.Millisecond // Time between two events of a response.
 	pairGap        = 2 * time.Second        // Longest time between the two events of a pair.
 	pairQuiet      = 3 * time.Second        // Time without faults before the final checks.
-	pairDeadline   = 15 * time.Second       // As in pairManifest.
+	pairDowntime   = 300 * time.Millisecond
+	pairFreeze     = 1500 * time.Millisecond
+	pairDeadline   = 15 * time.Second // As in pairManifest.
 	pairCallers    = 8
 	pairUploaders  = 3
 	pairSample     = 16 // Pairs that are played without PAIRS.
@@ -51,7 +54,8 @@
 	f(&s.faults)
 }
 
-// serve serves at the address until crash is called, unless it does so already.
+// serve serves at the address until crash is called, unless it does so already. Another program may just look whether the address is
+// free.
 func (s *soakBackend) serve() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -59,8 +63,11 @@
 		return nil
 	}
 	l, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return err
+	for begun := time.Now(); err != nil; l, err = net.Listen("tcp", s.address) {
+		if time.Since(begun) > waitTimeout {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	go func(v *http.Server) { _ = v.Serve(l) }(s.server)
@@ -115,8 +122,8 @@
 
 // pairEvents are the events of the pairs.
 var pairEvents = map[string]pairEvent{
-	"SIGTERM of an entry":            {calm: true, play: terminate},
-	"SIGTERM of a data process":      {calm: true, data: true, play: terminate},
+	"SIGTERM of an entry":            {calm: true, play: restart},
+	"SIGTERM of a data process":      {calm: true, data: true, play: restart},
 	"SIGHUP of an entry":             {calm: true, play: reread},
 	"SIGHUP of a data process":       {calm: true, data: true, play: reread},
 	"SIGKILL of an entry":            {play: kill},
@@ -140,44 +147,22 @@
 	"the configuration is rewritten": {calm: true, play: changeManifest(``, ``)},
 }
 
-func terminate(s *soak, p *childProcess, _ int) {
-	p.signal(syscall.SIGTERM)
-	p.waitStopped(8 * time.Second)
-	s.start(p)
-}
+func restart(s *soak, p *childProcess, _ int) { s.restart(p) }
 
-func reread(s *soak, p *childProcess, _ int) {
-	p.changeSettings(s.t)
-	p.signal(syscall.SIGHUP)
-}
+func kill(s *soak, p *childProcess, _ int) { s.kill(p, pairDowntime) }
 
-func kill(s *soak, p *childProcess, _ int) {
-	p.signal(syscall.SIGKILL)
-	p.waitStopped(0)
-	time.Sleep(300 * time.Millisecond)
-	s.start(p)
-}
+func freeze(s *soak, p *childProcess, _ int) { s.freeze(p, pairFreeze) }
 
-func freeze(s *soak, p *childProcess, _ int) {
-	p.signal(syscall.SIGSTOP)
-	time.Sleep(1500 * time.Millisecond)
-	s.oracle.excuse(p.entry)
-	p.signal(syscall.SIGCONT)
-}
+func loseDisk(s *soak, p *childProcess, _ int) { s.loseDisk(p, pairDowntime) }
 
-func loseDisk(s *soak, p *childProcess, _ int) {
-	p.signal(syscall.SIGKILL)
-	p.waitStopped(0)
-	if err := os.RemoveAll(p.folder); err != nil {
-		s.t.Error(err)
-	}
-	time.Sleep(300 * time.Millisecond)
-	s.start(p)
+func reread(s *soak, p *childProcess, _ int) {
+	p.changeSettings(s.t)
+	p.signal(syscall.SIGHUP)
 }
 
 // retire has p emptied, and removes it once it is said to be empty.
 func retire(s *soak, p *childProcess, _ int) {
-	vm := strings.TrimSuffix(p.settings[strings.LastIndex(p.settings, "/")+1:], ".json")
+	vm := strings.TrimSuffix(filepath.Base(p.settings), ".json")
 	s.write(bulrushlug.PutWrite("op/retire/"+vm, []byte("{}"), 0))
 	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
 		x, err := s.store.Get(context.Background(), "status/retire/"+vm)
@@ -250,22 +235,16 @@
 }
 
 // slowBody is a body that its caller sends part by part.
-type slowBody struct {
-	c    context.Context
-	left int
-}
+type slowBody struct{ left int }
 
 func (b *slowBody) Read(p []byte) (int, error) {
 	if b.left == 0 {
 		return 0, io.EOF
 	}
-	n := min(len(p), b.left)
 	if b.left%uploadPart == 0 {
-		if err := bulrushlug.Sleep(b.c, uploadInterval); err != nil {
-			return 0, err
-		}
+		time.Sleep(uploadInterval)
 	}
-	n = min(n, cmp.Or(b.left%uploadPart, uploadPart))
+	n := min(len(p), cmp.Or(b.left%uploadPart, uploadPart))
 	b.left -= n
 	return n, nil
 }
@@ -275,7 +254,7 @@
 	for i := 0; bulrushlug.Sleep(c, 50*time.Millisecond) == nil; i++ {
 		path := []string{"ask", "once"}[i%2]
 		id := fmt.Sprint(path, "-long-", n, "-", i)
-		status, b, complete := s.send("POST", "/"+path+"/x", id, &slowBody{context.Background(), uploadBytes}, uploadBytes)
+		status, b, complete := s.send("POST", "/"+path+"/x", id, &slowBody{uploadBytes}, uploadBytes)
 		s.oracle.checkResponse(id, status, b, complete)
 		if status == 200 && complete {
 			s.long.Add(1)
