--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -294,15 +294,33 @@
 	return nil
 }
 
-// crash ends the process of r at once; its entry goes after three heartbeats of silence.
-func (f *fleet) crash(r *runnerProcess) {
-	_ = r.command.Process.Kill()
-	_, _ = r.command.Process.Wait()
-	f.record.write("killed %s", r.id)
-	e := f.store.get("servers/" + r.id)
-	time.AfterFunc(3*heartbeatMs*time.Millisecond, func() {
-		if f.store.get("servers/"+r.id) == e {
-			f.store.erase("servers/" + r.id)
+// crash ends the processes of the given runners at once; their entries go after three heartbeats of silence.
+func (f *fleet) crash(runners ...*runnerProcess) {
+	for _, r := range runners {
+		_ = r.command.Process.Kill()
+	}
+	for _, r := range runners {
+		_, _ = r.command.Process.Wait()
+		f.record.write("killed %s", r.id)
+		e := f.store.get("servers/" + r.id)
+		time.AfterFunc(3*heartbeatMs*time.Millisecond, func() {
+			if f.store.get("servers/"+r.id) == e {
+				f.store.erase("servers/" + r.id)
+			}
+		})
+	}
+}
+
+// crashGroup ends the processes of group n of the runners, which take turns, and starts them again after d.
+func (f *fleet) crashGroup(n, size int, d time.Duration) error {
+	first := size * n % len(f.runners)
+	group := f.runners[first : first+size]
+	f.crash(group...)
+	time.Sleep(d)
+	for _, r := range group {
+		if err := f.startRunner(r); err != nil {
+			return err
 		}
-	})
+	}
+	return nil
 }
--- a/review/stand-3/items.go
+++ b/review/stand-3/items.go
@@ -87,16 +87,8 @@
 	}
 	for n := range waves - 1 {
 		time.Sleep(time.Until(begin.Add(time.Duration(n+1)*wave + killAfter)))
-		if !trouble {
-			continue
-		}
-		two := []*runnerProcess{f.runners[2*n%12], f.runners[(2*n+1)%12]}
-		for _, r := range two {
-			f.crash(r)
-		}
-		time.Sleep(downTime)
-		for _, r := range two {
-			if err := f.startRunner(r); err != nil {
+		if trouble {
+			if err := f.crashGroup(n, 2, downTime); err != nil {
 				return 0, err
 			}
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -34,6 +34,7 @@
 
 // scripts are the scripts by name. They return the number of times that the rule was broken.
 var scripts = map[string]func(f *fleet, trouble bool) (int, error){
+	"alone":   alone,
 	"items":   items,
 	"streams": func(f *fleet, trouble bool) (int, error) { return streams(f, trouble, askPrefix) },
 	"once":    func(f *fleet, trouble bool) (int, error) { return streams(f, trouble, oncePrefix) },
--- a/review/stand-3/streams.go
+++ b/review/stand-3/streams.go
@@ -3,9 +3,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +31,7 @@
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
-	var wrong, served, failed atomic.Int64
+	var t tally
 	var w sync.WaitGroup
 	stop := make(chan bool)
 	for n := range callers {
@@ -46,19 +46,7 @@
 				m := f.machines[(n+i)%2]
 				id := fmt.Sprintf("%08x%06x", n+1, i)
 				events := 12 + g.IntN(35)
-				f.record.write("send %s to %s", id, m.name)
-				a := ask(m.front(), prefix, id, events, 5*time.Second)
-				switch {
-				case a.err != nil || a.status != 200:
-					failed.Add(1)
-					f.record.write("failed %s: %d, %d events, %v", id, a.status, len(a.events), a.err)
-				case a.whole && (len(a.events) < events || len(a.odd) > 0):
-					wrong.Add(1)
-					f.record.write("BROKEN %s: a complete answer of %s has events 1 to %d of %d", id, a.stamp, len(a.events), events)
-				default:
-					served.Add(1)
-					f.record.write("whole %s", id)
-				}
+				t.ask(f, m, prefix, id, events)
 				time.Sleep(time.Duration(g.IntN(200)) * time.Millisecond)
 			}
 		})
@@ -79,10 +67,36 @@
 	}
 	close(stop)
 	w.Wait()
-	f.record.write("%d streams were whole, %d failed, %d were complete with a part of their events", served.Load(), failed.Load(), wrong.Load())
-	if served.Load() == 0 {
-		return 0, fmt.Errorf("no stream was served")
+	return t.report(f)
+}
+
+// tally counts the streams that callers got.
+type tally struct{ served, failed, wrong atomic.Int64 }
+
+// ask sends request id for the given number of events to m, on the route with the given prefix, and judges what comes back.
+func (t *tally) ask(f *fleet, m *machine, prefix, id string, events int) {
+	f.record.write("send %s to %s", id, m.name)
+	a := ask(m.front(), prefix, id, events, 5*time.Second)
+	switch {
+	case a.err != nil || a.status != 200:
+		t.failed.Add(1)
+		f.record.write("failed %s: %d, %d events, %v", id, a.status, len(a.events), a.err)
+	case a.whole && (len(a.events) < events || len(a.odd) > 0):
+		t.wrong.Add(1)
+		f.record.write("BROKEN %s: a complete answer of %s has events 1 to %d of %d", id, a.stamp, len(a.events), events)
+	default:
+		t.served.Add(1)
+		f.record.write("whole %s", id)
+	}
+}
+
+// report writes the counts and returns how often the rule was broken; it fails if no stream was served.
+func (t *tally) report(f *fleet) (broken int, err error) {
+	served, failed, wrong := t.served.Load(), t.failed.Load(), t.wrong.Load()
+	f.record.write("%d streams were whole, %d failed, %d were complete with a part of their events", served, failed, wrong)
+	if served == 0 {
+		return 0, errors.New("no stream was served")
 	}
-	fmt.Println(strings.TrimSpace(fmt.Sprintf("%d whole, %d failed", served.Load(), failed.Load())))
-	return int(wrong.Load()), nil
+	fmt.Printf("%d whole, %d failed\n", served, failed)
+	return int(wrong), nil
 }
